--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,266 @@
+// Package config holds the operators' configuration as immutable snapshots: client
+// accounts, keys, endpoint pools and routes, at one ticket number.
+package config
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Kind is the kind of a configured object.
+type Kind string
+
+// The kinds of objects that tickets carry.
+const (
+	KindAccount  Kind = "account"
+	KindKey      Kind = "key"
+	KindPool     Kind = "pool"
+	KindEndpoint Kind = "endpoint"
+	KindRoute    Kind = "route"
+)
+
+// StalePolicy says what an instance does with an account's keys while it cannot
+// learn whether its configuration is current.
+type StalePolicy string
+
+// The stale policies.
+const (
+	StaleServe  StalePolicy = "serve"
+	StaleRefuse StalePolicy = "refuse"
+)
+
+// Account is a client account with its fleet-wide rate limit.
+type Account struct {
+	Name       string        `json:"name"`
+	Rate       float64       `json:"rate"`   // tokens per second over all instances
+	Burst      float64       `json:"burst"`  // tokens
+	Weight     float64       `json:"weight"` // share in fair queues
+	StaleKeys  StalePolicy   `json:"stale_keys"`
+	StaleAfter time.Duration `json:"stale_after"` // age at which configuration counts as stale
+}
+
+// KeyHash is the SHA-256 of a caller's key.
+type KeyHash [sha256.Size]byte
+
+// HashKey returns the hash under which a key is stored.
+func HashKey(key string) KeyHash { return sha256.Sum256([]byte(key)) }
+
+// MarshalText implements encoding.TextMarshaler.
+func (h KeyHash) MarshalText() ([]byte, error) { return []byte(hex.EncodeToString(h[:])), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (h *KeyHash) UnmarshalText(b []byte) error {
+	_, err := hex.Decode(h[:], b)
+	return err
+}
+
+// Key is a credential of an account. The key itself is never stored.
+type Key struct {
+	ID        string  `json:"id"`
+	Account   string  `json:"account"`
+	Hash      KeyHash `json:"hash"`
+	Withdrawn bool    `json:"withdrawn"`
+}
+
+// PoolKind tells what the endpoints of a pool are.
+type PoolKind string
+
+// The kinds of pools.
+const (
+	ModelPool   PoolKind = "model"
+	ServicePool PoolKind = "service"
+)
+
+// Pool is a set of endpoints that serve one model or one service.
+type Pool struct {
+	Name     string   `json:"name"`
+	Kind     PoolKind `json:"kind"`
+	Model    string   `json:"model,omitempty"`
+	Version  string   `json:"version,omitempty"`
+	Adapters []string `json:"adapters,omitempty"`
+}
+
+// Role is the job of an endpoint within its pool.
+type Role string
+
+// The roles of endpoints.
+const (
+	Prefill Role = "prefill"
+	Decode  Role = "decode"
+	Plain   Role = "plain"
+)
+
+// Endpoint is one server of a pool.
+type Endpoint struct {
+	Name       string `json:"name"`
+	Pool       string `json:"pool"`
+	Addr       string `json:"addr"` // IP:port
+	DataCentre string `json:"data_centre"`
+	Role       Role   `json:"role"`
+	Slots      int    `json:"slots"`   // concurrent requests
+	Pieces     int    `json:"pieces"`  // KV pieces
+	Fencing    bool   `json:"fencing"` // refuses orders with a stale epoch
+	Leaving    bool   `json:"leaving"`
+}
+
+// Class orders requests of different urgency.
+type Class string
+
+// The request classes.
+const (
+	Interactive Class = "interactive"
+	Patient     Class = "patient"
+)
+
+// Route maps requests to a pool.
+type Route struct {
+	Name       string        `json:"name"`
+	Method     string        `json:"method"` // empty matches every method
+	Path       string        `json:"path"`   // trailing '*' matches any rest
+	Model      string        `json:"model,omitempty"`
+	Pool       string        `json:"pool"`
+	Open       bool          `json:"open"` // needs no key
+	Class      Class         `json:"class"`
+	MaxWait    time.Duration `json:"max_wait"`    // longest time in queue
+	FirstToken time.Duration `json:"first_token"` // latency target
+	Deadline   time.Duration `json:"deadline"`    // longest whole request
+	Idempotent bool          `json:"idempotent"`
+}
+
+// Matches reports whether the route takes a request.
+func (r *Route) Matches(method, path, model string) bool {
+	if r.Method != "" && r.Method != method {
+		return false
+	}
+	if r.Model != "" && r.Model != model {
+		return false
+	}
+	if prefix, ok := strings.CutSuffix(r.Path, "*"); ok {
+		return strings.HasPrefix(path, prefix)
+	}
+	return r.Path == path
+}
+
+// State is the whole configuration at one ticket. It is never changed once built.
+type State struct {
+	Ticket    uint64
+	Accounts  map[string]*Account
+	Keys      map[KeyHash]*Key
+	Pools     map[string]*Pool
+	Endpoints map[string]*Endpoint
+	Routes    []*Route // exact paths before patterns, longer patterns first
+
+	byPool map[string][]*Endpoint
+}
+
+// Empty returns the configuration before the first ticket.
+func Empty() *State { return Build(0, nil) }
+
+// Objects lists configured objects of all kinds; Build turns them into a State.
+type Objects struct {
+	Accounts  []*Account  `json:"accounts"`
+	Keys      []*Key      `json:"keys"`
+	Pools     []*Pool     `json:"pools"`
+	Endpoints []*Endpoint `json:"endpoints"`
+	Routes    []*Route    `json:"routes"`
+}
+
+// Build makes the State of the given objects at a ticket number.
+func Build(ticket uint64, o *Objects) *State {
+	s := &State{
+		Ticket:    ticket,
+		Accounts:  map[string]*Account{},
+		Keys:      map[KeyHash]*Key{},
+		Pools:     map[string]*Pool{},
+		Endpoints: map[string]*Endpoint{},
+		byPool:    map[string][]*Endpoint{},
+	}
+	if o == nil {
+		return s
+	}
+	for _, a := range o.Accounts {
+		s.Accounts[a.Name] = a
+	}
+	for _, k := range o.Keys {
+		s.Keys[k.Hash] = k
+	}
+	for _, p := range o.Pools {
+		s.Pools[p.Name] = p
+	}
+	for _, e := range o.Endpoints {
+		s.Endpoints[e.Name] = e
+		s.byPool[e.Pool] = append(s.byPool[e.Pool], e)
+	}
+	for _, es := range s.byPool {
+		slices.SortFunc(es, func(a, b *Endpoint) int { return strings.Compare(a.Name, b.Name) })
+	}
+	s.Routes = slices.Clone(o.Routes)
+	slices.SortStableFunc(s.Routes, compareRoutes)
+	return s
+}
+
+// Pool returns the endpoints of a pool, sorted by name. The slice is shared.
+func (s *State) Pool(name string) []*Endpoint { return s.byPool[name] }
+
+// Objects returns the objects of the State, each list in a stable order.
+func (s *State) Objects() *Objects {
+	o := &Objects{Routes: s.Routes}
+	for _, a := range s.Accounts {
+		o.Accounts = append(o.Accounts, a)
+	}
+	for _, k := range s.Keys {
+		o.Keys = append(o.Keys, k)
+	}
+	for _, p := range s.Pools {
+		o.Pools = append(o.Pools, p)
+	}
+	for _, e := range s.Endpoints {
+		o.Endpoints = append(o.Endpoints, e)
+	}
+	slices.SortFunc(o.Accounts, func(a, b *Account) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(o.Keys, func(a, b *Key) int { return strings.Compare(a.ID, b.ID) })
+	slices.SortFunc(o.Pools, func(a, b *Pool) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(o.Endpoints, func(a, b *Endpoint) int { return strings.Compare(a.Name, b.Name) })
+	return o
+}
+
+// Route returns the first route that takes the request, or nil.
+func (s *State) Route(method, path, model string) *Route {
+	for _, r := range s.Routes {
+		if r.Matches(method, path, model) {
+			return r
+		}
+	}
+	return nil
+}
+
+// compareRoutes sorts exact paths first, then longer patterns, then routes that
+// name a model, then by name.
+func compareRoutes(a, b *Route) int {
+	pa, pb := strings.HasSuffix(a.Path, "*"), strings.HasSuffix(b.Path, "*")
+	switch {
+	case pa != pb && pb:
+		return -1
+	case pa != pb:
+		return 1
+	case len(a.Path) != len(b.Path):
+		return len(b.Path) - len(a.Path)
+	case (a.Model == "") != (b.Model == ""):
+		if a.Model != "" {
+			return -1
+		}
+		return 1
+	}
+	return strings.Compare(a.Name, b.Name)
+}
+
+// Source gives the snapshot in force on this instance.
+type Source interface {
+	// Current returns the snapshot; callers keep one for a whole decision.
+	Current() *State
+	// Age returns the time since the configuration was last known to be current.
+	Age() time.Duration
+}
--- /dev/null
+++ b/internal/member/member.go
@@ -0,0 +1,42 @@
+// Package member keeps this instance's session and its view of the other instances.
+package member
+
+// Session identifies one process incarnation of an instance.
+type Session struct {
+	Name       string // instance name from settings
+	Addr       string // peer RPC address, IP:port
+	Callers    string // callers' address, IP:port
+	Operator   string // operator address, IP:port
+	DataCentre string
+	Epoch      uint64 // fencing epoch: higher for every later incarnation
+}
+
+// View is an immutable picture of the instances believed to be alive, this one
+// included, sorted by name.
+type View struct {
+	Self  Session
+	Peers []Session // without Self
+}
+
+// InDataCentre returns the members of a data centre, Self included where it is one,
+// sorted by name.
+func (v *View) InDataCentre(dc string) []Session {
+	var in []Session
+	placed := v.Self.DataCentre != dc
+	for _, p := range v.Peers {
+		if !placed && v.Self.Name < p.Name {
+			in = append(in, v.Self)
+			placed = true
+		}
+		if p.DataCentre == dc {
+			in = append(in, p)
+		}
+	}
+	if !placed {
+		in = append(in, v.Self)
+	}
+	return in
+}
+
+// Source gives the current view.
+type Source interface{ View() *View }
--- /dev/null
+++ b/internal/reqid/reqid.go
@@ -0,0 +1,70 @@
+// Package reqid makes and parses request identifiers that name the instance and
+// the process incarnation that issued them.
+package reqid
+
+import (
+	"strconv"
+	"strings"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ID identifies one request over its whole life, all attempts included.
+type ID struct {
+	Instance    string // name of the issuing instance; holds no '.'
+	Incarnation uint64 // session epoch of the issuing process
+	Seq         uint64 // counts up from 1 within the incarnation
+}
+
+// String returns "instance.incarnation.seq".
+func (id ID) String() string {
+	return id.Instance + "." + strconv.FormatUint(id.Incarnation, 10) + "." + strconv.FormatUint(id.Seq, 10)
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (id ID) MarshalText() ([]byte, error) { return []byte(id.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (id *ID) UnmarshalText(b []byte) error {
+	p, err := Parse(string(b))
+	if err != nil {
+		return err
+	}
+	*id = p
+	return nil
+}
+
+// Parse reads the form that String writes.
+func Parse(s string) (ID, error) {
+	parts := strings.Split(s, ".")
+	if len(parts) != 3 || parts[0] == "" {
+		return ID{}, errors.Newf("request id %q: want instance.incarnation.seq", s)
+	}
+	inc, err := strconv.ParseUint(parts[1], 10, 64)
+	if err != nil {
+		return ID{}, errors.Wrapf(err, "request id %q: incarnation", s)
+	}
+	seq, err := strconv.ParseUint(parts[2], 10, 64)
+	if err != nil {
+		return ID{}, errors.Wrapf(err, "request id %q: sequence", s)
+	}
+	return ID{Instance: parts[0], Incarnation: inc, Seq: seq}, nil
+}
+
+// Source issues IDs for one process incarnation. It is safe for concurrent use.
+type Source struct {
+	instance    string
+	incarnation uint64
+	last        atomic.Uint64
+}
+
+// NewSource returns a Source for the given instance and incarnation.
+func NewSource(instance string, incarnation uint64) *Source {
+	return &Source{instance: instance, incarnation: incarnation}
+}
+
+// Next returns a fresh ID.
+func (s *Source) Next() ID {
+	return ID{Instance: s.instance, Incarnation: s.incarnation, Seq: s.last.Add(1)}
+}
