Add the HTTP endpoint adapter and the stand-in engine and service

Cause: the request path needs endpoints to talk to, and tests need endpoints that fail in every way the router has to survive.

Change: internal/endpoint/httpendpoint implements endpoint.Dialer over net/http. Each read and write has an idle deadline; prefill, import and decode answer with event streams kept alive by comments. net/http repeats a request that carries an Idempotency-Key by itself when a pooled connection breaks; plain service calls refuse that second write, and TestNoRepetition fails without the refusal. internal/standin/{host,engine,service} are the stand-ins. The engine holds slot and memory of a request until its output was read to the end or cancelled.

API: httpendpoint.NewDialer(Options{ConnectTimeout, Idle, ServiceIdle, MaxConns, MaxClients}) endpoint.Dialer; path and header constants in wire.go. engine.New(engine.Options{Settings, Clock}) *engine.Server, engine.DefaultSettings, Server.Serve(ln), Close, Inject(host.Fault{Kind, For, Delay, Factor}), Revive, Ledger, Running, UsedPieces, Handler; engine.Expected, engine.ExpectedLength. service.New(service.Options) *service.Server with the same methods. POST /admin/fault {"kind","for_ms","delay_ms","factor"}, GET /admin/ledger. Kinds: stall silent drop late crossed die stall_transfer slow clear.

--- /dev/null
+++ b/internal/endpoint/httpendpoint/engine.go
@@ -0,0 +1,219 @@
+package httpendpoint
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+
+	"carawayrouter.example/router/internal/endpoint"
+	"carawayrouter.example/router/internal/reqid"
+)
+
+// maxAnswer bounds a JSON answer that is read as a whole, in bytes.
+const maxAnswer = 4 << 20
+
+// engine is the client of one model engine.
+type engine struct {
+	base    string
+	work    *http.Transport
+	control *http.Transport
+}
+
+// Prefill implements endpoint.Engine.
+func (e *engine) Prefill(ctx context.Context, r endpoint.PrefillRequest) (endpoint.PrefillResult, error) {
+	var res endpoint.PrefillResult
+	if err := e.await(ctx, PathPrefill, r, &res); err != nil {
+		return endpoint.PrefillResult{}, err
+	}
+	if res.ID != r.ID || res.Attempt != r.Attempt {
+		return endpoint.PrefillResult{}, mismatch(res.ID, res.Attempt)
+	}
+	return res, nil
+}
+
+// Import implements endpoint.Engine.
+func (e *engine) Import(ctx context.Context, r endpoint.ImportRequest) error {
+	var res ImportResult
+	if err := e.await(ctx, PathImport, r, &res); err != nil {
+		return err
+	}
+	if res.ID != r.ID || res.Attempt != r.Attempt {
+		return mismatch(res.ID, res.Attempt)
+	}
+	return nil
+}
+
+// Decode implements endpoint.Engine.
+func (e *engine) Decode(ctx context.Context, r endpoint.DecodeRequest) (endpoint.TokenStream, error) {
+	s, err := e.stream(ctx, PathDecode, r)
+	if err != nil {
+		return nil, err
+	}
+	return &tokenStream{events: s, id: r.ID, attempt: r.Attempt, next: r.Offset}, nil
+}
+
+// Cancel implements endpoint.Engine.
+func (e *engine) Cancel(ctx context.Context, id reqid.ID, attempt int) error {
+	return e.call(ctx, http.MethodPost, PathCancel, CancelRequest{ID: id, Attempt: attempt}, nil)
+}
+
+// Running implements endpoint.Engine.
+func (e *engine) Running(ctx context.Context) ([]endpoint.Running, error) {
+	var list []endpoint.Running
+	err := e.call(ctx, http.MethodGet, PathRunning, nil, &list)
+	return list, err
+}
+
+// Load implements endpoint.Engine.
+func (e *engine) Load(ctx context.Context) (endpoint.LoadReport, error) {
+	var l endpoint.LoadReport
+	err := e.call(ctx, http.MethodGet, PathLoad, nil, &l)
+	return l, err
+}
+
+// CacheEvents implements endpoint.Engine.
+func (e *engine) CacheEvents(ctx context.Context, after uint64) ([]endpoint.CacheEvent, error) {
+	var list []endpoint.CacheEvent
+	err := e.call(ctx, http.MethodGet, PathCacheEvents+"?after="+strconv.FormatUint(after, 10), nil, &list)
+	return list, err
+}
+
+// Order implements endpoint.Engine.
+func (e *engine) Order(ctx context.Context, o endpoint.Order) (endpoint.OrderResult, error) {
+	var res endpoint.OrderResult
+	err := e.call(ctx, http.MethodPost, PathOrders, o, &res)
+	return res, err
+}
+
+// call makes one short JSON call.
+func (e *engine) call(ctx context.Context, method, path string, in, out any) error {
+	req, err := newRequest(ctx, method, e.base+path, in)
+	if err != nil {
+		return err
+	}
+	resp, err := roundTrip(e.control, req, false)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return readError(ctx, e.control, err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return statusError(resp.StatusCode, resp.Header, errorBody(data))
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.Unmarshal(data, out); err != nil {
+		return as(endpoint.ErrBroken, err, "answer")
+	}
+	return nil
+}
+
+// stream makes a call that answers with an event stream.
+func (e *engine) stream(ctx context.Context, path string, in any) (*eventReader, error) {
+	req, err := newRequest(ctx, http.MethodPost, e.base+path, in)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := roundTrip(e.work, req, false)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode == http.StatusOK {
+		return newEventReader(ctx, e.work, resp.Body), nil
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return nil, readError(ctx, e.work, err)
+	}
+	return nil, statusError(resp.StatusCode, resp.Header, errorBody(data))
+}
+
+// await makes a call whose event stream carries one answer.
+func (e *engine) await(ctx context.Context, path string, in, out any) error {
+	s, err := e.stream(ctx, path, in)
+	if err != nil {
+		return err
+	}
+	defer s.close()
+	data, err := s.next()
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(data, out); err != nil {
+		return as(endpoint.ErrBroken, err, "answer")
+	}
+	// Reading to the end makes the connection fit for another call. The answer is
+	// whole already, so that a failure here changes nothing.
+	_, _ = s.next()
+	return nil
+}
+
+// Exporter fetches exported KV cache from engines; engines use it between themselves.
+type Exporter struct{ d *dialer }
+
+// NewExporter returns an Exporter.
+func NewExporter(o Options) *Exporter {
+	return &Exporter{d: NewDialer(o).(*dialer)}
+}
+
+// Fetch takes over the KV cache behind a handle. It returns once it was transferred.
+func (x *Exporter) Fetch(ctx context.Context, addr, handle string) (Exported, error) {
+	var out Exported
+	e := x.d.Engine(addr).(*engine)
+	err := e.await(ctx, PathExport, ExportRequest{Handle: handle}, &out)
+	if err == nil && out.Handle != handle {
+		err = errors.Wrapf(endpoint.ErrMismatch, "got handle %q", out.Handle)
+	}
+	return out, err
+}
+
+// Close drops the idle connections.
+func (x *Exporter) Close() {
+	x.d.mu.Lock()
+	defer x.d.mu.Unlock()
+	for _, e := range x.d.engines {
+		e.client.closeIdle()
+	}
+}
+
+// newRequest returns a request with a JSON body, or none for a nil in.
+func newRequest(ctx context.Context, method, url string, in any) (*http.Request, error) {
+	var body io.Reader
+	if in != nil {
+		data, err := json.Marshal(in)
+		if err != nil {
+			return nil, errors.Wrap(err, "request body")
+		}
+		body = bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, url, body)
+	if err != nil {
+		return nil, as(endpoint.ErrNotSent, err, "request")
+	}
+	if in != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	return req, nil
+}
+
+func errorBody(data []byte) ErrorBody {
+	var b ErrorBody
+	if json.Unmarshal(data, &b) != nil {
+		return ErrorBody{}
+	}
+	return b
+}
+
+func mismatch(id reqid.ID, attempt int) error {
+	return errors.Wrapf(endpoint.ErrMismatch, "got request %s attempt %d", id, attempt)
+}
--- /dev/null
+++ b/internal/endpoint/httpendpoint/service.go
@@ -0,0 +1,96 @@
+package httpendpoint
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"slices"
+
+	"carawayrouter.example/router/internal/endpoint"
+)
+
+// hopHeaders belong to one connection and are not passed on.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Host",
+}
+
+// service is the client of one plain service.
+type service struct {
+	base string
+	tr   *http.Transport
+}
+
+// Do implements endpoint.Service. A request goes out at most once: the transport's
+// own repetition is stopped as soon as a byte was written.
+func (s *service) Do(ctx context.Context, r endpoint.ServiceRequest) (*endpoint.ServiceResponse, error) {
+	var body io.Reader
+	if len(r.Body) > 0 {
+		body = bytes.NewReader(r.Body)
+	}
+	req, err := http.NewRequestWithContext(ctx, r.Method, s.base+r.Path, body)
+	if err != nil {
+		return nil, as(endpoint.ErrNotSent, err, "request")
+	}
+	for _, h := range r.Headers {
+		if !slices.Contains(hopHeaders, http.CanonicalHeaderKey(h.Name)) {
+			req.Header.Add(h.Name, h.Value)
+		}
+	}
+	req.Header.Set(HeaderRequestID, r.ID.String())
+	resp, err := roundTrip(s.tr, req, true)
+	if err != nil {
+		return nil, err
+	}
+	if err := refusal(resp); err != nil {
+		_ = resp.Body.Close()
+		return nil, err
+	}
+	return &endpoint.ServiceResponse{
+		Status:  resp.StatusCode,
+		Headers: headers(resp.Header),
+		Body:    &serviceBody{ReadCloser: resp.Body, ctx: ctx, tr: s.tr},
+	}, nil
+}
+
+// refusal returns an error for an answer that proves that the service did not run
+// the request for want of capacity. All other answers are the caller's.
+func refusal(resp *http.Response) error {
+	if resp.Header.Get(HeaderNotRun) == "" {
+		return nil
+	}
+	if resp.StatusCode != http.StatusTooManyRequests && resp.StatusCode != http.StatusServiceUnavailable {
+		return nil
+	}
+	return statusError(resp.StatusCode, resp.Header, ErrorBody{})
+}
+
+func headers(h http.Header) []endpoint.Header {
+	var list []endpoint.Header
+	for name, values := range h {
+		if slices.Contains(hopHeaders, name) {
+			continue
+		}
+		for _, v := range values {
+			list = append(list, endpoint.Header{Name: name, Value: v})
+		}
+	}
+	return list
+}
+
+// serviceBody classifies read errors of an answer's body.
+type serviceBody struct {
+	io.ReadCloser
+	ctx context.Context
+	tr  *http.Transport
+}
+
+// Read implements io.Reader.
+func (b *serviceBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == nil || err == io.EOF {
+		return n, err
+	}
+	return n, readError(b.ctx, b.tr, err)
+}
--- /dev/null
+++ b/internal/endpoint/httpendpoint/stream.go
@@ -0,0 +1,130 @@
+package httpendpoint
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"carawayrouter.example/router/internal/endpoint"
+	"carawayrouter.example/router/internal/reqid"
+)
+
+// maxEvent bounds one line of an event stream, in bytes.
+const maxEvent = 1 << 20
+
+// eventReader reads server-sent events. It is used by one goroutine.
+type eventReader struct {
+	ctx  context.Context
+	tr   *http.Transport
+	body io.ReadCloser
+	sc   *bufio.Scanner
+}
+
+func newEventReader(ctx context.Context, tr *http.Transport, body io.ReadCloser) *eventReader {
+	sc := bufio.NewScanner(body)
+	sc.Buffer(make([]byte, 0, 4096), maxEvent)
+	return &eventReader{ctx: ctx, tr: tr, body: body, sc: sc}
+}
+
+// next returns the data of the next event; comments are skipped. It returns io.EOF
+// at a clean end of the stream and the error that an error event carries.
+func (r *eventReader) next() ([]byte, error) {
+	event := ""
+	for r.sc.Scan() {
+		line := r.sc.Bytes()
+		if name, ok := bytes.CutPrefix(line, []byte("event: ")); ok {
+			event = string(name)
+			continue
+		}
+		data, ok := bytes.CutPrefix(line, []byte("data: "))
+		if !ok {
+			continue
+		}
+		if event != EventError {
+			return data, nil
+		}
+		b := errorBody(data)
+		return nil, codeError(b.Code, b.Message)
+	}
+	if err := r.sc.Err(); err != nil {
+		return nil, readError(r.ctx, r.tr, err)
+	}
+	return nil, io.EOF
+}
+
+func (r *eventReader) close() error { return r.body.Close() }
+
+// tokenStream implements endpoint.TokenStream.
+type tokenStream struct {
+	events  *eventReader
+	id      reqid.ID
+	attempt int
+	next    int // index of the token that must come next
+	ended   bool
+	err     error // sticks
+}
+
+// Next implements endpoint.TokenStream.
+func (s *tokenStream) Next() (endpoint.Token, error) {
+	if s.err != nil {
+		return endpoint.Token{}, s.err
+	}
+	if s.ended {
+		return endpoint.Token{}, io.EOF
+	}
+	t, err := s.read()
+	if err != nil {
+		s.err = err
+		_ = s.events.close()
+		return endpoint.Token{}, err
+	}
+	s.next++
+	s.ended = t.Finish != ""
+	return t, nil
+}
+
+// read returns the next token after checking that it belongs here.
+func (s *tokenStream) read() (endpoint.Token, error) {
+	data, err := s.events.next()
+	if err == io.EOF {
+		return endpoint.Token{}, errors.Wrap(endpoint.ErrBroken, "output was cut")
+	}
+	if err != nil {
+		return endpoint.Token{}, err
+	}
+	var t endpoint.Token
+	if err := json.Unmarshal(data, &t); err != nil {
+		return endpoint.Token{}, as(endpoint.ErrBroken, err, "token")
+	}
+	if t.ID != s.id || t.Attempt != s.attempt {
+		return endpoint.Token{}, mismatch(t.ID, t.Attempt)
+	}
+	if t.Index != s.next {
+		return endpoint.Token{}, errors.Wrapf(endpoint.ErrMismatch, "got token %d, not %d", t.Index, s.next)
+	}
+	return t, nil
+}
+
+// Close implements endpoint.TokenStream. After the last token the rest of the stream
+// is read in the background, so that the engine sees its output read to the end and
+// the connection can be used again; the connection's read deadline bounds this.
+func (s *tokenStream) Close() error {
+	if !s.ended || s.err != nil {
+		return s.events.close()
+	}
+	s.err = io.EOF
+	go func() {
+		for {
+			if _, err := s.events.next(); err != nil {
+				_ = s.events.close()
+				return
+			}
+		}
+	}()
+	return nil
+}
--- /dev/null
+++ b/internal/standin/engine/output.go
@@ -0,0 +1,58 @@
+package engine
+
+import (
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// syllables make up the words of outputs.
+var syllables = [16]string{
+	"ba", "ce", "di", "fo", "gu", "ha", "je", "ki", "lo", "mu", "na", "pe", "ri", "so", "tu", "va",
+}
+
+// seedOf condenses what an output depends on.
+func seedOf(model, prompt string) uint64 {
+	h := xxhash.New()
+	_, _ = h.WriteString(model)
+	_, _ = h.Write([]byte{0})
+	_, _ = h.WriteString(prompt)
+	return h.Sum64()
+}
+
+// Expected returns the text of one output token: a short word and a space.
+func Expected(model, prompt string, index int) string {
+	return word(seedOf(model, prompt), index)
+}
+
+func word(seed uint64, index int) string {
+	x := xxhash.Sum64String(strconv.FormatUint(seed, 16) + "." + strconv.Itoa(index))
+	b := make([]byte, 0, 9)
+	for range 4 {
+		b = append(b, syllables[x&15]...)
+		x >>= 4
+	}
+	return string(append(b, ' '))
+}
+
+// ExpectedLength returns the number of tokens that a request generates. The output
+// finishes with "stop" if it is below maxOutput, else with "length".
+func ExpectedLength(model, prompt string, maxOutput int) int {
+	return lengthOf(seedOf(model, prompt), maxOutput)
+}
+
+// lengthOf gives one output in four the full length and the others half to all of it.
+func lengthOf(seed uint64, maxOutput int) int {
+	if maxOutput <= 1 || seed&3 == 0 {
+		return max(1, maxOutput)
+	}
+	half := maxOutput / 2
+	return max(1, half+int((seed>>2)%uint64(maxOutput-half)))
+}
+
+func finishOf(length, maxOutput int) string {
+	if length < maxOutput {
+		return "stop"
+	}
+	return "length"
+}
--- /dev/null
+++ b/internal/standin/engine/server.go
@@ -0,0 +1,220 @@
+package engine
+
+import (
+	"encoding/json"
+	"strconv"
+	"sync"
+
+	"github.com/valyala/fasthttp"
+
+	"carawayrouter.example/router/internal/clock"
+	"carawayrouter.example/router/internal/endpoint"
+	"carawayrouter.example/router/internal/endpoint/httpendpoint"
+	"carawayrouter.example/router/internal/standin/host"
+)
+
+// Server is one stand-in engine. It is safe for concurrent use.
+type Server struct {
+	*host.Host
+	s      Settings
+	clk    clock.Clock
+	ledger *ledger
+
+	mu sync.Mutex
+	st *state // nil while the engine is dead
+}
+
+// New returns an engine that works as soon as it is served.
+func New(o Options) *Server {
+	if o.Clock == nil {
+		o.Clock = clock.Real{}
+	}
+	s := &Server{s: o.Settings, clk: o.Clock, ledger: newLedger()}
+	s.Host = host.New(host.Options{
+		Clock:   o.Clock,
+		Handler: s.Handler,
+		Start:   s.start,
+		Stop:    s.stop,
+		Ledger:  func() any { return s.Ledger() },
+	})
+	s.start()
+	return s
+}
+
+// start gives the engine empty state.
+func (s *Server) start() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.st = newState(s.s, s.clk, s.Faults(), s.ledger)
+}
+
+// stop forgets all state.
+func (s *Server) stop() {
+	s.mu.Lock()
+	st := s.st
+	s.st = nil
+	s.mu.Unlock()
+	if st != nil {
+		st.stop()
+	}
+}
+
+// Ledger returns what the engine saw and did so far.
+func (s *Server) Ledger() Ledger {
+	l := s.ledger.snapshot()
+	l.Leaks = s.Leaks()
+	return l
+}
+
+// Running lists what the engine holds memory for; none while it is dead.
+func (s *Server) Running() []endpoint.Running {
+	if st := s.state(); st != nil {
+		return st.running()
+	}
+	return nil
+}
+
+// UsedPieces returns the KV pieces held; none while the engine is dead.
+func (s *Server) UsedPieces() int {
+	st := s.state()
+	if st == nil {
+		return 0
+	}
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.used
+}
+
+func (s *Server) state() *state {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.st
+}
+
+// Handler answers one request of the engine interface.
+func (s *Server) Handler(ctx *fasthttp.RequestCtx) {
+	st := s.state()
+	if st == nil || s.Faults().LateDelay(st.ctx) != nil {
+		ctx.SetStatusCode(fasthttp.StatusBadGateway)
+		ctx.SetConnectionClose()
+		return
+	}
+	st.handle(ctx, string(ctx.Path()))
+}
+
+func (st *state) handle(ctx *fasthttp.RequestCtx, path string) {
+	switch path {
+	case httpendpoint.PathPrefill:
+		decodeBody(ctx, st.handlePrefill)
+	case httpendpoint.PathImport:
+		decodeBody(ctx, st.handleImport)
+	case httpendpoint.PathDecode:
+		decodeBody(ctx, st.handleDecode)
+	case httpendpoint.PathExport:
+		decodeBody(ctx, st.handleExport)
+	case httpendpoint.PathCancel:
+		decodeBody(ctx, st.handleCancel)
+	case httpendpoint.PathOrders:
+		decodeBody(ctx, st.handleOrder)
+	case httpendpoint.PathRunning:
+		host.WriteJSON(ctx, st.running())
+	case httpendpoint.PathLoad:
+		host.WriteJSON(ctx, st.load())
+	case httpendpoint.PathCacheEvents:
+		st.handleCacheEvents(ctx)
+	default:
+		refuse(ctx, &refusal{404, true, httpendpoint.CodeRefused, "unknown path"})
+	}
+}
+
+func (st *state) saw(k key, stage string) {
+	st.ledger.seen(Seen{ID: k.id, Attempt: k.attempt, Stage: stage, At: st.clk.Now()})
+}
+
+func (st *state) handlePrefill(ctx *fasthttp.RequestCtx, r endpoint.PrefillRequest) {
+	st.saw(key{r.ID, r.Attempt}, stagePrefill)
+	j, ref := st.prefill(r)
+	if ref != nil {
+		refuse(ctx, ref)
+		return
+	}
+	st.answerLater(ctx, j.done, func() (any, *refusal) {
+		res, ref := st.result(j)
+		return res, ref
+	})
+}
+
+func (st *state) handleImport(ctx *fasthttp.RequestCtx, q endpoint.ImportRequest) {
+	st.saw(key{q.ID, q.Attempt}, stageImport)
+	r, ref := st.importKV(q)
+	if ref != nil {
+		refuse(ctx, ref)
+		return
+	}
+	st.answerLater(ctx, r.ready, func() (any, *refusal) {
+		return httpendpoint.ImportResult{ID: q.ID, Attempt: q.Attempt}, r.failed
+	})
+}
+
+func (st *state) handleDecode(ctx *fasthttp.RequestCtx, q endpoint.DecodeRequest) {
+	st.saw(key{q.ID, q.Attempt}, stageDecode)
+	r, ref := st.decode(q)
+	if ref != nil {
+		refuse(ctx, ref)
+		return
+	}
+	startEvents(ctx, &tokenBody{st: st, run: r, next: q.Offset})
+}
+
+func (st *state) handleExport(ctx *fasthttp.RequestCtx, q httpendpoint.ExportRequest) {
+	j, ref := st.startExport(q.Handle)
+	if ref != nil {
+		refuse(ctx, ref)
+		return
+	}
+	startEvents(ctx, newExportBody(st, j))
+}
+
+func (st *state) handleCancel(ctx *fasthttp.RequestCtx, q httpendpoint.CancelRequest) {
+	st.saw(key{q.ID, q.Attempt}, stageCancel)
+	st.cancelRequest(q.ID, q.Attempt)
+	host.WriteJSON(ctx, struct{}{})
+}
+
+func (st *state) handleOrder(ctx *fasthttp.RequestCtx, o endpoint.Order) {
+	res, ref := st.order(o)
+	if ref != nil {
+		refuse(ctx, ref)
+		return
+	}
+	host.WriteJSON(ctx, res)
+}
+
+func (st *state) handleCacheEvents(ctx *fasthttp.RequestCtx) {
+	after, err := strconv.ParseUint(string(ctx.QueryArgs().Peek("after")), 10, 64)
+	if err != nil {
+		after = 0
+	}
+	st.mu.Lock()
+	list := st.cache.since(after, st.clk.Now().Add(-st.s.CacheEventDelay))
+	st.mu.Unlock()
+	host.WriteJSON(ctx, list)
+}
+
+// decodeBody parses a JSON body for a handler.
+func decodeBody[T any](ctx *fasthttp.RequestCtx, handle func(*fasthttp.RequestCtx, T)) {
+	var v T
+	if err := json.Unmarshal(ctx.PostBody(), &v); err != nil {
+		refuse(ctx, &refusal{400, true, httpendpoint.CodeRefused, err.Error()})
+		return
+	}
+	handle(ctx, v)
+}
+
+func refuse(ctx *fasthttp.RequestCtx, r *refusal) {
+	host.WriteJSON(ctx, httpendpoint.ErrorBody{Code: r.code, Message: r.text})
+	ctx.SetStatusCode(r.status)
+	if r.notRun {
+		ctx.Response.Header.Set(httpendpoint.HeaderNotRun, "true")
+	}
+}
--- /dev/null
+++ b/internal/standin/host/host.go
@@ -0,0 +1,267 @@
+// Package host runs an HTTP stand-in: it serves, dies and comes back, breaks and
+// silences connections, and watches for credentials that reach it.
+package host
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"carawayrouter.example/router/internal/clock"
+)
+
+// Paths of a stand-in's administration.
+const (
+	PathFault  = "/admin/fault"
+	PathLedger = "/admin/ledger"
+)
+
+const (
+	maxRequestBody = 64 << 20 // bytes
+	maxLeaks       = 1000
+	// adminGrace lets the answer to an admin call leave before connections fail.
+	adminGrace = 50 * time.Millisecond
+	// reviveAttempts and reviveWait bound the wait for the old address.
+	reviveAttempts = 50
+	reviveWait     = 20 * time.Millisecond
+)
+
+// credentialHeaders must not reach an endpoint.
+var credentialHeaders = []string{"Authorization", "Proxy-Authorization", "X-Api-Key"}
+
+// Leak is a credential that reached the endpoint. Only its hash is kept.
+type Leak struct {
+	Header string `json:"header"`
+	SHA256 string `json:"sha256"` // of the header's value
+	Path   string `json:"path"`
+}
+
+// Options configure a Host.
+type Options struct {
+	Clock   clock.Clock
+	Handler fasthttp.RequestHandler
+	Start   func()     // gives the stand-in empty state
+	Stop    func()     // forgets all state and ends its goroutines
+	Ledger  func() any // what GET /admin/ledger answers
+}
+
+// Host serves one stand-in. It is safe for concurrent use.
+type Host struct {
+	o      Options
+	faults *Faults
+	done   chan struct{} // closed by Close
+	reborn chan net.Listener
+
+	mu     sync.Mutex
+	ln     *listener
+	addr   string
+	dead   bool
+	closed bool
+	leaks  []Leak
+}
+
+// New returns a Host for a stand-in that its maker starts.
+func New(o Options) *Host {
+	return &Host{
+		o: o, faults: newFaults(o.Clock),
+		done:   make(chan struct{}),
+		reborn: make(chan net.Listener, 1),
+	}
+}
+
+// Faults returns the faults that last for a time.
+func (h *Host) Faults() *Faults { return h.faults }
+
+// Serve answers on ln until Close is called. It outlasts a Die fault.
+func (h *Host) Serve(ln net.Listener) error {
+	for {
+		w := wrap(ln)
+		if !h.attach(w) {
+			return ln.Close()
+		}
+		srv := &fasthttp.Server{
+			Handler:               h.handle,
+			MaxRequestBodySize:    maxRequestBody,
+			NoDefaultServerHeader: true,
+			TCPKeepalive:          true,
+			Logger:                quiet{},
+		}
+		if err := srv.Serve(w); err != nil {
+			return errors.Wrap(err, "stand-in")
+		}
+		select {
+		case ln = <-h.reborn:
+		case <-h.done:
+			return nil
+		}
+	}
+}
+
+// quiet drops fasthttp's messages of broken connections, which faults make on purpose.
+type quiet struct{}
+
+// Printf implements fasthttp.Logger.
+func (quiet) Printf(string, ...any) {}
+
+// attach notes the listener that is served; it fails once the host is closed.
+func (h *Host) attach(w *listener) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.closed {
+		return false
+	}
+	h.ln = w
+	h.addr = w.Addr().String()
+	return true
+}
+
+// Close stops the stand-in and waits for its goroutines.
+func (h *Host) Close() error {
+	h.mu.Lock()
+	if h.closed {
+		h.mu.Unlock()
+		return nil
+	}
+	h.closed = true
+	close(h.done)
+	h.mu.Unlock()
+	h.die()
+	return nil
+}
+
+// die closes the listener and all connections and forgets all state.
+func (h *Host) die() {
+	h.mu.Lock()
+	ln := h.ln
+	h.ln = nil
+	h.dead = true
+	h.mu.Unlock()
+	if ln != nil {
+		_ = ln.Close()
+		ln.drop()
+	}
+	h.o.Stop()
+}
+
+// Revive starts a dead stand-in again, with empty state, at its old address.
+func (h *Host) Revive() error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.closed || !h.dead {
+		return nil
+	}
+	ln, err := relisten(h.addr)
+	if err != nil {
+		return err
+	}
+	h.o.Start()
+	h.dead = false
+	h.reborn <- ln
+	return nil
+}
+
+// relisten waits until an address that was used just now can be used again.
+func relisten(addr string) (net.Listener, error) {
+	var err error
+	for range reviveAttempts {
+		var ln net.Listener
+		if ln, err = net.Listen("tcp", addr); err == nil {
+			return ln, nil
+		}
+		time.Sleep(reviveWait)
+	}
+	return nil, errors.Wrap(err, "revive")
+}
+
+// Inject produces a fault.
+func (h *Host) Inject(f Fault) {
+	h.mu.Lock()
+	ln := h.ln
+	h.mu.Unlock()
+	switch f.Kind {
+	case Clear:
+		h.faults.clear()
+	case Silent:
+		if ln != nil {
+			ln.silence()
+		}
+	case Drop:
+		if ln != nil {
+			ln.drop()
+		}
+		if f.For > 0 {
+			h.faults.start(f)
+		}
+	case Die:
+		h.die()
+		if f.For > 0 {
+			time.AfterFunc(f.For, func() { _ = h.Revive() })
+		}
+	default:
+		h.faults.start(f)
+	}
+}
+
+// Leaks returns the credentials that reached the stand-in.
+func (h *Host) Leaks() []Leak {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return append([]Leak(nil), h.leaks...)
+}
+
+// handle answers administration and passes on the rest.
+func (h *Host) handle(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case PathFault:
+		h.handleFault(ctx)
+		return
+	case PathLedger:
+		WriteJSON(ctx, h.o.Ledger())
+		return
+	}
+	h.watch(ctx)
+	h.o.Handler(ctx)
+}
+
+// watch records credentials.
+func (h *Host) watch(ctx *fasthttp.RequestCtx) {
+	for _, name := range credentialHeaders {
+		v := ctx.Request.Header.Peek(name)
+		if len(v) == 0 {
+			continue
+		}
+		sum := sha256.Sum256(v)
+		h.mu.Lock()
+		if len(h.leaks) < maxLeaks {
+			h.leaks = append(h.leaks, Leak{Header: name, SHA256: hex.EncodeToString(sum[:]), Path: string(ctx.Path())})
+		}
+		h.mu.Unlock()
+	}
+}
+
+func (h *Host) handleFault(ctx *fasthttp.RequestCtx) {
+	var b faultBody
+	if err := json.Unmarshal(ctx.PostBody(), &b); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	ctx.SetConnectionClose()
+	time.AfterFunc(adminGrace, func() { h.Inject(b.fault()) })
+}
+
+// WriteJSON answers with a JSON body.
+func WriteJSON(ctx *fasthttp.RequestCtx, v any) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(data)
+}
--- /dev/null
+++ b/internal/standin/host/listener.go
@@ -0,0 +1,120 @@
+package host
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// silentLife is the time after which the stand-in's end of a silent connection fails.
+const silentLife = 30 * time.Second
+
+// errSilenced ends reads and writes on a silent connection after silentLife.
+var errSilenced = errors.New("connection was silent for too long")
+
+// listener keeps track of the connections that it accepted.
+type listener struct {
+	net.Listener
+
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+}
+
+// wrap returns a listener on top of ln.
+func wrap(ln net.Listener) *listener {
+	return &listener{Listener: ln, conns: map[*conn]struct{}{}}
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	w := &conn{Conn: c, owner: l, silent: make(chan struct{}), closed: make(chan struct{})}
+	l.mu.Lock()
+	l.conns[w] = struct{}{}
+	l.mu.Unlock()
+	return w, nil
+}
+
+// silence makes all open connections silent for good.
+func (l *listener) silence() {
+	for _, c := range l.open() {
+		c.silenceOnce.Do(func() { close(c.silent) })
+	}
+}
+
+// drop closes all open connections.
+func (l *listener) drop() {
+	for _, c := range l.open() {
+		_ = c.Close()
+	}
+}
+
+func (l *listener) open() []*conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	list := make([]*conn, 0, len(l.conns))
+	for c := range l.conns {
+		list = append(list, c)
+	}
+	return list
+}
+
+// conn is one accepted connection.
+type conn struct {
+	net.Conn
+	owner       *listener
+	silent      chan struct{}
+	closed      chan struct{}
+	silenceOnce sync.Once
+	closeOnce   sync.Once
+}
+
+// Read implements net.Conn. What arrives on a silent connection is never seen.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	select {
+	case <-c.silent:
+		return 0, c.wait()
+	default:
+		return n, err
+	}
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(b []byte) (int, error) {
+	select {
+	case <-c.silent:
+		return 0, c.wait()
+	default:
+		return c.Conn.Write(b)
+	}
+}
+
+// wait blocks until the connection is closed at this end or given up.
+func (c *conn) wait() error {
+	select {
+	case <-c.closed:
+		return net.ErrClosed
+	case <-time.After(silentLife):
+		return errSilenced
+	}
+}
+
+// Close implements net.Conn. The peer of a silent connection does not learn of it
+// while the listener works.
+func (c *conn) Close() error {
+	var err error
+	c.closeOnce.Do(func() {
+		close(c.closed)
+		c.owner.mu.Lock()
+		delete(c.owner.conns, c)
+		c.owner.mu.Unlock()
+		err = c.Conn.Close()
+	})
+	return err
+}
--- /dev/null
+++ b/internal/standin/service/service_test.go
@@ -0,0 +1,125 @@
+package service_test
+
+import (
+	"encoding/json"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"carawayrouter.example/router/internal/endpoint"
+	"carawayrouter.example/router/internal/endpoint/httpendpoint"
+	"carawayrouter.example/router/internal/reqid"
+	"carawayrouter.example/router/internal/standin/host"
+	"carawayrouter.example/router/internal/standin/service"
+)
+
+func start(t *testing.T, s service.Settings, idle time.Duration) (*service.Server, endpoint.Service) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	srv := service.New(service.Options{Settings: s})
+	served := make(chan error, 1)
+	go func() { served <- srv.Serve(ln) }()
+	t.Cleanup(func() {
+		assert.NilError(t, srv.Close())
+		assert.NilError(t, <-served)
+	})
+	d := httpendpoint.NewDialer(httpendpoint.Options{ServiceIdle: idle})
+	return srv, d.Service(ln.Addr().String())
+}
+
+func booking(key string) endpoint.ServiceRequest {
+	return endpoint.ServiceRequest{
+		ID: reqid.ID{Instance: "entry-1", Incarnation: 1, Seq: 1}, Method: "POST", Path: "/deposits?x=1",
+		Headers: []endpoint.Header{{Name: service.HeaderIdempotencyKey, Value: key}},
+		Body:    []byte(`{"amount": 12}`),
+	}
+}
+
+func receipt(t *testing.T, r *endpoint.ServiceResponse) service.Receipt {
+	t.Helper()
+	data, err := io.ReadAll(r.Body)
+	assert.NilError(t, err)
+	assert.NilError(t, r.Body.Close())
+	var out service.Receipt
+	assert.NilError(t, json.Unmarshal(data, &out))
+	return out
+}
+
+func TestReceiptAndRuns(t *testing.T) {
+	srv, c := start(t, service.DefaultSettings(), 0)
+	var got []service.Receipt
+	for range 2 {
+		r, err := c.Do(t.Context(), booking("k1"))
+		assert.NilError(t, err)
+		got = append(got, receipt(t, r))
+	}
+	assert.Equal(t, got[0].Receipt, got[1].Receipt)
+	assert.DeepEqual(t, []int{got[0].N, got[1].N}, []int{1, 2})
+	assert.Equal(t, srv.Ledger().Runs["k1"], 2)
+}
+
+// Neither a connection that breaks after the effect nor one that went silent while
+// pooled makes the client send a request again, although its key would allow
+// net/http to do so.
+func TestNoRepetition(t *testing.T) {
+	srv, c := start(t, service.DefaultSettings(), 500*time.Millisecond)
+	r, err := c.Do(t.Context(), booking("warm"))
+	assert.NilError(t, err)
+	receipt(t, r)
+	srv.Inject(host.Fault{Kind: host.Drop, For: time.Minute})
+	_, err = c.Do(t.Context(), booking("dropped"))
+	assert.Assert(t, err != nil)
+	srv.Inject(host.Fault{Kind: host.Clear})
+	assert.Equal(t, srv.Ledger().Runs["dropped"], 1)
+
+	r, err = c.Do(t.Context(), booking("warm"))
+	assert.NilError(t, err)
+	receipt(t, r)
+	srv.Inject(host.Fault{Kind: host.Silent})
+	_, err = c.Do(t.Context(), booking("silent"))
+	assert.ErrorIs(t, err, endpoint.ErrSilent)
+	assert.Equal(t, srv.Ledger().Runs["silent"], 0)
+}
+
+func TestRefusalsProveNotRun(t *testing.T) {
+	s := service.DefaultSettings()
+	s.Slots = 1
+	srv, c := start(t, s, 0)
+	srv.Inject(host.Fault{Kind: host.Stall})
+	first := make(chan error, 1)
+	go func() {
+		r, err := c.Do(t.Context(), booking("one"))
+		if err == nil {
+			err = r.Body.Close()
+		}
+		first <- err
+	}()
+	for srv.Ledger().Calls == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	_, err := c.Do(t.Context(), booking("two"))
+	assert.ErrorIs(t, err, endpoint.ErrRefused)
+	assert.Equal(t, srv.Ledger().Runs["two"], 0)
+	srv.Inject(host.Fault{Kind: host.Clear})
+	assert.NilError(t, <-first)
+
+	srv.Inject(host.Fault{Kind: host.Die})
+	_, err = c.Do(t.Context(), booking("three"))
+	assert.Assert(t, err != nil)
+	_, err = c.Do(t.Context(), booking("three"))
+	assert.ErrorIs(t, err, endpoint.ErrNotSent)
+}
+
+func TestCredentialsAreNoticed(t *testing.T) {
+	srv, c := start(t, service.DefaultSettings(), 0)
+	q := booking("k")
+	q.Headers = append(q.Headers, endpoint.Header{Name: "authorization", Value: "Bearer x"})
+	r, err := c.Do(t.Context(), q)
+	assert.NilError(t, err)
+	receipt(t, r)
+	assert.Equal(t, srv.Ledger().Leaks[0].Header, "Authorization")
+}
