--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -17,6 +17,7 @@
 	BodyTooLarge        Kind = "body_too_large"        // request body above the configured size
 	NoKey               Kind = "no_key"                // route needs a key and none came
 	KeyRefused          Kind = "key_refused"           // key unknown or withdrawn
+	StaleConfiguration  Kind = "stale_configuration"   // configuration too old to trust the key
 	UnknownRoute        Kind = "unknown_route"         // no route for method and path
 	UnknownModel        Kind = "unknown_model"         // no pool serves the model
 	TooLarge            Kind = "too_large"             // cost above the account's burst or an engine's memory
@@ -59,6 +60,7 @@
 	BodyTooLarge:        {413, false},
 	NoKey:               {401, false},
 	KeyRefused:          {401, false},
+	StaleConfiguration:  {503, true},
 	UnknownRoute:        {404, false},
 	UnknownModel:        {404, false},
 	TooLarge:            {422, false},
--- a/internal/errkind/errkind_test.go
+++ b/internal/errkind/errkind_test.go
@@ -1,6 +1,9 @@
 package errkind
 
 import (
+	"fmt"
+	"os"
+	"strings"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -21,3 +24,17 @@
 	assert.Equal(t, plain.Kind, Internal)
 	assert.Equal(t, plain.Execution, Unknown)
 }
+
+func TestDocsListEveryKind(t *testing.T) {
+	page, err := os.ReadFile("../../docs/errors.md")
+	assert.NilError(t, err)
+	for _, k := range Kinds() {
+		again := "no"
+		if k.Retryable() {
+			again = "yes"
+		}
+		row := fmt.Sprintf("| `%s` | %d | %s |", k, k.Status(), again)
+		assert.Assert(t, strings.Contains(string(page), row), "docs/errors.md lacks %s", row)
+	}
+	assert.Equal(t, strings.Count(string(page), "| `"), len(Kinds()))
+}
--- a/internal/filter/filter.go
+++ b/internal/filter/filter.go
@@ -5,6 +5,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"carawayrouter.example/router/internal/config"
 	"carawayrouter.example/router/internal/endpoint"
 	"carawayrouter.example/router/internal/limit"
@@ -37,6 +39,9 @@
 	Started() bool
 }
 
+// ErrCut is the cancellation cause of requests that a forced shutdown ends.
+var ErrCut = errors.New("instance was stopped before the request ended")
+
 // Usage counts the tokens of a finished completion.
 type Usage struct {
 	PromptTokens     int    `json:"prompt_tokens"`
@@ -69,8 +74,13 @@
 	Reservation limit.Reservation
 	Claim       operation.Claim
 	Grant       *sched.Grant
+	Attempt     int  // counts from 1 with every grant used
 	Sent        bool // a byte of the request may have reached an endpoint
+	Delivered   int  // output tokens handed to Out
 	Used        int  // tokens used so far, prompt included
+
+	Excluded       []string // endpoints that failed this request
+	FailedEndpoint string   // endpoint that failed the attempt, if not the decode one
 }
 
 // Handler runs the rest of the chain. It returns nil once an answer was sent, or
--- /dev/null
+++ b/internal/filters/identify.go
@@ -0,0 +1,97 @@
+package filters
+
+import (
+	"context"
+	"strings"
+
+	"carawayrouter.example/router/internal/config"
+	"carawayrouter.example/router/internal/errkind"
+	"carawayrouter.example/router/internal/filter"
+)
+
+// Identify maps the caller's key to its account and strips the key from the
+// request, so that no later stage can pass it on.
+type Identify struct {
+	Config config.Source
+}
+
+// Name implements filter.Filter.
+func (*Identify) Name() string { return "identify" }
+
+// Handle implements filter.Filter.
+func (f *Identify) Handle(ctx context.Context, r *filter.Request, next filter.Handler) error {
+	key := r.Key
+	r.Key = ""
+	r.Headers = withoutCredentials(r)
+	if key == "" {
+		if r.Route.Open {
+			return next(ctx, r)
+		}
+		return errkind.New(errkind.NoKey, "this route needs a key: Authorization: Bearer KEY")
+	}
+	r.KeyHash = config.HashKey(key)
+	account, err := authorize(r.State, f.Config.Age, r.KeyHash)
+	if err != nil {
+		return err
+	}
+	r.Account = account
+	return next(ctx, r)
+}
+
+// Authorize checks the key again right before each dispatch.
+type Authorize struct {
+	Config config.Source
+}
+
+// Name implements filter.Filter.
+func (*Authorize) Name() string { return "authorize" }
+
+// Handle implements filter.Filter.
+func (f *Authorize) Handle(ctx context.Context, r *filter.Request, next filter.Handler) error {
+	if r.Account == nil {
+		return next(ctx, r)
+	}
+	if _, err := authorize(f.Config.Current(), f.Config.Age, r.KeyHash); err != nil {
+		return notRunUnlessSent(r, err)
+	}
+	return next(ctx, r)
+}
+
+// authorize returns the account of a key that is valid now.
+func authorize(s *config.State, age ageFunc, hash config.KeyHash) (*config.Account, error) {
+	key := s.Keys[hash]
+	if key == nil || key.Withdrawn {
+		return nil, errkind.New(errkind.KeyRefused, "the key is not valid")
+	}
+	account := s.Accounts[key.Account]
+	if account == nil {
+		return nil, errkind.New(errkind.KeyRefused, "the key is not valid")
+	}
+	if account.StaleKeys == config.StaleRefuse && age() > account.StaleAfter {
+		return nil, errkind.New(errkind.StaleConfiguration, "the configuration cannot be refreshed; keys of this account are refused until it can")
+	}
+	return account, nil
+}
+
+// credentialHeaders never reach an endpoint.
+var credentialHeaders = []string{"authorization", "proxy-authorization", "cookie", "x-api-key"}
+
+// hopHeaders belong to one connection and are not passed on.
+var hopHeaders = []string{"connection", "keep-alive", "te", "trailer", "transfer-encoding", "upgrade", "proxy-connection", "host", "content-length", "expect"}
+
+// withoutCredentials returns the headers that may reach an endpoint. Cookies pass
+// on open routes only, where they cannot carry an account's key.
+func withoutCredentials(r *filter.Request) []headerLine {
+	kept := make([]headerLine, 0, len(r.Headers))
+	for _, h := range r.Headers {
+		name := strings.ToLower(h.Name)
+		if contains(hopHeaders, name) || contains(credentialHeaders, name) {
+			continue
+		}
+		if r.Key != "" && strings.Contains(h.Value, r.Key) {
+			continue
+		}
+		kept = append(kept, h)
+	}
+	return kept
+}
--- /dev/null
+++ b/internal/retry/retry_test.go
@@ -0,0 +1,32 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestBudgetBoundsRetriesToAFraction(t *testing.T) {
+	b := NewBudget(0.1, 5)
+	spent := 0
+	for range 1000 {
+		b.Earn()
+		if b.Spend() {
+			spent++
+		}
+	}
+	assert.Assert(t, spent >= 100 && spent <= 105, "spent %d", spent)
+}
+
+func TestBackoffStaysUnderItsCap(t *testing.T) {
+	b := NewBackoff(10*time.Millisecond, 80*time.Millisecond, rand.New(rand.NewPCG(1, 2)))
+	longest := time.Duration(0)
+	for retry := 1; retry < 40; retry++ {
+		d := b.Delay(retry)
+		assert.Assert(t, d >= 0 && d <= 80*time.Millisecond)
+		longest = max(longest, d)
+	}
+	assert.Assert(t, longest > 40*time.Millisecond)
+}
