httpplatform: the platform's services over a JSON API

Exported: Handler(store) fasthttp.RequestHandler, MaxBody, Client(addr, dataCentre) platform.Platform, SetFault(ctx, addr, Fault), Register(ctx, addr, Instance). A commit that failed before a connection was had is ErrUnavailable, later ErrUnknownOutcome. docs/platform-interface.md describes the calls.

--- /dev/null
+++ b/internal/platform/httpplatform/api.go
@@ -0,0 +1,142 @@
+// Package httpplatform carries the platform's services over a small JSON API: a
+// fasthttp handler in front of a store, and a client that implements the
+// platform's interfaces. docs/platform-interface.md describes the API.
+package httpplatform
+
+import "carawayrouter.example/router/internal/platform"
+
+// Paths of the API.
+const (
+	pathGet       = "/table/get"
+	pathScan      = "/table/scan"
+	pathCommit    = "/table/commit"
+	pathObjects   = "/objects/" // followed by the escaped name
+	pathObjectSet = "/objects"  // ?prefix=
+	pathInstances = "/instances"
+	pathLeave     = "/instances/leave"
+	pathFault     = "/admin/fault"
+	pathCounts    = "/admin/counts"
+	pathRegister  = "/admin/instances/" // followed by the escaped name
+)
+
+// headerDataCentre names the caller's data centre.
+const headerDataCentre = "Caraway-Data-Centre"
+
+// Error codes in answers that are not 200.
+const (
+	codeUnavailable = "unavailable"
+	codeUnknown     = "unknown_outcome"
+	codeConflict    = "conflict"
+	codeNotFound    = "not_found"
+	codeBadRequest  = "bad_request"
+)
+
+type rowJSON struct {
+	Key     string `json:"key"`
+	Version uint64 `json:"version"`
+	Value   []byte `json:"value,omitempty"`
+}
+
+type conditionJSON struct {
+	Key     string `json:"key"`
+	Version uint64 `json:"version"`
+}
+
+type writeJSON struct {
+	Key    string `json:"key"`
+	Value  []byte `json:"value,omitempty"`
+	Delete bool   `json:"delete,omitempty"`
+}
+
+type getRequest struct {
+	Keys []string `json:"keys"`
+}
+
+type scanRequest struct {
+	Prefix string `json:"prefix"`
+	After  string `json:"after"`
+	Limit  int    `json:"limit"`
+}
+
+type rowsAnswer struct {
+	Rows []rowJSON `json:"rows"`
+}
+
+type commitRequest struct {
+	Conditions []conditionJSON `json:"conditions"`
+	Writes     []writeJSON     `json:"writes"`
+}
+
+type commitAnswer struct {
+	Version uint64 `json:"version"`
+}
+
+type namesAnswer struct {
+	Names []string `json:"names"`
+}
+
+type instancesAnswer struct {
+	Instances []platform.Instance `json:"instances"`
+}
+
+type leaveRequest struct {
+	Name string `json:"name"`
+}
+
+// errorAnswer is the body of every answer that is not 200.
+type errorAnswer struct {
+	Code    string `json:"code"`
+	Message string `json:"message"`
+	Key     string `json:"key,omitempty"`  // of a conflict
+	Want    uint64 `json:"want,omitempty"` // version the condition required
+	Have    uint64 `json:"have,omitempty"` // version of the row
+}
+
+// Fault switches faults of the stand-in; absent fields leave a fault as it is.
+type Fault struct {
+	Down         *bool           `json:"down,omitempty"`
+	ListDown     *bool           `json:"list_down,omitempty"`
+	Slow         *string         `json:"slow,omitempty"` // duration, "0s" ends it
+	LoseAnswers  *float64        `json:"lose_answers,omitempty"`
+	LoseRequests *float64        `json:"lose_requests,omitempty"`
+	ListLag      *string         `json:"list_lag,omitempty"`
+	Cut          map[string]bool `json:"cut,omitempty"` // data centre to cut or healed
+}
+
+func rowsToJSON(rows []platform.Row) []rowJSON {
+	out := make([]rowJSON, len(rows))
+	for i, r := range rows {
+		out[i] = rowJSON(r)
+	}
+	return out
+}
+
+func rowsFromJSON(rows []rowJSON) []platform.Row {
+	out := make([]platform.Row, len(rows))
+	for i, r := range rows {
+		out[i] = platform.Row(r)
+	}
+	return out
+}
+
+func txnToJSON(t platform.Txn) commitRequest {
+	var req commitRequest
+	for _, c := range t.Conditions {
+		req.Conditions = append(req.Conditions, conditionJSON(c))
+	}
+	for _, w := range t.Writes {
+		req.Writes = append(req.Writes, writeJSON(w))
+	}
+	return req
+}
+
+func txnFromJSON(req commitRequest) platform.Txn {
+	var t platform.Txn
+	for _, c := range req.Conditions {
+		t.Conditions = append(t.Conditions, platform.Condition(c))
+	}
+	for _, w := range req.Writes {
+		t.Writes = append(t.Writes, platform.Write(w))
+	}
+	return t
+}
--- /dev/null
+++ b/internal/platform/httpplatform/client.go
@@ -0,0 +1,225 @@
+package httpplatform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"carawayrouter.example/router/internal/platform"
+)
+
+const (
+	callTimeout  = 5 * time.Second // bound of every call, besides the caller's ctx
+	dialTimeout  = 2 * time.Second
+	idleTimeout  = 30 * time.Second
+	idleConns    = 16
+	maxAnswer    = 256 << 20 // bytes
+	maxErrorBody = 64 << 10  // bytes
+)
+
+// Client returns the platform that a server of the API at addr (IP:port) offers to
+// a data centre.
+func Client(addr, dataCentre string) platform.Platform {
+	c := &client{
+		base:       "http://" + addr,
+		dataCentre: dataCentre,
+		http: &http.Client{Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			MaxIdleConnsPerHost: idleConns,
+			IdleConnTimeout:     idleTimeout,
+		}},
+	}
+	return platform.Platform{Table: (*tableClient)(c), Objects: (*objectsClient)(c), Instances: (*listClient)(c)}
+}
+
+// SetFault switches faults of the stand-in at addr.
+func SetFault(ctx context.Context, addr string, f Fault) error {
+	c := &client{base: "http://" + addr, http: http.DefaultClient}
+	return c.post(ctx, pathFault, f, &struct{}{}, false)
+}
+
+// Register puts an instance on the list of the stand-in at addr.
+func Register(ctx context.Context, addr string, i platform.Instance) error {
+	c := &client{base: "http://" + addr, http: http.DefaultClient}
+	body, err := json.Marshal(i)
+	if err != nil {
+		return errors.Wrap(err, "encode instance")
+	}
+	_, err = c.do(ctx, http.MethodPut, pathRegister+url.PathEscape(i.Name), body, false)
+	return err
+}
+
+type client struct {
+	base       string
+	dataCentre string
+	http       *http.Client
+}
+
+// post sends req as JSON and decodes the answer into reply.
+func (c *client) post(ctx context.Context, path string, req, reply any, writes bool) error {
+	body, err := json.Marshal(req)
+	if err != nil {
+		return errors.Wrap(err, "encode request")
+	}
+	answer, err := c.do(ctx, http.MethodPost, path, body, writes)
+	if err != nil {
+		return err
+	}
+	return c.decode(answer, reply, writes)
+}
+
+func (c *client) get(ctx context.Context, path string, reply any) error {
+	answer, err := c.do(ctx, http.MethodGet, path, nil, false)
+	if err != nil {
+		return err
+	}
+	return c.decode(answer, reply, false)
+}
+
+func (c *client) decode(answer []byte, reply any, writes bool) error {
+	if err := json.Unmarshal(answer, reply); err != nil {
+		return lost(writes, errors.Wrap(err, "decode answer"))
+	}
+	return nil
+}
+
+// do makes one call. A failure after a connection was had for a call that writes
+// is ErrUnknownOutcome; every other transport failure is ErrUnavailable.
+func (c *client) do(ctx context.Context, method, path string, body []byte, writes bool) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var sent atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+	})
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Wrap(err, "make request")
+	}
+	req.Header.Set(headerDataCentre, c.dataCentre)
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, lost(writes && sent.Load(), err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return nil, answerError(resp, writes)
+	}
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return nil, lost(writes, err)
+	}
+	return answer, nil
+}
+
+// lost classifies a transport failure.
+func lost(unknown bool, err error) error {
+	if unknown {
+		return errors.WithSecondaryError(errors.Wrap(platform.ErrUnknownOutcome, err.Error()), err)
+	}
+	return errors.WithSecondaryError(errors.Wrap(platform.ErrUnavailable, err.Error()), err)
+}
+
+// answerError reads the error that the server answered with.
+func answerError(resp *http.Response, writes bool) error {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxErrorBody))
+	if err != nil {
+		return lost(writes, err)
+	}
+	var a errorAnswer
+	if err := json.Unmarshal(body, &a); err != nil {
+		return lost(writes, errors.Newf("status %d", resp.StatusCode))
+	}
+	switch a.Code {
+	case codeConflict:
+		return errors.WithStack(&platform.ConflictError{Key: a.Key, Want: a.Want, Have: a.Have})
+	case codeUnknown:
+		return errors.Wrap(platform.ErrUnknownOutcome, a.Message)
+	case codeUnavailable:
+		return errors.Wrap(platform.ErrUnavailable, a.Message)
+	case codeNotFound:
+		return errors.Wrap(platform.ErrNotFound, a.Message)
+	case codeBadRequest:
+		return errors.Newf("platform refused the request: %s", a.Message)
+	}
+	return lost(writes, errors.Newf("status %d: %s", resp.StatusCode, a.Message))
+}
+
+type tableClient client
+
+// Get implements platform.Table.
+func (t *tableClient) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+	var a rowsAnswer
+	err := (*client)(t).post(ctx, pathGet, getRequest{Keys: keys}, &a, false)
+	if err != nil {
+		return nil, err
+	}
+	if len(a.Rows) != len(keys) {
+		return nil, errors.Wrapf(platform.ErrUnavailable, "%d rows for %d keys", len(a.Rows), len(keys))
+	}
+	return rowsFromJSON(a.Rows), nil
+}
+
+// Scan implements platform.Table.
+func (t *tableClient) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	var a rowsAnswer
+	err := (*client)(t).post(ctx, pathScan, scanRequest{Prefix: prefix, After: after, Limit: limit}, &a, false)
+	if err != nil {
+		return nil, err
+	}
+	return rowsFromJSON(a.Rows), nil
+}
+
+// Commit implements platform.Table.
+func (t *tableClient) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+	var a commitAnswer
+	if err := (*client)(t).post(ctx, pathCommit, txnToJSON(txn), &a, true); err != nil {
+		return 0, err
+	}
+	return a.Version, nil
+}
+
+type objectsClient client
+
+// Put implements platform.Objects. An object put twice is the same object, so a
+// lost answer is reported as ErrUnavailable.
+func (o *objectsClient) Put(ctx context.Context, name string, data []byte) error {
+	_, err := (*client)(o).do(ctx, http.MethodPut, pathObjects+url.PathEscape(name), data, false)
+	return err
+}
+
+// Get implements platform.Objects.
+func (o *objectsClient) Get(ctx context.Context, name string) ([]byte, error) {
+	return (*client)(o).do(ctx, http.MethodGet, pathObjects+url.PathEscape(name), nil, false)
+}
+
+// List implements platform.Objects.
+func (o *objectsClient) List(ctx context.Context, prefix string) ([]string, error) {
+	var a namesAnswer
+	err := (*client)(o).get(ctx, pathObjectSet+"?prefix="+url.QueryEscape(prefix), &a)
+	return a.Names, err
+}
+
+type listClient client
+
+// List implements platform.Instances.
+func (l *listClient) List(ctx context.Context) ([]platform.Instance, error) {
+	var a instancesAnswer
+	err := (*client)(l).get(ctx, pathInstances, &a)
+	return a.Instances, err
+}
+
+// Leave implements platform.Instances.
+func (l *listClient) Leave(ctx context.Context, name string) error {
+	return (*client)(l).post(ctx, pathLeave, leaveRequest{Name: name}, &struct{}{}, false)
+}
--- /dev/null
+++ b/internal/platform/httpplatform/handler.go
@@ -0,0 +1,219 @@
+package httpplatform
+
+import (
+	"context"
+	"encoding/json"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"carawayrouter.example/router/internal/platform"
+	"carawayrouter.example/router/internal/platform/memplatform"
+)
+
+// serverTimeout bounds the work on one call.
+const serverTimeout = 30 * time.Second
+
+// MaxBody is the largest request body that a server of the API needs to accept.
+const MaxBody = 64 << 20
+
+// Handler serves the API on top of a store. Give the fasthttp.Server
+// MaxRequestBodySize MaxBody.
+func Handler(store *memplatform.Store) fasthttp.RequestHandler {
+	h := &handler{store: store}
+	return h.serve
+}
+
+type handler struct {
+	store *memplatform.Store
+}
+
+func (h *handler) serve(rc *fasthttp.RequestCtx) {
+	ctx, cancel := context.WithTimeout(context.Background(), serverTimeout)
+	defer cancel()
+	answer, err := h.route(ctx, rc)
+	if err != nil {
+		writeError(rc, err)
+		return
+	}
+	if raw, ok := answer.([]byte); ok {
+		rc.SetContentType("application/octet-stream")
+		rc.SetBody(raw)
+		return
+	}
+	body, err := json.Marshal(answer)
+	if err != nil {
+		writeError(rc, err)
+		return
+	}
+	rc.SetContentType("application/json")
+	rc.SetBody(body)
+}
+
+// errBadRequest marks requests that do not follow the API.
+var errBadRequest = errors.New("bad request")
+
+func (h *handler) route(ctx context.Context, rc *fasthttp.RequestCtx) (any, error) {
+	p := h.store.For(string(rc.Request.Header.Peek(headerDataCentre)))
+	path := string(rc.URI().PathOriginal())
+	method := string(rc.Method())
+	switch {
+	case path == pathGet:
+		return call(rc, func(r getRequest) (any, error) {
+			rows, err := p.Table.Get(ctx, r.Keys...)
+			return rowsAnswer{Rows: rowsToJSON(rows)}, err
+		})
+	case path == pathScan:
+		return call(rc, func(r scanRequest) (any, error) {
+			rows, err := p.Table.Scan(ctx, r.Prefix, r.After, r.Limit)
+			return rowsAnswer{Rows: rowsToJSON(rows)}, err
+		})
+	case path == pathCommit:
+		return call(rc, func(r commitRequest) (any, error) {
+			v, err := p.Table.Commit(ctx, txnFromJSON(r))
+			return commitAnswer{Version: v}, err
+		})
+	case path == pathObjectSet && method == fasthttp.MethodGet:
+		names, err := p.Objects.List(ctx, string(rc.QueryArgs().Peek("prefix")))
+		return namesAnswer{Names: names}, err
+	case strings.HasPrefix(path, pathObjects):
+		return object(ctx, rc, p.Objects, strings.TrimPrefix(path, pathObjects))
+	case path == pathInstances && method == fasthttp.MethodGet:
+		all, err := p.Instances.List(ctx)
+		return instancesAnswer{Instances: all}, err
+	case path == pathLeave:
+		return call(rc, func(r leaveRequest) (any, error) {
+			return struct{}{}, p.Instances.Leave(ctx, r.Name)
+		})
+	case path == pathFault:
+		return call(rc, func(f Fault) (any, error) { return struct{}{}, h.fault(f) })
+	case path == pathCounts && method == fasthttp.MethodGet:
+		return h.store.Counts(), nil
+	case strings.HasPrefix(path, pathRegister):
+		return h.register(rc, strings.TrimPrefix(path, pathRegister))
+	}
+	return nil, errors.Wrapf(platform.ErrNotFound, "%s %s", method, path)
+}
+
+// call decodes the JSON body of a POST and runs f.
+func call[T any](rc *fasthttp.RequestCtx, f func(T) (any, error)) (any, error) {
+	if !rc.IsPost() {
+		return nil, errors.Wrap(errBadRequest, "use POST")
+	}
+	var req T
+	dec := json.NewDecoder(strings.NewReader(string(rc.PostBody())))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&req); err != nil {
+		return nil, errors.Wrap(errBadRequest, err.Error())
+	}
+	return f(req)
+}
+
+func object(ctx context.Context, rc *fasthttp.RequestCtx, objects platform.Objects, escaped string) (any, error) {
+	name, err := url.PathUnescape(escaped)
+	if err != nil || name == "" {
+		return nil, errors.Wrap(errBadRequest, "object name")
+	}
+	switch {
+	case rc.IsGet():
+		return objects.Get(ctx, name)
+	case rc.IsPut():
+		return struct{}{}, objects.Put(ctx, name, rc.PostBody())
+	}
+	return nil, errors.Wrap(errBadRequest, "use GET or PUT")
+}
+
+// register sets or removes one entry of the instance list.
+func (h *handler) register(rc *fasthttp.RequestCtx, escaped string) (any, error) {
+	name, err := url.PathUnescape(escaped)
+	if err != nil || name == "" {
+		return nil, errors.Wrap(errBadRequest, "instance name")
+	}
+	switch {
+	case rc.IsDelete():
+		h.store.RemoveInstance(name)
+		return struct{}{}, nil
+	case rc.IsPut():
+		var i platform.Instance
+		if err := json.Unmarshal(rc.PostBody(), &i); err != nil {
+			return nil, errors.Wrap(errBadRequest, err.Error())
+		}
+		i.Name = name
+		h.store.SetInstance(i)
+		return struct{}{}, nil
+	}
+	return nil, errors.Wrap(errBadRequest, "use PUT or DELETE")
+}
+
+// fault switches the faults that f names, all or none.
+func (h *handler) fault(f Fault) error {
+	slow, err := optionalDuration(f.Slow)
+	if err != nil {
+		return err
+	}
+	lag, err := optionalDuration(f.ListLag)
+	if err != nil {
+		return err
+	}
+	for _, x := range []*float64{f.LoseAnswers, f.LoseRequests} {
+		if x != nil && !(*x >= 0 && *x <= 1) {
+			return errors.Wrap(errBadRequest, "fraction must be from 0 to 1")
+		}
+	}
+	set(f.Down, h.store.Down)
+	set(f.ListDown, h.store.ListDown)
+	set(slow, h.store.Slow)
+	set(lag, h.store.ListLag)
+	set(f.LoseAnswers, h.store.LoseAnswers)
+	set(f.LoseRequests, h.store.LoseRequests)
+	for dc, cut := range f.Cut {
+		h.store.Cut(dc, cut)
+	}
+	return nil
+}
+
+func set[T any](v *T, f func(T)) {
+	if v != nil {
+		f(*v)
+	}
+}
+
+func optionalDuration(text *string) (*time.Duration, error) {
+	if text == nil {
+		return nil, nil
+	}
+	d, err := time.ParseDuration(*text)
+	if err != nil || d < 0 {
+		return nil, errors.Wrapf(errBadRequest, "%q is not a duration such as 250ms, 3s", *text)
+	}
+	return &d, nil
+}
+
+// writeError turns an error into its answer.
+func writeError(rc *fasthttp.RequestCtx, err error) {
+	a := errorAnswer{Message: err.Error()}
+	status := fasthttp.StatusInternalServerError
+	var conflict *platform.ConflictError
+	switch {
+	case errors.As(err, &conflict):
+		status = fasthttp.StatusConflict
+		a = errorAnswer{Code: codeConflict, Message: err.Error(), Key: conflict.Key, Want: conflict.Want, Have: conflict.Have}
+	case errors.Is(err, platform.ErrUnknownOutcome):
+		status, a.Code = fasthttp.StatusGatewayTimeout, codeUnknown
+	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, context.DeadlineExceeded):
+		status, a.Code = fasthttp.StatusServiceUnavailable, codeUnavailable
+	case errors.Is(err, platform.ErrNotFound):
+		status, a.Code = fasthttp.StatusNotFound, codeNotFound
+	case errors.Is(err, errBadRequest):
+		status, a.Code = fasthttp.StatusBadRequest, codeBadRequest
+	}
+	rc.SetStatusCode(status)
+	rc.SetContentType("application/json")
+	body, err := json.Marshal(a)
+	if err == nil {
+		rc.SetBody(body)
+	}
+}
--- /dev/null
+++ b/internal/platform/httpplatform/httpplatform_test.go
@@ -0,0 +1,133 @@
+package httpplatform
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+	"gotest.tools/v3/assert"
+
+	"carawayrouter.example/router/internal/platform"
+	"carawayrouter.example/router/internal/platform/memplatform"
+)
+
+// start serves a new store on loopback and returns its address.
+func start(t *testing.T) (*memplatform.Store, string) {
+	t.Helper()
+	store := memplatform.New(memplatform.Options{Seed: 1})
+	return store, serve(t, Handler(store))
+}
+
+func serve(t *testing.T, h fasthttp.RequestHandler) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	srv := &fasthttp.Server{Handler: h}
+	done := make(chan error, 1)
+	go func() { done <- srv.Serve(ln) }()
+	t.Cleanup(func() {
+		_ = ln.Close()
+		assert.NilError(t, <-done)
+	})
+	return ln.Addr().String()
+}
+
+func TestTableOverHTTP(t *testing.T) {
+	ctx := context.Background()
+	_, addr := start(t)
+	table := Client(addr, "a").Table
+	v, err := table.Commit(ctx, platform.Txn{
+		Conditions: []platform.Condition{{Key: "p/x"}},
+		Writes:     []platform.Write{{Key: "p/x", Value: []byte{0, 255}}, {Key: "p/y", Value: []byte("y")}},
+	})
+	assert.NilError(t, err)
+	rows, err := table.Get(ctx, "p/x", "absent")
+	assert.NilError(t, err)
+	assert.DeepEqual(t, rows, []platform.Row{{Key: "p/x", Version: v, Value: []byte{0, 255}}, {Key: "absent"}})
+	rows, err = table.Scan(ctx, "p/", "p/x", 5)
+	assert.NilError(t, err)
+	assert.Equal(t, len(rows), 1)
+	_, err = table.Commit(ctx, platform.Txn{Conditions: []platform.Condition{{Key: "p/x"}}})
+	var conflict *platform.ConflictError
+	assert.Assert(t, errors.As(err, &conflict))
+	assert.DeepEqual(t, *conflict, platform.ConflictError{Key: "p/x", Have: v})
+}
+
+func TestObjectsAndInstancesOverHTTP(t *testing.T) {
+	ctx := context.Background()
+	_, addr := start(t)
+	p := Client(addr, "a")
+	assert.NilError(t, p.Objects.Put(ctx, "s/1 2%", []byte("data")))
+	got, err := p.Objects.Get(ctx, "s/1 2%")
+	assert.NilError(t, err)
+	assert.Equal(t, string(got), "data")
+	_, err = p.Objects.Get(ctx, "s/none")
+	assert.ErrorIs(t, err, platform.ErrNotFound)
+	names, err := p.Objects.List(ctx, "s/")
+	assert.NilError(t, err)
+	assert.DeepEqual(t, names, []string{"s/1 2%"})
+	i := platform.Instance{Name: "e1", Addr: "127.0.0.1:1", DataCentre: "a", Group: "entry", State: platform.Live}
+	assert.NilError(t, Register(ctx, addr, i))
+	assert.NilError(t, p.Instances.Leave(ctx, "e1"))
+	all, err := p.Instances.List(ctx)
+	assert.NilError(t, err)
+	i.State = platform.Leaving
+	assert.DeepEqual(t, all, []platform.Instance{i})
+	assert.ErrorIs(t, p.Instances.Leave(ctx, "e2"), platform.ErrNotFound)
+}
+
+func TestFaultsOverHTTP(t *testing.T) {
+	ctx := context.Background()
+	_, addr := start(t)
+	table := Client(addr, "a").Table
+	yes, no, all := true, false, 1.0
+	assert.NilError(t, SetFault(ctx, addr, Fault{LoseAnswers: &all}))
+	_, err := table.Commit(ctx, platform.Txn{Writes: []platform.Write{{Key: "x"}}})
+	assert.ErrorIs(t, err, platform.ErrUnknownOutcome)
+	assert.NilError(t, SetFault(ctx, addr, Fault{Cut: map[string]bool{"a": true}}))
+	_, err = table.Get(ctx, "x")
+	assert.ErrorIs(t, err, platform.ErrUnavailable)
+	rows, err := Client(addr, "b").Table.Get(ctx, "x")
+	assert.NilError(t, err)
+	assert.Assert(t, rows[0].Version > 0)
+	assert.NilError(t, SetFault(ctx, addr, Fault{Cut: map[string]bool{"a": false}, Down: &yes}))
+	_, err = table.Get(ctx, "x")
+	assert.ErrorIs(t, err, platform.ErrUnavailable)
+	assert.NilError(t, SetFault(ctx, addr, Fault{Down: &no}))
+	bad := "soon"
+	assert.ErrorContains(t, SetFault(ctx, addr, Fault{Slow: &bad}), "is not a duration")
+}
+
+// TestCommitCutOffInFlight checks the two classes of transport failure: nothing
+// sent, and sent without an answer.
+func TestCommitCutOffInFlight(t *testing.T) {
+	ctx := context.Background()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	closed := ln.Addr().String()
+	assert.NilError(t, ln.Close())
+	_, err = Client(closed, "a").Table.Commit(ctx, platform.Txn{})
+	assert.ErrorIs(t, err, platform.ErrUnavailable)
+
+	addr := serve(t, func(rc *fasthttp.RequestCtx) {
+		rc.HijackSetNoResponse(true)
+		rc.Hijack(func(net.Conn) {})
+	})
+	_, err = Client(addr, "a").Table.Commit(ctx, platform.Txn{})
+	assert.ErrorIs(t, err, platform.ErrUnknownOutcome)
+	_, err = Client(addr, "a").Table.Get(ctx, "x")
+	assert.ErrorIs(t, err, platform.ErrUnavailable)
+}
+
+func TestSilentServerEndsAtDeadline(t *testing.T) {
+	release := make(chan struct{})
+	addr := serve(t, func(*fasthttp.RequestCtx) { <-release })
+	defer close(release)
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err := Client(addr, "a").Table.Commit(ctx, platform.Txn{})
+	assert.ErrorIs(t, err, platform.ErrUnknownOutcome)
+}
