interface: settings.Section fills a struct from one section's values

Ticket files have sections with names of their own, which Parse cannot take. Section(file, section, values, line, into) shares the tags and the errors.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -17,6 +17,7 @@
 import (
 	"bufio"
 	"fmt"
+	"maps"
 	"os"
 	"reflect"
 	"slices"
@@ -86,13 +87,24 @@
 	if s, err := f.GetSection(section); err == nil {
 		keys = s.KeysHash()
 	}
+	line := func(name string) int { return lines[section+"."+name] }
+	return fillStruct(file, section, keys, line, v)
+}
+
+// Section fills the struct that into points to from the values of one section. It
+// takes the tags that Parse takes; line tells where a name stands in the file.
+func Section(file, section string, values map[string]string, line func(name string) int, into any) error {
+	return fillStruct(file, section, values, line, reflect.ValueOf(into).Elem())
+}
+
+func fillStruct(file, section string, keys map[string]string, line func(string) int, v reflect.Value) error {
 	var allowed []string
 	for i := range v.NumField() {
 		allowed = append(allowed, v.Type().Field(i).Tag.Get("ini"))
 	}
-	for k := range keys {
+	for _, k := range slices.Sorted(maps.Keys(keys)) {
 		if !slices.Contains(allowed, k) {
-			return &FileError{File: file, Line: lines[section+"."+k], Name: section + "." + k, Allowed: "unknown setting; known: " + strings.Join(allowed, ", ")}
+			return &FileError{File: file, Line: line(k), Name: section + "." + k, Allowed: "unknown setting; known: " + strings.Join(allowed, ", ")}
 		}
 	}
 	for i := range v.NumField() {
@@ -102,12 +114,12 @@
 		if !given {
 			def, ok := field.Tag.Lookup("default")
 			if !ok {
-				return &FileError{File: file, Name: section + "." + name, Allowed: "is required: " + field.Tag.Get("doc")}
+				return &FileError{File: file, Line: line(""), Name: section + "." + name, Allowed: "is required: " + field.Tag.Get("doc")}
 			}
 			text = def
 		}
 		if err := set(v.Field(i), field, text); err != nil {
-			return &FileError{File: file, Line: lines[section+"."+name], Name: section + "." + name, Allowed: err.Error()}
+			return &FileError{File: file, Line: line(name), Name: section + "." + name, Allowed: err.Error()}
 		}
 	}
 	return nil
