peer/rpc: net/rpc between instances with deadlines, bounds and mutual TLS

Cause: controllers need calls between instances that end in time, survive a connection that went silent for good, and let nobody in without a certificate of the fleet.

Change: peer/rpc.NewServer(Options) (Serve, Register, Drain, Close, Traffic) and peer/rpc.NewClient(Options) (Call, Close, Traffic, Calls, SilenceOpen). One cached connection for each address; a call that ends without one byte having arrived retires its connection, and the next call dials anew. peer.Idempotent(ctx) declares a call idempotent: it is sent a second time over a new connection when the first half of its time passed without an answer, or when the connection broke. peer.ErrBroken says that a call may have run; peer.RemoteError carries the text of the method's error. Messages, calls, connections and idle time are bounded; a peer that sends an oversized or malformed message is disconnected. rpc.LoadIdentity(Files, Logger) reads certificate, key and CA and reads them again when they change; open connections whose CA was withdrawn are refused at their next request. Plain connections work on loopback only. Options.Reach cuts or silences links in tests.

--- /dev/null
+++ b/internal/peer/rpc/conn.go
@@ -0,0 +1,96 @@
+package rpc
+
+import (
+	"net"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+const (
+	keepAliveIdle     = 5 * time.Second
+	keepAliveInterval = 2 * time.Second
+	keepAliveCount    = 3
+
+	// tcpUserTimeout is the Linux socket option TCP_USER_TIMEOUT (milliseconds).
+	tcpUserTimeout = 0x12
+)
+
+// tune sets the options that let the kernel notice a connection gone silent.
+func tune(c net.Conn, userTimeout time.Duration) {
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	_ = tcp.SetKeepAliveConfig(net.KeepAliveConfig{
+		Enable:   true,
+		Idle:     keepAliveIdle,
+		Interval: keepAliveInterval,
+		Count:    keepAliveCount,
+	})
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) {
+		_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout.Milliseconds()))
+	})
+}
+
+// Traffic counts the bytes that crossed connections, below TLS.
+type Traffic struct{ In, Out atomic.Int64 }
+
+// meteredConn counts bytes and applies link faults to one connection.
+type meteredConn struct {
+	net.Conn
+	traffic  *Traffic
+	reach    func() LinkState // nil without fault injection
+	silent   atomic.Bool      // set for good once a byte was swallowed
+	lastRead atomic.Int64     // nanoseconds since epoch; 0 before the first byte
+}
+
+func (c *meteredConn) state() LinkState {
+	if c.silent.Load() {
+		return LinkSilent
+	}
+	if c.reach == nil {
+		return LinkOK
+	}
+	return c.reach()
+}
+
+// Read implements net.Conn. Bytes that arrive over a silent link are dropped.
+func (c *meteredConn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		if err != nil {
+			return n, err
+		}
+		switch c.state() {
+		case LinkRefused:
+			_ = c.Conn.Close()
+			return 0, syscall.ECONNRESET
+		case LinkSilent:
+			c.silent.Store(true)
+			continue
+		}
+		c.lastRead.Store(time.Now().UnixNano())
+		c.traffic.In.Add(int64(n))
+		return n, nil
+	}
+}
+
+// Write implements net.Conn. Bytes for a silent link are dropped.
+func (c *meteredConn) Write(b []byte) (int, error) {
+	switch c.state() {
+	case LinkRefused:
+		_ = c.Conn.Close()
+		return 0, syscall.ECONNRESET
+	case LinkSilent:
+		c.silent.Store(true)
+		return len(b), nil
+	}
+	n, err := c.Conn.Write(b)
+	c.traffic.Out.Add(int64(n))
+	return n, err
+}
--- /dev/null
+++ b/internal/peer/rpc/identity.go
@@ -0,0 +1,188 @@
+package rpc
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+)
+
+// reloadInterval is the shortest time between two looks at the files.
+const reloadInterval = time.Second
+
+// Files names the PEM files of an Identity.
+type Files struct {
+	Cert string // certificate of this instance, with intermediates
+	Key  string // its private key
+	CA   string // certificates of the fleet's CA; several during a change of CA
+}
+
+// Identity is this instance's certificate and the fleet's CA, read again when the
+// files change. Files that cannot be read or do not match leave the old ones in use.
+type Identity struct {
+	files  Files
+	logger logr.Logger
+
+	mu         sync.Mutex
+	checked    time.Time
+	stamp      fileStamp
+	generation uint64
+	cert       *tls.Certificate
+	roots      *x509.CertPool
+}
+
+type fileStamp [3]struct {
+	modified time.Time
+	size     int64
+}
+
+// LoadIdentity reads the files.
+func LoadIdentity(f Files, logger logr.Logger) (*Identity, error) {
+	if logger.GetSink() == nil {
+		logger = logr.Discard()
+	}
+	id := &Identity{files: f, logger: logger}
+	stamp, err := f.stamp()
+	if err != nil {
+		return nil, err
+	}
+	if err := id.load(stamp); err != nil {
+		return nil, err
+	}
+	return id, nil
+}
+
+func (f Files) stamp() (fileStamp, error) {
+	var s fileStamp
+	for i, name := range []string{f.Cert, f.Key, f.CA} {
+		info, err := os.Stat(name)
+		if err != nil {
+			return s, errors.Wrap(err, "peer identity")
+		}
+		s[i].modified, s[i].size = info.ModTime(), info.Size()
+	}
+	return s, nil
+}
+
+// load reads the files. The caller holds mu, or owns the Identity alone.
+func (id *Identity) load(stamp fileStamp) error {
+	cert, err := tls.LoadX509KeyPair(id.files.Cert, id.files.Key)
+	if err != nil {
+		return errors.Wrapf(err, "peer identity %s", id.files.Cert)
+	}
+	pem, err := os.ReadFile(id.files.CA)
+	if err != nil {
+		return errors.Wrap(err, "peer identity")
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(pem) {
+		return errors.Newf("peer identity: %s holds no certificate", id.files.CA)
+	}
+	id.cert, id.roots, id.stamp = &cert, roots, stamp
+	id.generation++
+	return nil
+}
+
+// refresh reads the files again if they changed.
+func (id *Identity) refresh() {
+	now := time.Now()
+	if now.Sub(id.checked) < reloadInterval {
+		return
+	}
+	id.checked = now
+	stamp, err := id.files.stamp()
+	if err == nil && stamp == id.stamp {
+		return
+	}
+	if err == nil {
+		err = id.load(stamp)
+	}
+	if err != nil {
+		id.logger.Error(err, "keeping the previous peer certificate")
+		return
+	}
+	id.logger.Info("peer certificate reloaded", "generation", id.generation)
+}
+
+// current returns the certificate, the CA and their generation.
+func (id *Identity) current() (*tls.Certificate, *x509.CertPool, uint64) {
+	id.mu.Lock()
+	defer id.mu.Unlock()
+	id.refresh()
+	return id.cert, id.roots, id.generation
+}
+
+// Generation counts the loads; 0 for a nil Identity.
+func (id *Identity) Generation() uint64 {
+	if id == nil {
+		return 0
+	}
+	_, _, g := id.current()
+	return g
+}
+
+// verify checks that the chain was signed by the fleet's CA. Addresses come and go,
+// so no name is compared.
+func (id *Identity) verify(chain []*x509.Certificate, usage x509.ExtKeyUsage) error {
+	if len(chain) == 0 {
+		return errors.New("peer presented no certificate")
+	}
+	_, roots, _ := id.current()
+	inter := x509.NewCertPool()
+	for _, c := range chain[1:] {
+		inter.AddCert(c)
+	}
+	_, err := chain[0].Verify(x509.VerifyOptions{
+		Roots:         roots,
+		Intermediates: inter,
+		KeyUsages:     []x509.ExtKeyUsage{usage},
+	})
+	return errors.Wrap(err, "peer certificate")
+}
+
+func (id *Identity) serverConfig() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		ClientAuth: tls.RequireAnyClientCert, // verified below against the current CA
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+			cert, _, _ := id.current()
+			return cert, nil
+		},
+		VerifyConnection: func(s tls.ConnectionState) error {
+			return id.verify(s.PeerCertificates, x509.ExtKeyUsageClientAuth)
+		},
+		SessionTicketsDisabled: true,
+	}
+}
+
+func (id *Identity) clientConfig() *tls.Config {
+	return &tls.Config{
+		MinVersion:         tls.VersionTLS13,
+		InsecureSkipVerify: true, // VerifyConnection checks the chain without a host name
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			cert, _, _ := id.current()
+			return cert, nil
+		},
+		VerifyConnection: func(s tls.ConnectionState) error {
+			return id.verify(s.PeerCertificates, x509.ExtKeyUsageServerAuth)
+		},
+	}
+}
+
+// admission returns a check, run before each request, that refuses a peer whose CA
+// has been withdrawn since the handshake.
+func (id *Identity) admission(c *tls.Conn) func() error {
+	verified := id.Generation()
+	return func() error {
+		g := id.Generation()
+		if g == verified {
+			return nil
+		}
+		verified = g
+		return id.verify(c.ConnectionState().PeerCertificates, x509.ExtKeyUsageClientAuth)
+	}
+}
--- /dev/null
+++ b/internal/peer/rpc/identity_test.go
@@ -0,0 +1,144 @@
+package rpc
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+
+	"carawayrouter.example/router/internal/peer"
+)
+
+// authority signs test certificates.
+type authority struct {
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+func newAuthority(t *testing.T) *authority {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	assert.NilError(t, err)
+	tmpl := &x509.Certificate{
+		SerialNumber: big.NewInt(time.Now().UnixNano()), Subject: pkix.Name{CommonName: "fleet"},
+		NotAfter: time.Now().Add(time.Hour), IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, tmpl, tmpl, &key.PublicKey, key)
+	assert.NilError(t, err)
+	cert, err := x509.ParseCertificate(der)
+	assert.NilError(t, err)
+	return &authority{cert: cert, key: key}
+}
+
+// write puts a certificate signed by a, its key and a's own certificate into dir.
+func (a *authority) write(t *testing.T, dir string) Files {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	assert.NilError(t, err)
+	tmpl := &x509.Certificate{
+		SerialNumber: big.NewInt(time.Now().UnixNano()), Subject: pkix.Name{CommonName: "instance"},
+		NotAfter: time.Now().Add(time.Hour), KeyUsage: x509.KeyUsageDigitalSignature,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, tmpl, a.cert, &key.PublicKey, a.key)
+	assert.NilError(t, err)
+	keyDER, err := x509.MarshalECPrivateKey(key)
+	assert.NilError(t, err)
+	put := func(name, kind string, b []byte) string {
+		path := filepath.Join(dir, name)
+		assert.NilError(t, os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: b}), 0o600))
+		return path
+	}
+	return Files{
+		Cert: put("cert.pem", "CERTIFICATE", der),
+		Key:  put("key.pem", "EC PRIVATE KEY", keyDER),
+		CA:   put("ca.pem", "CERTIFICATE", a.cert.Raw),
+	}
+}
+
+func identity(t *testing.T, f Files) *Identity {
+	t.Helper()
+	id, err := LoadIdentity(f, logr.Discard())
+	assert.NilError(t, err)
+	return id
+}
+
+func TestOnlyTheFleetsCertificatesAreAccepted(t *testing.T) {
+	fleet, other := newAuthority(t), newAuthority(t)
+	server := identity(t, fleet.write(t, t.TempDir()))
+	echo, _, c, addr := start(t, Options{Identity: server}, Options{Identity: identity(t, fleet.write(t, t.TempDir()))})
+	out, err := call(c, addr, "Echo.Say", "hello", false)
+	assert.NilError(t, err)
+	assert.Equal(t, out, "hello")
+	runs := echo.runs.Load()
+
+	foreign := NewClient(Options{Identity: identity(t, other.write(t, t.TempDir()))})
+	defer foreign.Close()
+	_, err = call(foreign, addr, "Echo.Say", "hello", false)
+	assert.ErrorIs(t, err, peer.ErrUnreachable)
+
+	plain := NewClient(Options{})
+	defer plain.Close()
+	_, err = call(plain, addr, "Echo.Say", "hello", false)
+	assert.Assert(t, err != nil)
+
+	// A peer that trusts anybody, but shows no certificate of the fleet.
+	for _, certs := range [][]tls.Certificate{nil, {*identity(t, other.write(t, t.TempDir())).cert}} {
+		conn, err := tls.Dial("tcp", addr, &tls.Config{InsecureSkipVerify: true, Certificates: certs})
+		if err == nil {
+			_, err = conn.Read(make([]byte, 1))
+			_ = conn.Close()
+		}
+		assert.Assert(t, err != nil)
+	}
+	assert.Equal(t, echo.runs.Load(), runs)
+}
+
+func TestChangedFilesAreReloaded(t *testing.T) {
+	before, after := newAuthority(t), newAuthority(t)
+	dirs := []string{t.TempDir(), t.TempDir()}
+	server, client := identity(t, before.write(t, dirs[0])), identity(t, before.write(t, dirs[1]))
+	echo, _, c, addr := start(t, Options{Identity: server}, Options{Identity: client})
+	_, err := call(c, addr, "Echo.Say", "a", false)
+	assert.NilError(t, err)
+
+	// The server's CA changes: the open connection of the old CA is refused.
+	after.write(t, dirs[0])
+	forceCheck(server)
+	_, err = call(c, addr, "Echo.Say", "b", false)
+	assert.Assert(t, err != nil)
+	assert.Equal(t, echo.runs.Load(), int64(1))
+
+	// A broken file leaves the old certificate in use; the right one is taken.
+	assert.NilError(t, os.WriteFile(filepath.Join(dirs[1], "cert.pem"), []byte("broken"), 0o600))
+	forceCheck(client)
+	assert.Equal(t, client.Generation(), uint64(1))
+	after.write(t, dirs[1])
+	forceCheck(client)
+	out, err := call(c, addr, "Echo.Say", "c", false)
+	assert.NilError(t, err)
+	assert.Equal(t, out, "c")
+}
+
+// forceCheck makes the next use look at the files.
+func forceCheck(id *Identity) {
+	id.mu.Lock()
+	defer id.mu.Unlock()
+	id.checked = time.Time{}
+}
+
+func TestMissingCertificateIsAnError(t *testing.T) {
+	_, err := LoadIdentity(Files{Cert: "absent.pem", Key: "absent.pem", CA: "absent.pem"}, logr.Discard())
+	assert.ErrorContains(t, err, "absent.pem")
+}
--- /dev/null
+++ b/internal/peer/rpc/options.go
@@ -0,0 +1,84 @@
+// Package rpc implements peer.Caller and peer.Registrar over net/rpc with gob,
+// mutual TLS, and bounds on connections, message sizes, calls and time.
+package rpc
+
+import (
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+)
+
+// Defaults of Options.
+const (
+	DefaultMaxMessage  = 16 << 20         // bytes
+	DefaultMaxConns    = 1024             // connections
+	DefaultMaxCalls    = 256              // calls in progress on one connection
+	DefaultDialTimeout = time.Second      // connection set-up, TLS included
+	DefaultIdle        = 90 * time.Second // life of an unused connection
+	DefaultUserTimeout = 5 * time.Second  // unacknowledged bytes before the kernel gives up
+)
+
+// LinkState is the state of the path to an address, set by tests and load tools.
+type LinkState int
+
+// The link states.
+const (
+	LinkOK      LinkState = iota
+	LinkRefused           // connections fail at once
+	LinkSilent            // nothing arrives and nothing is reported
+)
+
+// Options configures a Server or a Client. Zero fields take the defaults.
+type Options struct {
+	// Identity holds the certificate and the fleet's CA. Without one the
+	// connections are plain, which is allowed on loopback addresses only.
+	Identity *Identity
+
+	MaxMessage  int // largest request or reply in bytes
+	MaxConns    int
+	MaxCalls    int // server: calls in progress on one connection
+	DialTimeout time.Duration
+	Idle        time.Duration
+	UserTimeout time.Duration
+
+	// Reach, if set, gives the state of the link to an address. Client only.
+	Reach func(addr string) LinkState
+
+	Logger logr.Logger
+}
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.MaxMessage, DefaultMaxMessage)
+	setDefault(&o.MaxConns, DefaultMaxConns)
+	setDefault(&o.MaxCalls, DefaultMaxCalls)
+	setDefault(&o.DialTimeout, DefaultDialTimeout)
+	setDefault(&o.Idle, DefaultIdle)
+	setDefault(&o.UserTimeout, DefaultUserTimeout)
+	if o.Logger.GetSink() == nil {
+		o.Logger = logr.Discard()
+	}
+	return o
+}
+
+func setDefault[T int | time.Duration](v *T, def T) {
+	if *v == 0 {
+		*v = def
+	}
+}
+
+// ErrPlainRefused reports an attempt to use plain connections beyond loopback.
+var ErrPlainRefused = errors.New("plain peer connections are allowed on loopback addresses only")
+
+// checkPlain returns ErrPlainRefused unless addr is a loopback address.
+func checkPlain(addr string) error {
+	host, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		return errors.Wrapf(err, "peer address %q", addr)
+	}
+	if ip := net.ParseIP(host); ip == nil || !ip.IsLoopback() {
+		return errors.Wrapf(ErrPlainRefused, "address %s", addr)
+	}
+	return nil
+}
