Schedule decode first behind a weighted fair queue

Cause: requests need a decode slot and KV memory before their prefill is made, and waiting requests of all client accounts have to share the pool.

Change: - fairqueue: start-time fair queuing by token cost over accounts, in three bands (interactive, interactive past its latency target, patient) with guaranteed minimal shares, deadlines, bounds, eviction from the longest account, bounded overtaking. - sched/pool: Core, the pure state machine of one pool in one data centre (slots, pieces, prefill queues by learned rate, cache hints, ejection with probes and a cap, leaving endpoints, early refusal); Dispatcher, its concurrent form; Watcher, which polls engines; Local, a sched.Scheduler within one process.

API: - pool.NewLocal(Options{Config, Dialer, Clock, Rand, DataCentre, Logger, Events, Leaving, Tuning}) *Local; Local.Run(ctx) error; Local.Acquire. - pool.Tuning{Order: FIFO} gives decode-first without fairness. - fairqueue.New[V](Config); Push, Next, Expire, Remove, CostAhead.

--- /dev/null
+++ b/internal/sched/pool/core_test.go
@@ -0,0 +1,510 @@
+package pool
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"carawayrouter.example/router/internal/config"
+	"carawayrouter.example/router/internal/endpoint"
+	"carawayrouter.example/router/internal/errkind"
+	"carawayrouter.example/router/internal/reqid"
+	"carawayrouter.example/router/internal/sched"
+)
+
+var t0 = time.Unix(1_000_000, 0)
+
+// endpoints returns prefill and decode engines of pool "m".
+func endpoints(prefills, decodes, slots, pieces int) []*config.Endpoint {
+	var eps []*config.Endpoint
+	for i := range prefills {
+		eps = append(eps, &config.Endpoint{Name: fmt.Sprintf("p%d", i), Pool: "m", Addr: fmt.Sprintf("127.0.0.1:1%03d", i), Role: config.Prefill, Slots: 4, Pieces: 64, DataCentre: "dc"})
+	}
+	for i := range decodes {
+		eps = append(eps, &config.Endpoint{Name: fmt.Sprintf("d%d", i), Pool: "m", Addr: fmt.Sprintf("127.0.0.1:2%03d", i), Role: config.Decode, Slots: slots, Pieces: pieces, DataCentre: "dc"})
+	}
+	return eps
+}
+
+func newCore(eps []*config.Endpoint) *Core {
+	c := NewCore("m", config.ModelPool, DefaultTuning(), rand.New(rand.NewPCG(1, 2)))
+	c.SetEndpoints(eps, nil)
+	return c
+}
+
+func key(n int) Key { return Key{ID: reqid.ID{Instance: "i", Incarnation: 1, Seq: uint64(n)}} }
+
+func ask(n int, account string) sched.Demand {
+	return sched.Demand{ID: key(n).ID, Account: account, Weight: 1, Pool: "m", Class: config.Interactive, Prompt: 1000, MaxOutput: 500, FirstToken: time.Second, MaxWait: 10 * time.Second, Arrived: t0}
+}
+
+// must enqueues a demand that has to be accepted.
+func must(t testing.TB, c *Core, now time.Time, n int, d sched.Demand) {
+	t.Helper()
+	d.Arrived = now
+	_, err := c.Enqueue(now, key(n), d, time.Time{})
+	assert.Assert(t, err == nil, "%v", err)
+}
+
+// grants returns the granted decisions.
+func grants(all []Decision) (granted []Decision) {
+	for _, d := range all {
+		if d.Err == nil {
+			granted = append(granted, d)
+		}
+	}
+	return granted
+}
+
+// TestNothingIsLostOrOverGranted drives a Core by random steps: demands, cancels,
+// outcomes of all kinds, repeated and late reports, endpoints that come, go and leave,
+// leases that lapse. Endpoints never hold more than they have, leaving ones get
+// nothing, and when every demand has ended nothing is held.
+func TestNothingIsLostOrOverGranted(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := endpoints(3, 4, 3, 12)
+		c := newCore(all)
+		now, seq := t0, 0
+		live := map[Key]bool{}
+		var keys []Key
+		leaving := map[string]bool{}
+		outcome := func() sched.Outcome {
+			return rapid.SampledFrom([]sched.Outcome{sched.Succeeded, sched.Failed, sched.Full, sched.Abandoned}).Draw(t, "outcome")
+		}
+		pick := func() Key { return rapid.SampledFrom(append(keys, Key{})).Draw(t, "key") }
+		dispatch := func() {
+			for _, d := range c.Dispatch(now) {
+				if d.Err != nil {
+					delete(live, d.Key)
+					continue
+				}
+				assert.Assert(t, !leaving[d.Decode.Addr] && !leaving[d.Prefill.Addr], "leaving endpoint got work")
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"enqueue": func(t *rapid.T) {
+				seq++
+				d := ask(seq, rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "account"))
+				d.Arrived = now
+				d.Prompt = rapid.IntRange(1, 12*endpoint.PieceTokens).Draw(t, "prompt")
+				d.Exclude = rapid.SliceOfN(rapid.SampledFrom([]string{"d0", "d1", "p0"}), 0, 2).Draw(t, "exclude")
+				if _, err := c.Enqueue(now, key(seq), d, now.Add(5*time.Second)); err == nil {
+					live[key(seq)] = true
+					keys = append(keys, key(seq))
+				}
+				dispatch()
+			},
+			"prefill": func(t *rapid.T) { c.PrefillDone(now, pick(), outcome()); dispatch() },
+			"token":   func(t *rapid.T) { c.FirstToken(now, pick()) },
+			"renew":   func(t *rapid.T) { c.Renew(pick(), now.Add(5*time.Second)) },
+			"release": func(t *rapid.T) {
+				k := pick()
+				assert.Equal(t, c.Release(now, k, outcome()), live[k])
+				delete(live, k)
+				dispatch()
+			},
+			"endpoints": func(t *rapid.T) {
+				leaving = map[string]bool{}
+				var eps []*config.Endpoint
+				for _, ep := range all {
+					if rapid.IntRange(0, 9).Draw(t, "gone") > 0 {
+						eps = append(eps, ep)
+					}
+					leaving[ep.Addr] = rapid.IntRange(0, 4).Draw(t, "leaving") == 0
+				}
+				c.SetEndpoints(eps, leaving)
+				for _, d := range c.Refuse() {
+					assert.Assert(t, live[d.Key])
+					delete(live, d.Key)
+				}
+				dispatch()
+			},
+			"time": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 4000).Draw(t, "ms")) * time.Millisecond)
+				for _, k := range c.Lapse(now) {
+					assert.Assert(t, live[k])
+					delete(live, k)
+				}
+				dispatch()
+			},
+			"": func(t *rapid.T) {
+				assert.Equal(t, len(c.demands), len(live))
+				for _, x := range c.targets {
+					assert.Assert(t, x.slots >= 0 && x.slots <= x.ep.Slots, "%s: %d slots", x.ep.Name, x.slots)
+					assert.Assert(t, x.pieces >= 0 && x.pieces <= x.ep.Pieces, "%s: %d pieces", x.ep.Name, x.pieces)
+				}
+			},
+		})
+		for k := range live {
+			c.Release(now, k, sched.Abandoned)
+		}
+		assert.Equal(t, c.Waiting()+len(c.ids)+len(c.demands), 0)
+		for _, x := range c.targets {
+			assert.Equal(t, x.slots, 0)
+			assert.Equal(t, x.pieces, 0)
+			assert.Equal(t, x.pending, time.Duration(0))
+		}
+	})
+}
+
+func TestDecodeSlotComesBeforePrefill(t *testing.T) {
+	c := newCore(endpoints(2, 1, 2, 0))
+	for n := range 3 {
+		must(t, c, t0, n+1, ask(n+1, "a"))
+	}
+	got := grants(c.Dispatch(t0))
+	assert.Equal(t, len(got), 2, "no prefill without a decode slot")
+	c.Release(t0, got[0].Key, sched.Succeeded)
+	assert.Equal(t, len(grants(c.Dispatch(t0))), 1)
+}
+
+func TestPrefillQueueStaysShort(t *testing.T) {
+	c := newCore(endpoints(1, 4, 20, 0))
+	for n := range 40 {
+		d := ask(n+1, "a")
+		d.Prompt = 2000 // 200 ms at the assumed rate
+		must(t, c, t0, n+1, d)
+	}
+	assert.Equal(t, len(grants(c.Dispatch(t0))), 2, "the second starts within the allowed backlog, the third would not")
+}
+
+func TestPrefillFollowsCacheAndRate(t *testing.T) {
+	c := newCore(endpoints(2, 2, 20, 0))
+	prefix := []uint64{1, 2, 3}
+	c.ObserveCache("p1", []endpoint.CacheEvent{{Seq: 1, Hash: 1}, {Seq: 2, Hash: 2}, {Seq: 3, Hash: 3}})
+	d := ask(1, "a")
+	d.Prompt, d.Prefix = 3*endpoint.PieceTokens+10, prefix
+	must(t, c, t0, 1, d)
+	got := grants(c.Dispatch(t0))
+	assert.Equal(t, got[0].Prefill.Name, "p1")
+	c.Release(t0, got[0].Key, sched.Abandoned)
+
+	c.ObserveCache("p1", []endpoint.CacheEvent{{Seq: 4, Hash: 1, Removed: true}})
+	c.targets["p1"].workTime, c.targets["p1"].workToken = 10, 1000 // slow
+	c.targets["p0"].workTime, c.targets["p0"].workToken = 0.1, 1000
+	must(t, c, t0, 2, d)
+	assert.Equal(t, grants(c.Dispatch(t0))[0].Prefill.Name, "p0")
+}
+
+func TestRateIsLearned(t *testing.T) {
+	c := newCore(endpoints(1, 1, 20, 0))
+	now := t0
+	for n := range 20 {
+		must(t, c, now, n+1, ask(n+1, "a"))
+		assert.Equal(t, len(grants(c.Dispatch(now))), 1)
+		now = now.Add(500*time.Millisecond + 1000*c.tuning.TransferPerToken)
+		c.PrefillDone(now, key(n+1), sched.Succeeded)
+		c.Release(now, key(n+1), sched.Succeeded)
+	}
+	got := c.prefillTime(c.targets["p0"], 1000)
+	assert.Assert(t, got > 499*time.Millisecond && got < 501*time.Millisecond, "%v", got)
+}
+
+func TestEarlyRefusal(t *testing.T) {
+	c := newCore(endpoints(2, 1, 1, 0))
+	now := t0
+	seq := 0
+	for range 300 {
+		seq++
+		d := ask(seq, "a")
+		d.MaxWait, d.FirstToken = time.Hour, 0
+		must(t, c, now, seq, d)
+	}
+	for range 40 { // one grant every 100 ms
+		for _, d := range grants(c.Dispatch(now)) {
+			c.PrefillDone(now, d.Key, sched.Succeeded)
+			c.Release(now.Add(100*time.Millisecond), d.Key, sched.Succeeded)
+		}
+		now = now.Add(100 * time.Millisecond)
+	}
+	assert.Assert(t, c.rate.value > 14000 && c.rate.value < 16000, "%v", c.rate.value)
+	d := ask(seq+1, "a")
+	d.Arrived, d.MaxWait = now, time.Second
+	_, err := c.Enqueue(now, key(seq+1), d, time.Time{})
+	assert.Assert(t, err != nil && err.Kind == errkind.DeadlineUnreachable && err.Execution == errkind.NotRun)
+	d.Account = "other" // own fair share: starts at once
+	_, err = c.Enqueue(now, key(seq+2), d, time.Time{})
+	assert.Assert(t, err == nil, "%v", err)
+}
+
+func TestWaitEndsAtDeadline(t *testing.T) {
+	c := newCore(endpoints(1, 1, 1, 0))
+	must(t, c, t0, 1, ask(1, "a"))
+	must(t, c, t0, 2, ask(2, "a"))
+	assert.Equal(t, len(c.Dispatch(t0)), 1)
+	out := c.Dispatch(t0.Add(11 * time.Second))
+	assert.Equal(t, len(out), 1)
+	assert.Equal(t, out[0].Err.Kind, errkind.DeadlineUnreachable)
+}
+
+func TestRefusalsThatWaitingCannotMend(t *testing.T) {
+	c := newCore(endpoints(1, 2, 4, 8))
+	d := ask(1, "a")
+	d.MaxOutput = 9 * endpoint.PieceTokens
+	_, err := c.Enqueue(t0, key(1), d, time.Time{})
+	assert.Equal(t, err.Kind, errkind.TooLarge)
+	d = ask(2, "a")
+	d.Exclude = []string{"d0", "d1"}
+	_, err = c.Enqueue(t0, key(2), d, time.Time{})
+	assert.Equal(t, err.Kind, errkind.NoEndpoint)
+	must(t, c, t0, 3, ask(3, "a"))
+	c.SetEndpoints(endpoints(1, 0, 0, 0), nil)
+	out := c.Refuse()
+	assert.Equal(t, len(out), 1)
+	assert.Equal(t, out[0].Err.Kind, errkind.NoEndpoint)
+	assert.Equal(t, len(c.demands), 0)
+}
+
+func TestExcludedEndpointIsNotUsed(t *testing.T) {
+	c := newCore(endpoints(2, 2, 20, 0))
+	for n := range 20 {
+		d := ask(n+1, "a")
+		d.Exclude = []string{"d1", "p0"}
+		must(t, c, t0, n+1, d)
+		for _, g := range grants(c.Dispatch(t0)) {
+			assert.Equal(t, g.Decode.Name, "d0")
+			assert.Equal(t, g.Prefill.Name, "p1")
+			c.PrefillDone(t0, g.Key, sched.Succeeded)
+		}
+	}
+	assert.Equal(t, c.targets["d0"].slots, 20)
+}
+
+// TestEjectionIsCappedAndProbed lets every decode engine fail: half of them stay in
+// use, and an ejected one gets a single request as a probe before it is used again.
+func TestEjectionIsCappedAndProbed(t *testing.T) {
+	c := newCore(endpoints(4, 4, 20, 0))
+	seq := 0
+	now := t0
+	round := func(o sched.Outcome) string {
+		seq++
+		must(t, c, now, seq, ask(seq, "a"))
+		g := grants(c.Dispatch(now))
+		assert.Equal(t, len(g), 1)
+		c.PrefillDone(now, g[0].Key, sched.Succeeded)
+		c.Release(now, g[0].Key, o)
+		return g[0].Decode.Name
+	}
+	ejected := func() (n int) {
+		for _, x := range c.decode {
+			if x.ejected {
+				n++
+			}
+		}
+		return n
+	}
+	for range 100 {
+		round(sched.Failed)
+		assert.Assert(t, ejected() <= 2)
+	}
+	assert.Equal(t, ejected(), 2)
+	now = now.Add(c.tuning.MaxEjectTime)
+	probes := 0
+	for range 40 { // grants that stay: at most one at each ejected engine
+		seq++
+		must(t, c, now, seq, ask(seq, "a"))
+		for _, g := range grants(c.Dispatch(now)) {
+			c.PrefillDone(now, g.Key, sched.Succeeded)
+			if x := c.targets[g.Decode.Name]; x.ejected {
+				probes++
+				assert.Equal(t, x.slots, 1)
+			}
+		}
+	}
+	assert.Equal(t, probes, 2)
+	for k, m := range c.demands {
+		if m.decode != nil {
+			c.Release(now, k, sched.Succeeded)
+		}
+	}
+	assert.Equal(t, ejected(), 0)
+}
+
+func TestLastEndpointStays(t *testing.T) {
+	c := newCore(endpoints(1, 1, 20, 0))
+	for n := range 10 {
+		must(t, c, t0, n+1, ask(n+1, "a"))
+		g := grants(c.Dispatch(t0))
+		assert.Equal(t, len(g), 1)
+		c.PrefillDone(t0, g[0].Key, sched.Failed)
+		c.Release(t0, g[0].Key, sched.Failed)
+		c.ObserveSilent("d0")
+	}
+}
+
+func TestSlowEndpointIsEjected(t *testing.T) {
+	c := newCore(endpoints(8, 4, 20, 0))
+	now := t0
+	for n := range 100 {
+		must(t, c, now, n+1, ask(n+1, "a"))
+		g := grants(c.Dispatch(now))[0]
+		now = now.Add(100 * time.Millisecond)
+		c.PrefillDone(now, g.Key, sched.Succeeded)
+		took := 20 * time.Millisecond
+		if g.Decode.Name == "d2" {
+			took = 2 * time.Second
+		}
+		c.FirstToken(now.Add(took), g.Key)
+		c.Release(now.Add(took), g.Key, sched.Succeeded)
+		if c.targets["d2"].ejected {
+			return
+		}
+	}
+	t.Fatal("slow endpoint is still in use")
+}
+
+// TestFullEndpointRests covers a view that was wrong: the engine refuses, gets a
+// pause, and the request goes elsewhere.
+func TestFullEndpointRests(t *testing.T) {
+	c := newCore(endpoints(2, 2, 20, 0))
+	must(t, c, t0, 1, ask(1, "a"))
+	first := grants(c.Dispatch(t0))[0]
+	c.Release(t0, first.Key, sched.Full)
+	for n := range 6 {
+		must(t, c, t0, n+2, ask(n+2, "a"))
+		for _, g := range grants(c.Dispatch(t0)) {
+			assert.Assert(t, g.Decode.Name != first.Decode.Name)
+		}
+	}
+}
+
+func TestForeignWorkCounts(t *testing.T) {
+	c := newCore(endpoints(2, 1, 3, 0))
+	foreign := []endpoint.Running{{ID: reqid.ID{Instance: "x", Seq: 1}}, {ID: reqid.ID{Instance: "x", Seq: 2}}}
+	c.ObserveRunning(t0, "d0", foreign)
+	must(t, c, t0, 1, ask(1, "a"))
+	must(t, c, t0, 2, ask(2, "a"))
+	assert.Equal(t, len(grants(c.Dispatch(t0))), 1)
+	c.ObserveRunning(t0, "d0", append(foreign[:1], endpoint.Running{ID: key(1).ID}))
+	assert.Equal(t, len(grants(c.Dispatch(t0))), 1)
+}
+
+// TestStarvedDemandGetsMemory keeps small demands coming; a large one still gets its
+// memory.
+func TestStarvedDemandGetsMemory(t *testing.T) {
+	c := newCore(endpoints(4, 2, 20, 10))
+	seq := 0
+	var running []Key
+	small := func(now time.Time) {
+		seq++
+		must(t, c, now, seq, ask(seq, "small"))
+	}
+	for range 20 {
+		small(t0)
+	}
+	collect := func(now time.Time) bool {
+		for _, g := range grants(c.Dispatch(now)) {
+			c.PrefillDone(now, g.Key, sched.Succeeded)
+			if g.Key == key(1_000_000) {
+				return true
+			}
+			running = append(running, g.Key)
+		}
+		return false
+	}
+	for range 10 {
+		collect(t0)
+	}
+	large := ask(1_000_000, "large")
+	large.MaxOutput = 8 * endpoint.PieceTokens
+	must(t, c, t0, 1_000_000, large)
+	for i := range 1000 {
+		now := t0.Add(time.Duration(i) * time.Millisecond)
+		small(now)
+		small(now)
+		c.Release(now, running[0], sched.Succeeded)
+		running = running[1:]
+		if collect(now) {
+			return
+		}
+	}
+	t.Fatal("the large demand starved")
+}
+
+// TestOneAccountAtTenTimesItsRate compares the waits of four accounts inside their
+// share, with and without a fifth that floods.
+func TestOneAccountAtTenTimesItsRate(t *testing.T) {
+	longest := func(flood int) time.Duration {
+		c := newCore(endpoints(8, 2, 10, 0))
+		var worst time.Duration
+		ends := map[time.Time][]Key{}
+		arrived := map[Key]time.Time{}
+		seq := 0
+		for tick := range 6000 {
+			now := t0.Add(time.Duration(tick) * time.Millisecond)
+			push := func(account string) {
+				seq++
+				must(t, c, now, seq, ask(seq, account))
+				if account != "flood" {
+					arrived[key(seq)] = now
+				}
+			}
+			for i := range 4 { // each 20 a second; the pool serves 200 a second
+				if tick%50 == 10*i {
+					push(fmt.Sprintf("a%d", i))
+				}
+			}
+			if tick%50 == 5 {
+				for range flood {
+					push("flood")
+				}
+			}
+			for _, k := range ends[now] {
+				c.Release(now, k, sched.Succeeded)
+			}
+			delete(ends, now)
+			for _, g := range grants(c.Dispatch(now)) {
+				c.PrefillDone(now, g.Key, sched.Succeeded)
+				if at, ok := arrived[g.Key]; ok {
+					worst = max(worst, now.Sub(at))
+				}
+				end := now.Add(100 * time.Millisecond)
+				ends[end] = append(ends[end], g.Key)
+			}
+		}
+		return worst
+	}
+	quiet, loud := longest(1), longest(10)
+	// A slot falls free at the latest after one whole service.
+	assert.Assert(t, loud <= quiet+100*time.Millisecond, "longest wait %v without the flood, %v with it", quiet, loud)
+}
+
+func benchmarkDispatch(b *testing.B, prefills, decodes int) {
+	c := newCore(endpoints(prefills, decodes, 20, 200))
+	now := t0
+	seq := 0
+	push := func() {
+		seq++
+		d := ask(seq, fmt.Sprintf("a%d", seq%100))
+		d.MaxWait = 24 * time.Hour
+		_, _ = c.Enqueue(now, key(seq), d, time.Time{})
+	}
+	var running []Key
+	serve := func() {
+		for _, g := range grants(c.Dispatch(now)) {
+			c.PrefillDone(now, g.Key, sched.Succeeded)
+			running = append(running, g.Key)
+		}
+	}
+	for c.Waiting() < 2000 {
+		push()
+		serve()
+	}
+	granted := len(running)
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(10 * time.Microsecond)
+		push()
+		c.Release(now, running[0], sched.Succeeded)
+		running = running[1:]
+		serve()
+	}
+	b.ReportMetric(float64(len(running)-granted+b.N)/float64(b.N), "grants/op")
+}
+
+func BenchmarkGrant33(b *testing.B)  { benchmarkDispatch(b, 11, 22) }
+func BenchmarkGrant700(b *testing.B) { benchmarkDispatch(b, 230, 470) }
--- /dev/null
+++ b/internal/sched/pool/dispatcher.go
@@ -0,0 +1,228 @@
+package pool
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"carawayrouter.example/router/internal/clock"
+	"carawayrouter.example/router/internal/config"
+	"carawayrouter.example/router/internal/endpoint"
+	"carawayrouter.example/router/internal/errkind"
+	"carawayrouter.example/router/internal/event"
+	"carawayrouter.example/router/internal/reqid"
+	"carawayrouter.example/router/internal/sched"
+)
+
+// Intervals of Run.
+const (
+	busyTick = 20 * time.Millisecond
+	idleTick = 200 * time.Millisecond
+)
+
+// Dispatcher makes a Core usable by concurrent callers and hands its decisions to
+// those who wait. It is safe for concurrent use.
+type Dispatcher struct {
+	clock  clock.Clock
+	events *event.Ring
+
+	mu      sync.Mutex
+	core    *Core
+	waiters map[Key]chan Decision
+}
+
+// NewDispatcher returns a Dispatcher without endpoints.
+func NewDispatcher(pool string, kind config.PoolKind, t Tuning, c clock.Clock, r *rand.Rand, events *event.Ring) *Dispatcher {
+	return &Dispatcher{
+		clock:   c,
+		events:  events,
+		core:    NewCore(pool, kind, t, r),
+		waiters: map[Key]chan Decision{},
+	}
+}
+
+// Submit adds a demand and returns the channel on which its decision arrives. A key
+// that is known already keeps its place or its grant; a channel that an earlier
+// Submit returned for it gets nothing any more. A zero lease never ends.
+func (d *Dispatcher) Submit(key Key, dem sched.Demand, lease time.Time) <-chan Decision {
+	ch := make(chan Decision, 1)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	evicted, err := d.core.Enqueue(d.clock.Now(), key, dem, lease)
+	if err != nil {
+		ch <- Decision{Key: key, Err: err}
+		d.record(Decision{Key: key, Err: err})
+		return ch
+	}
+	if dec, ok := d.core.Lookup(key); ok {
+		ch <- dec
+		return ch
+	}
+	d.waiters[key] = ch
+	if evicted != nil {
+		d.deliver(*evicted)
+	}
+	d.dispatch()
+	return ch
+}
+
+// PrefillDone ends the prefill of a grant.
+func (d *Dispatcher) PrefillDone(key Key, o sched.Outcome) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.core.PrefillDone(d.clock.Now(), key, o)
+	d.dispatch()
+}
+
+// FirstToken records that the first token of a grant arrived.
+func (d *Dispatcher) FirstToken(key Key) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.core.FirstToken(d.clock.Now(), key)
+}
+
+// Release ends a grant or the wait for one.
+func (d *Dispatcher) Release(key Key, o sched.Outcome) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.waiters, key)
+	d.core.Release(d.clock.Now(), key, o)
+	d.dispatch()
+}
+
+// Renew extends leases and returns the keys that are not known here.
+func (d *Dispatcher) Renew(keys []Key, lease time.Time) (unknown []Key) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, k := range keys {
+		if !d.core.Renew(k, lease) {
+			unknown = append(unknown, k)
+		}
+	}
+	return unknown
+}
+
+// Restore books grants that holders proved.
+func (d *Dispatcher) Restore(held []Held, lease time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.clock.Now()
+	for _, h := range held {
+		d.core.Restore(now, h, lease)
+	}
+}
+
+// SetEndpoints replaces the endpoints and refuses what no endpoint can take now.
+func (d *Dispatcher) SetEndpoints(eps []*config.Endpoint, leaving map[string]bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.core.SetEndpoints(eps, leaving)
+	for _, dec := range d.core.Refuse() {
+		d.deliver(dec)
+	}
+	d.dispatch()
+}
+
+// Load returns the present load.
+func (d *Dispatcher) Load() Load {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.core.Load(d.clock.Now())
+}
+
+// Granted reports whether any grant of the request is booked.
+func (d *Dispatcher) Granted(id reqid.ID) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.core.Granted(id)
+}
+
+// ObserveRunning takes an engine's own list of what it runs.
+func (d *Dispatcher) ObserveRunning(name string, running []endpoint.Running) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.core.ObserveRunning(d.clock.Now(), name, running)
+}
+
+// ObserveSilent records a failed poll of an endpoint.
+func (d *Dispatcher) ObserveSilent(name string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.core.ObserveSilent(name)
+}
+
+// ObserveCache takes cache events as hints.
+func (d *Dispatcher) ObserveCache(name string, events []endpoint.CacheEvent) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.core.ObserveCache(name, events)
+}
+
+// Run decides as time passes, until ctx ends. Waiting demands are then refused.
+func (d *Dispatcher) Run(ctx context.Context) {
+	for {
+		tick := idleTick
+		if d.Load().Waiting > 0 {
+			tick = busyTick
+		}
+		select {
+		case <-ctx.Done():
+			d.close()
+			return
+		case <-d.clock.After(tick):
+			d.Tick()
+		}
+	}
+}
+
+// Tick makes the decisions that are due.
+func (d *Dispatcher) Tick() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.core.Lapse(d.clock.Now())
+	d.dispatch()
+}
+
+// close refuses what still waits.
+func (d *Dispatcher) close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for key := range d.waiters {
+		d.core.Release(d.clock.Now(), key, sched.Abandoned)
+		d.deliver(Decision{Key: key, Err: errkind.New(errkind.ShuttingDown, "instance is shutting down")})
+	}
+}
+
+// dispatch lets the core decide and delivers. The caller holds mu.
+func (d *Dispatcher) dispatch() {
+	for _, dec := range d.core.Dispatch(d.clock.Now()) {
+		d.deliver(dec)
+	}
+}
+
+// deliver hands a decision to who waits for it. The caller holds mu. A grant that
+// nobody waits for at the moment stays booked under its key.
+func (d *Dispatcher) deliver(dec Decision) {
+	d.record(dec)
+	ch, ok := d.waiters[dec.Key]
+	if !ok {
+		return
+	}
+	delete(d.waiters, dec.Key)
+	ch <- dec
+}
+
+// record writes the decision to the time line.
+func (d *Dispatcher) record(dec Decision) {
+	e := event.Event{Kind: "sched.grant", Request: dec.Key.ID.String()}
+	switch {
+	case dec.Err != nil:
+		e.Kind, e.Detail = "sched.refuse", string(dec.Err.Kind)
+	case dec.Prefill != nil:
+		e.Endpoint, e.Detail = dec.Decode.Name, "prefill at "+dec.Prefill.Name
+	default:
+		e.Endpoint = dec.Decode.Name
+	}
+	d.events.Add(e)
+}
--- /dev/null
+++ b/internal/sched/pool/health.go
@@ -0,0 +1,166 @@
+package pool
+
+import (
+	"slices"
+	"time"
+)
+
+// health is the judgement on one endpoint by the outcomes seen.
+type health struct {
+	failures     int       // in a row
+	ejections    int       // in a row
+	ejectedUntil time.Time // zero while in use
+	ejected      bool
+	probing      bool // one request is under way to an ejected endpoint
+	latency      ewma // seconds, in the unit that the role is judged by
+	badPolls     int  // failed polls in a row
+	fullUntil    time.Time
+	fullPause    time.Duration
+}
+
+// ewma is an exponentially weighted moving average.
+type ewma struct {
+	value   float64
+	samples int
+}
+
+const ewmaWeight = 0.2
+
+func (e *ewma) add(x float64) {
+	if e.samples == 0 {
+		e.value = x
+	} else {
+		e.value += ewmaWeight * (x - e.value)
+	}
+	e.samples++
+}
+
+// open reports whether the endpoint may get a request as far as health goes.
+func (h *health) open(now time.Time, t *Tuning) bool {
+	if h.badPolls >= t.UnreachableAt {
+		return false
+	}
+	if now.Before(h.fullUntil) {
+		return false
+	}
+	if !h.ejected {
+		return true
+	}
+	return !h.probing && !now.Before(h.ejectedUntil)
+}
+
+// out reports whether the endpoint counts as ejected.
+func (h *health) out(t *Tuning) bool { return h.ejected || h.badPolls >= t.UnreachableAt }
+
+// stale reports whether a request that was granted at the given time says nothing
+// of an ejected endpoint, because it began before the ejection ended. Requests that
+// began later are probes.
+func (h *health) stale(granted time.Time) bool {
+	return h.ejected && granted.Before(h.ejectedUntil)
+}
+
+// abandon records the end of a request that says nothing of the endpoint.
+func (h *health) abandon(granted time.Time) {
+	if !h.stale(granted) {
+		h.probing = false
+	}
+}
+
+// full records that the endpoint refused for want of room.
+func (h *health) full(now, granted time.Time, t *Tuning) {
+	h.fullPause = min(max(2*h.fullPause, t.FullPause), t.MaxFullPause)
+	h.fullUntil = now.Add(h.fullPause)
+	h.abandon(granted)
+}
+
+// succeed records a good outcome; that of a probe ends the ejection.
+func (h *health) succeed(granted time.Time) {
+	if h.stale(granted) {
+		return
+	}
+	h.failures = 0
+	h.ejections = 0
+	h.ejected = false
+	h.probing = false
+	h.fullPause = 0
+}
+
+// eject takes the endpoint out of use for a time that doubles with each ejection.
+func (h *health) eject(now time.Time, t *Tuning) {
+	pause := t.EjectTime
+	for range h.ejections {
+		pause = min(2*pause, t.MaxEjectTime)
+	}
+	h.ejections++
+	h.ejected = true
+	h.probing = false
+	h.failures = 0
+	h.ejectedUntil = now.Add(pause)
+	h.latency = ewma{}
+}
+
+// failed judges a failure of x.
+func (c *Core) failed(now, granted time.Time, x *target) {
+	if x.stale(granted) {
+		return
+	}
+	x.failures++
+	if x.ejected {
+		x.eject(now, &c.tuning)
+		return
+	}
+	if x.failures >= c.tuning.EjectAfter && c.mayEject(x) {
+		x.eject(now, &c.tuning)
+	}
+}
+
+// observeLatency judges a latency of x against the median of its role. A slow probe
+// lengthens the ejection.
+func (c *Core) observeLatency(now, granted time.Time, x *target, d time.Duration) {
+	if x.stale(granted) {
+		return
+	}
+	x.latency.add(d.Seconds())
+	if !x.ejected && x.latency.samples < c.tuning.SlowSamples {
+		return
+	}
+	median := c.medianLatency(x.ep.Role)
+	if median == 0 || x.latency.value <= median*c.tuning.SlowFactor+c.tuning.SlowFloor.Seconds() {
+		return
+	}
+	if x.ejected || c.mayEject(x) {
+		x.eject(now, &c.tuning)
+	}
+}
+
+// medianLatency returns the median over the measured endpoints of a role, or 0 if
+// fewer than three were measured.
+func (c *Core) medianLatency(role roleOf) float64 {
+	var all []float64
+	for _, x := range c.role(role) {
+		if x.latency.samples >= c.tuning.SlowSamples {
+			all = append(all, x.latency.value)
+		}
+	}
+	if len(all) < 3 {
+		return 0
+	}
+	slices.Sort(all)
+	return all[len(all)/2]
+}
+
+// mayEject reports whether one more endpoint of x's role may be ejected: at most
+// the configured fraction, and never the last one.
+func (c *Core) mayEject(x *target) bool {
+	total, out := 0, 0
+	for _, y := range c.role(x.ep.Role) {
+		if y.leaving {
+			continue
+		}
+		total++
+		if y.out(&c.tuning) && y != x {
+			out++
+		}
+	}
+	return out+1 <= int(float64(total)*c.tuning.MaxEjected) && out+1 < total
+}
--- /dev/null
+++ b/internal/sched/pool/local.go
@@ -0,0 +1,251 @@
+package pool
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+
+	"carawayrouter.example/router/internal/clock"
+	"carawayrouter.example/router/internal/config"
+	"carawayrouter.example/router/internal/endpoint"
+	"carawayrouter.example/router/internal/errkind"
+	"carawayrouter.example/router/internal/event"
+	"carawayrouter.example/router/internal/sched"
+)
+
+// LeavingSource tells which endpoint addresses the platform's list shows as leaving.
+type LeavingSource interface{ Leaving() map[string]bool }
+
+// Options configures a Local.
+type Options struct {
+	Config     config.Source
+	Dialer     endpoint.Dialer // nil: engines are not polled
+	Clock      clock.Clock
+	Rand       *rand.Rand
+	DataCentre string
+	Logger     logr.Logger
+	Events     *event.Ring
+	Leaving    LeavingSource // nil: configuration alone says who leaves
+	Tuning     *Tuning       // nil: DefaultTuning
+}
+
+// Local is a sched.Scheduler that decides within this process alone. Where several
+// processes do so for one pool, the engines refuse what is too much.
+type Local struct {
+	opts   Options
+	tuning Tuning
+	try    atomic.Uint64
+
+	mu      sync.Mutex
+	rand    *rand.Rand
+	state   *config.State
+	leaving map[string]bool
+	pools   map[place]*running
+	ctx     context.Context // of Run; nil before
+	wg      sync.WaitGroup
+}
+
+// place names the endpoints that one dispatcher owns.
+type place struct{ pool, dataCentre string }
+
+// running is one dispatcher with its goroutines.
+type running struct {
+	*Dispatcher
+	eps  []*config.Endpoint
+	stop context.CancelFunc
+}
+
+// NewLocal returns a Local. Acquire works at once; Run keeps it going.
+func NewLocal(o Options) *Local {
+	t := DefaultTuning()
+	if o.Tuning != nil {
+		t = *o.Tuning
+	}
+	return &Local{opts: o, tuning: t, rand: o.Rand, pools: map[place]*running{}}
+}
+
+// Run follows the configuration until ctx ends, and returns nil then.
+func (l *Local) Run(ctx context.Context) error {
+	l.mu.Lock()
+	l.ctx = ctx
+	for p, r := range l.pools {
+		l.start(p, r)
+	}
+	l.mu.Unlock()
+	for {
+		l.refresh()
+		select {
+		case <-ctx.Done():
+			l.wg.Wait()
+			return nil
+		case <-l.opts.Clock.After(idleTick):
+		}
+	}
+}
+
+// Acquire implements sched.Scheduler.
+func (l *Local) Acquire(ctx context.Context, d sched.Demand) (*sched.Grant, error) {
+	l.refresh()
+	candidates := l.order(d.Pool)
+	var refusal error = noEndpoint()
+	for _, r := range candidates {
+		g, err := l.acquireAt(ctx, r.Dispatcher, d)
+		if err == nil {
+			return g, nil
+		}
+		refusal = err
+		if !errkind.Is(err, errkind.NoEndpoint) && !errkind.Is(err, errkind.QueueFull) {
+			break
+		}
+	}
+	return nil, refusal
+}
+
+// acquireAt waits for a grant of one dispatcher.
+func (l *Local) acquireAt(ctx context.Context, at *Dispatcher, d sched.Demand) (*sched.Grant, error) {
+	key := Key{ID: d.ID, Try: l.try.Add(1)}
+	select {
+	case dec := <-at.Submit(key, d, time.Time{}):
+		if dec.Err != nil {
+			return nil, dec.Err
+		}
+		return NewGrant(dec, at), nil
+	case <-ctx.Done():
+		at.Release(key, sched.Abandoned)
+		return nil, endedWait(ctx.Err())
+	}
+}
+
+// endedWait returns the refusal of a demand whose context ended.
+func endedWait(cause error) error {
+	if errors.Is(cause, context.DeadlineExceeded) {
+		return errkind.Wrap(cause, errkind.DeadlineUnreachable, errkind.NotRun, "deadline passed while the request waited")
+	}
+	return errkind.Wrap(cause, errkind.ClientGone, errkind.NotRun, "request ended while it waited")
+}
+
+// order returns the dispatchers of a pool in the order in which to try them: the own
+// data centre, unless it is full and another has room; then the emptiest first.
+func (l *Local) order(pool string) []*running {
+	l.mu.Lock()
+	var own *running
+	var others []*running
+	for _, p := range slices.SortedFunc(maps.Keys(l.pools), comparePlaces) {
+		switch {
+		case p.pool != pool:
+		case p.dataCentre == l.opts.DataCentre:
+			own = l.pools[p]
+		default:
+			others = append(others, l.pools[p])
+		}
+	}
+	l.mu.Unlock()
+	if own == nil && len(others) == 0 {
+		return nil
+	}
+	loads := make(map[*running]Load, len(others))
+	for _, r := range others {
+		loads[r] = r.Load()
+	}
+	slices.SortStableFunc(others, func(a, b *running) int { return loads[b].Free - loads[a].Free })
+	if own == nil {
+		return others
+	}
+	if len(others) > 0 && own.Load().Saturated() && loads[others[0]].Spare() {
+		return append([]*running{others[0], own}, others[1:]...)
+	}
+	return append([]*running{own}, others...)
+}
+
+// Saturated reports whether new demands would have to wait.
+func (l Load) Saturated() bool { return l.Free == 0 || l.Waiting > 0 }
+
+// Spare reports whether a data centre has room for demands of others: nothing waits
+// and a fifth of its slots are free.
+func (l Load) Spare() bool { return l.Waiting == 0 && l.Free > 0 && 5*l.Free >= l.Slots }
+
+func comparePlaces(a, b place) int {
+	if a.pool != b.pool {
+		if a.pool < b.pool {
+			return -1
+		}
+		return 1
+	}
+	switch {
+	case a.dataCentre < b.dataCentre:
+		return -1
+	case a.dataCentre > b.dataCentre:
+		return 1
+	}
+	return 0
+}
+
+// refresh follows changes of the configuration and of the platform's list.
+func (l *Local) refresh() {
+	st := l.opts.Config.Current()
+	var leaving map[string]bool
+	if l.opts.Leaving != nil {
+		leaving = l.opts.Leaving.Leaving()
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if st == l.state && maps.Equal(leaving, l.leaving) {
+		return
+	}
+	l.state, l.leaving = st, leaving
+	byPlace := map[place][]*config.Endpoint{}
+	for name := range st.Pools {
+		for _, ep := range st.Pool(name) {
+			p := place{name, ep.DataCentre}
+			byPlace[p] = append(byPlace[p], ep)
+		}
+	}
+	for p, r := range l.pools {
+		if byPlace[p] == nil {
+			r.SetEndpoints(nil, nil)
+			if r.stop != nil {
+				r.stop()
+			}
+			delete(l.pools, p)
+		}
+	}
+	for p, eps := range byPlace {
+		r := l.pools[p]
+		if r == nil {
+			seed := rand.New(rand.NewPCG(l.rand.Uint64(), l.rand.Uint64()))
+			r = &running{Dispatcher: NewDispatcher(p.pool, st.Pools[p.pool].Kind, l.tuning, l.opts.Clock, seed, l.opts.Events)}
+			l.pools[p] = r
+			l.start(p, r)
+		}
+		r.eps = eps
+		r.SetEndpoints(eps, leaving)
+	}
+}
+
+// start starts the goroutines of a dispatcher once Run was called. The caller holds mu.
+func (l *Local) start(p place, r *running) {
+	if l.ctx == nil || r.stop != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(l.ctx)
+	r.stop = cancel
+	l.wg.Go(func() { r.Run(ctx) })
+	if l.opts.Dialer == nil || p.dataCentre != l.opts.DataCentre {
+		return
+	}
+	w := &Watcher{Dispatcher: r.Dispatcher, Dialer: l.opts.Dialer, Clock: l.opts.Clock}
+	l.wg.Go(func() {
+		w.Run(ctx, func() []*config.Endpoint {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			return r.eps
+		})
+	})
+}
--- /dev/null
+++ b/internal/sched/pool/target.go
@@ -0,0 +1,138 @@
+package pool
+
+import (
+	"time"
+
+	"carawayrouter.example/router/internal/config"
+	"carawayrouter.example/router/internal/endpoint"
+	"carawayrouter.example/router/internal/reqid"
+)
+
+type roleOf = config.Role
+
+// target is the state of one endpoint.
+type target struct {
+	health
+	ep      *config.Endpoint
+	leaving bool
+	gone    bool // no longer configured; grants may still hold it
+
+	slots  int // grants that hold a slot
+	pieces int // KV pieces that grants hold
+
+	// What the engine reported to run and no grant explains.
+	foreignSlots  int
+	foreignPieces int
+	foreignUntil  time.Time
+
+	// Prefill engines only.
+	pending   time.Duration // predicted time of outstanding prefills
+	busyUntil time.Time     // predicted end of the outstanding prefills
+	lastDone  time.Time
+	workTime  float64 // decayed sum of measured prefill seconds
+	workToken float64 // decayed sum of prefilled tokens
+	cache     *hints
+	reserved  bool // kept free for a starved demand during one Dispatch
+}
+
+// limit returns the number of concurrent requests that the endpoint takes.
+func (x *target) limit(t *Tuning) int {
+	switch {
+	case x.ep.Slots > 0:
+		return x.ep.Slots
+	case x.ep.Role == config.Decode:
+		return t.DefaultDecodeSlots
+	case x.ep.Role == config.Plain:
+		return t.DefaultPlainSlots
+	}
+	return 1 << 20
+}
+
+// held returns slots and pieces in use, foreign ones included.
+func (x *target) held(now time.Time) (slots, pieces int) {
+	if now.Before(x.foreignUntil) {
+		return x.slots + x.foreignSlots, x.pieces + x.foreignPieces
+	}
+	return x.slots, x.pieces
+}
+
+// fits reports whether the endpoint has a slot and memory for need pieces.
+func (x *target) fits(now time.Time, t *Tuning, need int) bool {
+	slots, pieces := x.held(now)
+	if slots >= x.limit(t) {
+		return false
+	}
+	return x.ep.Pieces <= 0 || pieces+need <= x.ep.Pieces
+}
+
+// fill returns how full the endpoint is: the larger of its slot and memory shares.
+func (x *target) fill(now time.Time, t *Tuning) float64 {
+	slots, pieces := x.held(now)
+	f := float64(slots) / float64(x.limit(t))
+	if x.ep.Pieces > 0 {
+		f = max(f, float64(pieces)/float64(x.ep.Pieces))
+	}
+	return f
+}
+
+// backlog returns the predicted time until a prefill added now would start. A
+// prefill that takes longer than predicted counts as much again as it is late.
+func (x *target) backlog(now time.Time) time.Duration {
+	if x.slots == 0 {
+		return 0
+	}
+	if d := x.busyUntil.Sub(now); d > 0 {
+		return d
+	}
+	return now.Sub(x.busyUntil)
+}
+
+// addPrefill records a granted prefill.
+func (x *target) addPrefill(now time.Time, service time.Duration) {
+	if x.pending == 0 || x.busyUntil.Before(now) {
+		x.busyUntil = now
+	}
+	x.pending += service
+	x.busyUntil = x.busyUntil.Add(service)
+}
+
+// endPrefill records the end of a prefill, whatever its outcome.
+func (x *target) endPrefill(now time.Time, service time.Duration) {
+	x.pending = max(0, x.pending-service)
+	x.busyUntil = now.Add(x.pending)
+}
+
+// measure learns the prefill rate from one prefill that was granted at the given
+// time. The engine works on one prefill at a time, so the prefill started no earlier
+// than the one before it ended.
+func (x *target) measure(now, granted time.Time, tokens int, transfer time.Duration) {
+	start := granted
+	if x.lastDone.After(start) {
+		start = x.lastDone
+	}
+	x.lastDone = now
+	took := now.Sub(start) - transfer
+	if took <= 0 || tokens <= 0 {
+		return
+	}
+	const keep = 0.9
+	x.workTime = keep*x.workTime + took.Seconds()
+	x.workToken = keep*x.workToken + float64(tokens)
+}
+
+// setForeign replaces what no grant explains.
+func (x *target) setForeign(slots, pieces int, until time.Time) {
+	x.foreignSlots, x.foreignPieces, x.foreignUntil = slots, pieces, until
+}
+
+// countForeign sums the running requests that known does not explain.
+func countForeign(running []endpoint.Running, known func(reqid.ID) bool) (slots, pieces int) {
+	for _, r := range running {
+		if known(r.ID) {
+			continue
+		}
+		slots++
+		pieces += r.Pieces
+	}
+	return slots, pieces
+}
