--- /dev/null
+++ b/internal/ticket/applier_test.go
@@ -0,0 +1,226 @@
+package ticket
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"carawayrouter.example/router/internal/platform"
+	"carawayrouter.example/router/internal/platform/memplatform"
+)
+
+const testTimeout = 30 * time.Second
+
+// peerApplier serves another applier's state as a PeerSource.
+type peerApplier struct{ a *Applier }
+
+func (p peerApplier) Fetch(_ context.Context, after uint64) (Tail, error) {
+	tail, need := p.a.Tail(after)
+	if !need {
+		return tail, nil
+	}
+	data, err := p.a.Snapshot()
+	tail.Snapshot = data
+	return tail, err
+}
+
+func testOptions(p platform.Platform) Options {
+	return Options{Table: p.Table, Objects: p.Objects, FastInterval: 2 * time.Millisecond, SlowInterval: 10 * time.Millisecond, CallTimeout: time.Second}
+}
+
+// run starts an applier and ends it with the test, or by the function returned.
+func run(t *testing.T, o Options) (*Applier, func()) {
+	t.Helper()
+	a := NewApplier(o)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- a.Run(ctx) }()
+	stopped := false
+	stop := func() {
+		if !stopped {
+			stopped = true
+			cancel()
+			assert.Check(t, <-done)
+		}
+	}
+	t.Cleanup(stop)
+	return a, stop
+}
+
+func waitApplied(t *testing.T, a *Applier, n uint64) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if a.Applied() >= n {
+			return poll.Success()
+		}
+		return poll.Continue("applied %d of %d", a.Applied(), n)
+	}, poll.WithTimeout(testTimeout), poll.WithDelay(time.Millisecond))
+}
+
+func submitN(t *testing.T, p platform.Platform, from, to int) {
+	t.Helper()
+	for i := from; i <= to; i++ {
+		_, err := Submit(context.Background(), p.Table, "ana", NewDraft("", account(fmt.Sprintf("a%d", i%7), float64(i))))
+		assert.NilError(t, err)
+	}
+}
+
+func TestApplierFollows(t *testing.T) {
+	p := memplatform.New(memplatform.Options{}).For("a")
+	a, _ := run(t, testOptions(p))
+	assert.Assert(t, a.Age() >= 0)
+	changed, cancel := a.Subscribe()
+	defer cancel()
+	submitN(t, p, 1, 20)
+	waitApplied(t, a, 20)
+	<-changed
+	assert.Equal(t, a.Current().Accounts["a6"].Rate, 20.0)
+	<-a.Ready()
+}
+
+func TestApplierStartsFromSnapshotAndTail(t *testing.T) {
+	store := memplatform.New(memplatform.Options{})
+	p := store.For("a")
+	o := testOptions(p)
+	o.SnapshotEvery = 10
+	a, _ := run(t, o)
+	b, _ := run(t, o)
+	for i := 1; i <= 36; i++ {
+		submitN(t, p, i, i)
+		waitApplied(t, a, uint64(i))
+		waitApplied(t, b, uint64(i))
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		names, err := p.Objects.List(context.Background(), snapshotPrefix)
+		assert.NilError(t, err)
+		if len(names) >= 3 {
+			return poll.Success()
+		}
+		return poll.Continue("%d snapshots", len(names))
+	}, poll.WithTimeout(testTimeout))
+	names, err := p.Objects.List(context.Background(), snapshotPrefix)
+	assert.NilError(t, err)
+	assert.Equal(t, len(names), 3, "each snapshot is written once: %v", names)
+	before := store.Counts().RowsRead
+	c, _ := run(t, o)
+	waitApplied(t, c, 36)
+	assert.DeepEqual(t, c.Current().Accounts, a.Current().Accounts)
+	assert.Assert(t, store.Counts().RowsRead-before < 36)
+}
+
+func TestApplierStartsFromPeerWithStoreDown(t *testing.T) {
+	store := memplatform.New(memplatform.Options{})
+	p := store.For("a")
+	old, _ := run(t, testOptions(p))
+	submitN(t, p, 1, 30)
+	waitApplied(t, old, 30)
+	store.Down(true)
+	o := testOptions(p)
+	o.Peers = peerApplier{old}
+	fresh, _ := run(t, o)
+	waitApplied(t, fresh, 30)
+	assert.DeepEqual(t, fresh.Current().Accounts, old.Current().Accounts)
+	store.Down(false)
+	submitN(t, p, 31, 31)
+	waitApplied(t, fresh, 31)
+}
+
+// TestPeerServesSnapshotForLongGap makes a peer hand out its whole state where it
+// no longer holds the tickets asked for.
+func TestPeerServesSnapshotForLongGap(t *testing.T) {
+	store := memplatform.New(memplatform.Options{})
+	p := store.For("a")
+	submitN(t, p, 1, recentCount+50)
+	old, _ := run(t, testOptions(p))
+	waitApplied(t, old, recentCount+50)
+	_, need := old.Tail(0)
+	assert.Assert(t, need)
+	store.Down(true)
+	o := testOptions(p)
+	o.Peers = peerApplier{old}
+	fresh, _ := run(t, o)
+	waitApplied(t, fresh, recentCount+50)
+}
+
+func TestCutDataCentreKeepsStateAndCatchesUp(t *testing.T) {
+	store := memplatform.New(memplatform.Options{})
+	a, b := store.For("a"), store.For("b")
+	cut, _ := run(t, testOptions(a))
+	submitN(t, b, 1, 5)
+	waitApplied(t, cut, 5)
+	store.Cut("a", true)
+	submitN(t, b, 6, 20)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if cut.Age() > 20*time.Millisecond {
+			return poll.Success()
+		}
+		return poll.Continue("age %s", cut.Age())
+	}, poll.WithTimeout(testTimeout))
+	assert.Equal(t, cut.Applied(), uint64(5))
+	assert.Equal(t, cut.Current().Accounts["a5"].Rate, 5.0)
+	store.Cut("a", false)
+	waitApplied(t, cut, 20)
+}
+
+// TestRestartedInstanceCatchesUp stops an applier while tickets go on and starts a
+// new one, as after a crash.
+func TestRestartedInstanceCatchesUp(t *testing.T) {
+	p := memplatform.New(memplatform.Options{}).For("a")
+	a, stop := run(t, testOptions(p))
+	submitN(t, p, 1, 3)
+	waitApplied(t, a, 3)
+	stop()
+	submitN(t, p, 4, 9)
+	b, _ := run(t, testOptions(p))
+	waitApplied(t, b, 9)
+	assert.Equal(t, a.Applied(), uint64(3))
+}
+
+func TestAnnouncementsNeverGoBackOrSkip(t *testing.T) {
+	store := memplatform.New(memplatform.Options{})
+	p := store.For("a")
+	submitN(t, p, 1, 9)
+	rows, err := readTail(context.Background(), p.Table, 0, 9)
+	assert.NilError(t, err)
+	store.Down(true)
+	a, _ := run(t, testOptions(p))
+	a.Offer(Tail{Head: 4, Tickets: rows[:4]})
+	waitApplied(t, a, 4)
+	a.Offer(Tail{Head: 9, Tickets: rows[6:]})
+	a.Offer(Tail{Head: 2, Tickets: rows[:2]})
+	a.Offer(Tail{Head: 5, Tickets: rows[2:5]})
+	waitApplied(t, a, 5)
+	assert.Equal(t, a.Applied(), uint64(5))
+	assert.Equal(t, a.Age(), unknownAge)
+	store.Down(false)
+	waitApplied(t, a, 9)
+}
+
+// TestUnreadableTicketStops holds an instance at the ticket before one that it
+// cannot read; it does not skip it.
+func TestUnreadableTicketStops(t *testing.T) {
+	ctx := context.Background()
+	store := memplatform.New(memplatform.Options{})
+	p := store.For("a")
+	submitN(t, p, 1, 3)
+	_, err := p.Table.Commit(ctx, platform.Txn{Writes: []platform.Write{{Key: ticketKey(2), Value: []byte(`{"number":2,"changes":[{"kind":"moon","name":"x"}]}`)}}})
+	assert.NilError(t, err)
+	a, _ := run(t, testOptions(p))
+	waitApplied(t, a, 1)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if store.Counts().Reads > 20 {
+			return poll.Success()
+		}
+		return poll.Continue("%d reads", store.Counts().Reads)
+	}, poll.WithTimeout(testTimeout))
+	assert.Equal(t, a.Applied(), uint64(1))
+	_, err = Load(ctx, p, 3)
+	assert.ErrorContains(t, err, "carries no such object")
+	_, err = Get(ctx, p.Table, 4)
+	assert.Assert(t, errors.Is(err, platform.ErrNotFound))
+}
--- /dev/null
+++ b/internal/ticket/set.go
@@ -0,0 +1,112 @@
+package ticket
+
+import (
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+
+	"carawayrouter.example/router/internal/config"
+)
+
+// set is a mutable collection of objects at one ticket. The objects themselves are
+// shared with config.State and never changed.
+type set struct {
+	ticket    uint64
+	accounts  map[string]*config.Account
+	keys      map[string]*config.Key // by ID
+	pools     map[string]*config.Pool
+	endpoints map[string]*config.Endpoint
+	routes    map[string]*config.Route
+}
+
+func newSet(ticket uint64, o *config.Objects) *set {
+	s := &set{
+		ticket:    ticket,
+		accounts:  map[string]*config.Account{},
+		keys:      map[string]*config.Key{},
+		pools:     map[string]*config.Pool{},
+		endpoints: map[string]*config.Endpoint{},
+		routes:    map[string]*config.Route{},
+	}
+	for _, c := range Changes(o) {
+		s.change(&c)
+	}
+	return s
+}
+
+// apply takes over a ticket's changes.
+func (s *set) apply(t *Ticket) {
+	for i := range t.Changes {
+		s.change(&t.Changes[i])
+	}
+	s.ticket = t.Number
+}
+
+func (s *set) change(c *Change) {
+	switch c.Kind {
+	case config.KindAccount:
+		put(s.accounts, c, c.Account)
+	case config.KindKey:
+		put(s.keys, c, c.Key)
+	case config.KindPool:
+		put(s.pools, c, c.Pool)
+	case config.KindEndpoint:
+		put(s.endpoints, c, c.Endpoint)
+	case config.KindRoute:
+		put(s.routes, c, c.Route)
+	}
+}
+
+func put[T any](m map[string]*T, c *Change, v *T) {
+	if c.Delete {
+		delete(m, c.Name)
+		return
+	}
+	m[c.Name] = v
+}
+
+// objects lists the set's objects in no particular order.
+func (s *set) objects() *config.Objects {
+	return &config.Objects{
+		Accounts:  values(s.accounts),
+		Keys:      values(s.keys),
+		Pools:     values(s.pools),
+		Endpoints: values(s.endpoints),
+		Routes:    values(s.routes),
+	}
+}
+
+func values[T any](m map[string]*T) []*T {
+	list := make([]*T, 0, len(m))
+	for _, v := range m {
+		list = append(list, v)
+	}
+	return list
+}
+
+// state builds the immutable form.
+func (s *set) state() *config.State { return config.Build(s.ticket, s.objects()) }
+
+// Snapshot is the whole configuration at one ticket.
+type Snapshot struct {
+	Ticket  uint64          `json:"ticket"`
+	Objects *config.Objects `json:"objects"`
+}
+
+// encodeSnapshot returns the form kept in the object store.
+func encodeSnapshot(s *config.State) ([]byte, error) {
+	data, err := json.Marshal(Snapshot{Ticket: s.Ticket, Objects: s.Objects()})
+	return data, errors.Wrap(err, "encode snapshot")
+}
+
+// decodeSnapshot reads the form kept in the object store.
+func decodeSnapshot(data []byte) (*set, error) {
+	var s Snapshot
+	if err := json.Unmarshal(data, &s); err != nil {
+		return nil, errors.Wrap(err, "decode snapshot")
+	}
+	if s.Objects == nil {
+		return nil, errors.New("decode snapshot: no objects")
+	}
+	return newSet(s.Ticket, s.Objects), nil
+}
