member: sessions with fencing epochs, heartbeats and recorded evidence of death

Cause: rights and orders may move only on evidence that their holder has ended, and a timeout is no evidence. A process that is paused or cut off must stop acting before others may act for it.

Change: member.NewController(Options) with Run, View, Self, Alive, Isolated, Granting() (epoch, ok), Dead(ctx, session), Fenced() and Leave(ctx). Session rows session/NAME (member.Row, RowKey, RowPrefix) are renewed in one conditional write. Heartbeats go to the next instance of the data centre's ring and one at random; suspicion travels as rumour and only shapes the view. The first instance of a data centre judges: a session that for longer than DeadAfter was not listed, not renewed and not heard by any registered peer is deleted from the table, on condition that its row has not changed. So evidence of death is one fact in the table: row gone, released, or of a newer epoch. Granting is false once neither store nor peer was heard for IsolateAfter; after LapseAfter only a renewal makes it true again. What counts is the time a question was sent, not when its answer came. A process that starts while the store is down runs without an epoch and registers later.

Conclusion: a rapid state machine on the real controllers, with crash, pause, restart, cuts, delayed answers, lost answers and a wrong list, checks in every round that no process grants once its death is on record.

--- /dev/null
+++ b/internal/member/fleet_test.go
@@ -0,0 +1,189 @@
+package member
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"carawayrouter.example/router/internal/clock"
+	"carawayrouter.example/router/internal/peer"
+	"carawayrouter.example/router/internal/platform"
+	"carawayrouter.example/router/internal/platform/memplatform"
+)
+
+// step is the time between two rounds of a test fleet.
+const step = DefaultHeartbeatEvery
+
+// process is one process of a test fleet.
+type process struct {
+	*Controller
+	paused bool
+}
+
+// fleet runs controllers round by round on a fake clock, a platform in memory and a
+// network in memory.
+type fleet struct {
+	t         testing.TB
+	clock     *clock.Fake
+	store     *memplatform.Store
+	seed      uint64
+	processes map[string]*process // by address
+	cut       func(from, to string) bool
+	held      func(from string) // called while an answer is on its way to from
+	asked     func()            // called after a judge has asked a peer
+	calls     atomic.Int64
+	down      bool // the store
+}
+
+func newFleet(t testing.TB) *fleet {
+	c := clock.NewFake(time.Unix(1000, 0))
+	return &fleet{
+		t: t, clock: c, store: memplatform.New(memplatform.Options{Clock: c}),
+		processes: map[string]*process{},
+		cut:       func(string, string) bool { return false },
+		held:      func(string) {},
+		asked:     func() {},
+	}
+}
+
+func (f *fleet) start(dc, name, addr string) *process {
+	f.seed++
+	c, err := NewController(Options{
+		Session:   Session{Name: name, Addr: addr, DataCentre: dc},
+		Table:     f.store.For(dc).Table,
+		Instances: f.store.For(dc).Instances,
+		Caller:    &link{f, addr},
+		Clock:     f.clock,
+		Rand:      rand.New(rand.NewPCG(f.seed, 1)),
+	})
+	assert.NilError(f.t, err)
+	p := &process{Controller: c}
+	f.processes[addr] = p
+	f.store.SetInstance(platform.Instance{Name: name, Addr: addr, DataCentre: dc, State: platform.Live})
+	return p
+}
+
+// crash ends the process at addr without a trace but the list's.
+func (f *fleet) crash(addr string) {
+	if p := f.processes[addr]; p != nil {
+		f.store.RemoveInstance(p.opts.Session.Name)
+		delete(f.processes, addr)
+	}
+}
+
+func (f *fleet) addrs() []string {
+	var out []string
+	for i := range 40 {
+		if a := fmt.Sprintf("10.0.0.%d:1", i); f.processes[a] != nil {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// rounds runs n rounds of every process that is not paused.
+func (f *fleet) rounds(n int) {
+	ctx := context.Background()
+	for range n {
+		f.clock.Advance(step)
+		for _, a := range f.addrs() {
+			p := f.processes[a]
+			if p == nil || p.paused {
+				continue
+			}
+			p.heartbeatRound(ctx)
+			p.renewRound(ctx)
+			p.scanRound(ctx)
+			p.listRound(ctx)
+			p.judgeRound(ctx)
+		}
+		f.check()
+	}
+}
+
+// check holds every process to the invariant of Granting.
+func (f *fleet) check() {
+	for _, a := range f.addrs() {
+		p := f.processes[a]
+		if _, ok := p.Granting(); ok && !p.paused {
+			assert.Assert(f.t, !f.dead(p), "%s grants although its death is on record", a)
+		}
+	}
+}
+
+// setDown makes the store refuse calls, or not.
+func (f *fleet) setDown(down bool) {
+	f.down = down
+	f.store.Down(down)
+}
+
+// dead reads past all faults whether the death of p's session is on record.
+func (f *fleet) dead(p *process) bool {
+	f.store.Down(false)
+	defer f.store.Down(f.down)
+	c := &Controller{opts: Options{Table: f.store.For("observer").Table}}
+	dead, err := c.Dead(context.Background(), p.Self())
+	assert.NilError(f.t, err)
+	return dead
+}
+
+// delayAnswer makes p send one heartbeat and takes n rounds, in which p is paused,
+// before it receives the answer.
+func (f *fleet) delayAnswer(p *process, n int) {
+	to := p.targets()
+	if len(to) == 0 {
+		return
+	}
+	f.held = func(from string) {
+		if from != p.opts.Session.Addr {
+			return
+		}
+		f.held = func(string) {}
+		p.paused = true
+		f.rounds(n)
+		p.paused = false
+	}
+	p.heartbeat(context.Background(), to[0])
+	f.held = func(string) {}
+}
+
+// link is the network as seen from one address.
+type link struct {
+	f    *fleet
+	from string
+}
+
+func (l *link) Call(_ context.Context, addr, method string, args, reply any) error {
+	f := l.f
+	f.calls.Add(1)
+	p := f.processes[addr]
+	if p == nil {
+		return peer.ErrUnreachable
+	}
+	if p.paused || f.cut(l.from, addr) {
+		return context.DeadlineExceeded
+	}
+	s := &Service{p.Controller}
+	var err error
+	switch a := args.(type) {
+	case HeartbeatArgs:
+		err = s.Heartbeat(a, reply.(*HeartbeatReply))
+	case HeardArgs:
+		err = s.Heard(a, reply.(*HeardReply))
+	case SyncArgs:
+		err = s.Sync(a, reply.(*SyncReply))
+	default:
+		err = errors.Newf("no method %s", method)
+	}
+	if _, asked := args.(HeardArgs); asked {
+		f.asked()
+	}
+	f.held(l.from)
+	return err
+}
--- /dev/null
+++ b/internal/member/heartbeat.go
@@ -0,0 +1,320 @@
+package member
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"carawayrouter.example/router/internal/event"
+	"carawayrouter.example/router/internal/peer"
+)
+
+const (
+	serviceName = "Members"
+
+	// rumourRounds is the number of heartbeat rounds in which a rumour is repeated.
+	rumourRounds = 8
+	// maxRumours bounds the rumours in one message.
+	maxRumours = 8
+	// provisionalLife is how long an instance without an epoch is kept unheard.
+	provisionalLife = 30 * time.Second
+	// maxSeeds bounds the addresses tried at once while no peer is known.
+	maxSeeds = 4
+)
+
+var errFenced = errors.New("this session has ended")
+
+// Rumour tells how long ago an instance was heard by anyone the sender knows of.
+type Rumour struct {
+	Name  string
+	Epoch uint64
+	Ago   time.Duration
+}
+
+// HeartbeatArgs is a heartbeat.
+type HeartbeatArgs struct {
+	From    Session
+	Stamp   event.Stamp
+	Rumours []Rumour
+}
+
+// HeartbeatReply answers a heartbeat.
+type HeartbeatReply struct {
+	Session Session
+	Sound   bool // the session is registered and its death cannot have been recorded
+	Stamp   event.Stamp
+	Rumours []Rumour
+}
+
+// Incarnation names one process incarnation of an instance.
+type Incarnation struct {
+	Name  string
+	Epoch uint64
+}
+
+// HeardArgs asks when sessions were last heard.
+type HeardArgs struct{ Sessions []Incarnation }
+
+// HeardReply answers HeardArgs, in the same order. No time is above the age of the
+// session asked, which cannot speak for an earlier one.
+type HeardReply struct{ Ago []time.Duration }
+
+// Service is the peer service "Members".
+type Service struct{ c *Controller }
+
+// Heartbeat records that a peer was heard.
+func (s *Service) Heartbeat(args HeartbeatArgs, reply *HeartbeatReply) error {
+	c := s.c
+	c.opts.Events.Observe(args.Stamp)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isFenced() || c.left {
+		return errFenced
+	}
+	c.hear(args.From)
+	c.takeRumours(args.Rumours)
+	*reply = HeartbeatReply{
+		Session: c.self,
+		Sound:   c.sound(),
+		Stamp:   c.opts.Events.Now(),
+		Rumours: c.giveRumours(),
+	}
+	c.publish()
+	return nil
+}
+
+// Heard tells when sessions of this data centre were last heard here.
+func (s *Service) Heard(args HeardArgs, reply *HeardReply) error {
+	c := s.c
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isFenced() {
+		return errFenced
+	}
+	for _, i := range args.Sessions {
+		reply.Ago = append(reply.Ago, c.unheardFor(i))
+	}
+	return nil
+}
+
+// unheardFor returns how long a session was not heard here for certain. The caller
+// holds mu.
+func (c *Controller) unheardFor(i Incarnation) time.Duration {
+	last := c.answerable
+	if e := c.known[i.Name]; e != nil && e.session.Epoch == i.Epoch && e.heard.After(last) {
+		last = e.heard
+	}
+	return c.opts.Clock.Now().Sub(last)
+}
+
+// hear records that s was heard just now. The caller holds mu.
+func (c *Controller) hear(s Session) {
+	if s.Name == c.self.Name || s.Name == "" || s.DataCentre != c.self.DataCentre {
+		return
+	}
+	e := c.known[s.Name]
+	if e == nil {
+		e = &entry{}
+		c.known[s.Name] = e
+		c.opts.Events.Add(event.Event{Kind: "member.joined", Detail: s.Name})
+	}
+	if s.Epoch < e.session.Epoch {
+		return // an older incarnation
+	}
+	if e.session != s {
+		e.session = s
+		c.changes.set(s)
+	}
+	if e.suspect {
+		c.rumours[s.Name] = rumourRounds
+	}
+	e.heard, e.suspect = c.opts.Clock.Now(), false
+}
+
+// takeRumours merges what a peer heard. The caller holds mu.
+func (c *Controller) takeRumours(rumours []Rumour) {
+	now := c.opts.Clock.Now()
+	for _, r := range rumours[:min(len(rumours), maxRumours)] {
+		if r.Name == c.self.Name {
+			c.rumours[r.Name] = rumourRounds // answered with an age of zero
+			continue
+		}
+		e := c.known[r.Name]
+		if e == nil || e.session.Epoch != r.Epoch {
+			continue
+		}
+		at := now.Add(-r.Ago)
+		if !at.After(e.heard) {
+			continue
+		}
+		e.heard = at
+		if suspect := r.Ago > c.opts.SuspectAfter; suspect != e.suspect {
+			e.suspect = suspect
+			c.rumours[r.Name] = rumourRounds
+		}
+	}
+}
+
+// giveRumours returns what to tell a peer. The caller holds mu.
+func (c *Controller) giveRumours() []Rumour {
+	now := c.opts.Clock.Now()
+	var out []Rumour
+	for _, name := range slices.Sorted(maps.Keys(c.rumours)) {
+		if len(out) == maxRumours {
+			break
+		}
+		if name == c.self.Name {
+			out = append(out, Rumour{Name: name, Epoch: c.self.Epoch})
+		} else if e := c.known[name]; e != nil {
+			out = append(out, Rumour{Name: name, Epoch: e.session.Epoch, Ago: now.Sub(e.heard)})
+		}
+	}
+	return out
+}
+
+// heartbeatRound sends heartbeats to the next instance of the data centre's ring
+// and to one more at random: two calls a round at any size of the fleet. Suspects
+// are outside the ring and are met by the random choice only.
+func (c *Controller) heartbeatRound(ctx context.Context) {
+	var g errgroup.Group
+	for _, addr := range c.targets() {
+		g.Go(func() error {
+			c.heartbeat(ctx, addr)
+			return nil
+		})
+	}
+	_ = g.Wait()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.age()
+	c.publish()
+}
+
+// targets returns the addresses for one round of heartbeats.
+func (c *Controller) targets() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var ring, all []string
+	for _, name := range slices.Sorted(maps.Keys(c.known)) {
+		e := c.known[name]
+		if e.session.DataCentre != c.self.DataCentre {
+			continue
+		}
+		all = append(all, name)
+		if !e.suspect {
+			ring = append(ring, name)
+		}
+	}
+	if len(all) == 0 {
+		return c.seeds()
+	}
+	picked := map[string]bool{all[c.opts.Rand.IntN(len(all))]: true}
+	if len(ring) > 0 {
+		at, _ := slices.BinarySearch(ring, c.self.Name)
+		picked[ring[at%len(ring)]] = true
+	}
+	var out []string
+	for _, name := range slices.Sorted(maps.Keys(picked)) {
+		out = append(out, c.known[name].session.Addr)
+	}
+	return out
+}
+
+// seeds returns a few addresses to try while no peer is known. The caller holds mu.
+func (c *Controller) seeds() []string {
+	out := slices.DeleteFunc(slices.Clone(c.opts.Seeds), func(a string) bool { return a == c.self.Addr })
+	c.opts.Rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out[:min(len(out), maxSeeds)]
+}
+
+// heartbeat exchanges one heartbeat with the instance at addr.
+func (c *Controller) heartbeat(ctx context.Context, addr string) {
+	c.mu.Lock()
+	if c.left || c.isFenced() {
+		c.mu.Unlock()
+		return
+	}
+	args := HeartbeatArgs{From: c.self, Stamp: c.opts.Events.Now(), Rumours: c.giveRumours()}
+	start := c.opts.Clock.Now()
+	c.mu.Unlock()
+	ctx, cancel := context.WithTimeout(peer.Idempotent(ctx), c.opts.CallTimeout)
+	defer cancel()
+	var reply HeartbeatReply
+	if err := c.opts.Caller.Call(ctx, addr, serviceName+".Heartbeat", args, &reply); err != nil {
+		return
+	}
+	c.opts.Events.Observe(reply.Stamp)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := reply.Session
+	// A judge asks the peers whose session rows exist. Only the answer of such a
+	// peer, which has our registered session on record, proves that no verdict fell.
+	if reply.Sound && args.From.Epoch > 0 && s.DataCentre == c.self.DataCentre && s.Name != c.self.Name {
+		c.notePeer(start)
+	}
+	c.hear(s)
+	c.takeRumours(reply.Rumours)
+}
+
+// age turns neighbours unheard for SuspectAfter into suspects, lets rumours end and
+// forgets provisional instances. The caller holds mu.
+func (c *Controller) age() {
+	now := c.opts.Clock.Now()
+	for name, left := range c.rumours {
+		if left <= 1 {
+			delete(c.rumours, name)
+			continue
+		}
+		c.rumours[name] = left - 1
+	}
+	for name, e := range c.known {
+		if e.session.Epoch == 0 && now.Sub(e.heard) > provisionalLife {
+			delete(c.known, name)
+			c.changes.remove(name)
+		}
+	}
+	// Only the neighbours on both sides are heard every round.
+	for _, name := range c.neighbours() {
+		e := c.known[name]
+		since := c.watched[name]
+		if e.heard.After(since) {
+			since = e.heard
+		}
+		if now.Sub(since) > c.opts.SuspectAfter {
+			e.suspect = true
+			c.rumours[name] = rumourRounds
+			c.opts.Events.Add(event.Event{Kind: "member.suspect", Detail: name})
+		}
+	}
+}
+
+// neighbours returns the names before and after this one in the ring of the data
+// centre, and notes since when each has been one. The caller holds mu.
+func (c *Controller) neighbours() []string {
+	var ring []string
+	for name, e := range c.known {
+		if e.session.DataCentre == c.self.DataCentre && !e.suspect {
+			ring = append(ring, name)
+		}
+	}
+	slices.Sort(ring)
+	var pair []string
+	if len(ring) > 0 {
+		at, _ := slices.BinarySearch(ring, c.self.Name)
+		pair = []string{ring[(at+len(ring)-1)%len(ring)], ring[at%len(ring)]}
+	}
+	watched := map[string]time.Time{}
+	for _, name := range pair {
+		since, ok := c.watched[name]
+		if !ok {
+			since = c.opts.Clock.Now()
+		}
+		watched[name] = since
+	}
+	c.watched = watched
+	return slices.Compact(pair)
+}
--- /dev/null
+++ b/internal/member/scan.go
@@ -0,0 +1,271 @@
+package member
+
+import (
+	"context"
+	"time"
+
+	"carawayrouter.example/router/internal/peer"
+	"carawayrouter.example/router/internal/platform"
+)
+
+const (
+	scanPage = 200 // rows in one read
+
+	// staleRenewals is the number of renewals that an instance of another data
+	// centre may miss before it is left out of the view.
+	staleRenewals = 4
+	// historySize is the number of changes that a puller may lag behind.
+	historySize = 256
+)
+
+// SyncArgs asks for the sessions that changed since a position.
+type SyncArgs struct {
+	Source uint64 // identifies the history that Gen counts in
+	Gen    uint64
+}
+
+// SyncReply answers SyncArgs. With Full, Sessions holds all there are.
+type SyncReply struct {
+	Source   uint64
+	Gen      uint64
+	Full     bool
+	Sessions []Session
+	Removed  []string
+}
+
+// history keeps the last changes of the known sessions.
+type history struct {
+	source uint64
+	gen    uint64
+	names  [historySize]string // name changed by generation g at g % historySize
+}
+
+func newHistory(source uint64) history { return history{source: source} }
+
+func (h *history) set(s Session)      { h.add(s.Name) }
+func (h *history) remove(name string) { h.add(name) }
+
+func (h *history) add(name string) {
+	h.gen++
+	h.names[h.gen%historySize] = name
+}
+
+// pullPosition is how far this instance has followed another's history.
+type pullPosition struct{ source, gen uint64 }
+
+// Sync gives a peer the sessions that changed.
+func (s *Service) Sync(args SyncArgs, reply *SyncReply) error {
+	c := s.c
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	h := &c.changes
+	reply.Source, reply.Gen = h.source, h.gen
+	if args.Source != h.source || args.Gen > h.gen || h.gen-args.Gen > historySize {
+		reply.Full = true
+		for _, e := range c.known {
+			if e.passedOn(c.self.DataCentre) {
+				reply.Sessions = append(reply.Sessions, e.session)
+			}
+		}
+		return nil
+	}
+	for g := args.Gen + 1; g <= h.gen; g++ {
+		name := h.names[g%historySize]
+		if e := c.known[name]; e != nil && e.passedOn(c.self.DataCentre) {
+			reply.Sessions = append(reply.Sessions, e.session)
+		} else {
+			reply.Removed = append(reply.Removed, name)
+		}
+	}
+	return nil
+}
+
+// passedOn reports whether the entry belongs into a digest. Whether an instance of
+// the own data centre is suspect is learnt by heartbeats alone.
+func (e *entry) passedOn(dc string) bool { return e.session.DataCentre == dc || !e.suspect }
+
+// poller returns the instance that scans the session rows for its data centre: the
+// first by name that is believed alive. ok is false if it is this one.
+func (c *Controller) poller() (s Session, other bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	name := c.self.Name
+	for n, e := range c.known {
+		if n < name && !e.suspect && e.session.Epoch > 0 && e.session.DataCentre == c.self.DataCentre {
+			name, s, other = n, e.session, true
+		}
+	}
+	return s, other
+}
+
+// scanRound reads the session rows, or asks the poller what it has read.
+func (c *Controller) scanRound(ctx context.Context) {
+	now := c.opts.Clock.Now()
+	c.mu.Lock()
+	due := !now.Before(c.nextScan)
+	c.mu.Unlock()
+	if !due {
+		return
+	}
+	next := c.opts.ScanEvery
+	if p, other := c.poller(); other {
+		c.pull(ctx, p)
+	} else {
+		next = c.scan(ctx)
+	}
+	next = c.jitter(next)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.nextScan = now.Add(next)
+}
+
+// scan reads all session rows and returns the time until the next scan, which keeps
+// the rows read by the pollers of all data centres within ScanRowsPerSec.
+func (c *Controller) scan(ctx context.Context) time.Duration {
+	start := c.opts.Clock.Now()
+	rows, err := c.readRows(ctx)
+	if err != nil {
+		c.opts.Logger.V(1).Info("session rows not read", "error", err.Error())
+		return c.opts.ScanEvery
+	}
+	c.mutate(func() { c.mergeScan(rows, start) })
+	dcs := map[string]bool{}
+	for _, r := range rows {
+		dcs[r.DataCentre] = true
+	}
+	spread := time.Duration(len(rows)*len(dcs)) * time.Second / time.Duration(c.opts.ScanRowsPerSec)
+	return max(c.opts.ScanEvery, spread)
+}
+
+// versioned is a session row with its version.
+type versioned struct {
+	Row
+	version uint64
+}
+
+// readRows returns all rows of registered sessions, released ones included.
+func (c *Controller) readRows(ctx context.Context) ([]versioned, error) {
+	var out []versioned
+	for after := ""; ; {
+		pageCtx, cancel := context.WithTimeout(ctx, c.opts.StoreTimeout)
+		page, err := c.opts.Table.Scan(pageCtx, RowPrefix, after, scanPage)
+		cancel()
+		if err != nil {
+			return nil, err
+		}
+		for _, r := range page {
+			out = appendRow(out, r)
+			after = r.Key
+		}
+		if len(page) < scanPage {
+			return out, nil
+		}
+	}
+}
+
+func appendRow(out []versioned, r platform.Row) []versioned {
+	row, err := ParseRow(r)
+	if err != nil || row.Epoch == 0 {
+		return out
+	}
+	return append(out, versioned{Row: row, version: r.Version})
+}
+
+// mergeScan takes over what a scan begun at start has read. The caller holds mu.
+func (c *Controller) mergeScan(rows []versioned, start time.Time) {
+	now := c.opts.Clock.Now()
+	seen := map[string]bool{}
+	for _, r := range rows {
+		if r.Released || r.Name == c.self.Name {
+			continue
+		}
+		seen[r.Name] = true
+		e := c.learn(r.Session())
+		if e.version != r.version || e.changed.IsZero() {
+			e.version, e.changed = r.version, now
+		}
+		if r.DataCentre == c.self.DataCentre {
+			continue
+		}
+		stale := now.Sub(e.changed) > staleRenewals*c.opts.RenewEvery
+		if stale != e.suspect {
+			e.suspect = stale
+			c.changes.set(e.session)
+		}
+	}
+	for name, e := range c.known {
+		if !seen[name] && e.session.Epoch > 0 && e.heard.Before(start) {
+			c.forget(name)
+		}
+	}
+}
+
+// learn records a session read from the table or told by the poller. The caller
+// holds mu.
+func (c *Controller) learn(s Session) *entry {
+	e := c.known[s.Name]
+	if e == nil {
+		e = &entry{}
+		c.known[s.Name] = e
+	}
+	if s.Epoch > e.session.Epoch || e.session.Name == "" {
+		*e = entry{session: s}
+		c.changes.set(s)
+	}
+	return e
+}
+
+func (c *Controller) forget(name string) {
+	delete(c.known, name)
+	c.changes.remove(name)
+}
+
+// pull asks the poller for the sessions that changed.
+func (c *Controller) pull(ctx context.Context, from Session) {
+	c.mu.Lock()
+	args := SyncArgs{Source: c.pulled.source, Gen: c.pulled.gen}
+	start := c.opts.Clock.Now()
+	c.mu.Unlock()
+	ctx, cancel := context.WithTimeout(peer.Idempotent(ctx), c.opts.CallTimeout)
+	defer cancel()
+	var reply SyncReply
+	if err := c.opts.Caller.Call(ctx, from.Addr, serviceName+".Sync", args, &reply); err != nil {
+		return
+	}
+	c.mutate(func() {
+		c.pulled = pullPosition{source: reply.Source, gen: reply.Gen}
+		told := map[string]bool{from.Name: true}
+		for _, s := range reply.Sessions {
+			told[s.Name] = true
+			if s.Name != c.self.Name {
+				c.learn(s).toldAlive(c.self.DataCentre)
+			}
+		}
+		for _, name := range reply.Removed {
+			c.dropUnlessHeard(name, start)
+		}
+		if !reply.Full {
+			return
+		}
+		for name := range c.known {
+			if !told[name] {
+				c.dropUnlessHeard(name, start)
+			}
+		}
+	})
+}
+
+// toldAlive clears the suspicion of an instance of another data centre.
+func (e *entry) toldAlive(dc string) {
+	if e.session.DataCentre != dc {
+		e.suspect = false
+	}
+}
+
+// dropUnlessHeard forgets an instance that the poller no longer lists. The caller
+// holds mu.
+func (c *Controller) dropUnlessHeard(name string, since time.Time) {
+	if e := c.known[name]; e != nil && e.heard.Before(since.Add(-c.opts.SuspectAfter)) {
+		c.forget(name)
+	}
+}
