shard: homes taken and handed over by conditional writes and evidence of death

Cause: client accounts' tokens and orders to endpoints need one decision maker for each shard of a data centre, moved only on evidence that the former one has ended.

Change: shard.NewController(Options) with Run, Round, Home, Held, Holdings, Refresh, OnGain, OnLose and Release(ctx). Rows shard/DC/NN hold the home's session and an epoch that grows with each change. A bounded rendezvous hash places shards; unowned, released or proved-dead rows are taken in transactions conditional on the row's version; a home releases a few shards at a time to a member that has been seen for StableFor, first in memory, then in the table. A release with unknown outcome is never taken back. One member of a data centre reads the rows, the others ask it; rows of other data centres are read on demand through it and cached.

--- /dev/null
+++ b/internal/shard/controller.go
@@ -0,0 +1,328 @@
+package shard
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"golang.org/x/sync/errgroup"
+
+	"carawayrouter.example/router/internal/clock"
+	"carawayrouter.example/router/internal/event"
+	"carawayrouter.example/router/internal/member"
+	"carawayrouter.example/router/internal/peer"
+	"carawayrouter.example/router/internal/platform"
+)
+
+// Defaults of Options.
+const (
+	DefaultRoundEvery    = time.Second
+	DefaultScanEvery     = 2 * time.Second
+	DefaultStableFor     = 10 * time.Second
+	DefaultHandOverEvery = 3 * time.Second
+	DefaultHandOvers     = 4
+	DefaultClaimDelay    = 5 * time.Second
+	DefaultForeignTTL    = time.Minute
+	DefaultCallTimeout   = time.Second
+	DefaultStoreTimeout  = 2 * time.Second
+)
+
+// Members is what the controller needs of membership.
+type Members interface {
+	member.Source
+	// Granting returns this process's session epoch; ok is false while it must not
+	// act as home.
+	Granting() (epoch uint64, ok bool)
+	// Dead reports whether a session is proved to be dead.
+	Dead(ctx context.Context, s member.Session) (bool, error)
+	// Fenced is closed when this process's session has ended.
+	Fenced() <-chan struct{}
+}
+
+// Options configures a Controller. Zero fields take the defaults.
+type Options struct {
+	Members   Members
+	Table     platform.Table
+	Caller    peer.Caller
+	Registrar peer.Registrar
+	Clock     clock.Clock
+	Rand      *rand.Rand
+	Logger    logr.Logger
+	Events    *event.Ring
+
+	RoundEvery    time.Duration // time between two rounds of decisions
+	ScanEvery     time.Duration // time between two reads of the data centre's rows
+	StableFor     time.Duration // time that a new member is seen before it is given shards
+	HandOverEvery time.Duration
+	HandOvers     int           // shards handed over at once
+	ClaimDelay    time.Duration // wait of the next member where the intended one does not claim
+	ForeignTTL    time.Duration // life of a cached row of another data centre
+	CallTimeout   time.Duration
+	StoreTimeout  time.Duration
+}
+
+func (o Options) withDefaults() Options {
+	for _, d := range []struct {
+		v   *time.Duration
+		def time.Duration
+	}{
+		{&o.RoundEvery, DefaultRoundEvery}, {&o.ScanEvery, DefaultScanEvery}, {&o.StableFor, DefaultStableFor},
+		{&o.HandOverEvery, DefaultHandOverEvery}, {&o.ClaimDelay, DefaultClaimDelay},
+		{&o.ForeignTTL, DefaultForeignTTL}, {&o.CallTimeout, DefaultCallTimeout},
+		{&o.StoreTimeout, DefaultStoreTimeout},
+	} {
+		if *d.v == 0 {
+			*d.v = d.def
+		}
+	}
+	if o.HandOvers == 0 {
+		o.HandOvers = DefaultHandOvers
+	}
+	if o.Clock == nil {
+		o.Clock = clock.Real{}
+	}
+	if o.Rand == nil {
+		o.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	if o.Logger.GetSink() == nil {
+		o.Logger = logr.Discard()
+	}
+	return o
+}
+
+// Hook is told of a shard that this process gains or loses.
+type Hook func(k Key, epoch uint64)
+
+// Controller takes and gives up shards of its data centre. It implements Directory.
+//
+// Invariant: a row names this process's session only because this process wrote it,
+// and is changed by another only once the session is proved to be dead. So a shard is
+// held while the newest row seen names the session and the session may act.
+type Controller struct {
+	opts Options
+	dc   string
+
+	round      sync.Mutex // held during a round, so that decisions and writes are sequential
+	placedFor  []member.Session
+	lastPlaced placement // for placedFor; both guarded by round
+
+	mu       sync.Mutex // guards all below, and opts.Rand
+	records  map[Key]Record
+	read     map[Key]time.Time // when rows of other data centres were read
+	held     map[Key]holding
+	retiring map[Key]uint64 // version of a row whose release may or may not have been written
+	orphans  map[Key]time.Time
+	seen     map[string]seenMember
+	// departing are the session epochs of members that are giving up all they have.
+	departing map[string]uint64
+	loaded    bool // the rows of the data centre were read at least once
+	gen       uint64
+	source    uint64
+	pulled    SyncArgs
+	nextScan  time.Time
+	nextGive  time.Time
+	leaving   bool
+	onGain    []Hook
+	onLose    []Hook
+
+	wanted  chan Key
+	offered chan struct{}
+}
+
+// holding is a shard that this process is home of.
+type holding struct {
+	epoch   uint64
+	session uint64 // session epoch under which it was taken
+}
+
+// seenMember is since when a member has been in the view without a break.
+type seenMember struct {
+	epoch uint64
+	since time.Time
+}
+
+// wantedQueue bounds the shards of other data centres that wait to be looked up.
+const wantedQueue = 256
+
+// NewController returns a Controller and registers its peer service.
+func NewController(o Options) (*Controller, error) {
+	o = o.withDefaults()
+	c := &Controller{
+		opts:      o,
+		dc:        o.Members.View().Self.DataCentre,
+		records:   map[Key]Record{},
+		read:      map[Key]time.Time{},
+		held:      map[Key]holding{},
+		retiring:  map[Key]uint64{},
+		orphans:   map[Key]time.Time{},
+		seen:      map[string]seenMember{},
+		departing: map[string]uint64{},
+		source:    o.Rand.Uint64(),
+		wanted:    make(chan Key, wantedQueue),
+		offered:   make(chan struct{}, 1),
+	}
+	if o.Registrar != nil {
+		if err := o.Registrar.Register(serviceName, &Service{c}); err != nil {
+			return nil, err
+		}
+	}
+	return c, nil
+}
+
+// OnGain adds a hook that is called after a shard was taken. Hooks are added before
+// Run and must not block.
+func (c *Controller) OnGain(h Hook) { c.onGain = append(c.onGain, h) }
+
+// OnLose adds a hook that is called when a shard was lost, or before its release is
+// written; Held is false by then.
+func (c *Controller) OnLose(h Hook) { c.onLose = append(c.onLose, h) }
+
+// Run takes and gives up shards until ctx ends.
+func (c *Controller) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return c.runRounds(ctx) })
+	g.Go(func() error { return c.runLookups(ctx) })
+	return g.Wait()
+}
+
+func (c *Controller) runRounds(ctx context.Context) error {
+	for {
+		c.Round(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-c.offered:
+		case <-c.opts.Clock.After(c.jitter(c.opts.RoundEvery)):
+		}
+	}
+}
+
+// jitter returns d changed by up to a tenth.
+func (c *Controller) jitter(d time.Duration) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return d*9/10 + time.Duration(c.opts.Rand.Int64N(int64(d)/5+1))
+}
+
+// Home implements Directory. An unknown shard of another data centre, or one read
+// long ago, is looked up in the background.
+func (c *Controller) Home(k Key) (Assignment, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r, known := c.records[k]
+	if k.DataCentre != c.dc && (!known || c.opts.Clock.Now().Sub(c.read[k]) > c.opts.ForeignTTL) {
+		c.want(k)
+	}
+	return r.Assignment, known && !r.released()
+}
+
+// Refresh asks for a shard's row to be read again, after its home was found to be
+// another or not to answer.
+func (c *Controller) Refresh(k Key) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if k.DataCentre == c.dc {
+		c.nextScan = time.Time{}
+		return
+	}
+	delete(c.read, k)
+	c.want(k)
+}
+
+// want queues a lookup, or drops it if the queue is full. The caller holds mu.
+func (c *Controller) want(k Key) {
+	select {
+	case c.wanted <- k:
+	default:
+	}
+}
+
+// Held implements Directory.
+func (c *Controller) Held(k Key) (epoch uint64, ok bool) {
+	session, ok := c.opts.Members.Granting()
+	if !ok {
+		return 0, false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	h, ok := c.held[k]
+	if !ok || h.session != session {
+		return 0, false
+	}
+	return h.epoch, true
+}
+
+// Holdings returns the shards that this process is home of and may act for.
+func (c *Controller) Holdings() map[Key]uint64 {
+	session, ok := c.opts.Members.Granting()
+	out := map[Key]uint64{}
+	if !ok {
+		return out
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for k, h := range c.held {
+		if h.session == session {
+			out[k] = h.epoch
+		}
+	}
+	return out
+}
+
+// note takes over a row if it is newer than the one known, and settles whether this
+// process holds the shard. It returns the hooks to call. The caller holds mu.
+func (c *Controller) note(r Record) (calls []func()) {
+	old, known := c.records[r.Key]
+	if known && r.Version < old.Version && r.Version != 0 {
+		return nil // an older read
+	}
+	c.records[r.Key] = r
+	if r.Key.DataCentre != c.dc {
+		return nil
+	}
+	if !known || old != r {
+		c.gen++
+	}
+	if v, ok := c.retiring[r.Key]; ok && r.Version > v {
+		delete(c.retiring, r.Key)
+	}
+	_, retiring := c.retiring[r.Key]
+	self := c.opts.Members.View().Self
+	mine := !retiring && self.Epoch > 0 && r.Home.Name == self.Name && r.Home.Epoch == self.Epoch
+	h, held := c.held[r.Key]
+	if held && (!mine || h.epoch != r.Epoch) {
+		calls = append(calls, c.lose(r.Key)...)
+		held = false
+	}
+	if mine && !held {
+		calls = append(calls, c.gain(r.Key, holding{epoch: r.Epoch, session: self.Epoch})...)
+	}
+	return calls
+}
+
+func (c *Controller) gain(k Key, h holding) (calls []func()) {
+	c.held[k] = h
+	c.opts.Events.Add(event.Event{Kind: "shard.gained", Detail: k.String()})
+	for _, hook := range c.onGain {
+		calls = append(calls, func() { hook(k, h.epoch) })
+	}
+	return calls
+}
+
+func (c *Controller) lose(k Key) (calls []func()) {
+	h := c.held[k]
+	delete(c.held, k)
+	c.opts.Events.Add(event.Event{Kind: "shard.lost", Detail: k.String()})
+	for _, hook := range c.onLose {
+		calls = append(calls, func() { hook(k, h.epoch) })
+	}
+	return calls
+}
+
+func run(calls []func()) {
+	for _, f := range calls {
+		f()
+	}
+}
--- /dev/null
+++ b/internal/shard/round.go
@@ -0,0 +1,331 @@
+package shard
+
+import (
+	"bytes"
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"carawayrouter.example/router/internal/member"
+	"carawayrouter.example/router/internal/platform"
+)
+
+// Round reads what is due and takes or gives up shards once.
+func (c *Controller) Round(ctx context.Context) {
+	c.round.Lock()
+	defer c.round.Unlock()
+	c.refreshOwn(ctx)
+	select {
+	case <-c.opts.Members.Fenced():
+		c.loseAll()
+		return
+	default:
+	}
+	session, ok := c.opts.Members.Granting()
+	if !ok {
+		return
+	}
+	v := c.opts.Members.View()
+	members := c.staying(v)
+	if session != v.Self.Epoch {
+		return // the view is older than the session
+	}
+	c.noteMembers(members)
+	intended := c.placed(members)
+	c.claim(ctx, v.Self, members, intended)
+	c.handOver(ctx, v.Self, members, intended)
+	c.retryReleases(ctx)
+}
+
+// registered returns the members that have a fencing epoch.
+func registered(all []member.Session) []member.Session {
+	return slices.DeleteFunc(slices.Clone(all), func(s member.Session) bool { return s.Epoch == 0 })
+}
+
+// staying returns the registered members of the data centre that are not giving up
+// all they have.
+func (c *Controller) staying(v *member.View) []member.Session {
+	members := registered(v.InDataCentre(c.dc))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	present := map[string]uint64{}
+	for _, m := range members {
+		if epoch, ok := c.departing[m.Name]; ok && epoch >= m.Epoch {
+			present[m.Name] = epoch
+		}
+	}
+	c.departing = present
+	return slices.DeleteFunc(members, func(m member.Session) bool {
+		_, ok := present[m.Name]
+		return ok
+	})
+}
+
+// placed returns the placement for the members, computed anew where they changed.
+func (c *Controller) placed(members []member.Session) placement {
+	if !slices.Equal(members, c.placedFor) {
+		c.placedFor, c.lastPlaced = members, place(members)
+	}
+	return c.lastPlaced
+}
+
+func (c *Controller) loseAll() {
+	c.mu.Lock()
+	var calls []func()
+	for k := range c.held {
+		calls = append(calls, c.lose(k)...)
+	}
+	c.mu.Unlock()
+	run(calls)
+}
+
+// noteMembers keeps since when each member has been in the view.
+func (c *Controller) noteMembers(members []member.Session) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	seen := map[string]seenMember{}
+	for _, m := range members {
+		s, ok := c.seen[m.Name]
+		if !ok || s.epoch != m.Epoch {
+			s = seenMember{epoch: m.Epoch, since: c.opts.Clock.Now()}
+		}
+		seen[m.Name] = s
+	}
+	c.seen = seen
+}
+
+// claim takes the shards that have no home, or whose home is proved to be dead, and
+// that this member is to have.
+func (c *Controller) claim(ctx context.Context, self member.Session, members []member.Session, intended placement) {
+	alive := map[string]member.Session{}
+	for _, m := range members {
+		alive[m.Name] = m
+	}
+	verdicts := map[member.Session]bool{}
+	var claims []Record
+	for _, r := range c.claimable(self, members, alive, intended) {
+		if !r.released() {
+			dead, known := verdicts[r.Home]
+			if !known {
+				dead = c.dead(ctx, r.Home)
+				verdicts[r.Home] = dead
+			}
+			if !dead {
+				continue
+			}
+		}
+		claims = append(claims, r)
+	}
+	if len(claims) == 0 {
+		return
+	}
+	if err := c.take(ctx, self, claims); err == nil || len(claims) == 1 {
+		return
+	}
+	for _, r := range claims { // one conflict must not keep the others from being taken
+		_ = c.take(ctx, self, []Record{r})
+	}
+}
+
+func (c *Controller) dead(ctx context.Context, s member.Session) bool {
+	ctx, cancel := context.WithTimeout(ctx, c.opts.StoreTimeout)
+	defer cancel()
+	dead, err := c.opts.Members.Dead(ctx, s)
+	return err == nil && dead
+}
+
+// claimable returns the rows without a home that is in the view, and that are this
+// member's turn: at once if the placement names it, else after ClaimDelay for each
+// member before it.
+func (c *Controller) claimable(
+	self member.Session, members []member.Session, alive map[string]member.Session, intended placement,
+) []Record {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.loaded || c.leaving {
+		return nil
+	}
+	now := c.opts.Clock.Now()
+	var out []Record
+	for i := range Count {
+		k := Key{DataCentre: c.dc, Index: i}
+		r, ok := c.records[k]
+		if !ok {
+			r = Record{Assignment: Assignment{Key: k}}
+		}
+		if _, retiring := c.retiring[k]; retiring {
+			continue
+		}
+		if a, ok := alive[r.Home.Name]; ok && a.Epoch <= r.Home.Epoch && !r.released() {
+			delete(c.orphans, k)
+			continue
+		}
+		since, ok := c.orphans[k]
+		if !ok {
+			since = now
+			c.orphans[k] = now
+		}
+		turn := slices.Index(ranking(i, members), self.Name) + 1
+		if intended[i] == self.Name {
+			turn = 0
+		}
+		if now.Sub(since) >= time.Duration(turn)*c.opts.ClaimDelay {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// take writes this session into rows, each on condition that it is unchanged, with an
+// epoch higher by one.
+func (c *Controller) take(ctx context.Context, self member.Session, rows []Record) error {
+	next := make([]Record, len(rows))
+	for i, r := range rows {
+		next[i] = Record{Assignment: Assignment{Key: r.Key, Home: self, Epoch: r.Epoch + 1}}
+	}
+	return c.commit(ctx, rows, next)
+}
+
+// commit replaces rows by next and notes what is in the table afterwards, whatever
+// the outcome was.
+func (c *Controller) commit(ctx context.Context, rows, next []Record) error {
+	var txn platform.Txn
+	for i, r := range rows {
+		w := next[i].write()
+		txn.Writes = append(txn.Writes, w)
+		txn.Conditions = append(txn.Conditions, platform.Condition{Key: w.Key, Version: r.Version})
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.opts.StoreTimeout)
+	defer cancel()
+	version, err := c.opts.Table.Commit(ctx, txn)
+	if err != nil {
+		return c.settle(ctx, txn, err)
+	}
+	for i := range next {
+		next[i].Version = version
+	}
+	c.noteAll(next)
+	return nil
+}
+
+// settle reads the rows of a transaction that failed or whose outcome is not known.
+// One that takes effect even later is seen by the next scan.
+func (c *Controller) settle(ctx context.Context, txn platform.Txn, err error) error {
+	keys := make([]string, len(txn.Writes))
+	for i, w := range txn.Writes {
+		keys[i] = w.Key
+	}
+	rows, readErr := c.opts.Table.Get(ctx, keys...)
+	if readErr != nil {
+		return err
+	}
+	var found []Record
+	applied := true
+	for i, r := range rows {
+		applied = applied && bytes.Equal(r.Value, txn.Writes[i].Value)
+		k, _ := parseKey(r.Key)
+		if rec, parseErr := parseRow(k, r); parseErr == nil {
+			found = append(found, rec)
+		}
+	}
+	c.noteAll(found)
+	if applied && errors.Is(err, platform.ErrUnknownOutcome) {
+		return nil
+	}
+	return err
+}
+
+func (c *Controller) noteAll(rows []Record) {
+	c.mu.Lock()
+	var calls []func()
+	for _, r := range rows {
+		calls = append(calls, c.note(r)...)
+	}
+	c.mu.Unlock()
+	run(calls)
+}
+
+// handOver releases a few of the shards that another member is to have, once that
+// member has been seen for StableFor.
+func (c *Controller) handOver(ctx context.Context, self member.Session, members []member.Session, intended placement) {
+	now := c.opts.Clock.Now()
+	c.mu.Lock()
+	if now.Before(c.nextGive) || c.leaving {
+		c.mu.Unlock()
+		return
+	}
+	var give []Key
+	for i := range Count {
+		k := Key{DataCentre: c.dc, Index: i}
+		to := c.seen[intended[i]]
+		if _, held := c.held[k]; held && intended[i] != self.Name && now.Sub(to.since) >= c.opts.StableFor {
+			give = append(give, k)
+		}
+	}
+	give = give[:min(len(give), c.opts.HandOvers)]
+	if len(give) > 0 {
+		c.nextGive = now.Add(c.opts.HandOverEvery)
+	}
+	c.mu.Unlock()
+	if c.release(ctx, give) == nil {
+		c.offer(ctx, give, intended, members)
+	}
+}
+
+// release gives up shards: first here, then in the table. From its start this process
+// holds none of them, whatever the outcome of the write.
+func (c *Controller) release(ctx context.Context, keys []Key) error {
+	var rows, next []Record
+	var calls []func()
+	c.mu.Lock()
+	for _, k := range keys {
+		r := c.records[k]
+		if _, held := c.held[k]; held {
+			calls = append(calls, c.lose(k)...)
+		}
+		c.retiring[k] = r.Version
+		rows = append(rows, r)
+		next = append(next, Record{Assignment: Assignment{Key: k, Epoch: r.Epoch}})
+	}
+	c.mu.Unlock()
+	run(calls)
+	if len(rows) == 0 {
+		return nil
+	}
+	return c.commit(ctx, rows, next)
+}
+
+// retryReleases writes the releases again that may not have been written.
+func (c *Controller) retryReleases(ctx context.Context) {
+	c.mu.Lock()
+	var keys []Key
+	for k := range c.retiring {
+		keys = append(keys, k)
+	}
+	c.mu.Unlock()
+	slices.SortFunc(keys, func(a, b Key) int { return strings.Compare(a.String(), b.String()) })
+	_ = c.release(ctx, keys)
+}
+
+// Release gives up all shards, at shutdown, and offers them to the members that are
+// to have them. It comes before the session is released.
+func (c *Controller) Release(ctx context.Context) error {
+	c.round.Lock()
+	defer c.round.Unlock()
+	c.mu.Lock()
+	c.leaving = true
+	var keys []Key
+	for k := range c.held {
+		keys = append(keys, k)
+	}
+	c.mu.Unlock()
+	slices.SortFunc(keys, func(a, b Key) int { return strings.Compare(a.String(), b.String()) })
+	err := c.release(ctx, keys)
+	v := c.opts.Members.View()
+	others := slices.DeleteFunc(registered(v.InDataCentre(c.dc)), func(s member.Session) bool { return s.Name == v.Self.Name })
+	c.offer(ctx, keys, place(others), others)
+	return errors.Wrap(err, "releasing shards")
+}
--- /dev/null
+++ b/internal/shard/sync.go
@@ -0,0 +1,315 @@
+package shard
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"carawayrouter.example/router/internal/member"
+	"carawayrouter.example/router/internal/peer"
+	"carawayrouter.example/router/internal/platform"
+)
+
+const (
+	serviceName = "Shards"
+
+	// maxLookup bounds the keys of one lookup.
+	maxLookup = 64
+	// offerLimit bounds the offers in progress.
+	offerLimit = 8
+	// lookupPause is the shortest time between two lookups of one process.
+	lookupPause = 200 * time.Millisecond
+	// ownScanFactor is how much less often an instance reads the rows of its data
+	// centre itself while it cannot ask the poller.
+	ownScanFactor = 2
+)
+
+// SyncArgs asks for the rows of the data centre if they differ from those known.
+type SyncArgs struct{ Source, Gen uint64 }
+
+// SyncReply answers SyncArgs.
+type SyncReply struct {
+	Source, Gen uint64
+	Loaded      bool
+	Rows        []Record // empty if nothing changed
+}
+
+// LookupArgs asks for rows of other data centres.
+type LookupArgs struct{ Keys []Key }
+
+// LookupReply answers LookupArgs.
+type LookupReply struct{ Rows []Record }
+
+// OfferArgs tells that shards were released for the callee, and whether the caller
+// gives up all it has.
+type OfferArgs struct {
+	From    member.Session
+	Leaving bool
+	Rows    []Record
+}
+
+// OfferReply answers OfferArgs.
+type OfferReply struct{}
+
+// Service is the peer service "Shards".
+type Service struct{ c *Controller }
+
+// Sync gives the rows of this data centre.
+func (s *Service) Sync(args SyncArgs, reply *SyncReply) error {
+	c := s.c
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	*reply = SyncReply{Source: c.source, Gen: c.gen, Loaded: c.loaded}
+	if args.Source == c.source && args.Gen == c.gen {
+		return nil
+	}
+	for k, r := range c.records {
+		if k.DataCentre == c.dc {
+			reply.Rows = append(reply.Rows, r)
+		}
+	}
+	return nil
+}
+
+// Lookup gives rows of other data centres, read from the table if need be.
+func (s *Service) Lookup(args LookupArgs, reply *LookupReply) error {
+	c := s.c
+	keys := args.Keys[:min(len(args.Keys), maxLookup)]
+	ctx, cancel := context.WithTimeout(context.Background(), c.opts.StoreTimeout)
+	defer cancel()
+	if err := c.readForeign(ctx, keys); err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, k := range keys {
+		reply.Rows = append(reply.Rows, c.records[k])
+	}
+	return nil
+}
+
+// Offer takes note of released shards and starts a round.
+func (s *Service) Offer(args OfferArgs, _ *OfferReply) error {
+	c := s.c
+	var rows []Record
+	for _, r := range args.Rows[:min(len(args.Rows), Count)] {
+		if r.Key.DataCentre == c.dc {
+			rows = append(rows, r)
+		}
+	}
+	c.noteAll(rows)
+	if args.Leaving && args.From.DataCentre == c.dc {
+		c.mu.Lock()
+		c.departing[args.From.Name] = args.From.Epoch
+		c.mu.Unlock()
+	}
+	select {
+	case c.offered <- struct{}{}:
+	default:
+	}
+	return nil
+}
+
+// offer tells the members that are to have released shards, and all members if this
+// one is leaving.
+func (c *Controller) offer(ctx context.Context, keys []Key, intended placement, members []member.Session) {
+	c.mu.Lock()
+	rows := map[string][]Record{}
+	for _, k := range keys {
+		if r := c.records[k]; r.released() && r.Version > 0 {
+			rows[intended[k.Index]] = append(rows[intended[k.Index]], r)
+		}
+	}
+	args := OfferArgs{From: c.opts.Members.View().Self, Leaving: c.leaving}
+	c.mu.Unlock()
+	ctx, cancel := context.WithTimeout(peer.Idempotent(ctx), c.opts.CallTimeout)
+	defer cancel()
+	var g errgroup.Group
+	g.SetLimit(offerLimit)
+	for _, m := range members {
+		args := args
+		args.Rows = rows[m.Name]
+		if len(args.Rows) == 0 && !args.Leaving {
+			continue
+		}
+		g.Go(func() error {
+			// A member that is not reached learns of the release by its next sync.
+			return c.opts.Caller.Call(ctx, m.Addr, serviceName+".Offer", args, &OfferReply{})
+		})
+	}
+	_ = g.Wait()
+}
+
+// poller returns the member that reads the table for its data centre, the first by
+// name; other is false if it is this one.
+func (c *Controller) poller() (s member.Session, other bool) {
+	v := c.opts.Members.View()
+	members := registered(v.InDataCentre(c.dc))
+	if len(members) == 0 || members[0].Name == v.Self.Name {
+		return v.Self, false
+	}
+	return members[0], true
+}
+
+// refreshOwn reads the rows of this data centre if that is due: the poller from the
+// table, others from the poller. While the poller is not reached, others read the
+// table themselves, but rarely.
+func (c *Controller) refreshOwn(ctx context.Context) {
+	now := c.opts.Clock.Now()
+	c.mu.Lock()
+	due := !now.Before(c.nextScan)
+	c.mu.Unlock()
+	if !due {
+		return
+	}
+	wait := c.opts.ScanEvery
+	p, other := c.poller()
+	if !other || !c.pull(ctx, p) {
+		if c.scan(ctx) && other {
+			wait *= ownScanFactor
+		}
+	}
+	wait = c.jitter(wait)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.nextScan = now.Add(wait)
+}
+
+func (c *Controller) scan(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, c.opts.StoreTimeout)
+	defer cancel()
+	rows, err := c.opts.Table.Scan(ctx, RowPrefix+c.dc+"/", "", Count)
+	if err != nil {
+		c.opts.Logger.V(1).Info("shard rows not read", "error", err.Error())
+		return false
+	}
+	c.noteAll(parseRows(rows))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.loaded = true
+	return true
+}
+
+func parseRows(rows []platform.Row) []Record {
+	var out []Record
+	for _, r := range rows {
+		k, err := parseKey(r.Key)
+		if err != nil {
+			continue
+		}
+		if rec, err := parseRow(k, r); err == nil {
+			out = append(out, rec)
+		}
+	}
+	return out
+}
+
+func (c *Controller) pull(ctx context.Context, from member.Session) bool {
+	c.mu.Lock()
+	args := c.pulled
+	c.mu.Unlock()
+	ctx, cancel := context.WithTimeout(peer.Idempotent(ctx), c.opts.CallTimeout)
+	defer cancel()
+	var reply SyncReply
+	if err := c.opts.Caller.Call(ctx, from.Addr, serviceName+".Sync", args, &reply); err != nil || !reply.Loaded {
+		return false
+	}
+	c.noteAll(reply.Rows)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pulled = SyncArgs{Source: reply.Source, Gen: reply.Gen}
+	c.loaded = true
+	return true
+}
+
+// runLookups answers Home's wishes for rows of other data centres.
+func (c *Controller) runLookups(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case k := <-c.wanted:
+			c.lookup(ctx, c.gather(k))
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-c.opts.Clock.After(lookupPause):
+		}
+	}
+}
+
+// gather returns first and what else is wanted by now, without repetition.
+func (c *Controller) gather(first Key) []Key {
+	keys := map[Key]bool{first: true}
+	for len(keys) < maxLookup {
+		select {
+		case k := <-c.wanted:
+			keys[k] = true
+			continue
+		default:
+		}
+		break
+	}
+	out := make([]Key, 0, len(keys))
+	for k := range keys {
+		out = append(out, k)
+	}
+	return out
+}
+
+// lookup learns rows of other data centres from the poller, or from the table where
+// this instance is the poller or does not reach it.
+func (c *Controller) lookup(ctx context.Context, keys []Key) {
+	if p, other := c.poller(); other {
+		callCtx, cancel := context.WithTimeout(peer.Idempotent(ctx), c.opts.CallTimeout)
+		defer cancel()
+		var reply LookupReply
+		err := c.opts.Caller.Call(callCtx, p.Addr, serviceName+".Lookup", LookupArgs{Keys: keys}, &reply)
+		if err == nil {
+			c.noteForeign(reply.Rows)
+			return
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.opts.StoreTimeout)
+	defer cancel()
+	if err := c.readForeign(ctx, keys); err != nil {
+		c.opts.Logger.V(1).Info("shards of other data centres not read", "error", err.Error())
+	}
+}
+
+func (c *Controller) noteForeign(rows []Record) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, r := range rows {
+		if r.Key.DataCentre != c.dc {
+			c.note(r)
+			c.read[r.Key] = c.opts.Clock.Now()
+		}
+	}
+}
+
+// refreshAfter is the age at which a cached row is read again when a peer asks.
+const refreshAfter = 5 * time.Second
+
+// readForeign reads the rows that are not in the cache or are older than refreshAfter.
+func (c *Controller) readForeign(ctx context.Context, keys []Key) error {
+	var rowKeys []string
+	c.mu.Lock()
+	for _, k := range keys {
+		if k.DataCentre != c.dc && c.opts.Clock.Now().Sub(c.read[k]) > refreshAfter {
+			rowKeys = append(rowKeys, RowKey(k))
+		}
+	}
+	c.mu.Unlock()
+	if len(rowKeys) == 0 {
+		return nil
+	}
+	rows, err := c.opts.Table.Get(ctx, rowKeys...)
+	if err != nil {
+		return err
+	}
+	c.noteForeign(parseRows(rows))
+	return nil
+}
