--- a/internal/ticket/applier.go
+++ b/internal/ticket/applier.go
@@ -66,14 +66,16 @@
 )
 
 const (
-	jitter       = 0.2     // fraction by which intervals vary either way
-	inboxSize    = 64      // updates on their way to the applier
-	recentCount  = 1024    // tickets kept for peers
-	recentBytes  = 2 << 20 // bytes of tickets kept for peers
-	unknownAge   = time.Duration(math.MaxInt64)
+	jitter       = 0.2       // fraction by which intervals vary either way
+	inboxSize    = 64        // updates on their way to the applier
+	recentCount  = 1024      // tickets kept for peers
+	recentBytes  = 2 << 20   // bytes of tickets kept for peers
 	announceSize = 256 << 10 // bytes of tickets in one announcement
 )
 
+// UnknownAge is the age of a configuration that was never known to be current.
+const UnknownAge = time.Duration(math.MaxInt64)
+
 // Applier applies accepted tickets in order and holds the configuration in force on
 // this instance. It implements config.Source.
 //
@@ -171,7 +173,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if !a.known {
-		return unknownAge
+		return UnknownAge
 	}
 	return a.o.Clock.Now().Sub(a.currentAt)
 }
@@ -511,7 +513,7 @@
 	if err != nil {
 		return update{}, err
 	}
-	if tail.Age == unknownAge {
+	if tail.Age == UnknownAge {
 		return update{}, errors.New("peer does not know the configuration's age")
 	}
 	return update{tail: tail, origin: fromPeer, at: now.Add(-tail.Age)}, nil
--- a/internal/ticket/applier_test.go
+++ b/internal/ticket/applier_test.go
@@ -196,7 +196,7 @@
 	a.Offer(Tail{Head: 5, Tickets: rows[2:5]})
 	waitApplied(t, a, 5)
 	assert.Equal(t, a.Applied(), uint64(5))
-	assert.Equal(t, a.Age(), unknownAge)
+	assert.Equal(t, a.Age(), UnknownAge)
 	store.Down(false)
 	waitApplied(t, a, 9)
 }
