Add the daemon, its callers' front, a fleet on loopback and caraway-dev

Cause: the whole path has to run before its parts are refined. Change: front parses requests on fasthttp, runs the filter chain and streams answers; a caller's departure is seen at its socket; entry assembles the daemon; fleet runs a deployment in one process behind gates that can kill, pause or cut an instance's network; caraway-dev shows a streamed completion with nine instances. Operations are refused until their store is in place; limits are not enforced yet.

--- /dev/null
+++ b/cmd/caraway-entry/main.go
@@ -0,0 +1,58 @@
+// Command caraway-entry is the router's daemon: one runs on every entry instance.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"carawayrouter.example/router/internal/cli"
+	"carawayrouter.example/router/internal/entry"
+	"carawayrouter.example/router/internal/logging"
+	"carawayrouter.example/router/internal/platform/httpplatform"
+	"carawayrouter.example/router/internal/settings"
+)
+
+const program = "caraway-entry"
+
+type args struct {
+	cli.Common
+}
+
+// Version implements go-arg's Versioned.
+func (args) Version() string { return cli.Version(program) }
+
+func main() {
+	var a args
+	cli.Parse(program, &a)
+	if a.Settings == "" {
+		cli.Exit(program, cli.ExitUsage, fmt.Errorf("--settings FILE is required"))
+	}
+	var s entry.Settings
+	if err := settings.Load(a.Settings, &s); err != nil {
+		cli.Exit(program, cli.ExitUsage, err)
+	}
+	if err := s.Validate(a.Settings); err != nil {
+		cli.Exit(program, cli.ExitUsage, err)
+	}
+	if a.Check {
+		fmt.Printf("%s: settings are valid\n", a.Settings)
+		return
+	}
+	run(s, a.Settings)
+}
+
+// run serves until a signal, drains, and exits; a second signal ends it at once.
+func run(s entry.Settings, file string) {
+	log := logging.New(os.Stderr, program, s.Log.Verbosity)
+	daemon, err := entry.New(s, entry.Deps{
+		Platform: httpplatform.Client(s.Platform.Addr, s.Instance.DataCentre),
+		Log:      log,
+	})
+	if err != nil {
+		cli.Exit(program, cli.ExitUsage, fmt.Errorf("%s: %w", file, err))
+	}
+	first, second := cli.Signals()
+	if err := daemon.Run(first, second); err != nil {
+		cli.Exit(program, cli.ExitFailed, err)
+	}
+}
--- a/internal/endpoint/httpendpoint/dialer.go
+++ b/internal/endpoint/httpendpoint/dialer.go
@@ -1,6 +1,8 @@
 package httpendpoint
 
 import (
+	"context"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -24,6 +26,8 @@
 	ServiceIdle    time.Duration // longest silence of a plain service
 	MaxConns       int           // connections to one endpoint, for each kind of call
 	MaxClients     int           // endpoints whose clients are kept
+	// DialContext makes the connections; net.Dialer's if nil.
+	DialContext func(ctx context.Context, network, addr string) (net.Conn, error)
 }
 
 func (o Options) withDefaults() Options {
@@ -42,6 +46,9 @@
 	if o.MaxClients <= 0 {
 		o.MaxClients = DefaultMaxClients
 	}
+	if o.DialContext == nil {
+		o.DialContext = new(net.Dialer).DialContext
+	}
 	return o
 }
 
--- a/internal/endpoint/httpendpoint/transport.go
+++ b/internal/endpoint/httpendpoint/transport.go
@@ -54,10 +54,11 @@
 
 // newTransport returns a transport for one endpoint.
 func newTransport(o Options, idle time.Duration) *http.Transport {
-	d := net.Dialer{Timeout: o.ConnectTimeout}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			c, err := d.DialContext(ctx, network, addr)
+			ctx, cancel := context.WithTimeout(ctx, o.ConnectTimeout)
+			defer cancel()
+			c, err := o.DialContext(ctx, network, addr)
 			if err != nil {
 				return nil, err
 			}
--- /dev/null
+++ b/internal/entry/daemon.go
@@ -0,0 +1,254 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+	"golang.org/x/sync/errgroup"
+
+	"carawayrouter.example/router/internal/cancel"
+	"carawayrouter.example/router/internal/clock"
+	"carawayrouter.example/router/internal/endpoint"
+	"carawayrouter.example/router/internal/event"
+	"carawayrouter.example/router/internal/filter"
+	"carawayrouter.example/router/internal/filters"
+	"carawayrouter.example/router/internal/front"
+	"carawayrouter.example/router/internal/metrics"
+	"carawayrouter.example/router/internal/netgate"
+	"carawayrouter.example/router/internal/platform"
+	"carawayrouter.example/router/internal/reqid"
+	"carawayrouter.example/router/internal/retry"
+)
+
+const (
+	retryBudgetLimit = 20 // retries
+	retryBase        = 20 * time.Millisecond
+	retryCap         = time.Second
+	leaveTimeout     = 2 * time.Second
+)
+
+// Deps are what a daemon needs besides its settings. Zero fields take defaults.
+type Deps struct {
+	Platform  platform.Platform
+	Clock     clock.Clock
+	Seed      uint64 // of random choices; 0 takes a random seed
+	Log       logr.Logger
+	Listeners Listeners
+	Network   Network
+	Policy    Policy
+}
+
+// Listeners are the sockets of a daemon; nil ones are opened from the settings.
+type Listeners struct{ Callers, Peers, Operator net.Listener }
+
+// open opens the listeners that are nil.
+func (l *Listeners) open(s ListenSettings) error {
+	for _, x := range []struct {
+		name string
+		addr string
+		ln   *net.Listener
+	}{
+		{"listen.callers", s.Callers, &l.Callers},
+		{"listen.peers", s.Peers, &l.Peers},
+		{"listen.operator", s.Operator, &l.Operator},
+	} {
+		if *x.ln != nil {
+			continue
+		}
+		ln, err := net.Listen("tcp", x.addr)
+		if err != nil {
+			l.close()
+			return errors.Newf("%s: %s: cannot listen: %s", x.name, x.addr, socketReason(err))
+		}
+		*x.ln = ln
+	}
+	return nil
+}
+
+func (l *Listeners) close() {
+	for _, ln := range []net.Listener{l.Callers, l.Peers, l.Operator} {
+		if ln != nil {
+			_ = ln.Close()
+		}
+	}
+}
+
+// socketReason returns the system's word for a failed socket call.
+func socketReason(err error) string {
+	var se *os.SyscallError
+	if errors.As(err, &se) {
+		return se.Err.Error()
+	}
+	return err.Error()
+}
+
+// Daemon is one entry instance.
+type Daemon struct {
+	settings  Settings
+	gate      *netgate.Gate
+	deps      Deps
+	listeners Listeners
+	events    *event.Ring
+	metrics   *metrics.Set
+	dialer    endpoint.Dialer
+	canceller *cancel.Canceller
+	front     *front.Server
+	parts     *parts
+}
+
+// New assembles a daemon and opens its listeners. Errors are faults of settings.
+func New(s Settings, d Deps) (*Daemon, error) {
+	if d.Clock == nil {
+		d.Clock = clock.Real{}
+	}
+	if d.Seed == 0 {
+		d.Seed = rand.Uint64()
+	}
+	if d.Network.Gate == nil {
+		d.Network.Gate = netgate.New(nil)
+	}
+	daemon := &Daemon{
+		gate:      d.Network.Gate,
+		settings:  s,
+		deps:      d,
+		listeners: d.Listeners,
+		events:    event.NewRing(s.Instance.Name, s.Log.Events, d.Clock),
+		metrics:   metrics.New(),
+	}
+	if err := daemon.listeners.open(s.Listen); err != nil {
+		return nil, err
+	}
+	daemon.dialer = newDialer(s.Requests, daemon.gate)
+	daemon.canceller = cancel.New(daemon.dialer, daemon.events, daemon.metrics)
+	if err := daemon.assemble(); err != nil {
+		daemon.listeners.close()
+		return nil, err
+	}
+	return daemon, nil
+}
+
+// random returns a random source for one part of the daemon.
+func (d *Daemon) random(part uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(d.deps.Seed, part))
+}
+
+// chain builds the filter chain.
+func (d *Daemon) chain() filter.Handler {
+	p := d.parts
+	return filter.Chain(
+		&filters.Route{Config: p.config},
+		&filters.Identify{Config: p.config},
+		&filters.RateLimit{Limiter: p.limiter},
+		&filters.Operation{Store: p.operations, Events: d.events},
+		&filters.Retry{
+			MaxAttempts: d.settings.Requests.MaxAttempts,
+			Budget:      retry.NewBudget(d.settings.Requests.RetryBudget, retryBudgetLimit),
+			Backoff:     retry.NewBackoff(retryBase, retryCap, d.random(seedRetry)),
+			Clock:       d.deps.Clock,
+			Events:      d.events,
+			Metrics:     d.metrics,
+		},
+		&filters.Schedule{Scheduler: p.scheduler, Events: d.events, Metrics: d.metrics},
+		&filters.Authorize{Config: p.config},
+		&filters.Dispatch{
+			Dialer:    d.dialer,
+			Canceller: d.canceller,
+			Clock:     d.deps.Clock,
+			Events:    d.events,
+			Metrics:   d.metrics,
+		},
+	)
+}
+
+func (d *Daemon) newFront(ids *reqid.Source) *front.Server {
+	return front.New(front.Options{
+		Chain:        d.chain(),
+		IDs:          ids,
+		Config:       d.parts.config,
+		Operations:   d.parts.operations,
+		Clock:        d.deps.Clock,
+		Log:          d.deps.Log,
+		Events:       d.events,
+		Metrics:      d.metrics,
+		MaxBody:      d.settings.Requests.MaxBody,
+		MaxOutput:    d.settings.Requests.MaxOutput,
+		Connections:  d.settings.Listen.Connections,
+		ReadTimeout:  d.settings.Listen.ReadTimeout,
+		IdleTimeout:  d.settings.Listen.IdleTimeout,
+		WriteTimeout: d.settings.Listen.WriteTimeout,
+	})
+}
+
+// Run serves until drain ends, then finishes the running requests and hands back
+// what the instance holds. When force ends, it stops at once and logs what it cut.
+func (d *Daemon) Run(drain, force context.Context) error {
+	controllers, stopControllers := context.WithCancel(force)
+	defer stopControllers()
+	g, ctx := errgroup.WithContext(controllers)
+	for _, c := range d.parts.controllers {
+		g.Go(func() error { return c(ctx) })
+	}
+	g.Go(func() error { return d.canceller.Run(ctx) })
+	g.Go(func() error { return d.front.Serve(d.gate.Listener(d.listeners.Callers)) })
+	d.deps.Log.Info("serving", "callers", d.settings.Listen.Callers)
+
+	select {
+	case <-drain.Done():
+	case <-force.Done():
+	case <-ctx.Done():
+	}
+	d.shutDown(ctx, force)
+	stopControllers()
+	err := g.Wait()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// shutDown leaves the platform's list, waits for running requests, then closes the
+// front and hands back rights.
+func (d *Daemon) shutDown(ctx, force context.Context) {
+	if force.Err() == nil && ctx.Err() == nil {
+		d.leave()
+	}
+	waitCtx, stop := context.WithTimeout(force, d.drainTimeout())
+	defer stop()
+	if cut := d.front.Drain(waitCtx); cut > 0 {
+		d.deps.Log.Info("shutdown cuts running requests", "requests", cut)
+	}
+	if err := d.front.Close(); err != nil {
+		d.deps.Log.Error(err, "close callers' connections")
+	}
+	if force.Err() == nil {
+		d.parts.handOver()
+	}
+	d.listeners.close()
+}
+
+// leave tells the platform's balancer to send no more callers.
+func (d *Daemon) leave() {
+	ctx, stop := context.WithTimeout(context.Background(), leaveTimeout)
+	defer stop()
+	if err := d.deps.Platform.Instances.Leave(ctx, d.settings.Instance.Name); err != nil {
+		d.deps.Log.Info("platform not told of shutdown", "error", err.Error())
+	}
+	d.events.Add(event.Event{Kind: "instance.drain"})
+}
+
+// drainTimeout bounds a shutdown: the setting, or the longest route deadline.
+func (d *Daemon) drainTimeout() time.Duration {
+	longest := d.settings.Requests.Drain
+	if longest > 0 {
+		return longest
+	}
+	for _, r := range d.parts.config.Current().Routes {
+		longest = max(longest, r.Deadline)
+	}
+	return longest
+}
--- /dev/null
+++ b/internal/entry/validate.go
@@ -0,0 +1,56 @@
+package entry
+
+import (
+	"net"
+	"slices"
+	"strings"
+
+	"carawayrouter.example/router/internal/settings"
+)
+
+// Validate checks what no single setting shows. Errors are *settings.FileError.
+func (s *Settings) Validate(file string) error {
+	fault := func(name, allowed string) error {
+		return &settings.FileError{File: file, Name: name, Allowed: allowed}
+	}
+	if s.Instance.Name == "" || strings.ContainsAny(s.Instance.Name, "./ ") {
+		return fault("instance.name", "must be a name without dots, slashes and spaces")
+	}
+	if !slices.Contains(s.Instance.DataCentres, s.Instance.DataCentre) {
+		return fault("instance.data_centre", "must be one of instance.data_centres")
+	}
+	for name, addr := range map[string]string{
+		"listen.callers":  s.Listen.Callers,
+		"listen.peers":    s.Listen.Peers,
+		"listen.operator": s.Listen.Operator,
+		"platform.addr":   s.Platform.Addr,
+	} {
+		if !isIPPort(addr) {
+			return fault(name, "must be IP:port, for example 127.0.0.1:7000")
+		}
+	}
+	if s.Peers.Plain {
+		if !isLoopback(s.Listen.Peers) {
+			return fault("peers.plain", "is allowed with a loopback listen.peers only")
+		}
+		return nil
+	}
+	if s.Peers.Cert == "" || s.Peers.Key == "" || s.Peers.CA == "" {
+		return fault("peers.cert", "peers.cert, peers.key and peers.ca are required unless peers.plain = true")
+	}
+	return nil
+}
+
+func isIPPort(addr string) bool {
+	host, port, err := net.SplitHostPort(addr)
+	return err == nil && net.ParseIP(host) != nil && port != ""
+}
+
+func isLoopback(addr string) bool {
+	host, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		return false
+	}
+	ip := net.ParseIP(host)
+	return ip != nil && ip.IsLoopback()
+}
--- /dev/null
+++ b/internal/front/conn.go
@@ -0,0 +1,98 @@
+// Package front is the callers' HTTP interface: it parses requests, runs the filter
+// chain and writes answers and errors.
+package front
+
+import (
+	"net"
+	"syscall"
+	"time"
+)
+
+// listener gives every accepted connection a deadline on each write and a TCP user
+// timeout, so that a caller that went silent cannot hold a request.
+type listener struct {
+	net.Listener
+	writeTimeout time.Duration
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	if sc, ok := socket(c); ok {
+		_ = setUserTimeout(sc, l.writeTimeout)
+	}
+	return &conn{Conn: c, writeTimeout: l.writeTimeout}, nil
+}
+
+// conn is a caller's connection.
+type conn struct {
+	net.Conn
+	writeTimeout time.Duration
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(b []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(c.writeTimeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(b)
+}
+
+// gone reports whether the caller has closed its side of the connection. Bytes
+// that wait to be read do not count.
+func (c *conn) gone() bool {
+	sc, ok := socket(c.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return true
+	}
+	closed := false
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case err == syscall.EAGAIN || err == syscall.EINTR:
+		case err != nil || n == 0:
+			closed = true
+		}
+	})
+	return closed || err != nil
+}
+
+// tcpUserTimeout is TCP_USER_TIMEOUT of Linux, which package syscall lacks.
+const tcpUserTimeout = 18
+
+// socket returns the socket below wrapped connections.
+func socket(c net.Conn) (syscall.Conn, bool) {
+	for {
+		if sc, ok := c.(syscall.Conn); ok {
+			return sc, true
+		}
+		w, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			return nil, false
+		}
+		c = w.NetConn()
+	}
+}
+
+func setUserTimeout(c syscall.Conn, d time.Duration) error {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var inner error
+	err = raw.Control(func(fd uintptr) {
+		inner = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(d.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return inner
+}
--- /dev/null
+++ b/internal/netgate/netgate.go
@@ -0,0 +1,210 @@
+// Package netgate passes a daemon's connections through a gate that can kill the
+// daemon's network, pause it, and cut the links to some addresses. Deployments in one
+// process use it to make an instance fail as a process would.
+package netgate
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrDead is returned for connections of a daemon that was killed.
+var ErrDead = errors.New("network of a killed instance")
+
+// Gate is the network of one daemon. It is safe for concurrent use.
+type Gate struct {
+	cut func(addr string) bool // link to addr is cut; nil: never
+
+	mu     sync.Mutex
+	open   sync.Cond // broadcast when paused ends
+	paused bool
+	dead   bool
+	conns  map[*conn]struct{}
+}
+
+// New returns an open Gate. cut tells whether the link to an address is cut now.
+func New(cut func(addr string) bool) *Gate {
+	g := &Gate{cut: cut, conns: map[*conn]struct{}{}}
+	g.open.L = &g.mu
+	return g
+}
+
+// Kill breaks all connections at once and refuses new ones for good.
+func (g *Gate) Kill() {
+	g.mu.Lock()
+	g.dead = true
+	g.paused = false
+	conns := g.conns
+	g.conns = map[*conn]struct{}{}
+	g.open.Broadcast()
+	g.mu.Unlock()
+	for c := range conns {
+		if t, ok := c.Conn.(*net.TCPConn); ok {
+			_ = t.SetLinger(0)
+		}
+		_ = c.Conn.Close()
+	}
+}
+
+// Pause holds up all reads and writes until Resume or Kill.
+func (g *Gate) Pause() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.paused = true
+}
+
+// Resume ends a pause.
+func (g *Gate) Resume() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.paused = false
+	g.open.Broadcast()
+}
+
+// Paused reports whether the gate is paused.
+func (g *Gate) Paused() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.paused
+}
+
+// pass waits while the gate is paused and fails once it is dead.
+func (g *Gate) pass() error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for g.paused && !g.dead {
+		g.open.Wait()
+	}
+	if g.dead {
+		return ErrDead
+	}
+	return nil
+}
+
+func (g *Gate) isCut(addr string) bool { return addr != "" && g.cut != nil && g.cut(addr) }
+
+// DialContext connects like net.Dialer. Over a cut link it waits until ctx ends.
+func (g *Gate) DialContext(ctx context.Context, network, addr string) (net.Conn, error) {
+	if err := g.pass(); err != nil {
+		return nil, err
+	}
+	if g.isCut(addr) {
+		<-ctx.Done()
+		return nil, &net.OpError{Op: "dial", Net: network, Err: ctx.Err()}
+	}
+	var d net.Dialer
+	c, err := d.DialContext(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	return g.attach(c, addr)
+}
+
+// Listener passes the connections that ln accepts through the gate.
+func (g *Gate) Listener(ln net.Listener) net.Listener { return &listener{Listener: ln, gate: g} }
+
+func (g *Gate) attach(c net.Conn, remote string) (net.Conn, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.dead {
+		_ = c.Close()
+		return nil, ErrDead
+	}
+	gc := &conn{Conn: c, gate: g, remote: remote}
+	g.conns[gc] = struct{}{}
+	return gc, nil
+}
+
+type listener struct {
+	net.Listener
+	gate *Gate
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		gc, err := l.gate.attach(c, "")
+		if err == nil {
+			return gc, nil
+		}
+	}
+}
+
+// conn is one connection through a gate. Once it lost bytes to a cut it stays
+// silent for good, as a connection does whose state the network has dropped.
+type conn struct {
+	net.Conn
+	gate   *Gate
+	remote string // dialled address; empty for accepted connections
+
+	mu     sync.Mutex
+	silent bool
+}
+
+// NetConn returns the connection below.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
+// lost reports whether bytes that pass now are lost.
+func (c *conn) lost() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.silent && c.gate.isCut(c.remote) {
+		c.silent = true
+	}
+	return c.silent
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		if gateErr := c.gate.pass(); gateErr != nil {
+			return 0, gateErr
+		}
+		if !c.lost() {
+			return n, err
+		}
+		if err != nil && errors.Is(err, net.ErrClosed) || isTimeout(err) {
+			return 0, err
+		}
+		if err != nil {
+			// The end of a silent connection does not arrive either.
+			time.Sleep(silentPoll)
+		}
+	}
+}
+
+// silentPoll is how often a silent connection looks for its deadline or close.
+const silentPoll = 20 * time.Millisecond
+
+func isTimeout(err error) bool {
+	var ne net.Error
+	return errors.As(err, &ne) && ne.Timeout()
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(b []byte) (int, error) {
+	if err := c.gate.pass(); err != nil {
+		return 0, err
+	}
+	if c.lost() {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.gate.mu.Lock()
+	delete(c.gate.conns, c)
+	c.gate.mu.Unlock()
+	return c.Conn.Close()
+}
--- a/internal/peer/rpc/client.go
+++ b/internal/peer/rpc/client.go
@@ -249,8 +249,7 @@
 			return nil, ctx.Err()
 		}
 	}
-	var d net.Dialer
-	raw, err := d.DialContext(ctx, "tcp", addr)
+	raw, err := c.opts.Dial(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/peer/rpc/options.go
+++ b/internal/peer/rpc/options.go
@@ -3,6 +3,7 @@
 package rpc
 
 import (
+	"context"
 	"net"
 	"time"
 
@@ -43,6 +44,9 @@
 	Idle        time.Duration
 	UserTimeout time.Duration
 
+	// Dial makes the client's connections; net.Dialer's if nil.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+
 	// Reach, if set, gives the state of the link to an address. Client only.
 	Reach func(addr string) LinkState
 
@@ -56,6 +60,9 @@
 	setDefault(&o.DialTimeout, DefaultDialTimeout)
 	setDefault(&o.Idle, DefaultIdle)
 	setDefault(&o.UserTimeout, DefaultUserTimeout)
+	if o.Dial == nil {
+		o.Dial = new(net.Dialer).DialContext
+	}
 	if o.Logger.GetSink() == nil {
 		o.Logger = logr.Discard()
 	}
