--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -3,7 +3,9 @@
 package front
 
 import (
+	"io"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -31,6 +33,27 @@
 type conn struct {
 	net.Conn
 	writeTimeout time.Duration
+	linger       atomic.Bool // the caller is still sending a request that was refused
+}
+
+// Bounds of reading the rest of a refused request, so that the caller can read the
+// refusal before its connection is reset.
+const (
+	lingerTime  = time.Second
+	lingerBytes = 64 << 20
+)
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	if !c.linger.Load() {
+		return c.Conn.Close()
+	}
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		_ = w.CloseWrite()
+	}
+	_ = c.SetReadDeadline(time.Now().Add(lingerTime))
+	_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
+	return c.Conn.Close()
 }
 
 // Write implements net.Conn.
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -122,6 +122,9 @@
 	e := errkind.New(errkind.BadRequest, "the request could not be read")
 	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
 		e = errkind.New(errkind.BodyTooLarge, "the request body is too large")
+		if c, ok := ctx.Conn().(*conn); ok {
+			c.linger.Store(true)
+		}
 	}
 	s.o.Metrics.Refused[e.Kind].Add(1)
 	ctx.SetConnectionClose()
--- a/internal/netgate/netgate.go
+++ b/internal/netgate/netgate.go
@@ -201,6 +201,14 @@
 	return c.Conn.Write(b)
 }
 
+// CloseWrite ends the sending side.
+func (c *conn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.gate.mu.Lock()
