operator, rollout: the operator port of an instance

Operators on call read the newest ticket, how far it is in force, who is behind, which data centres are cut off and which accounts are being refused from a phone. Whoever shows no operator token gets an empty 401; tokens are compared by hash in constant time. Browsers may send the token as the password of the basic scheme.

--- /dev/null
+++ b/internal/operator/operator_test.go
@@ -0,0 +1,141 @@
+package operator
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"gotest.tools/v3/assert"
+
+	"carawayrouter.example/router/internal/clock"
+	"carawayrouter.example/router/internal/config"
+	"carawayrouter.example/router/internal/errkind"
+	"carawayrouter.example/router/internal/event"
+	"carawayrouter.example/router/internal/platform"
+	"carawayrouter.example/router/internal/platform/memplatform"
+	"carawayrouter.example/router/internal/ticket"
+)
+
+const token = "operator-token"
+
+type fixed struct {
+	state *config.State
+	age   time.Duration
+}
+
+func (f fixed) Current() *config.State { return f.state }
+func (f fixed) Age() time.Duration     { return f.age }
+
+type cuts []string
+
+func (c cuts) CutOff() []string { return c }
+
+type refusals []Refusal
+
+func (r refusals) Refusals() []Refusal { return r }
+
+// fixture is a store with two tickets and three instances, one of them behind.
+func fixture(t *testing.T) (*memplatform.Store, fasthttp.RequestHandler) {
+	t.Helper()
+	ctx := context.Background()
+	store := memplatform.New(memplatform.Options{})
+	table := store.For("a").Table
+	for i := range 2 {
+		_, err := ticket.Submit(ctx, table, "ana", ticket.NewDraft("", ticket.PutAccount(&config.Account{Name: "x", Rate: float64(i + 1)})))
+		assert.NilError(t, err)
+	}
+	for i, applied := range []int{2, 1, 2} {
+		row := fmt.Sprintf(`{"name":"e%d","addr":"127.0.0.1:1","data_centre":"a","epoch":1,"applied":%d}`, i, applied)
+		_, err := table.Commit(ctx, platform.Txn{Writes: []platform.Write{{Key: fmt.Sprintf("session/e%d", i), Value: []byte(row)}}})
+		assert.NilError(t, err)
+	}
+	sum := sha256.Sum256([]byte(token))
+	ring := event.NewRing("e0", 8, clock.Real{})
+	ring.Add(event.Event{Kind: "x.y"})
+	h, err := Handler(Options{
+		Instance: "e0", DataCentre: "a", Version: "v1", Tokens: []string{hex.EncodeToString(sum[:])},
+		Config: fixed{config.Build(2, nil), 3 * time.Second}, Table: table, Ring: ring,
+		Cuts: cuts{"dohoku-c"}, Refusals: refusals{{Account: "<b>x", Kind: errkind.OverRate, Count: 7}},
+	})
+	assert.NilError(t, err)
+	return store, h
+}
+
+func get(h fasthttp.RequestHandler, path, authorization string) (int, string) {
+	var rc fasthttp.RequestCtx
+	rc.Request.SetRequestURI(path)
+	if authorization != "" {
+		rc.Request.Header.Set("Authorization", authorization)
+	}
+	h(&rc)
+	return rc.Response.StatusCode(), string(rc.Response.Body())
+}
+
+func TestOnlyOperatorsGetAnything(t *testing.T) {
+	_, h := fixture(t)
+	basic := func(password string) string {
+		return "Basic " + base64.StdEncoding.EncodeToString([]byte("me:"+password))
+	}
+	for _, path := range []string{"/", "/status", "/events", "/metrics", "/tickets/1", "/none"} {
+		for _, auth := range []string{"", "Bearer wrong", "Bearer " + token + "x", token, basic("wrong"), basic(""), "Basic !"} {
+			status, body := get(h, path, auth)
+			assert.Equal(t, status, 401, "%s %s", path, auth)
+			assert.Equal(t, body, "")
+		}
+		status, _ := get(h, path, "Bearer "+token)
+		assert.Assert(t, status == 200 || path == "/none", path)
+	}
+	status, _ := get(h, "/", basic(token))
+	assert.Equal(t, status, 200)
+	_, err := Handler(Options{})
+	assert.ErrorContains(t, err, "at least one is required")
+	_, err = Handler(Options{Tokens: []string{"abc"}})
+	assert.ErrorContains(t, err, "64 hexadecimal digits")
+}
+
+func TestStatusNamesLaggards(t *testing.T) {
+	store, h := fixture(t)
+	_, body := get(h, "/status", "Bearer "+token)
+	var s Status
+	assert.NilError(t, json.Unmarshal([]byte(body), &s))
+	assert.Equal(t, s.Accepted, uint64(2))
+	assert.Equal(t, s.Progress.InForce, 2)
+	assert.Equal(t, s.Progress.Instances, 3)
+	assert.Equal(t, s.Progress.Laggards[0].Name, "e1")
+	assert.Equal(t, s.AgeSeconds, 3.0)
+	store.Down(true)
+	_, body = get(h, "/status", "Bearer "+token)
+	assert.NilError(t, json.Unmarshal([]byte(body), &s))
+	assert.Assert(t, s.StoreError != "")
+	assert.Equal(t, s.Applied, uint64(2))
+}
+
+func TestPage(t *testing.T) {
+	store, h := fixture(t)
+	_, body := get(h, "/", "Bearer "+token)
+	for _, want := range []string{"<h1>Ticket 2</h1>", "in force on 2 of 3", "e1: at 1", "dohoku-c", "&lt;b&gt;x: 7 over_rate", "current 3s ago", "width=device-width"} {
+		assert.Assert(t, strings.Contains(body, want), "%q not in page", want)
+	}
+	store.Down(true)
+	_, body = get(h, "/", "Bearer "+token)
+	assert.Assert(t, strings.Contains(body, "The store cannot be read"))
+}
+
+func TestTicketsAndEvents(t *testing.T) {
+	_, h := fixture(t)
+	_, body := get(h, "/tickets/2", "Bearer "+token)
+	tk, err := ticket.DecodeTicket([]byte(body))
+	assert.NilError(t, err)
+	assert.Equal(t, tk.Changes[0].Account.Rate, 2.0)
+	for path, want := range map[string]int{"/tickets/3": 404, "/tickets/x": 400, "/events?after=-1": 400, "/events?after=1": 200} {
+		status, _ := get(h, path, "Bearer "+token)
+		assert.Equal(t, status, want, path)
+	}
+}
