caraway-ctl: tickets, keys and status from the command line

Lines have at most 40 columns. Exit 2 for faults in arguments, settings or the ticket file (nothing was done), 1 for a command that failed or was refused. With the store down, status shows what the configured instance's operator port knows.

Keys now hold 24 random bytes, so that a key is 36 characters and fits one such line; 192 bits are beyond guessing.

Exported, ctl: Args, Run(ctx, Args, io.Writer) error, IsUsage, Settings.

--- /dev/null
+++ b/internal/ctl/ctl.go
@@ -0,0 +1,210 @@
+// Package ctl is the operators' command line: tickets, keys and status, in lines
+// that fit a phone or as JSON.
+package ctl
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"io"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"carawayrouter.example/router/internal/clock"
+	"carawayrouter.example/router/internal/platform"
+	"carawayrouter.example/router/internal/platform/httpplatform"
+	"carawayrouter.example/router/internal/settings"
+	"carawayrouter.example/router/internal/ticket"
+)
+
+// Settings are those of the command line.
+type Settings struct {
+	Platform struct {
+		Addr       string        `ini:"addr" doc:"IP:port of the platform's services"`
+		DataCentre string        `ini:"data_centre" default:"" doc:"data centre that the commands run in"`
+		Timeout    time.Duration `ini:"timeout" default:"30s" min:"100ms" max:"10m" doc:"longest time for one command other than wait"`
+	} `ini:"platform"`
+	Operator struct {
+		Name     string `ini:"name" doc:"author of tickets"`
+		Instance string `ini:"instance" default:"" doc:"IP:port of an instance's operator port, asked for its status"`
+		Token    string `ini:"token" default:"" doc:"operator token for that port"`
+	} `ini:"operator"`
+}
+
+// Args are the command line's arguments.
+type Args struct {
+	Settings string     `arg:"--settings" placeholder:"FILE" default:"caraway-ctl.ini" help:"settings file (INI)"`
+	Check    bool       `arg:"--check" help:"check the settings and exit"`
+	JSON     bool       `arg:"--json" help:"write JSON"`
+	Ticket   *TicketCmd `arg:"subcommand:ticket" help:"submit, show, wait for, compare and check tickets"`
+	Key      *KeyCmd    `arg:"subcommand:key" help:"issue and withdraw keys"`
+	Status   *StatusCmd `arg:"subcommand:status" help:"show the newest ticket and where it is in force"`
+}
+
+// TicketCmd groups the commands on tickets.
+type TicketCmd struct {
+	Submit *SubmitCmd `arg:"subcommand:submit" help:"submit a ticket file"`
+	Show   *ShowCmd   `arg:"subcommand:show" help:"show an accepted ticket"`
+	Wait   *WaitCmd   `arg:"subcommand:wait" help:"wait until a ticket is in force everywhere"`
+	Diff   *DiffCmd   `arg:"subcommand:diff" help:"show what a file changes, or what changed between two tickets"`
+	Check  *CheckCmd  `arg:"subcommand:check" help:"validate a ticket file without submitting it"`
+}
+
+// SubmitCmd submits a ticket file.
+type SubmitCmd struct {
+	File       string        `arg:"positional,required" placeholder:"FILE"`
+	Submission string        `arg:"--submission" placeholder:"ID" help:"settle an earlier submission whose outcome is not known"`
+	Wait       bool          `arg:"--wait" help:"wait until it is in force everywhere"`
+	Timeout    time.Duration `arg:"--timeout" default:"30s" help:"longest wait"`
+}
+
+// ShowCmd shows a ticket.
+type ShowCmd struct {
+	Number uint64 `arg:"positional,required" placeholder:"N"`
+}
+
+// WaitCmd waits for a ticket.
+type WaitCmd struct {
+	Number  uint64        `arg:"positional,required" placeholder:"N"`
+	Timeout time.Duration `arg:"--timeout" default:"30s" help:"longest wait"`
+}
+
+// DiffCmd compares configurations.
+type DiffCmd struct {
+	From string `arg:"positional,required" placeholder:"FILE|N"`
+	To   string `arg:"positional" placeholder:"M"`
+}
+
+// CheckCmd validates a ticket file.
+type CheckCmd struct {
+	File    string `arg:"positional,required" placeholder:"FILE"`
+	Offline bool   `arg:"--offline" help:"check the file alone, without the configuration in force"`
+}
+
+// KeyCmd groups the commands on keys.
+type KeyCmd struct {
+	Issue    *IssueCmd    `arg:"subcommand:issue" help:"issue a key; it is shown once"`
+	Withdraw *WithdrawCmd `arg:"subcommand:withdraw" help:"withdraw a key"`
+}
+
+// IssueCmd issues a key.
+type IssueCmd struct {
+	Account string `arg:"--account,required" placeholder:"NAME" help:"account that the key belongs to"`
+	ID      string `arg:"--id" help:"ID of the key; made up if absent"`
+}
+
+// WithdrawCmd withdraws a key.
+type WithdrawCmd struct {
+	ID      string        `arg:"positional,required" placeholder:"ID"`
+	Wait    bool          `arg:"--wait" help:"wait until it is in force everywhere"`
+	Timeout time.Duration `arg:"--timeout" default:"30s" help:"longest wait"`
+}
+
+// StatusCmd shows the fleet's status.
+type StatusCmd struct{}
+
+// UsageError is a fault in arguments, settings or a ticket file.
+type UsageError struct{ cause error }
+
+// Error implements error.
+func (e *UsageError) Error() string { return e.cause.Error() }
+
+// Unwrap returns the fault.
+func (e *UsageError) Unwrap() error { return e.cause }
+
+func usage(err error) error {
+	if err == nil {
+		return nil
+	}
+	return &UsageError{err}
+}
+
+// IsUsage reports whether err is a fault in arguments, settings or a ticket file;
+// such commands have no effect.
+func IsUsage(err error) bool {
+	var u *UsageError
+	var f *settings.FileError
+	return errors.As(err, &u) || errors.As(err, &f)
+}
+
+// Run carries out the command that the arguments name.
+func Run(ctx context.Context, a Args, out io.Writer) error {
+	if !a.Check && a.Ticket == nil && a.Key == nil && a.Status == nil {
+		return usage(errors.New("a command is required: ticket, key or status"))
+	}
+	c, err := newCommand(a, out)
+	if err != nil {
+		return err
+	}
+	if a.Check {
+		return c.print(checked{File: a.Settings}, func(p *lines) { p.add("%s: settings are valid", a.Settings) })
+	}
+	switch {
+	case a.Ticket != nil:
+		return c.ticket(ctx, a.Ticket)
+	case a.Key != nil:
+		return c.key(ctx, a.Key)
+	}
+	return c.status(ctx)
+}
+
+type checked struct {
+	File string `json:"file"`
+}
+
+// command is one run of the program.
+type command struct {
+	settings Settings
+	platform platform.Platform
+	clock    clock.Clock
+	rand     io.Reader
+	out      io.Writer
+	json     bool
+}
+
+func newCommand(a Args, out io.Writer) (*command, error) {
+	c := &command{clock: clock.Real{}, rand: rand.Reader, out: out, json: a.JSON}
+	if a.Ticket != nil && a.Ticket.Check != nil && a.Ticket.Check.Offline {
+		return c, nil
+	}
+	if err := settings.Load(a.Settings, &c.settings); err != nil {
+		return nil, err
+	}
+	c.platform = httpplatform.Client(c.settings.Platform.Addr, c.settings.Platform.DataCentre)
+	return c, nil
+}
+
+// bounded gives one command its longest time.
+func (c *command) bounded(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, c.settings.Platform.Timeout)
+}
+
+func (c *command) submitter() *ticket.Submitter {
+	return &ticket.Submitter{Table: c.platform.Table, Objects: c.platform.Objects, Clock: c.clock}
+}
+
+// print writes v as JSON, or the lines that text adds.
+func (c *command) print(v any, text func(*lines)) error {
+	if c.json {
+		enc := json.NewEncoder(c.out)
+		enc.SetIndent("", "  ")
+		return errors.Wrap(enc.Encode(v), "write")
+	}
+	var l lines
+	text(&l)
+	return l.flush(c.out)
+}
+
+func readFile(name string) (*ticket.Draft, error) {
+	data, err := os.ReadFile(name)
+	if err != nil {
+		var pe *os.PathError
+		if errors.As(err, &pe) {
+			err = pe.Err
+		}
+		return nil, &settings.FileError{File: name, Name: "file", Allowed: "cannot be read: " + err.Error()}
+	}
+	return ticket.ParseFile(name, data)
+}
--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -14,7 +14,7 @@
 
 const (
 	prefix    = "cwy_" // lets secret scanners find leaked keys
-	keyBytes  = 32     // of randomness
+	keyBytes  = 24     // of randomness; the key fits one line of a phone
 	scheme    = "bearer"
 	maxBearer = 512 // characters of a credential that is looked at
 )
