Complete the whole path: operations, peers' connections and the operator port

Cause: operations were refused and instances did not talk. Change: the daemon records operations in the platform's table, serves peers over net/rpc and operators on a port of their own.

--- a/internal/entry/parts.go
+++ b/internal/entry/parts.go
@@ -4,13 +4,19 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"carawayrouter.example/router/internal/cli"
 	"carawayrouter.example/router/internal/config"
 	"carawayrouter.example/router/internal/endpoint"
 	"carawayrouter.example/router/internal/endpoint/httpendpoint"
-	"carawayrouter.example/router/internal/errkind"
 	"carawayrouter.example/router/internal/limit"
 	"carawayrouter.example/router/internal/netgate"
 	"carawayrouter.example/router/internal/operation"
+	"carawayrouter.example/router/internal/operation/tablestore"
+	"carawayrouter.example/router/internal/operator"
+	"carawayrouter.example/router/internal/peer/rpc"
 	"carawayrouter.example/router/internal/reqid"
 	"carawayrouter.example/router/internal/sched"
 	"carawayrouter.example/router/internal/sched/pool"
@@ -50,6 +56,8 @@
 	scheduler   sched.Scheduler
 	controllers []controller
 	handOver    func()
+	peerServer  *rpc.Server
+	peers       *rpc.Client
 }
 
 // newDialer returns the clients for endpoints.
@@ -61,29 +69,20 @@
 func (d *Daemon) assemble() error {
 	p := &parts{handOver: func() {}}
 	d.parts = p
+	if err := d.assemblePeers(p); err != nil {
+		return err
+	}
 	d.assembleConfig(p)
 	d.assembleScheduler(p)
+	d.assembleOperations(p)
+	if err := d.assembleOperator(p); err != nil {
+		return err
+	}
 	p.limiter = unlimited{}
-	p.operations = noStore{}
 	d.front = d.newFront(reqid.NewSource(d.settings.Instance.Name, uint64(time.Now().UnixNano())))
 	return nil
 }
 
-// noStore refuses operations.
-type noStore struct{}
-
-var errNoStore = errkind.New(errkind.StoreUnavailable, "operations cannot be recorded")
-
-// Claim implements operation.Store.
-func (noStore) Claim(context.Context, string, string, string, string) (operation.Claim, *operation.Answer, error) {
-	return nil, nil, errNoStore
-}
-
-// Status implements operation.Store.
-func (noStore) Status(context.Context, string, string) (*operation.Record, error) {
-	return nil, errNoStore
-}
-
 type unlimited struct{}
 
 type unlimitedReservation struct{}
@@ -94,6 +93,33 @@
 	return unlimitedReservation{}, nil
 }
 
+// assemblePeers opens the connections between instances.
+func (d *Daemon) assemblePeers(p *parts) error {
+	o := rpc.Options{Dial: d.gate.DialContext, Logger: d.deps.Log.WithName("peer")}
+	if s := d.settings.Peers; !s.Plain {
+		id, err := rpc.LoadIdentity(rpc.Files{Cert: s.Cert, Key: s.Key, CA: s.CA}, o.Logger)
+		if err != nil {
+			return errors.Wrap(err, "peers")
+		}
+		o.Identity = id
+	}
+	p.peerServer = rpc.NewServer(o)
+	p.peers = rpc.NewClient(o)
+	p.controllers = append(p.controllers, func(ctx context.Context) error {
+		stop := context.AfterFunc(ctx, func() {
+			_ = p.peerServer.Close()
+			_ = p.peers.Close()
+		})
+		defer stop()
+		err := p.peerServer.Serve(d.gate.Listener(d.listeners.Peers))
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		return err
+	})
+	return nil
+}
+
 func (d *Daemon) assembleConfig(p *parts) {
 	applier := ticket.NewApplier(ticket.Options{
 		Table:   d.deps.Platform.Table,
@@ -122,5 +148,57 @@
 	p.controllers = append(p.controllers, local.Run)
 }
 
+func (d *Daemon) assembleOperations(p *parts) {
+	s := tablestore.DefaultSettings()
+	s.Retention = d.settings.Requests.OperationTTL
+	store := tablestore.New(tablestore.Options{
+		Settings: s,
+		Table:    d.deps.Platform.Table,
+		Clock:    d.deps.Clock,
+		Log:      d.deps.Log.WithName("operation"),
+	})
+	p.operations = store
+	p.controllers = append(p.controllers, store.Run)
+}
+
+// assembleOperator serves the operator port; without operators there is none.
+func (d *Daemon) assembleOperator(p *parts) error {
+	if len(d.settings.Operator.TokenHashes) == 0 {
+		return nil
+	}
+	h, err := operator.Handler(operator.Options{
+		Instance:   d.settings.Instance.Name,
+		DataCentre: d.settings.Instance.DataCentre,
+		Version:    cli.Version("caraway-entry"),
+		Tokens:     d.settings.Operator.TokenHashes,
+		Config:     p.config,
+		Table:      d.deps.Platform.Table,
+		Ring:       d.events,
+	})
+	if err != nil {
+		return errors.Wrap(err, "operator.token_sha256")
+	}
+	server := &fasthttp.Server{Handler: h, ReadTimeout: operatorTimeout, WriteTimeout: operatorTimeout, NoDefaultServerHeader: true, Logger: discardLogger{}}
+	p.controllers = append(p.controllers, func(ctx context.Context) error {
+		stop := context.AfterFunc(ctx, func() { _ = d.listeners.Operator.Close() })
+		defer stop()
+		err := server.Serve(d.gate.Listener(d.listeners.Operator))
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		return err
+	})
+	return nil
+}
+
+// operatorTimeout bounds reading and answering one request of an operator.
+const operatorTimeout = 10 * time.Second
+
+// discardLogger drops the HTTP library's messages, which can quote callers' bytes.
+type discardLogger struct{}
+
+// Printf implements fasthttp.Logger.
+func (discardLogger) Printf(string, ...any) {}
+
 // Applied returns the number of the ticket in force on this instance.
 func (d *Daemon) Applied() uint64 { return d.parts.applied() }
