limit/escrow: fleet-wide token accounts with one home per data centre

Cause: rate/n at every instance refuses requests that are within the rate, and asking the table for every request needs more writes than it gives.

Change: each data centre holds a share of rate and burst (row rate/ACCOUNT); its home keeps the bucket, other instances borrow from it per request or ahead of need, homes of different data centres lend to each other and move shares by demand. A share taken over starts empty and waits out old loans; a planned shutdown hands it over.

API: escrow.New(Options) (*Limiter, error); Limiter.Reserve, Status, Run(ctx), Freeze() before the shards are released, Close(ctx) to hand over. RPC service "Rights": Take, Return, Lend, Refresh, Handover, Status.

--- a/internal/limit/bucket/bucket.go
+++ b/internal/limit/bucket/bucket.go
@@ -176,6 +176,24 @@
 	return l.open, l.expires.Sub(now), true
 }
 
+// Loan describes a loan that may be unspent.
+type Loan struct {
+	Amount int64
+	Life   time.Duration // that is left
+}
+
+// Loans returns the loans that may be unspent.
+func (b *Bucket) Loans(now time.Time) []Loan {
+	b.advance(now)
+	var all []Loan
+	for _, l := range b.open {
+		if l.open > 0 {
+			all = append(all, Loan{l.open, l.expires.Sub(now)})
+		}
+	}
+	return all
+}
+
 // Spend records that n tokens of a loan have been spent.
 func (b *Bucket) Spend(now time.Time, id LoanID, n int64) {
 	b.advance(now)
--- a/internal/limit/bucket/bucket_test.go
+++ b/internal/limit/bucket/bucket_test.go
@@ -95,7 +95,6 @@
 	id      LoanID
 	left    int64
 	expires time.Time
-	acked   int64
 	spends  []int // indices into spends not refunded yet
 	unacked int64
 }
--- /dev/null
+++ b/internal/limit/escrow/escrow.go
@@ -0,0 +1,158 @@
+// Package escrow enforces the rate and burst of client accounts over all instances.
+//
+// Every data centre holds a share of each account's rate and burst, recorded in the
+// platform's table. The share belongs to one instance of the data centre, the
+// account's home, which keeps it in a token bucket. Instances take tokens from the
+// home of their data centre; homes of different data centres lend to each other and
+// move shares to where the demand is. See docs/design/rates.md.
+package escrow
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+	"golang.org/x/sync/errgroup"
+
+	"carawayrouter.example/router/internal/clock"
+	"carawayrouter.example/router/internal/config"
+	"carawayrouter.example/router/internal/event"
+	"carawayrouter.example/router/internal/limit"
+	"carawayrouter.example/router/internal/member"
+	"carawayrouter.example/router/internal/peer"
+	"carawayrouter.example/router/internal/platform"
+	"carawayrouter.example/router/internal/shard"
+)
+
+const (
+	defaultLoanLife  = 2 * time.Second
+	defaultCallTime  = 300 * time.Millisecond
+	defaultStoreTime = 2 * time.Second
+	// sweepTime is the time between two looks at what can be dropped or returned.
+	sweepTime = 100 * time.Millisecond
+)
+
+// Options are the parts that a Limiter is built from. LoanLife, CallTime and
+// StoreTime have defaults; Events may be nil.
+type Options struct {
+	Self        member.Session
+	Config      config.Source
+	Directory   shard.Directory
+	Members     member.Source
+	Caller      peer.Caller
+	Registrar   peer.Registrar
+	Table       platform.Table
+	DataCentres []string // all data centres of the fleet, the same on every instance
+	Clock       clock.Clock
+	Rand        *rand.Rand // owned by the Limiter from then on
+	Logger      logr.Logger
+	Events      *event.Ring
+	LoanLife    time.Duration // longest time in which lent tokens may be spent
+	CallTime    time.Duration // longest time of a call, beside waiting for tokens
+	StoreTime   time.Duration // longest time of a call to the table
+}
+
+// Limiter is a limit.Limiter for the whole fleet, and the home of the accounts in
+// the shards that this process holds.
+type Limiter struct {
+	o      Options
+	home   *home
+	client *client
+
+	freezeOnce sync.Once
+	frozen     []handover
+}
+
+var _ limit.Limiter = (*Limiter)(nil)
+
+// New builds a Limiter and offers its service to peers. Run must be called for it
+// to work.
+func New(o Options) (*Limiter, error) {
+	if !slices.Contains(o.DataCentres, o.Self.DataCentre) {
+		return nil, errors.Newf("data centre %q is not in the list of data centres", o.Self.DataCentre)
+	}
+	o.DataCentres = slices.Sorted(slices.Values(o.DataCentres))
+	o.DataCentres = slices.Compact(o.DataCentres)
+	setDefault(&o.LoanLife, defaultLoanLife)
+	setDefault(&o.CallTime, defaultCallTime)
+	setDefault(&o.StoreTime, defaultStoreTime)
+	l := &Limiter{o: o}
+	l.home = newHome(&l.o)
+	l.client = newClient(&l.o, l.home)
+	if err := o.Registrar.Register(ServiceName, &service{l.home}); err != nil {
+		return nil, errors.Wrap(err, "offer rate limits to peers")
+	}
+	return l, nil
+}
+
+func setDefault(d *time.Duration, value time.Duration) {
+	if *d == 0 {
+		*d = value
+	}
+}
+
+// Reserve implements limit.Limiter.
+func (l *Limiter) Reserve(ctx context.Context, account string, tokens int, deadline time.Time) (limit.Reservation, error) {
+	return l.client.reserve(ctx, account, tokens, deadline)
+}
+
+// Status describes an account at its home in this data centre.
+func (l *Limiter) Status(ctx context.Context, account string) (StatusReply, error) {
+	return l.client.status(ctx, account)
+}
+
+// Run performs the Limiter's duties until ctx ends.
+func (l *Limiter) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	open := &opener{h: l.home, o: &l.o}
+	gather := &gatherer{h: l.home, o: &l.o, out: l.client.out, ids: l.client}
+	move := &mover{h: l.home, o: &l.o}
+	g.Go(func() error { return open.run(ctx) })
+	g.Go(func() error { return gather.run(ctx) })
+	g.Go(func() error { return move.run(ctx) })
+	g.Go(func() error { return l.client.out.run(ctx) })
+	g.Go(func() error { return l.sweep(ctx) })
+	return g.Wait()
+}
+
+// sweep drops what is no longer needed.
+func (l *Limiter) sweep(ctx context.Context) error {
+	for {
+		l.home.sweep()
+		l.client.sweep()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-l.o.Clock.After(sweepTime):
+		}
+	}
+}
+
+// get reads the rows of accounts.
+func (o *Options) get(ctx context.Context, accounts []*account) ([]platform.Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, o.StoreTime)
+	defer cancel()
+	keys := make([]string, len(accounts))
+	for i, a := range accounts {
+		keys[i] = rowPrefix + a.name
+	}
+	return o.Table.Get(ctx, keys...)
+}
+
+// commit applies a transaction.
+func (o *Options) commit(ctx context.Context, t platform.Txn) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, o.StoreTime)
+	defer cancel()
+	return o.Table.Commit(ctx, t)
+}
+
+// call runs a method at another instance within d.
+func (o *Options) call(ctx context.Context, d time.Duration, addr, method string, args, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	return o.Caller.Call(ctx, addr, ServiceName+"."+method, args, reply)
+}
--- /dev/null
+++ b/internal/limit/escrow/escrow_test.go
@@ -0,0 +1,105 @@
+package escrow
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"carawayrouter.example/router/internal/errkind"
+)
+
+var oneDC = []string{"a"}
+var threeDCs = []string{"a", "b", "c"}
+
+func TestReserveWithinOneDataCentre(t *testing.T) {
+	run(t, func(t *testing.T) {
+		w := newWorld(oneDC, 3, acct("acme", 100, 1000))
+		defer w.stop()
+		for _, n := range w.nodes {
+			r, u, err := n.reserve("acme", 300, time.Second)
+			assert.NilError(t, err)
+			n.settle(r, u, 100)
+		}
+		time.Sleep(100 * time.Millisecond)
+		_, _, err := w.nodes[0].reserve("acme", 700, time.Second)
+		assert.NilError(t, err)
+		excess, total := w.excess("acme", 100, 1000)
+		assert.Equal(t, excess, 0.0)
+		assert.Equal(t, total, 1000.0)
+	})
+}
+
+func TestRefusals(t *testing.T) {
+	run(t, func(t *testing.T) {
+		w := newWorld(oneDC, 2, acct("acme", 100, 1000))
+		defer w.stop()
+		_, _, err := w.nodes[0].reserve("acme", 1001, time.Second)
+		assert.Assert(t, errkind.Is(err, errkind.TooLarge))
+		for _, n := range w.nodes {
+			_, _, err = n.reserve("acme", 500, time.Second)
+			assert.NilError(t, err)
+		}
+		for _, n := range w.nodes {
+			begun := time.Now()
+			_, _, err = n.reserve("acme", 500, time.Second)
+			assert.Assert(t, errkind.Is(err, errkind.OverRate), "%v", err)
+			assert.Assert(t, time.Since(begun) < 200*time.Millisecond, "not refused early")
+			after := errkind.From(err).RetryAfter
+			assert.Assert(t, after > 4800*time.Millisecond && after <= 5*time.Second, "%v", after)
+		}
+	})
+}
+
+func TestWaitIsFIFO(t *testing.T) {
+	run(t, func(t *testing.T) {
+		w := newWorld(oneDC, 3, acct("acme", 100, 100))
+		defer w.stop()
+		_, _, err := w.nodes[0].reserve("acme", 100, 0)
+		assert.NilError(t, err)
+		const n = 9
+		done := make(chan int, n)
+		for i := range n {
+			go func() {
+				tokens := 20 + 10*(i%3) // smaller ones don't overtake
+				if _, _, err := w.nodes[i%3].reserve("acme", tokens, time.Minute); err != nil {
+					t.Error(err)
+				}
+				done <- i
+			}()
+			time.Sleep(10 * time.Millisecond)
+		}
+		for i := range n {
+			assert.Equal(t, <-done, i)
+		}
+		excess, _ := w.excess("acme", 100, 100)
+		assert.Equal(t, excess, 0.0)
+	})
+}
+
+func TestSmallAccountIsServed(t *testing.T) {
+	run(t, func(t *testing.T) {
+		// A prompt of 900 fits no share: each data centre holds 333.
+		w := newWorld(threeDCs, 3, acct("small", 300, 1000))
+		defer w.stop()
+		for i := range 6 {
+			n := w.nodes[i%len(w.nodes)]
+			r, u, err := n.reserve("small", 900, 10*time.Second)
+			assert.NilError(t, err)
+			n.settle(r, u, 100)
+			time.Sleep(time.Second)
+		}
+		// Two data centres at once, for the whole burst.
+		errs := make(chan error, 2)
+		for _, i := range []int{0, 4} {
+			go func() {
+				_, _, err := w.nodes[i].reserve("small", 1000, 20*time.Second)
+				errs <- err
+			}()
+		}
+		assert.NilError(t, <-errs)
+		assert.NilError(t, <-errs)
+		excess, _ := w.excess("small", 300, 1000)
+		assert.Equal(t, excess, 0.0)
+	})
+}
