--- a/cmd/caraway-entry/main.go
+++ b/cmd/caraway-entry/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"expvar"
 	"fmt"
 	"os"
 
@@ -51,6 +52,7 @@
 	if err != nil {
 		cli.Exit(program, cli.ExitUsage, fmt.Errorf("%s: %w", file, err))
 	}
+	expvar.Publish("caraway", daemon.Metrics())
 	first, second := cli.Signals()
 	if err := daemon.Run(first, second); err != nil {
 		cli.Exit(program, cli.ExitFailed, err)
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -91,6 +92,7 @@
 type Daemon struct {
 	settings  Settings
 	gate      *netgate.Gate
+	process   uint64 // start in Unix nanoseconds; names this process incarnation
 	deps      Deps
 	listeners Listeners
 	events    *event.Ring
@@ -114,6 +116,7 @@
 	}
 	daemon := &Daemon{
 		gate:      d.Network.Gate,
+		process:   uint64(d.Clock.Now().UnixNano()),
 		settings:  s,
 		deps:      d,
 		listeners: d.Listeners,
@@ -132,6 +135,9 @@
 	return daemon, nil
 }
 
+// Metrics returns the daemon's counters under their published names.
+func (d *Daemon) Metrics() *expvar.Map { return d.metrics.Map() }
+
 // random returns a random source for one part of the daemon.
 func (d *Daemon) random(part uint64) *rand.Rand {
 	return rand.New(rand.NewPCG(d.deps.Seed, part))
@@ -201,9 +207,12 @@
 	case <-drain.Done():
 	case <-force.Done():
 	case <-ctx.Done():
+	case <-d.parts.members.Fenced():
+		d.deps.Log.Info("another process holds this instance's session; shutting down")
 	}
 	d.shutDown(ctx, force)
 	stopControllers()
+	d.listeners.close()
 	err := g.Wait()
 	if errors.Is(err, context.Canceled) {
 		return nil
@@ -227,8 +236,17 @@
 	}
 	if force.Err() == nil {
 		d.parts.handOver()
+		d.release()
+	}
+}
+
+// release gives up the session, so that others take over at once.
+func (d *Daemon) release() {
+	ctx, stop := context.WithTimeout(context.Background(), leaveTimeout)
+	defer stop()
+	if err := d.parts.members.Leave(ctx); err != nil {
+		d.deps.Log.Info("session not released", "error", err.Error())
 	}
-	d.listeners.close()
 }
 
 // leave tells the platform's balancer to send no more callers.
--- a/internal/entry/parts.go
+++ b/internal/entry/parts.go
@@ -12,6 +12,7 @@
 	"carawayrouter.example/router/internal/endpoint"
 	"carawayrouter.example/router/internal/endpoint/httpendpoint"
 	"carawayrouter.example/router/internal/limit"
+	"carawayrouter.example/router/internal/member"
 	"carawayrouter.example/router/internal/netgate"
 	"carawayrouter.example/router/internal/operation"
 	"carawayrouter.example/router/internal/operation/tablestore"
@@ -21,6 +22,7 @@
 	"carawayrouter.example/router/internal/sched"
 	"carawayrouter.example/router/internal/sched/pool"
 	"carawayrouter.example/router/internal/ticket"
+	"carawayrouter.example/router/internal/ticket/ticketpeer"
 )
 
 // Parts of the daemon that draw random numbers; each has its own sequence.
@@ -28,6 +30,7 @@
 	seedRetry = iota + 1
 	seedSched
 	seedTicket
+	seedTicketPeer
 	seedMember
 	seedShard
 	seedLimit
@@ -58,6 +61,7 @@
 	handOver    func()
 	peerServer  *rpc.Server
 	peers       *rpc.Client
+	members     *member.Controller
 }
 
 // newDialer returns the clients for endpoints.
@@ -72,14 +76,19 @@
 	if err := d.assemblePeers(p); err != nil {
 		return err
 	}
-	d.assembleConfig(p)
+	if err := d.assembleMembers(p); err != nil {
+		return err
+	}
+	if err := d.assembleConfig(p); err != nil {
+		return err
+	}
 	d.assembleScheduler(p)
 	d.assembleOperations(p)
 	if err := d.assembleOperator(p); err != nil {
 		return err
 	}
 	p.limiter = unlimited{}
-	d.front = d.newFront(reqid.NewSource(d.settings.Instance.Name, uint64(time.Now().UnixNano())))
+	d.front = d.newFront(reqid.NewSource(d.settings.Instance.Name, d.process))
 	return nil
 }
 
@@ -120,18 +129,59 @@
 	return nil
 }
 
-func (d *Daemon) assembleConfig(p *parts) {
+// assembleMembers keeps the instance's session and its view of the others.
+func (d *Daemon) assembleMembers(p *parts) error {
+	s := d.settings
+	members, err := member.NewController(member.Options{
+		Session: member.Session{
+			Name:       s.Instance.Name,
+			Addr:       s.Listen.Peers,
+			Callers:    s.Listen.Callers,
+			Operator:   s.Listen.Operator,
+			DataCentre: s.Instance.DataCentre,
+			Process:    d.process,
+		},
+		Table:     d.deps.Platform.Table,
+		Instances: d.deps.Platform.Instances,
+		Caller:    p.peers,
+		Registrar: p.peerServer,
+		Clock:     d.deps.Clock,
+		Rand:      d.random(seedMember),
+		Applied:   func() uint64 { return p.applied() },
+		Logger:    d.deps.Log.WithName("member"),
+		Events:    d.events,
+	})
+	if err != nil {
+		return err
+	}
+	p.members = members
+	p.controllers = append(p.controllers, members.Run)
+	return nil
+}
+
+// assembleConfig keeps the configuration in force, from the table or from peers.
+func (d *Daemon) assembleConfig(p *parts) error {
+	exchange := ticketpeer.New(ticketpeer.Options{
+		Members: p.members,
+		Caller:  p.peers,
+		Seed:    d.deps.Seed + seedTicketPeer,
+		Log:     d.deps.Log.WithName("ticketpeer"),
+	})
 	applier := ticket.NewApplier(ticket.Options{
-		Table:   d.deps.Platform.Table,
-		Objects: d.deps.Platform.Objects,
-		Clock:   d.deps.Clock,
-		Seed:    d.deps.Seed + seedTicket,
-		Ring:    d.events,
-		Log:     d.deps.Log.WithName("ticket"),
+		Table:    d.deps.Platform.Table,
+		Objects:  d.deps.Platform.Objects,
+		Peers:    exchange,
+		Announce: exchange,
+		Fast:     exchange.Fast,
+		Clock:    d.deps.Clock,
+		Seed:     d.deps.Seed + seedTicket,
+		Ring:     d.events,
+		Log:      d.deps.Log.WithName("ticket"),
 	})
 	p.config = applier
 	p.applied = applier.Applied
-	p.controllers = append(p.controllers, applier.Run)
+	p.controllers = append(p.controllers, exchange.Run, applier.Run)
+	return exchange.Register(p.peerServer, applier)
 }
 
 func (d *Daemon) assembleScheduler(p *parts) {
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -8,7 +8,8 @@
 	Callers    string // callers' address, IP:port
 	Operator   string // operator address, IP:port
 	DataCentre string
-	Epoch      uint64 // fencing epoch: higher for every later incarnation
+	Epoch      uint64 // fencing epoch: higher for every later incarnation; 0 until registered
+	Process    uint64 // start of the process in Unix nanoseconds; request ids carry it
 }
 
 // View is an immutable picture of the instances believed to be alive, this one
--- a/internal/member/row.go
+++ b/internal/member/row.go
@@ -22,7 +22,8 @@
 	Callers    string    `json:"callers"`
 	Operator   string    `json:"operator"`
 	DataCentre string    `json:"data_centre"`
-	Epoch      uint64    `json:"epoch"`   // 0 in a row whose registration is not complete
+	Epoch      uint64    `json:"epoch"` // 0 in a row whose registration is not complete
+	Process    uint64    `json:"process"`
 	Applied    uint64    `json:"applied"` // newest ticket in force on the instance
 	Renewed    time.Time `json:"renewed"` // by the instance's own clock; for people only
 	Released   bool      `json:"released,omitempty"`
@@ -32,7 +33,7 @@
 func (r Row) Session() Session {
 	return Session{
 		Name: r.Name, Addr: r.Addr, Callers: r.Callers, Operator: r.Operator,
-		DataCentre: r.DataCentre, Epoch: r.Epoch,
+		DataCentre: r.DataCentre, Epoch: r.Epoch, Process: r.Process,
 	}
 }
 
--- a/internal/member/store.go
+++ b/internal/member/store.go
@@ -140,7 +140,7 @@
 	s := c.opts.Session
 	return Row{
 		Name: s.Name, Addr: s.Addr, Callers: s.Callers, Operator: s.Operator, DataCentre: s.DataCentre,
-		Epoch: epoch, Applied: c.opts.Applied(), Renewed: c.opts.Clock.Now().UTC(),
+		Epoch: epoch, Process: s.Process, Applied: c.opts.Applied(), Renewed: c.opts.Clock.Now().UTC(),
 	}
 }
 
