--- /dev/null
+++ b/cmd/caraway-load/main.go
@@ -0,0 +1,57 @@
+// Command caraway-load is the load and experiment tool.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"os"
+	"time"
+
+	"carawayrouter.example/router/internal/cli"
+	"carawayrouter.example/router/internal/load/overhead"
+)
+
+const program = "caraway-load"
+
+type overheadArgs struct {
+	Entry    string        `arg:"--entry,required" placeholder:"URL" help:"base URL of the entry instance"`
+	Key      string        `arg:"--key,required" help:"key of an account"`
+	Model    string        `arg:"--model,required"`
+	Prefill  string        `arg:"--prefill,required" placeholder:"ADDR" help:"address of the prefill engine"`
+	Decode   string        `arg:"--decode,required" placeholder:"ADDR" help:"address of the decode engine"`
+	Rate     float64       `arg:"--rate" default:"500" help:"requests per second each way"`
+	Duration time.Duration `arg:"--duration" default:"10s"`
+	Streams  int           `arg:"--streams" default:"20" help:"concurrent streams of the throughput part"`
+	Tokens   int           `arg:"--tokens" default:"5000" help:"tokens of each stream"`
+	PID      int           `arg:"--pid" help:"process of the entry instance, for its processor time"`
+}
+
+type args struct {
+	Overhead *overheadArgs `arg:"subcommand:overhead" help:"measure what one instance adds to direct calls of an engine"`
+}
+
+// Version implements go-arg's Versioned.
+func (args) Version() string { return cli.Version(program) }
+
+func main() {
+	var a args
+	cli.Parse(program, &a)
+	first, _ := cli.Signals()
+	if a.Overhead == nil {
+		cli.Exit(program, cli.ExitUsage, errors.New("a subcommand is required"))
+	}
+	if err := runOverhead(first, a.Overhead); err != nil {
+		cli.Exit(program, cli.ExitFailed, err)
+	}
+}
+
+func runOverhead(ctx context.Context, a *overheadArgs) error {
+	r, err := overhead.Run(ctx, overhead.Options(*a))
+	if err != nil {
+		return err
+	}
+	out := json.NewEncoder(os.Stdout)
+	out.SetIndent("", "  ")
+	return out.Encode(r)
+}
