--- /dev/null
+++ b/cmd/caraway-timeline/main.go
@@ -0,0 +1,110 @@
+// Command caraway-timeline merges the events of all entry instances into one time
+// line.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"carawayrouter.example/router/internal/cli"
+	"carawayrouter.example/router/internal/ctl"
+	"carawayrouter.example/router/internal/member"
+	"carawayrouter.example/router/internal/platform"
+	"carawayrouter.example/router/internal/platform/httpplatform"
+	"carawayrouter.example/router/internal/settings"
+	"carawayrouter.example/router/internal/timeline"
+)
+
+const (
+	program      = "caraway-timeline"
+	scanLimit    = 1000 // sessions read in one call
+	storeTimeout = 10 * time.Second
+)
+
+type args struct {
+	cli.Common
+	Instances []string `arg:"--instance,separate" placeholder:"ADDR" help:"operator address of an instance; default: all that have a session"`
+	Request   string   `arg:"--request" help:"events of one request"`
+	Account   string   `arg:"--account" help:"events of one client account"`
+	Endpoint  string   `arg:"--endpoint" help:"events of one endpoint"`
+	Ticket    uint64   `arg:"--ticket" help:"events of one ticket"`
+	Kind      string   `arg:"--kind" help:"events whose kind starts with this"`
+	Format    string   `arg:"--format" default:"text" help:"text, json or html"`
+}
+
+// Version implements go-arg's Versioned.
+func (args) Version() string { return cli.Version(program) }
+
+// Description implements go-arg's Described.
+func (args) Description() string {
+	return "Merges the events of all entry instances into one time line. It takes the settings of caraway-ctl."
+}
+
+func main() {
+	var a args
+	cli.Parse(program, &a)
+	if a.Settings == "" {
+		cli.Exit(program, cli.ExitUsage, errors.New("--settings FILE is required"))
+	}
+	var s ctl.Settings
+	if err := settings.Load(a.Settings, &s); err != nil {
+		cli.Exit(program, cli.ExitUsage, err)
+	}
+	if a.Check {
+		fmt.Printf("%s: settings are valid\n", a.Settings)
+		return
+	}
+	if err := run(a, s); err != nil {
+		cli.Exit(program, cli.ExitFailed, err)
+	}
+}
+
+func run(a args, s ctl.Settings) error {
+	ctx, cancel := context.WithTimeout(context.Background(), s.Platform.Timeout)
+	defer cancel()
+	addrs := a.Instances
+	if len(addrs) == 0 {
+		var err error
+		if addrs, err = operators(ctx, httpplatform.Client(s.Platform.Addr, s.Platform.DataCentre).Table); err != nil {
+			return err
+		}
+	}
+	pages, losses := timeline.Fetch(ctx, addrs, s.Operator.Token)
+	line := timeline.Merge(pages, timeline.Filter{Request: a.Request, Account: a.Account, Endpoint: a.Endpoint, Ticket: a.Ticket, Kind: a.Kind})
+	line.Losses = append(line.Losses, losses...)
+	switch a.Format {
+	case "text":
+		return line.Text(os.Stdout)
+	case "json":
+		return line.JSON(os.Stdout)
+	case "html":
+		return line.HTML(os.Stdout)
+	}
+	return fmt.Errorf("format %q is unknown; known: text, json, html", a.Format)
+}
+
+// operators lists the operator addresses of all sessions.
+func operators(ctx context.Context, t platform.Table) ([]string, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	var addrs []string
+	after := ""
+	for {
+		rows, err := t.Scan(ctx, member.RowPrefix, after, scanLimit)
+		if err != nil {
+			return nil, err
+		}
+		for _, r := range rows {
+			after = r.Key
+			if row, err := member.ParseRow(r); err == nil && !row.Released && row.Operator != "" {
+				addrs = append(addrs, row.Operator)
+			}
+		}
+		if len(rows) < scanLimit {
+			return addrs, nil
+		}
+	}
+}
