--- /dev/null
+++ b/internal/sched/dispatch/dispatch_test.go
@@ -0,0 +1,620 @@
+package dispatch
+
+import (
+	"bytes"
+	"context"
+	"encoding/gob"
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+
+	"carawayrouter.example/router/internal/clock"
+	"carawayrouter.example/router/internal/config"
+	"carawayrouter.example/router/internal/endpoint"
+	"carawayrouter.example/router/internal/errkind"
+	"carawayrouter.example/router/internal/member"
+	"carawayrouter.example/router/internal/peer"
+	"carawayrouter.example/router/internal/reqid"
+	"carawayrouter.example/router/internal/sched"
+	"carawayrouter.example/router/internal/sched/pool"
+)
+
+// engine is a decode or prefill engine that refuses what is too much.
+type engine struct {
+	endpoint.Engine
+	mu      sync.Mutex
+	slots   int
+	running map[reqid.ID]int // attempt
+	refused int
+	peak    int
+}
+
+func (e *engine) start(id reqid.ID) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.running) >= e.slots {
+		e.refused++
+		return false
+	}
+	e.running[id] = 1
+	e.peak = max(e.peak, len(e.running))
+	return true
+}
+
+func (e *engine) Cancel(_ context.Context, id reqid.ID, _ int) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.running, id)
+	return nil
+}
+
+func (e *engine) Running(context.Context) ([]endpoint.Running, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var out []endpoint.Running
+	for id, attempt := range e.running {
+		out = append(out, endpoint.Running{ID: id, Attempt: attempt, Stage: "decode", Pieces: 1})
+	}
+	return out, nil
+}
+
+func (e *engine) CacheEvents(context.Context, uint64) ([]endpoint.CacheEvent, error) {
+	return nil, nil
+}
+
+func (e *engine) runs(id reqid.ID) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.running[id] > 0
+}
+
+func (e *engine) count() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.running)
+}
+
+// fleet is a set of nodes on an in-memory network with faults.
+type fleet struct {
+	mu      sync.Mutex
+	rand    *rand.Rand
+	state   *config.State
+	all     []member.Session // in every view
+	nodes   map[string]*fleetNode
+	engines map[string]*engine
+	lose    float64                     // probability that a request or an answer is lost
+	cut     func(from, to string) bool  // by address
+	views   map[string][]member.Session // views that differ, by address
+	calls   map[string]int              // by method
+}
+
+type fleetNode struct {
+	*Node
+	session member.Session
+	stop    context.CancelFunc
+	ended   chan struct{}
+	ids     *reqid.Source
+}
+
+func newFleet(seed uint64, dcs []string, perDC, decodes, slots int) *fleet {
+	f := &fleet{rand: rand.New(rand.NewPCG(seed, 1)), nodes: map[string]*fleetNode{}, engines: map[string]*engine{}, calls: map[string]int{}, views: map[string][]member.Session{}}
+	var eps []*config.Endpoint
+	for _, dc := range dcs {
+		for i := range decodes + 2 {
+			ep := &config.Endpoint{Name: fmt.Sprintf("%s-d%d", dc, i), Pool: "m", DataCentre: dc, Role: config.Decode, Slots: slots}
+			if i >= decodes {
+				ep.Name, ep.Role, ep.Slots = fmt.Sprintf("%s-p%d", dc, i), config.Prefill, 0
+			}
+			ep.Addr = ep.Name
+			eps = append(eps, ep)
+			f.engines[ep.Addr] = &engine{slots: slots, running: map[reqid.ID]int{}}
+		}
+	}
+	f.state = config.Build(1, &config.Objects{Pools: []*config.Pool{{Name: "m", Kind: config.ModelPool}}, Endpoints: eps})
+	for _, dc := range dcs {
+		for i := range perDC {
+			f.start(member.Session{Name: fmt.Sprintf("%s-i%d", dc, i), DataCentre: dc, Epoch: 1})
+		}
+	}
+	return f
+}
+
+// start starts a process; a restart has a higher epoch at the same address.
+func (f *fleet) start(s member.Session) *fleetNode {
+	s.Addr = "peer-" + s.Name
+	ctx, cancel := context.WithCancel(context.Background())
+	fn := &fleetNode{session: s, stop: cancel, ended: make(chan struct{}), ids: reqid.NewSource(s.Name, s.Epoch)}
+	f.mu.Lock()
+	f.all = slices.DeleteFunc(f.all, func(o member.Session) bool { return o.Name == s.Name })
+	f.all = append(f.all, s)
+	slices.SortFunc(f.all, func(a, b member.Session) int { return strings.Compare(a.Name, b.Name) })
+	seed := f.rand.Uint64()
+	f.mu.Unlock()
+	fn.Node = New(Options{
+		Config: f, Members: view{f, s}, Caller: caller{f, s.Addr}, Dialer: f, Clock: clock.Real{},
+		Rand: rand.New(rand.NewPCG(seed, 2)), Logger: logr.Discard(),
+	})
+	f.mu.Lock()
+	f.nodes[s.Addr] = fn
+	f.mu.Unlock()
+	go func() {
+		_ = fn.Run(ctx)
+		close(fn.ended)
+	}()
+	return fn
+}
+
+// kill ends a process at once; inView says whether the others still believe in it.
+func (f *fleet) kill(fn *fleetNode, inView bool) {
+	f.mu.Lock()
+	if f.nodes[fn.session.Addr] == fn {
+		delete(f.nodes, fn.session.Addr)
+	}
+	if !inView {
+		f.all = slices.DeleteFunc(f.all, func(o member.Session) bool { return o == fn.session })
+	}
+	f.mu.Unlock()
+	fn.stop()
+	<-fn.ended
+}
+
+func (f *fleet) stopAll() {
+	f.mu.Lock()
+	all := make([]*fleetNode, 0, len(f.nodes))
+	for _, fn := range f.nodes {
+		all = append(all, fn)
+	}
+	f.mu.Unlock()
+	for _, fn := range all {
+		f.kill(fn, true)
+	}
+	time.Sleep(10 * time.Second) // calls in flight end
+}
+
+func (f *fleet) Current() *config.State             { return f.state }
+func (f *fleet) Age() time.Duration                 { return 0 }
+func (f *fleet) Engine(addr string) endpoint.Engine { return f.engines[addr] }
+func (f *fleet) Service(string) endpoint.Service    { return nil }
+
+// at returns the process that is dispatcher of a data centre in the view of another.
+func (f *fleet) dispatcher(of *fleetNode, dc string) *fleetNode {
+	addr, _ := of.home(Place{"m", dc})
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.nodes[addr]
+}
+
+func (f *fleet) list() []*fleetNode {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []*fleetNode
+	for _, s := range f.all {
+		if fn := f.nodes[s.Addr]; fn != nil {
+			out = append(out, fn)
+		}
+	}
+	return out
+}
+
+// view is the membership as one process sees it.
+type view struct {
+	f    *fleet
+	self member.Session
+}
+
+func (v view) View() *member.View {
+	v.f.mu.Lock()
+	defer v.f.mu.Unlock()
+	all := v.f.all
+	if own, ok := v.f.views[v.self.Addr]; ok {
+		all = own
+	}
+	out := &member.View{Self: v.self}
+	for _, s := range all {
+		if s.Name != v.self.Name {
+			out.Peers = append(out.Peers, s)
+		}
+	}
+	return out
+}
+
+// caller carries calls over the in-memory network; arguments and replies go through
+// gob as they do between processes.
+type caller struct {
+	f    *fleet
+	from string
+}
+
+func (c caller) Call(ctx context.Context, addr, method string, args, reply any) error {
+	c.f.mu.Lock()
+	fn := c.f.nodes[addr]
+	c.f.calls[method]++
+	lostRequest := c.f.rand.Float64() < c.f.lose
+	lostAnswer := c.f.rand.Float64() < c.f.lose
+	if c.f.cut != nil && c.f.cut(c.from, addr) {
+		lostRequest = true
+	}
+	c.f.mu.Unlock()
+	time.Sleep(time.Millisecond)
+	if fn == nil {
+		return peer.ErrUnreachable
+	}
+	if lostRequest {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	m := reflect.ValueOf(fn.Service()).MethodByName(strings.TrimPrefix(method, ServiceName+"."))
+	in := reflect.New(m.Type().In(0).Elem())
+	out := reflect.New(m.Type().In(1).Elem())
+	if err := recode(args, in.Interface()); err != nil {
+		return err
+	}
+	done := make(chan error, 1)
+	go func() {
+		err, _ := m.Call([]reflect.Value{in, out})[0].Interface().(error)
+		done <- err
+	}()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case err := <-done:
+		if lostAnswer {
+			<-ctx.Done()
+			return ctx.Err()
+		}
+		if err != nil {
+			return err
+		}
+	}
+	time.Sleep(time.Millisecond)
+	return recode(out.Interface(), reply)
+}
+
+func recode(from, to any) error {
+	var b bytes.Buffer
+	if err := gob.NewEncoder(&b).Encode(from); err != nil {
+		return err
+	}
+	return gob.NewDecoder(&b).Decode(to)
+}
+
+func (fn *fleetNode) demand() sched.Demand {
+	return sched.Demand{ID: fn.ids.Next(), Account: "a", Weight: 1, Pool: "m", Class: config.Interactive, Prompt: 100, MaxOutput: 100, MaxWait: 30 * time.Second, Arrived: time.Now()}
+}
+
+// serve runs one request to its end: grant, prefill, decode for a while, release. It
+// retries when the engine is full. It reports how the request ended.
+func (f *fleet) serve(ctx context.Context, t *testing.T, fn *fleetNode, d sched.Demand, decode time.Duration) error {
+	for {
+		g, err := fn.Acquire(ctx, d)
+		if err != nil {
+			return err
+		}
+		time.Sleep(5 * time.Millisecond)
+		g.PrefillDone(sched.Succeeded)
+		e := f.engines[g.Decode.Addr]
+		if !e.start(d.ID) {
+			g.Release(sched.Full)
+			continue
+		}
+		g.FirstToken()
+		select {
+		case <-time.After(decode):
+			assert.Check(t, e.runs(d.ID), "live work was cancelled")
+		case <-ctx.Done():
+		}
+		_ = e.Cancel(ctx, d.ID, 1)
+		g.Release(sched.Succeeded)
+		return nil
+	}
+}
+
+// settled reports what is still booked or running anywhere.
+func (f *fleet) settled() string {
+	for _, fn := range f.list() {
+		fn.mu.Lock()
+		tickets, hosts := len(fn.tickets), make([]*host, 0, len(fn.hosts))
+		for _, h := range fn.hosts {
+			hosts = append(hosts, h)
+		}
+		fn.mu.Unlock()
+		if tickets > 0 {
+			return fmt.Sprintf("%s has %d tickets", fn.session.Name, tickets)
+		}
+		for _, h := range hosts {
+			if !h.Idle() {
+				return fmt.Sprintf("dispatcher %v at %s has demands", h.place, fn.session.Name)
+			}
+		}
+	}
+	for addr, e := range f.engines {
+		if n := e.count(); n > 0 {
+			return fmt.Sprintf("%s runs %d", addr, n)
+		}
+	}
+	return ""
+}
+
+// TestManyHoldersOneDispatcher shares a pool between the instances of a data centre.
+// One dispatcher decides: no engine ever refuses, and the pool is used in full.
+func TestManyHoldersOneDispatcher(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1, []string{"a"}, 4, 3, 4)
+		defer f.stopAll()
+		time.Sleep(3 * time.Second)
+		var wg sync.WaitGroup
+		for _, fn := range f.list() {
+			for range 50 {
+				wg.Go(func() {
+					assert.Check(t, f.serve(context.Background(), t, fn, fn.demand(), 500*time.Millisecond))
+				})
+			}
+		}
+		wg.Wait()
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, f.settled(), "")
+		peak := 0
+		for _, e := range f.engines {
+			assert.Equal(t, e.refused, 0)
+			peak += e.peak
+		}
+		assert.Equal(t, peak, 12)
+	})
+}
+
+// TestRandomFaultsLeakNothing runs requests under lost calls, cancels, crashes and
+// restarts of instances, dispatchers among them, known to the others at once or late.
+// Afterwards nothing is booked or running, and no request that was not cancelled by
+// its caller or killed was cancelled at an engine.
+func TestRandomFaultsLeakNothing(t *testing.T) {
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { randomFaults(t, seed) })
+		})
+	}
+}
+
+func randomFaults(t *testing.T, seed uint64) {
+	f := newFleet(seed, []string{"a", "b"}, 3, 2, 3)
+	defer f.stopAll()
+	r := rand.New(rand.NewPCG(seed, 9))
+	time.Sleep(2 * time.Second)
+	f.mu.Lock()
+	f.lose = 0.05
+	f.mu.Unlock()
+	var wg sync.WaitGroup
+	for step := range 400 {
+		time.Sleep(time.Duration(r.IntN(40)) * time.Millisecond)
+		all := f.list()
+		fn := all[r.IntN(len(all))]
+		life := 20 * time.Second
+		if r.IntN(4) == 0 {
+			life = time.Duration(r.IntN(300)) * time.Millisecond
+		}
+		decode := time.Duration(r.IntN(400)) * time.Millisecond
+		wg.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), life)
+			defer cancel()
+			stop := context.AfterFunc(fn.context(), cancel)
+			defer stop()
+			if err := f.serve(ctx, t, fn, fn.demand(), decode); err != nil {
+				assert.Check(t, errkind.From(err).Execution == errkind.NotRun, "%v", err)
+			}
+		})
+		if step%80 == 40 && len(all) > 3 {
+			f.kill(fn, r.IntN(2) == 0)
+			s := fn.session
+			s.Epoch++
+			time.AfterFunc(time.Duration(r.IntN(8))*time.Second, func() { f.start(s) })
+		}
+	}
+	wg.Wait()
+	f.mu.Lock()
+	f.lose = 0
+	f.mu.Unlock()
+	time.Sleep(60 * time.Second)
+	assert.Equal(t, f.settled(), "")
+	fn := f.list()[0]
+	assert.NilError(t, f.serve(context.Background(), t, fn, fn.demand(), time.Millisecond))
+}
+
+// TestDispatcherCrashKeepsGrants kills the dispatcher while grants are held. The next
+// one learns of them before it grants, so that no engine refuses.
+func TestDispatcherCrashKeepsGrants(t *testing.T) {
+	for _, inView := range []bool{true, false} {
+		t.Run(fmt.Sprint(inView), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(2, []string{"a"}, 3, 2, 5)
+				defer f.stopAll()
+				time.Sleep(2 * time.Second)
+				d := f.dispatcher(f.list()[0], "a")
+				var others []*fleetNode
+				for _, fn := range f.list() {
+					if fn != d {
+						others = append(others, fn)
+					}
+				}
+				var wg sync.WaitGroup
+				for i := range 30 {
+					fn := others[i%2]
+					wg.Go(func() {
+						assert.Check(t, f.serve(context.Background(), t, fn, fn.demand(), 5*time.Second))
+					})
+				}
+				time.Sleep(time.Second)
+				f.kill(d, inView)
+				wg.Wait()
+				for addr, e := range f.engines {
+					assert.Equal(t, e.refused, 0, addr)
+				}
+				time.Sleep(20 * time.Second)
+				assert.Equal(t, f.settled(), "")
+			})
+		})
+	}
+}
+
+// TestTwoDispatchersAtOnce gives two instances views in which each is alone. Both
+// grant the same engines: these refuse some, and every request is still served.
+func TestTwoDispatchersAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(3, []string{"a"}, 2, 2, 4)
+		defer f.stopAll()
+		f.mu.Lock()
+		f.views["peer-a-i0"], f.views["peer-a-i1"] = []member.Session{}, []member.Session{}
+		f.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		var wg sync.WaitGroup
+		for _, fn := range f.list() {
+			for range 40 {
+				wg.Go(func() {
+					assert.Check(t, f.serve(context.Background(), t, fn, fn.demand(), 300*time.Millisecond))
+				})
+			}
+		}
+		wg.Wait()
+		time.Sleep(20 * time.Second)
+		assert.Equal(t, f.settled(), "")
+		for addr, e := range f.engines {
+			assert.Assert(t, e.peak <= 4, addr)
+		}
+	})
+}
+
+// TestOrphansAreReapedAndLiveWorkIsNot leaves requests of a dead instance, of a dead
+// incarnation, and of live owners with and without a claim at an engine.
+func TestOrphansAreReapedAndLiveWorkIsNot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(4, []string{"a"}, 3, 1, 20)
+		defer f.stopAll()
+		time.Sleep(2 * time.Second)
+		all := f.list()
+		e := f.engines["a-d0"]
+		g, err := all[0].Acquire(context.Background(), all[0].demand())
+		assert.NilError(t, err)
+		claimed := reqid.ID{Instance: "a-i0", Incarnation: 1, Seq: 1}
+		disowned := reqid.ID{Instance: "a-i0", Incarnation: 1, Seq: 999}
+		unknown := reqid.ID{Instance: "a-i1", Incarnation: 0, Seq: 1}
+		silent := reqid.ID{Instance: "a-i2", Incarnation: 1, Seq: 5}
+		for _, id := range []reqid.ID{claimed, disowned, unknown, silent} {
+			assert.Assert(t, e.start(id))
+		}
+		f.mu.Lock() // a live owner that cannot be asked keeps its work
+		f.cut = func(_, to string) bool { return to == "peer-a-i2" }
+		f.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, e.count(), 4, "nothing is cancelled within the grace")
+		time.Sleep(8 * time.Second)
+		e.mu.Lock()
+		assert.Equal(t, e.running[claimed], 1)
+		assert.Equal(t, e.running[silent], 1)
+		assert.Equal(t, len(e.running), 2)
+		e.mu.Unlock()
+		f.mu.Lock()
+		f.cut = nil
+		f.mu.Unlock()
+		f.kill(all[2], false)
+		time.Sleep(2 * absentFor)
+		assert.Equal(t, e.count(), 1)
+		g.Release(sched.Succeeded)
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, e.count(), 0)
+	})
+}
+
+// TestOtherDataCentreHelps fills the own data centre, and then takes its instances'
+// reach of the other one away.
+func TestOtherDataCentreHelps(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(5, []string{"a", "b"}, 2, 1, 4)
+		defer f.stopAll()
+		time.Sleep(2 * time.Second)
+		fn := f.list()[0]
+		var grants []*sched.Grant
+		used := map[string]int{}
+		for range 7 { // three quarters of the other one, which then is no longer spare
+			g, err := fn.Acquire(context.Background(), fn.demand())
+			assert.NilError(t, err)
+			g.PrefillDone(sched.Succeeded)
+			grants = append(grants, g)
+			used[g.Decode.DataCentre]++
+		}
+		assert.Equal(t, used["a"], 4)
+		assert.Equal(t, used["b"], 3)
+		f.mu.Lock()
+		f.cut = func(from, to string) bool {
+			return strings.HasPrefix(from, "peer-a") != strings.HasPrefix(to, "peer-a")
+		}
+		f.mu.Unlock()
+		time.AfterFunc(15*time.Second, func() { grants[0].Release(sched.Succeeded) })
+		g, err := fn.Acquire(context.Background(), fn.demand())
+		assert.NilError(t, err)
+		assert.Equal(t, g.Decode.DataCentre, "a")
+		for _, g := range append(grants, g) {
+			g.Release(sched.Succeeded)
+		}
+		time.Sleep(20 * time.Second)
+		f.mu.Lock()
+		f.cut = nil
+		f.mu.Unlock()
+		time.Sleep(20 * time.Second)
+		assert.Equal(t, f.settled(), "")
+	})
+}
+
+// TestSilentDispatcherIsLeft lets all calls to the dispatcher vanish: waiting requests
+// get their grant from the next one.
+func TestSilentDispatcherIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(6, []string{"a"}, 3, 2, 4)
+		defer f.stopAll()
+		time.Sleep(2 * time.Second)
+		d := f.dispatcher(f.list()[0], "a")
+		f.mu.Lock()
+		f.cut = func(_, to string) bool { return to == d.session.Addr }
+		f.mu.Unlock()
+		for _, fn := range f.list() {
+			if fn != d {
+				assert.NilError(t, f.serve(context.Background(), t, fn, fn.demand(), time.Millisecond))
+			}
+		}
+	})
+}
+
+func TestStepsRoundTrip(t *testing.T) {
+	tries := []uint64{3, 4, 9, 1 << 40}
+	assert.DeepEqual(t, unsteps(steps(tries)), tries)
+}
+
+func TestRendezvousMovesLittle(t *testing.T) {
+	var members []member.Session
+	for i := range 25 {
+		members = append(members, member.Session{Name: fmt.Sprint("i", i), Addr: fmt.Sprint("i", i)})
+	}
+	moved, won := 0, map[string]int{}
+	for i := range 1000 {
+		p := Place{fmt.Sprint("m", i), "a"}
+		all, _ := rendezvous(p, members)
+		rest, _ := rendezvous(p, members[1:])
+		won[all]++
+		if all != rest {
+			moved++
+			assert.Equal(t, all, "i0")
+		}
+	}
+	assert.Assert(t, moved < 80 && len(won) == 25, "%d moved, %d won", moved, len(won))
+	_, ok := rendezvous(Place{"m", "a"}, nil)
+	assert.Assert(t, !ok)
+}
+
+var _ sched.Scheduler = (*Node)(nil)
+var _ pool.Reporter = reporter{}
--- /dev/null
+++ b/internal/sched/dispatch/host.go
@@ -0,0 +1,191 @@
+package dispatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"carawayrouter.example/router/internal/config"
+	"carawayrouter.example/router/internal/endpoint"
+	"carawayrouter.example/router/internal/peer"
+	"carawayrouter.example/router/internal/sched/pool"
+)
+
+// warmUpCalls bounds the instances that a new dispatcher asks at the same moment.
+const warmUpCalls = 8
+
+// host is a dispatcher that this instance runs, with a mailbox of answers for each
+// holder.
+type host struct {
+	*pool.Dispatcher
+	place   Place
+	session uint64
+	node    *Node
+	stop    context.CancelFunc
+
+	mu    sync.Mutex
+	boxes map[pool.Holder]*mailbox
+	asked time.Time
+}
+
+// mailbox keeps the answers that a holder has not confirmed.
+type mailbox struct {
+	next    uint64 // sequence number of the next answer
+	answers []Answer
+	arrived chan struct{} // closed when an answer comes
+	used    time.Time
+}
+
+// errNotHere refuses calls for places that the instance cannot be dispatcher of: it
+// is in another data centre, the pool has no endpoints there, or it is shutting down.
+var errNotHere = errors.New("instance cannot be dispatcher of the place")
+
+// host returns the dispatcher of a place, starting one if need be.
+func (n *Node) host(p Place) (*host, error) {
+	st := n.opts.Config.Current()
+	n.mu.Lock()
+	if h := n.hosts[p]; h != nil {
+		n.mu.Unlock()
+		return h, nil
+	}
+	eps := endpointsOf(st, p)
+	kind := config.ModelPool
+	if cfg := st.Pools[p.Pool]; cfg != nil {
+		kind = cfg.Kind
+	}
+	if len(eps) == 0 || p.DataCentre != n.self().DataCentre || n.ctx.Err() != nil {
+		n.mu.Unlock()
+		return nil, errNotHere
+	}
+	seed := rand.New(rand.NewPCG(n.rand.Uint64(), n.rand.Uint64()))
+	ctx, cancel := context.WithCancel(n.ctx)
+	h := &host{
+		Dispatcher: pool.NewDispatcher(p.Pool, kind, n.tuning, n.opts.Clock, seed, n.opts.Events),
+		place:      p,
+		session:    n.rand.Uint64() | 1,
+		node:       n,
+		stop:       cancel,
+		boxes:      map[pool.Holder]*mailbox{},
+		asked:      n.opts.Clock.Now(),
+	}
+	n.hosts[p] = h
+	running, leaving := n.running, n.leaving
+	n.mu.Unlock()
+
+	h.Pause(running)
+	h.SetEndpoints(eps, leaving)
+	if running {
+		n.wg.Go(func() { h.Run(ctx) })
+		n.wg.Go(func() { h.watch(ctx) })
+	}
+	return h, nil
+}
+
+// watch rebuilds the dispatcher's view, lets it grant, and polls its engines.
+func (h *host) watch(ctx context.Context) {
+	w := &pool.Watcher{
+		Dispatcher: h.Dispatcher,
+		Dialer:     h.node.opts.Dialer,
+		Clock:      h.node.opts.Clock,
+		Found: func(_ context.Context, ep *config.Endpoint, running []endpoint.Running) {
+			h.node.reaper.note(h, ep, running)
+		},
+	}
+	eps := func() []*config.Endpoint { return endpointsOf(h.node.opts.Config.Current(), h.place) }
+	h.warmUp(ctx, w, eps())
+	h.Pause(false)
+	w.Run(ctx, eps)
+}
+
+// warmUp books what the instances of the data centre hold and what engines run, as
+// far as they answer in time. What is missed counts once holders renew and engines
+// are polled; until then engines refuse what is too much.
+func (h *host) warmUp(ctx context.Context, w *pool.Watcher, eps []*config.Endpoint) {
+	ctx, cancel := context.WithTimeout(ctx, warmUpTime)
+	defer cancel()
+	lease := h.node.lease()
+	var g errgroup.Group
+	g.SetLimit(warmUpCalls)
+	g.Go(func() error {
+		w.Poll(ctx, eps)
+		return nil
+	})
+	h.Restore(h.node.holdings(h.place), lease)
+	self := h.node.self()
+	for _, m := range h.node.opts.Members.View().InDataCentre(self.DataCentre) {
+		if m.Addr == self.Addr {
+			continue
+		}
+		g.Go(func() error {
+			var reply HoldingsReply
+			if err := h.node.opts.Caller.Call(peer.Idempotent(ctx), m.Addr, methodHoldings, &HoldingsArgs{h.place}, &reply); err == nil {
+				h.Restore(reply.Held, lease)
+			}
+			return nil
+		})
+	}
+	_ = g.Wait()
+}
+
+// box returns the mailbox of a holder. The caller holds mu.
+func (h *host) box(of pool.Holder) *mailbox {
+	b := h.boxes[of]
+	if b == nil {
+		b = &mailbox{next: 1, arrived: make(chan struct{})}
+		h.boxes[of] = b
+	}
+	b.used = h.node.opts.Clock.Now()
+	h.asked = b.used
+	return b
+}
+
+// post puts a decision into its holder's mailbox.
+func (h *host) post(dec pool.Decision) {
+	a := toAnswer(dec)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	b := h.box(dec.Key.Holder())
+	a.Seq = b.next
+	b.next++
+	b.answers = append(b.answers, a)
+	close(b.arrived)
+	b.arrived = make(chan struct{})
+}
+
+// take drops confirmed answers and returns the rest, with a channel that is closed
+// when another comes.
+func (h *host) take(of pool.Holder, c Cursor) ([]Answer, <-chan struct{}) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	b := h.box(of)
+	if c.Session == h.session {
+		for len(b.answers) > 0 && b.answers[0].Seq <= c.After {
+			b.answers = b.answers[1:]
+		}
+	}
+	return append([]Answer(nil), b.answers...), b.arrived
+}
+
+// prune drops mailboxes that were not used for the life of a lease.
+func (h *host) prune() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.node.opts.Clock.Now()
+	for of, b := range h.boxes {
+		if now.Sub(b.used) > leaseTime {
+			delete(h.boxes, of)
+		}
+	}
+}
+
+// idleSince reports whether nobody asked for the given time and nothing is booked.
+func (h *host) idleSince(now time.Time, d time.Duration) bool {
+	h.mu.Lock()
+	asked := h.asked
+	h.mu.Unlock()
+	return now.Sub(asked) >= d && h.Idle()
+}
--- /dev/null
+++ b/internal/sched/dispatch/link.go
@@ -0,0 +1,231 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"carawayrouter.example/router/internal/peer"
+	"carawayrouter.example/router/internal/sched"
+)
+
+const (
+	maxPush    = 256  // operations in one call
+	maxPending = 8192 // operations that wait for a call; more are dropped
+)
+
+// errMoved tells a waiting request to look for its dispatcher again.
+var errMoved = errors.New("dispatcher cannot be reached or moved")
+
+type linkKey struct {
+	place Place
+	addr  string
+}
+
+// link carries the demands of this instance to one dispatcher elsewhere. One call
+// with operations is in flight at a time, so that they keep their order, and one that
+// waits for answers while any request waits. Operations that get lost are made good
+// by the next renewal.
+type link struct {
+	linkKey
+	node *Node
+
+	mu         sync.Mutex
+	ops        []Op
+	pushing    bool
+	collecting bool
+	waiting    map[uint64]*ticket
+	cursor     Cursor
+}
+
+// link returns the link to a dispatcher.
+func (n *Node) link(p Place, addr string) *link {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	k := linkKey{p, addr}
+	l := n.links[k]
+	if l == nil {
+		l = &link{linkKey: k, node: n, waiting: map[uint64]*ticket{}}
+		n.links[k] = l
+	}
+	return l
+}
+
+// quiet reports whether the link has nothing to do.
+func (l *link) quiet() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.waiting) == 0 && !l.pushing && !l.collecting
+}
+
+// submit sends the demand of a ticket.
+func (l *link) submit(t *ticket) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.waiting[t.try] = t
+	l.send(Op{Kind: OpSubmit, Try: t.try, Seq: t.demand.ID.Seq, Demand: toWire(t.demand, l.node.opts.Clock.Now())})
+}
+
+// report sends another operation of a ticket.
+func (l *link) report(t *ticket, kind OpKind, o sched.Outcome) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if kind == OpRelease {
+		delete(l.waiting, t.try)
+	}
+	l.send(Op{Kind: kind, Try: t.try, Seq: t.demand.ID.Seq, Outcome: o})
+}
+
+// resubmit sends the demand of a waiting ticket again.
+func (l *link) resubmit(try uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if t := l.waiting[try]; t != nil {
+		l.send(Op{Kind: OpSubmit, Try: t.try, Seq: t.demand.ID.Seq, Demand: toWire(t.demand, l.node.opts.Clock.Now())})
+	}
+}
+
+// send queues an operation. The caller holds mu.
+func (l *link) send(op Op) {
+	if len(l.ops) >= maxPending {
+		return
+	}
+	l.ops = append(l.ops, op)
+	if !l.pushing {
+		l.pushing = true
+		go l.push()
+	}
+}
+
+// push sends operations until none is left.
+func (l *link) push() {
+	for {
+		args := l.batch()
+		if args == nil {
+			return
+		}
+		var reply Answers
+		if err := l.call(methodPush, args, &reply); err != nil {
+			l.mu.Lock()
+			l.pushing = false
+			l.mu.Unlock()
+			l.fail()
+			return
+		}
+		l.take(&reply)
+	}
+}
+
+// batch takes the next operations, or ends pushing.
+func (l *link) batch() *PushArgs {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.ops) == 0 {
+		l.pushing = false
+		return nil
+	}
+	n := min(len(l.ops), maxPush)
+	args := &PushArgs{Holder: l.node.holder(), Place: l.place, Cursor: l.cursor, Ops: l.ops[:n:n]}
+	l.ops = l.ops[n:]
+	return args
+}
+
+// call makes a call that the dispatcher answers at once.
+func (l *link) call(method string, args, reply any) error {
+	ctx, cancel := context.WithTimeout(l.node.context(), callTimeout)
+	defer cancel()
+	start := l.node.opts.Clock.Now()
+	err := l.node.opts.Caller.Call(peer.Idempotent(ctx), l.addr, method, args, reply)
+	if err == nil {
+		l.node.noteTrip(l.place, l.addr, l.node.opts.Clock.Now().Sub(start))
+	}
+	return err
+}
+
+// collect waits for answers while any request waits.
+func (l *link) collect() {
+	for {
+		l.mu.Lock()
+		if len(l.waiting) == 0 {
+			l.collecting = false
+			l.mu.Unlock()
+			return
+		}
+		args := &CollectArgs{Holder: l.node.holder(), Place: l.place, Cursor: l.cursor, Wait: collectWait}
+		l.mu.Unlock()
+		ctx, cancel := context.WithTimeout(l.node.context(), collectWait+callTimeout)
+		var reply Answers
+		err := l.node.opts.Caller.Call(ctx, l.addr, methodCollect, args, &reply)
+		cancel()
+		if err != nil {
+			l.mu.Lock()
+			l.collecting = false
+			l.mu.Unlock()
+			l.fail()
+			return
+		}
+		l.take(&reply)
+	}
+}
+
+// take hands answers to the requests that wait for them.
+func (l *link) take(reply *Answers) {
+	l.node.noteLoad(l.place, reply.Load)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if reply.Session != l.cursor.Session {
+		l.newSession(reply.Session)
+	}
+	for _, a := range reply.Answers {
+		if a.Seq <= l.cursor.After {
+			continue // taken from an earlier reply
+		}
+		l.cursor.After = a.Seq
+		t := l.waiting[a.Try]
+		if t == nil {
+			l.refuse(a)
+			continue
+		}
+		delete(l.waiting, a.Try)
+		t.answer(l.node.decision(t, a))
+	}
+	if len(l.waiting) > 0 && !l.collecting {
+		l.collecting = true
+		go l.collect()
+	}
+}
+
+// newSession starts over with a dispatcher that lost its state, or is met for the
+// first time: what waits is sent again. The caller holds mu.
+func (l *link) newSession(session uint64) {
+	first := l.cursor.Session == 0
+	l.cursor = Cursor{Session: session}
+	if first {
+		return
+	}
+	for _, t := range l.waiting {
+		l.send(Op{Kind: OpSubmit, Try: t.try, Seq: t.demand.ID.Seq, Demand: toWire(t.demand, l.node.opts.Clock.Now())})
+	}
+}
+
+// refuse gives back a grant that nobody waits for, unless it is held already. The
+// caller holds mu.
+func (l *link) refuse(a Answer) {
+	if a.Kind != "" || l.node.holds(a.Try) {
+		return
+	}
+	l.send(Op{Kind: OpRelease, Try: a.Try, Seq: a.Request, Outcome: sched.Abandoned})
+}
+
+// fail tells all who wait to look for another dispatcher, and avoids this one.
+func (l *link) fail() {
+	l.node.suspect(l.addr)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ops = nil
+	for try, t := range l.waiting {
+		delete(l.waiting, try)
+		t.answer(result{err: errMoved})
+	}
+}
--- /dev/null
+++ b/internal/sched/dispatch/node.go
@@ -0,0 +1,335 @@
+// Package dispatch spreads scheduling over the instances of the fleet. One instance
+// of a data centre is the dispatcher of a pool there and decides for all of them; the
+// others send it their demands. A dispatcher's state is soft: it is rebuilt from what
+// the holders of grants and the engines say, and engines refuse what is too much.
+//
+// Invariants: a grant is booked at its dispatcher from the decision until its holder
+// released or disowned it or its lease ended; a request that runs at an engine is
+// cancelled only if its owner is dead by evidence or disowns it.
+package dispatch
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"carawayrouter.example/router/internal/clock"
+	"carawayrouter.example/router/internal/config"
+	"carawayrouter.example/router/internal/endpoint"
+	"carawayrouter.example/router/internal/event"
+	"carawayrouter.example/router/internal/member"
+	"carawayrouter.example/router/internal/peer"
+	"carawayrouter.example/router/internal/reqid"
+	"carawayrouter.example/router/internal/sched/pool"
+)
+
+// Intervals and times.
+const (
+	refreshInterval = 200 * time.Millisecond
+	renewInterval   = time.Second
+	leaseTime       = 8 * time.Second // of a demand that its holder does not list any more
+	callTimeout     = time.Second
+	collectWait     = 2 * time.Second
+	warmUpTime      = 500 * time.Millisecond // longest pause of a new dispatcher
+	idleTime        = 10 * time.Second       // life of a dispatcher that nobody needs
+	hintLife        = 3 * time.Second        // of another data centre's load
+	spillInterval   = 100 * time.Millisecond // between looks at other data centres while waiting
+	suspectTime     = time.Second            // until an instance that did not answer is asked again; doubles
+	maxSuspectTime  = 10 * time.Second
+)
+
+// Evidence tells whether a process is certainly gone.
+type Evidence interface {
+	Dead(instance string, incarnation uint64) bool
+}
+
+// Options configures a Node.
+type Options struct {
+	Config   config.Source
+	Members  member.Source
+	Caller   peer.Caller
+	Dialer   endpoint.Dialer
+	Clock    clock.Clock
+	Rand     *rand.Rand
+	Logger   logr.Logger
+	Events   *event.Ring
+	Leaving  pool.LeavingSource // nil: configuration alone says who leaves
+	Evidence Evidence           // nil: the view of the members decides, see viewEvidence
+	Tuning   *pool.Tuning       // nil: pool.DefaultTuning
+}
+
+// Node is an instance's part in scheduling: the client side, which implements
+// sched.Scheduler, and the dispatchers that the instance hosts. Service must be
+// registered with the peers' server before Run.
+type Node struct {
+	opts     Options
+	tuning   pool.Tuning
+	evidence Evidence
+	reaper   *reaper
+
+	mu       sync.Mutex
+	rand     *rand.Rand
+	ctx      context.Context // of Run
+	running  bool
+	last     uint64 // last try issued
+	tickets  map[uint64]*ticket
+	ids      map[reqid.ID]int // tickets by request
+	links    map[linkKey]*link
+	hosts    map[Place]*host
+	suspects map[string]suspect // by peer address
+	hints    map[Place]hint
+	changed  chan struct{} // closed when homes may have changed
+	homes    map[Place]string
+	state    *config.State
+	leaving  map[string]bool
+	view     *member.View
+	members  map[string][]member.Session // of view, by data centre
+	renewed  map[linkKey]bool            // dispatchers whose last list was not empty
+	spills   int
+	wg       sync.WaitGroup
+}
+
+// suspect is an instance that did not answer. It is avoided until it answers a ping.
+type suspect struct {
+	retry time.Time // of the next ping
+	pause time.Duration
+}
+
+// hint is what is known of a dispatcher's load.
+type hint struct {
+	load  pool.Load
+	at    time.Time
+	trip  time.Duration // round trip of the last call
+	asked time.Time     // last use of the place by a local request
+}
+
+// New returns a Node.
+func New(o Options) *Node {
+	t := pool.DefaultTuning()
+	if o.Tuning != nil {
+		t = *o.Tuning
+	}
+	n := &Node{
+		opts:     o,
+		tuning:   t,
+		evidence: o.Evidence,
+		rand:     o.Rand,
+		ctx:      context.Background(),
+		tickets:  map[uint64]*ticket{},
+		ids:      map[reqid.ID]int{},
+		links:    map[linkKey]*link{},
+		hosts:    map[Place]*host{},
+		suspects: map[string]suspect{},
+		hints:    map[Place]hint{},
+		changed:  make(chan struct{}),
+		homes:    map[Place]string{},
+		renewed:  map[linkKey]bool{},
+		members:  map[string][]member.Session{},
+	}
+	if n.evidence == nil {
+		n.evidence = newViewEvidence(o.Members, o.Clock)
+	}
+	n.reaper = newReaper(n)
+	return n
+}
+
+// Run keeps the node going until ctx ends; it returns once all it started has ended.
+func (n *Node) Run(ctx context.Context) error {
+	n.mu.Lock()
+	n.ctx, n.running = ctx, true
+	n.mu.Unlock()
+	n.refresh()
+	n.wg.Go(func() { n.every(ctx, renewInterval, n.renew) })
+	n.wg.Go(func() { n.every(ctx, renewInterval, n.probe) })
+	n.wg.Go(func() { n.every(ctx, renewInterval, n.reaper.run) })
+	n.every(ctx, refreshInterval, func(context.Context) { n.refresh() })
+	n.wg.Wait()
+	return nil
+}
+
+// every calls f at an interval until ctx ends.
+func (n *Node) every(ctx context.Context, d time.Duration, f func(context.Context)) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.opts.Clock.After(d):
+			f(ctx)
+		}
+	}
+}
+
+// self returns this instance's session.
+func (n *Node) self() member.Session { return n.opts.Members.View().Self }
+
+// holder returns this process as holder of demands.
+func (n *Node) holder() pool.Holder {
+	s := n.self()
+	return pool.Holder{Instance: s.Name, Incarnation: s.Epoch}
+}
+
+// home returns the address of the dispatcher of a place, in this instance's view.
+// Instances that did not answer lately are avoided.
+func (n *Node) home(p Place) (addr string, ok bool) {
+	view := n.opts.Members.View()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	members := n.membersOf(view, p.DataCentre)
+	usable := members[:0:0]
+	for _, m := range members {
+		if _, ok := n.suspects[m.Addr]; !ok {
+			usable = append(usable, m)
+		}
+	}
+	if len(usable) == 0 {
+		usable = members
+	}
+	return rendezvous(p, usable)
+}
+
+// membersOf returns the members of a data centre. The caller holds mu.
+func (n *Node) membersOf(view *member.View, dc string) []member.Session {
+	if view != n.view {
+		n.view = view
+		clear(n.members)
+	}
+	members, ok := n.members[dc]
+	if !ok {
+		members = view.InDataCentre(dc)
+		n.members[dc] = members
+	}
+	return members
+}
+
+// suspect records that an instance did not answer.
+func (n *Node) suspect(addr string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	s := n.suspects[addr]
+	now := n.opts.Clock.Now()
+	if now.Before(s.retry) {
+		return
+	}
+	s.pause = min(max(2*s.pause, suspectTime), maxSuspectTime)
+	s.retry = now.Add(s.pause)
+	n.suspects[addr] = s
+	n.wake()
+}
+
+// wake makes waiting requests look again for their dispatcher. The caller holds mu.
+func (n *Node) wake() {
+	close(n.changed)
+	n.changed = make(chan struct{})
+}
+
+// refresh follows changes of members, configuration and the platform's list.
+func (n *Node) refresh() {
+	st := n.opts.Config.Current()
+	var leaving map[string]bool
+	if n.opts.Leaving != nil {
+		leaving = n.opts.Leaving.Leaving()
+	}
+	self := n.self()
+	for _, p := range placesOf(st) {
+		addr, ok := n.home(p)
+		n.noteHome(p, addr)
+		if ok && addr == self.Addr && p.DataCentre == self.DataCentre {
+			_, _ = n.host(p)
+		}
+	}
+	n.mu.Lock()
+	changed := st != n.state || !maps.Equal(leaving, n.leaving)
+	n.state, n.leaving = st, leaving
+	hosts := maps.Clone(n.hosts)
+	n.mu.Unlock()
+	for p, h := range hosts {
+		if changed {
+			h.SetEndpoints(endpointsOf(st, p), leaving)
+		}
+		h.prune()
+		n.retire(p, h, endpointsOf(st, p))
+	}
+	n.prune(st, self)
+}
+
+// noteHome wakes waiting requests if the home of a place changed.
+func (n *Node) noteHome(p Place, addr string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if old, ok := n.homes[p]; ok && old != addr {
+		n.wake()
+	}
+	n.homes[p] = addr
+}
+
+// retire stops a dispatcher that has been idle and is not this instance's to host.
+func (n *Node) retire(p Place, h *host, eps []*config.Endpoint) {
+	if addr, ok := n.home(p); len(eps) > 0 && ok && addr == n.self().Addr {
+		return
+	}
+	if !h.idleSince(n.opts.Clock.Now(), idleTime) && len(eps) > 0 {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.hosts, p)
+	h.stop()
+}
+
+// prune forgets what belongs to places, instances and links that are gone.
+func (n *Node) prune(st *config.State, self member.Session) {
+	known := map[Place]bool{}
+	for _, p := range placesOf(st) {
+		known[p] = true
+	}
+	addrs := map[string]bool{self.Addr: true}
+	for _, s := range n.opts.Members.View().Peers {
+		addrs[s.Addr] = true
+	}
+	n.pruneLinks(addrs)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	maps.DeleteFunc(n.homes, func(p Place, _ string) bool { return !known[p] })
+	maps.DeleteFunc(n.hints, func(p Place, _ hint) bool { return !known[p] })
+	maps.DeleteFunc(n.suspects, func(a string, _ suspect) bool { return !addrs[a] })
+}
+
+// pruneLinks forgets links without work to instances that are gone.
+func (n *Node) pruneLinks(addrs map[string]bool) {
+	n.mu.Lock()
+	links := maps.Clone(n.links)
+	n.mu.Unlock()
+	maps.DeleteFunc(links, func(k linkKey, l *link) bool { return addrs[k.addr] || !l.quiet() })
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for k := range links {
+		delete(n.links, k)
+	}
+}
+
+// placesOf lists the places of a configuration, in order.
+func placesOf(st *config.State) []Place {
+	seen := map[Place]bool{}
+	for name := range st.Pools {
+		for _, ep := range st.Pool(name) {
+			seen[Place{name, ep.DataCentre}] = true
+		}
+	}
+	return slices.SortedFunc(maps.Keys(seen), comparePlaces)
+}
+
+// endpointsOf lists the endpoints of a place.
+func endpointsOf(st *config.State, p Place) []*config.Endpoint {
+	var eps []*config.Endpoint
+	for _, ep := range st.Pool(p.Pool) {
+		if ep.DataCentre == p.DataCentre {
+			eps = append(eps, ep)
+		}
+	}
+	return eps
+}
--- /dev/null
+++ b/internal/sched/dispatch/renew.go
@@ -0,0 +1,303 @@
+package dispatch
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"carawayrouter.example/router/internal/peer"
+	"carawayrouter.example/router/internal/sched/pool"
+)
+
+const (
+	renewCalls  = 8 // dispatchers renewed at the same moment
+	probeCalls  = 8
+	probePlaces = 3 // other data centres asked for one pool
+)
+
+// renew lists this instance's demands to each of their dispatchers. Grants follow
+// their place to a new dispatcher, which learns of them here.
+func (n *Node) renew(ctx context.Context) {
+	n.rehome(ctx)
+	groups, last := n.group()
+	var g errgroup.Group
+	g.SetLimit(renewCalls)
+	for k, tries := range groups {
+		g.Go(func() error {
+			n.renewAt(ctx, k, tries, last)
+			return nil
+		})
+	}
+	_ = g.Wait()
+}
+
+// move is the way of grants from one dispatcher to another.
+type move struct {
+	place    Place
+	from, to string
+}
+
+// rehome moves grants to the present dispatcher of their place. They stay with the
+// old one until the new one has booked them.
+func (n *Node) rehome(ctx context.Context) {
+	var g errgroup.Group
+	g.SetLimit(renewCalls)
+	for m, held := range n.moves() {
+		g.Go(func() error {
+			if n.restoreAt(ctx, m.place, m.to, held) == nil {
+				n.moved(m, held)
+			}
+			return nil
+		})
+	}
+	_ = g.Wait()
+}
+
+// moves lists the grants whose dispatcher is no longer that of their place.
+func (n *Node) moves() map[move][]pool.Held {
+	homes := map[Place]string{}
+	for _, p := range n.used() {
+		if addr, ok := n.home(p); ok {
+			homes[p] = addr
+		}
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	out := map[move][]pool.Held{}
+	for _, t := range n.tickets {
+		to := homes[t.place]
+		if t.held == nil || to == "" || to == t.home {
+			continue
+		}
+		m := move{t.place, t.home, to}
+		out[m] = append(out[m], *t.held)
+	}
+	return out
+}
+
+// moved records that grants have a new dispatcher, which is sent a list next even if
+// they have ended meanwhile.
+func (n *Node) moved(m move, held []pool.Held) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.renewed[linkKey{m.place, m.to}] = true
+	for _, h := range held {
+		if t := n.tickets[h.Key.Try]; t != nil && t.home == m.from {
+			t.home = m.to
+		}
+	}
+}
+
+// restoreAt books grants at a dispatcher that does not know them.
+func (n *Node) restoreAt(ctx context.Context, p Place, addr string, held []pool.Held) error {
+	if addr != n.self().Addr {
+		l := n.link(p, addr)
+		err := l.call(methodRestore, &RestoreArgs{Place: p, Held: held}, &Empty{})
+		if err != nil && ctx.Err() == nil {
+			l.fail()
+		}
+		return err
+	}
+	h, err := n.host(p)
+	if err != nil {
+		return err
+	}
+	h.Restore(held, n.lease())
+	return nil
+}
+
+// group returns the tries for each dispatcher in use, and the last try issued. A
+// dispatcher of a place is sent the grants held there, also those that another one
+// booked before it, and the requests that wait at it. A dispatcher whose last demand
+// ended gets one more list.
+func (n *Node) group() (groups map[linkKey][]uint64, last uint64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	groups = map[linkKey][]uint64{}
+	for k := range n.renewed {
+		groups[k] = nil
+	}
+	clear(n.renewed)
+	held := map[Place][]uint64{}
+	for try, t := range n.tickets {
+		k := linkKey{t.place, t.home}
+		n.renewed[k] = true
+		if t.held == nil {
+			groups[k] = append(groups[k], try)
+			continue
+		}
+		held[t.place] = append(held[t.place], try)
+		if _, ok := groups[k]; !ok {
+			groups[k] = nil
+		}
+	}
+	for k, tries := range groups {
+		tries = append(tries, held[k.place]...)
+		slices.Sort(tries)
+		groups[k] = tries
+	}
+	return groups, n.last
+}
+
+// used lists the places of tickets.
+func (n *Node) used() []Place {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	seen := map[Place]bool{}
+	var out []Place
+	for _, t := range n.tickets {
+		if !seen[t.place] {
+			seen[t.place] = true
+			out = append(out, t.place)
+		}
+	}
+	return out
+}
+
+// renewAt sends one list and makes good what the dispatcher does not know.
+func (n *Node) renewAt(ctx context.Context, k linkKey, tries []uint64, last uint64) {
+	if k.addr == n.self().Addr {
+		if h, err := n.host(k.place); err == nil {
+			unknown := h.Reconcile(n.holder(), tries, last, n.lease())
+			held, _ := n.split(unknown)
+			h.Restore(held, n.lease())
+		}
+		return
+	}
+	l := n.link(k.place, k.addr)
+	var reply RenewReply
+	args := &RenewArgs{Holder: n.holder(), Place: k.place, Last: last, Steps: steps(tries)}
+	if err := l.call(methodRenew, args, &reply); err != nil {
+		if ctx.Err() == nil {
+			l.fail()
+		}
+		return
+	}
+	n.noteLoad(k.place, reply.Load)
+	held, waiting := n.split(reply.Unknown)
+	if len(held) > 0 {
+		_ = n.restoreAt(ctx, k.place, k.addr, held)
+	}
+	for _, try := range waiting {
+		l.resubmit(try)
+	}
+}
+
+// split sorts tries into grants held and tries that wait.
+func (n *Node) split(tries []uint64) (held []pool.Held, waiting []uint64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, try := range tries {
+		switch t := n.tickets[try]; {
+		case t == nil:
+		case t.held != nil:
+			held = append(held, *t.held)
+		default:
+			waiting = append(waiting, try)
+		}
+	}
+	return held, waiting
+}
+
+// probe asks instances that did not answer whether they do now, and a few other data
+// centres for their load where requests wait in the own one.
+func (n *Node) probe(ctx context.Context) {
+	var g errgroup.Group
+	g.SetLimit(probeCalls)
+	for _, addr := range n.dueSuspects() {
+		g.Go(func() error {
+			n.ping(ctx, addr)
+			return nil
+		})
+	}
+	for _, p := range n.short() {
+		asked := 0
+		for _, other := range n.rotatedPlaces(p.Pool) {
+			if other == p || asked == probePlaces {
+				continue
+			}
+			asked++
+			g.Go(func() error {
+				n.probeOne(ctx, other)
+				return nil
+			})
+		}
+	}
+	_ = g.Wait()
+}
+
+// dueSuspects lists the suspects to be asked again.
+func (n *Node) dueSuspects() []string {
+	now := n.opts.Clock.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var due []string
+	for addr, s := range n.suspects {
+		if !now.Before(s.retry) {
+			due = append(due, addr)
+		}
+	}
+	return due
+}
+
+// ping asks a suspect whether it answers.
+func (n *Node) ping(ctx context.Context, addr string) {
+	call, cancel := context.WithTimeout(ctx, callTimeout/2)
+	defer cancel()
+	if err := n.opts.Caller.Call(peer.Idempotent(call), addr, methodOwns, &OwnsArgs{}, &OwnsReply{}); err != nil {
+		n.suspect(addr)
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.suspects, addr)
+}
+
+// short lists the own places in recent use without room, used or not as far as this
+// instance hosts them.
+func (n *Node) short() []Place {
+	now := n.opts.Clock.Now()
+	n.mu.Lock()
+	var recent []Place
+	for p, h := range n.hints {
+		if now.Sub(h.asked) < idleTime {
+			recent = append(recent, p)
+		}
+	}
+	n.mu.Unlock()
+	own := n.self().DataCentre
+	return slices.DeleteFunc(recent, func(p Place) bool {
+		load, ok := n.load(p)
+		return p.DataCentre != own || ok && !load.Saturated()
+	})
+}
+
+// rotatedPlaces lists the places of a pool from a random start.
+func (n *Node) rotatedPlaces(poolName string) []Place {
+	places := n.places(poolName)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(places) > 1 {
+		at := n.rand.IntN(len(places))
+		places = append(places[at:], places[:at]...)
+	}
+	return places
+}
+
+func (n *Node) probeOne(ctx context.Context, p Place) {
+	addr, ok := n.home(p)
+	if !ok || addr == n.self().Addr {
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, callTimeout/2)
+	defer cancel()
+	start := n.opts.Clock.Now()
+	var load pool.Load
+	if err := n.opts.Caller.Call(peer.Idempotent(call), addr, methodLoad, &LoadArgs{p}, &load); err != nil {
+		return
+	}
+	n.noteLoad(p, load)
+	n.noteTrip(p, addr, max(time.Microsecond, n.opts.Clock.Now().Sub(start)))
+}
--- a/internal/sched/pool/core.go
+++ b/internal/sched/pool/core.go
@@ -18,13 +18,22 @@
 	"carawayrouter.example/router/internal/sched"
 )
 
-// Key names one attempt of a request to get a grant. Try grows within a request id,
-// so that reports of an earlier grant never touch a later one.
+// Key names one attempt of a request to get a grant. A process never uses a Try
+// twice, so that reports of an earlier grant never touch a later one.
 type Key struct {
 	ID  reqid.ID
 	Try uint64
 }
 
+// Holder is the process that a demand belongs to: the one that issued its request id.
+type Holder struct {
+	Instance    string
+	Incarnation uint64
+}
+
+// Holder returns the process that issued the key's request id.
+func (k Key) Holder() Holder { return Holder{k.ID.Instance, k.ID.Incarnation} }
+
 // Decision is the end of one demand's wait: endpoints, or the reason for a refusal.
 type Decision struct {
 	Key     Key
@@ -74,9 +83,11 @@
 	queue   *fairqueue.Queue[*demand]
 	demands map[Key]*demand
 	ids     map[reqid.ID]int // granted demands by request id
+	holders map[Holder]map[uint64]*demand
 	targets map[string]*target
 	prefill []*target
 	decode  []*target // decode engines or plain services
+	paused  bool      // nothing is granted
 
 	served       float64 // cost granted since backlogSince
 	backlogSince time.Time
@@ -96,6 +107,7 @@
 		queue:   fairqueue.New[*demand](t.Queue),
 		demands: map[Key]*demand{},
 		ids:     map[reqid.ID]int{},
+		holders: map[Holder]map[uint64]*demand{},
 		targets: map[string]*target{},
 	}
 }
@@ -108,6 +120,9 @@
 	return c.decode
 }
 
+// DecodePieces returns the KV pieces that a demand needs at its decode engine.
+func DecodePieces(d sched.Demand) int { return endpoint.Pieces(d.Prompt + d.MaxOutput) }
+
 // SetEndpoints replaces the endpoints. Those in leaving, or configured as leaving,
 // get no new work from now on. State is kept by name and address.
 func (c *Core) SetEndpoints(eps []*config.Endpoint, leaving map[string]bool) {
@@ -148,7 +163,7 @@
 	}
 	m := &demand{key: key, d: d, lease: lease}
 	if c.kind == config.ModelPool {
-		m.need = endpoint.Pieces(d.Prompt + d.MaxOutput)
+		m.need = DecodePieces(d)
 	}
 	if err := c.possible(m); err != nil {
 		return nil, err
@@ -163,14 +178,34 @@
 		return nil, queueFull()
 	}
 	m.entry = e
-	c.demands[key] = m
+	c.add(m)
 	if out != nil {
-		delete(c.demands, out.Value.key)
+		c.forget(out.Value)
 		evicted = &Decision{Key: out.Value.key, Err: queueFull()}
 	}
 	return evicted, nil
 }
 
+// add books a demand under its key and holder.
+func (c *Core) add(m *demand) {
+	c.demands[m.key] = m
+	h := m.key.Holder()
+	if c.holders[h] == nil {
+		c.holders[h] = map[uint64]*demand{}
+	}
+	c.holders[h][m.key.Try] = m
+}
+
+// forget is the reverse of add.
+func (c *Core) forget(m *demand) {
+	delete(c.demands, m.key)
+	h := m.key.Holder()
+	delete(c.holders[h], m.key.Try)
+	if len(c.holders[h]) == 0 {
+		delete(c.holders, h)
+	}
+}
+
 func queueFull() *errkind.Error {
 	return errkind.New(errkind.QueueFull, "too many requests wait for the pool").WithRetryAfter(time.Second)
 }
@@ -255,13 +290,14 @@
 func (c *Core) Dispatch(now time.Time) []Decision {
 	var out []Decision
 	for _, e := range c.queue.Expire(now) {
-		delete(c.demands, e.Value.key)
-		out = append(out, Decision{Key: e.Value.key, Err: errkind.New(errkind.DeadlineUnreachable, "request waited as long as its route allows").WithRetryAfter(time.Second)})
+		c.forget(e.Value)
+		late := errkind.New(errkind.DeadlineUnreachable, "request waited as long as its route allows")
+		out = append(out, Decision{Key: e.Value.key, Err: late.WithRetryAfter(time.Second)})
 	}
 	for _, x := range c.decode {
 		x.reserved = false
 	}
-	for c.queue.Len() > 0 && c.anyRoom(now) {
+	for c.queue.Len() > 0 && !c.paused && c.anyRoom(now) {
 		e := c.queue.Next(now, func(e *fairqueue.Entry[*demand], starved bool) bool {
 			return c.place(now, e.Value, starved)
 		})
@@ -543,7 +579,7 @@
 	}
 	if m.entry != nil {
 		c.queue.Remove(m.entry)
-		delete(c.demands, key)
+		c.forget(m)
 		return true
 	}
 	if m.prefill != nil {
@@ -553,7 +589,7 @@
 	x := m.decode
 	x.slots--
 	x.pieces -= m.need
-	delete(c.demands, key)
+	c.forget(m)
 	if c.ids[key.ID]--; c.ids[key.ID] <= 0 {
 		delete(c.ids, key.ID)
 	}
@@ -588,20 +624,37 @@
 		c.hold(pre, endpoint.Pieces(h.Prompt))
 		pre.addPrefill(now, m.service)
 	}
-	c.demands[h.Key] = m
+	c.add(m)
 	c.ids[h.Key.ID]++
 	return true
 }
 
-// Renew extends the lease of a demand. It reports whether the key is known.
-func (c *Core) Renew(key Key, lease time.Time) bool {
-	m := c.demands[key]
-	if m != nil {
-		m.lease = lease
+// Reconcile compares the demands of a holder with its own list, taken when the last
+// Try that it had issued was the one given. Listed demands live on until lease,
+// others that it had issued by then are over. It returns listed tries that are not
+// known here.
+func (c *Core) Reconcile(now time.Time, h Holder, listed []uint64, last uint64, lease time.Time) (unknown []uint64) {
+	mine := c.holders[h]
+	keep := make(map[uint64]bool, len(listed))
+	for _, try := range listed {
+		keep[try] = true
+		if m := mine[try]; m != nil {
+			m.lease = lease
+			continue
+		}
+		unknown = append(unknown, try)
 	}
-	return m != nil
+	for try, m := range mine {
+		if try <= last && !keep[try] {
+			c.Release(now, m.key, sched.Abandoned)
+		}
+	}
+	return unknown
 }
 
+// Pause stops or resumes granting. A paused Core queues and refuses.
+func (c *Core) Pause(paused bool) { c.paused = paused }
+
 // Lapse releases the demands whose lease ended and returns their keys.
 func (c *Core) Lapse(now time.Time) []Key {
 	var lapsed []Key
@@ -643,8 +696,9 @@
 		}
 	})
 	for _, d := range out {
-		c.queue.Remove(c.demands[d.Key].entry)
-		delete(c.demands, d.Key)
+		m := c.demands[d.Key]
+		c.queue.Remove(m.entry)
+		c.forget(m)
 	}
 	return out
 }
--- a/internal/sched/pool/core_test.go
+++ b/internal/sched/pool/core_test.go
@@ -36,7 +36,9 @@
 	return c
 }
 
-func key(n int) Key { return Key{ID: reqid.ID{Instance: "i", Incarnation: 1, Seq: uint64(n)}} }
+func key(n int) Key {
+	return Key{ID: reqid.ID{Instance: "i", Incarnation: 1, Seq: uint64(n)}, Try: uint64(n)}
+}
 
 func ask(n int, account string) sched.Demand {
 	return sched.Demand{ID: key(n).ID, Account: account, Weight: 1, Pool: "m", Class: config.Interactive, Prompt: 1000, MaxOutput: 500, FirstToken: time.Second, MaxWait: 10 * time.Second, Arrived: t0}
@@ -100,7 +102,23 @@
 			},
 			"prefill": func(t *rapid.T) { c.PrefillDone(now, pick(), outcome()); dispatch() },
 			"token":   func(t *rapid.T) { c.FirstToken(now, pick()) },
-			"renew":   func(t *rapid.T) { c.Renew(pick(), now.Add(5*time.Second)) },
+			"reconcile": func(t *rapid.T) {
+				var listed []uint64
+				kept := map[Key]bool{}
+				for _, k := range keys {
+					if rapid.Bool().Draw(t, "listed") {
+						listed = append(listed, k.Try)
+						kept[k] = true
+					}
+				}
+				last := uint64(rapid.IntRange(0, seq).Draw(t, "last"))
+				c.Reconcile(now, key(0).Holder(), listed, last, now.Add(5*time.Second))
+				for k := range live {
+					if k.Try <= last && !kept[k] {
+						delete(live, k)
+					}
+				}
+			},
 			"release": func(t *rapid.T) {
 				k := pick()
 				assert.Equal(t, c.Release(now, k, outcome()), live[k])
@@ -142,7 +160,7 @@
 		for k := range live {
 			c.Release(now, k, sched.Abandoned)
 		}
-		assert.Equal(t, c.Waiting()+len(c.ids)+len(c.demands), 0)
+		assert.Equal(t, c.Waiting()+len(c.ids)+len(c.demands)+len(c.holders), 0)
 		for _, x := range c.targets {
 			assert.Equal(t, x.slots, 0)
 			assert.Equal(t, x.pieces, 0)
--- a/internal/sched/pool/dispatcher.go
+++ b/internal/sched/pool/dispatcher.go
@@ -29,7 +29,7 @@
 
 	mu      sync.Mutex
 	core    *Core
-	waiters map[Key]chan Decision
+	waiters map[Key]func(Decision)
 }
 
 // NewDispatcher returns a Dispatcher without endpoints.
@@ -38,33 +38,40 @@
 		clock:   c,
 		events:  events,
 		core:    NewCore(pool, kind, t, r),
-		waiters: map[Key]chan Decision{},
+		waiters: map[Key]func(Decision){},
 	}
 }
 
-// Submit adds a demand and returns the channel on which its decision arrives. A key
-// that is known already keeps its place or its grant; a channel that an earlier
-// Submit returned for it gets nothing any more. A zero lease never ends.
+// Submit adds a demand and returns the channel on which its decision arrives; see
+// SubmitFunc.
 func (d *Dispatcher) Submit(key Key, dem sched.Demand, lease time.Time) <-chan Decision {
 	ch := make(chan Decision, 1)
+	d.SubmitFunc(key, dem, lease, func(dec Decision) { ch <- dec })
+	return ch
+}
+
+// SubmitFunc adds a demand and calls deliver once with its decision. A key that is
+// known already keeps its place or its grant; a deliver given for it before is not
+// called any more. deliver must not call the Dispatcher. A zero lease never ends.
+func (d *Dispatcher) SubmitFunc(key Key, dem sched.Demand, lease time.Time, deliver func(Decision)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	evicted, err := d.core.Enqueue(d.clock.Now(), key, dem, lease)
 	if err != nil {
-		ch <- Decision{Key: key, Err: err}
-		d.record(Decision{Key: key, Err: err})
-		return ch
+		dec := Decision{Key: key, Err: err}
+		d.record(dec)
+		deliver(dec)
+		return
 	}
 	if dec, ok := d.core.Lookup(key); ok {
-		ch <- dec
-		return ch
+		deliver(dec)
+		return
 	}
-	d.waiters[key] = ch
+	d.waiters[key] = deliver
 	if evicted != nil {
 		d.deliver(*evicted)
 	}
 	d.dispatch()
-	return ch
 }
 
 // PrefillDone ends the prefill of a grant.
@@ -91,16 +98,39 @@
 	d.dispatch()
 }
 
-// Renew extends leases and returns the keys that are not known here.
-func (d *Dispatcher) Renew(keys []Key, lease time.Time) (unknown []Key) {
+// Reconcile compares a holder's own list of its demands with those known here; see
+// Core.Reconcile.
+func (d *Dispatcher) Reconcile(h Holder, listed []uint64, last uint64, lease time.Time) (unknown []uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	unknown = d.core.Reconcile(d.clock.Now(), h, listed, last, lease)
+	d.forgetWaiters()
+	d.dispatch()
+	return unknown
+}
+
+// Pause stops or resumes granting.
+func (d *Dispatcher) Pause(paused bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, k := range keys {
-		if !d.core.Renew(k, lease) {
-			unknown = append(unknown, k)
+	d.core.Pause(paused)
+	d.dispatch()
+}
+
+// Idle reports whether the Dispatcher has no demands.
+func (d *Dispatcher) Idle() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.core.demands) == 0
+}
+
+// forgetWaiters drops the waiters of demands that ended otherwise. The caller holds mu.
+func (d *Dispatcher) forgetWaiters() {
+	for key := range d.waiters {
+		if d.core.demands[key] == nil {
+			delete(d.waiters, key)
 		}
 	}
-	return unknown
 }
 
 // Restore books grants that holders proved.
@@ -180,7 +210,9 @@
 func (d *Dispatcher) Tick() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.core.Lapse(d.clock.Now())
+	for _, key := range d.core.Lapse(d.clock.Now()) {
+		delete(d.waiters, key)
+	}
 	d.dispatch()
 }
 
@@ -205,12 +237,10 @@
 // nobody waits for at the moment stays booked under its key.
 func (d *Dispatcher) deliver(dec Decision) {
 	d.record(dec)
-	ch, ok := d.waiters[dec.Key]
-	if !ok {
-		return
+	if deliver, ok := d.waiters[dec.Key]; ok {
+		delete(d.waiters, dec.Key)
+		deliver(dec)
 	}
-	delete(d.waiters, dec.Key)
-	ch <- dec
 }
 
 // record writes the decision to the time line.
