--- a/internal/sched/pool/local.go
+++ b/internal/sched/pool/local.go
@@ -249,3 +249,12 @@
 		})
 	})
 }
+
+// Waiting returns the number of demands that wait for a pool.
+func (l *Local) Waiting(pool string) int {
+	n := 0
+	for _, r := range l.order(pool) {
+		n += r.Load().Waiting
+	}
+	return n
+}
