--- a/spec/ticket.pml
+++ b/spec/ticket.pml
@@ -23,7 +23,7 @@
  */
 /* pan-cc: -DSAFETY -DCOLLAPSE */
 /* pan-run: -m200000 -w24 */
-/* mutations: NO_HEAD_CHECK BLIND_RETRY NO_BASE_CHECK READ_HEAD_LAST APPLY_ANY */
+/* mutations: NO_HEAD_CHECK BLIND_RETRY NO_BASE_CHECK NO_SECOND_READ APPLY_ANY */
 
 #define OPERATORS 2
 #define DRAFTS    4 /* two for each operator */
@@ -85,13 +85,9 @@
 	byte v;           /* object's row as read */
 
 attempt:
-#ifdef READ_HEAD_LAST
-	atomic { s = submission[d]; v = object[OBJECT(d)] }
 	h = head;
-#else
-	h = head;
-	atomic { s = submission[d]; v = object[OBJECT(d)] }
-#endif
+	s = submission[d];
+	v = object[OBJECT(d)];
 #ifndef BLIND_RETRY
 	if
 	:: s != 0 -> goto accepted
@@ -133,7 +129,7 @@
 
 lost:
 	skip;
-#ifndef READ_HEAD_LAST
+#ifndef NO_SECOND_READ
 	s = submission[d]; /* the change may be the submission's own */
 	if
 	:: s != 0 -> goto accepted
