order: engines kept in their configured state by their home's fenced orders

Cause: model, version, adapters and role of an engine come from tickets; a paused former home must not undo what its successor has ordered.

Change: order.NewController(Options) with Run, Round, Status, and order.Key (endpoint's shard). Only the holder of the shard gives orders; each carries the whole state and a token made of the shard's epoch and the ticket in force. Orders are repeated until acknowledged, after each change of epoch or state, and now and then for engines that were restarted. Where an endpoint ignores epochs, a new home first waits out the life of an order, and so does a home whose own order has an unknown outcome. The checks stand right before the call, so that a process paused since it prepared an order does not send it.

--- /dev/null
+++ b/internal/order/controller.go
@@ -0,0 +1,375 @@
+// Package order keeps model engines in their configured state: model, version,
+// adapters and role. The home of an endpoint's shard gives the orders. An order
+// carries the whole desired state and a fencing token, and can be repeated.
+package order
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+
+	"carawayrouter.example/router/internal/clock"
+	"carawayrouter.example/router/internal/config"
+	"carawayrouter.example/router/internal/endpoint"
+	"carawayrouter.example/router/internal/event"
+	"carawayrouter.example/router/internal/shard"
+)
+
+// Defaults of Options.
+const (
+	DefaultRoundEvery    = 500 * time.Millisecond
+	DefaultOrderLife     = 5 * time.Second
+	DefaultReassertEvery = time.Minute
+	DefaultRetryMin      = time.Second
+	DefaultRetryMax      = 30 * time.Second
+	DefaultMaxInFlight   = 16
+
+	// settleMargin is added to OrderLife where an order must have ended elsewhere: it
+	// covers clock rates and the time between a request's end here and there.
+	settleMargin = time.Second
+
+	// ticketBits is the part of a fencing token that orders the states which one home
+	// has ordered under one epoch.
+	ticketBits = 32
+)
+
+// Shards tells which shards this process may act for.
+type Shards interface {
+	// Held returns the epoch under which this process may act for the shard now.
+	Held(k shard.Key) (epoch uint64, ok bool)
+}
+
+// Options configures a Controller. Zero durations take the defaults.
+type Options struct {
+	Home    string // name of this instance
+	Shards  Shards
+	Config  config.Source
+	Engines func(*config.Endpoint) endpoint.Engine
+	Clock   clock.Clock
+	Rand    *rand.Rand
+	Logger  logr.Logger
+	Events  *event.Ring
+
+	RoundEvery    time.Duration
+	OrderLife     time.Duration // after this time the sender abandons an order
+	ReassertEvery time.Duration // repetition of acknowledged orders
+	RetryMin      time.Duration
+	RetryMax      time.Duration
+	MaxInFlight   int
+}
+
+func (o Options) withDefaults() Options {
+	for _, d := range []struct {
+		v   *time.Duration
+		def time.Duration
+	}{
+		{&o.RoundEvery, DefaultRoundEvery}, {&o.OrderLife, DefaultOrderLife},
+		{&o.ReassertEvery, DefaultReassertEvery}, {&o.RetryMin, DefaultRetryMin}, {&o.RetryMax, DefaultRetryMax},
+	} {
+		if *d.v == 0 {
+			*d.v = d.def
+		}
+	}
+	if o.MaxInFlight == 0 {
+		o.MaxInFlight = DefaultMaxInFlight
+	}
+	if o.Clock == nil {
+		o.Clock = clock.Real{}
+	}
+	if o.Rand == nil {
+		o.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	if o.Logger.GetSink() == nil {
+		o.Logger = logr.Discard()
+	}
+	return o
+}
+
+// Controller gives orders to the endpoints whose home is this process.
+type Controller struct {
+	opts  Options
+	slots chan struct{} // bounds the orders in flight
+	wg    sync.WaitGroup
+
+	mu    sync.Mutex
+	state *config.State        // that byKey was made from
+	byKey map[shard.Key][]item // endpoints that take orders
+	tasks map[string]*task     // by endpoint, while this process is their home
+	doubt map[string]time.Time // orders with unknown outcome of tasks that ended
+}
+
+// item is an endpoint and the state it is to have.
+type item struct {
+	endpoint *config.Endpoint
+	want     desired
+}
+
+// desired is the state that an order sets.
+type desired struct {
+	model, version, adapters, role string
+}
+
+// task is the work on one endpoint under one epoch.
+type task struct {
+	epoch    uint64
+	want     desired
+	ticket   uint64    // in force when this state was first wanted here
+	notUntil time.Time // no order before, as one of an earlier home may still arrive
+	next     time.Time
+	backoff  time.Duration
+	cancel   context.CancelFunc // ends the order in flight; nil without one
+	doubtful time.Time          // when the last order with unknown outcome was sent
+	acked    bool
+	err      error
+}
+
+// Status is the state of the orders to one endpoint.
+type Status struct {
+	Endpoint string
+	Epoch    uint64
+	Acked    bool   // the endpoint has taken the desired state under this epoch
+	Error    string // of the last order, empty after a success
+}
+
+// NewController returns a Controller.
+func NewController(o Options) *Controller {
+	o = o.withDefaults()
+	return &Controller{opts: o, slots: make(chan struct{}, o.MaxInFlight), tasks: map[string]*task{}, doubt: map[string]time.Time{}}
+}
+
+// Run gives orders until ctx ends.
+func (c *Controller) Run(ctx context.Context) error {
+	defer c.wg.Wait()
+	for {
+		c.Round(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-c.opts.Clock.After(c.opts.RoundEvery):
+		}
+	}
+}
+
+// Status returns the orders of the endpoints whose home is this process, by name.
+func (c *Controller) Status() []Status {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []Status
+	for name, t := range c.tasks {
+		s := Status{Endpoint: name, Epoch: t.epoch, Acked: t.acked}
+		if t.err != nil {
+			s.Error = t.err.Error()
+		}
+		out = append(out, s)
+	}
+	slices.SortFunc(out, func(a, b Status) int { return strings.Compare(a.Endpoint, b.Endpoint) })
+	return out
+}
+
+// Key returns the shard that decides for an endpoint.
+func Key(e *config.Endpoint) shard.Key { return shard.Of(e.DataCentre, "endpoint/"+e.Name) }
+
+// Round starts the orders that are due and cancels those that this process may no
+// longer give.
+func (c *Controller) Round(ctx context.Context) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.index(c.opts.Config.Current())
+	held := map[string]bool{}
+	for k, items := range c.byKey {
+		epoch, ok := c.opts.Shards.Held(k)
+		if !ok {
+			continue
+		}
+		for _, it := range items {
+			held[it.endpoint.Name] = true
+			c.prepare(it, epoch)
+			c.start(ctx, it, k)
+		}
+	}
+	for name, t := range c.tasks {
+		if held[name] {
+			continue
+		}
+		if t.cancel != nil {
+			t.cancel()
+		}
+		c.doubt[name] = t.doubtful
+		delete(c.tasks, name)
+	}
+	now := c.opts.Clock.Now()
+	maps.DeleteFunc(c.doubt, func(_ string, sent time.Time) bool {
+		return now.Sub(sent) > c.opts.OrderLife+settleMargin
+	})
+}
+
+// index groups the endpoints that take orders by shard. The caller holds mu.
+func (c *Controller) index(s *config.State) {
+	if s == c.state {
+		return
+	}
+	c.state = s
+	c.byKey = map[shard.Key][]item{}
+	for _, e := range s.Endpoints {
+		p := s.Pools[e.Pool]
+		if p == nil || p.Kind != config.ModelPool || e.Leaving {
+			continue
+		}
+		adapters := slices.Sorted(slices.Values(p.Adapters))
+		it := item{endpoint: e, want: desired{
+			model: p.Model, version: p.Version, adapters: strings.Join(adapters, "\n"), role: string(e.Role),
+		}}
+		c.byKey[Key(e)] = append(c.byKey[Key(e)], it)
+	}
+}
+
+// prepare brings the endpoint's task up to the epoch and the desired state. The
+// caller holds mu.
+func (c *Controller) prepare(it item, epoch uint64) {
+	now := c.opts.Clock.Now()
+	t := c.tasks[it.endpoint.Name]
+	if t != nil && t.epoch != epoch && t.cancel != nil {
+		t.cancel()
+	}
+	if t == nil || t.epoch != epoch {
+		t = &task{epoch: epoch, want: it.want, ticket: c.state.Ticket}
+		// The first home of a shard follows nobody.
+		if !it.endpoint.Fencing && epoch > 1 {
+			t.notUntil = now.Add(c.opts.OrderLife + settleMargin)
+		}
+		t.doubtful = c.doubt[it.endpoint.Name]
+		c.waitOut(it, t)
+		c.tasks[it.endpoint.Name] = t
+	}
+	if t.want == it.want {
+		return
+	}
+	t.want, t.acked, t.backoff, t.next = it.want, false, 0, now
+	t.ticket = c.state.Ticket
+	if t.cancel != nil {
+		t.cancel()
+	}
+	c.waitOut(it, t)
+}
+
+// waitOut delays the next order until an earlier one of this process whose outcome is
+// not known has ended, where no fencing token stops it from arriving late. The caller
+// holds mu.
+func (c *Controller) waitOut(it item, t *task) {
+	settled := t.doubtful.Add(c.opts.OrderLife + settleMargin)
+	if !it.endpoint.Fencing && settled.After(t.notUntil) {
+		t.notUntil = settled
+	}
+}
+
+// start sends the endpoint's order if it is due and a slot is free. The caller holds
+// mu.
+func (c *Controller) start(ctx context.Context, it item, k shard.Key) {
+	now := c.opts.Clock.Now()
+	t := c.tasks[it.endpoint.Name]
+	if t.cancel != nil || now.Before(t.next) || now.Before(t.notUntil) {
+		return
+	}
+	select {
+	case c.slots <- struct{}{}:
+	default:
+		return
+	}
+	orderCtx, cancel := context.WithTimeout(ctx, c.opts.OrderLife)
+	t.cancel = cancel
+	t.doubtful = now
+	o := it.order(c.opts.Home, token(t.epoch, t.ticket))
+	c.wg.Go(func() {
+		defer func() { <-c.slots }()
+		defer cancel()
+		c.finish(it, t, o, c.send(orderCtx, it, k, t.epoch, now, o))
+	})
+}
+
+// token returns the fencing token of an order: a later epoch always wins, and within
+// an epoch the state of a later ticket. Tickets in force never go back, so a home that
+// stopped for a while under one epoch goes on with tokens that are not stale.
+func token(epoch, ticket uint64) uint64 { return epoch<<ticketBits | ticket&(1<<ticketBits-1) }
+
+func (it item) order(home string, token uint64) endpoint.Order {
+	o := endpoint.Order{
+		Epoch: token, Home: home,
+		Model: it.want.model, Version: it.want.version, Adapters: []string{}, Role: it.want.role,
+	}
+	if it.want.adapters != "" {
+		o.Adapters = strings.Split(it.want.adapters, "\n")
+	}
+	return o
+}
+
+var (
+	errNotHome = errors.New("this instance is no longer the endpoint's home")
+	errPaused  = errors.New("the order was prepared too long ago")
+	errIgnores = errors.New("endpoint is configured to refuse stale epochs but reports none")
+)
+
+// send gives one order. The checks come right before the call: a process that was
+// paused since the order was prepared must not send it.
+func (c *Controller) send(
+	ctx context.Context, it item, k shard.Key, epoch uint64, prepared time.Time, o endpoint.Order,
+) error {
+	engine := c.opts.Engines(it.endpoint)
+	if held, ok := c.opts.Shards.Held(k); !ok || held != epoch {
+		return errNotHome
+	}
+	if c.opts.Clock.Now().Sub(prepared) > settleMargin {
+		return errPaused
+	}
+	res, err := engine.Order(ctx, o)
+	if err == nil && it.endpoint.Fencing && res.Epoch == 0 {
+		return errIgnores
+	}
+	return err
+}
+
+// finish records the outcome of an order.
+func (c *Controller) finish(it item, t *task, o endpoint.Order, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.opts.Clock.Now()
+	t.cancel = nil
+	t.err = err
+	if err == nil || knownOutcome(err) {
+		t.doubtful = time.Time{}
+	}
+	if token(t.epoch, t.ticket) != o.Epoch {
+		return // the desired state has changed since
+	}
+	t.acked = err == nil
+	if err == nil {
+		t.backoff = 0
+		t.next = now.Add(c.spread(c.opts.ReassertEvery))
+		c.event("order.acked", it, "")
+		return
+	}
+	t.backoff = min(max(2*t.backoff, c.opts.RetryMin), c.opts.RetryMax)
+	t.next = now.Add(c.spread(t.backoff))
+	c.event("order.failed", it, err.Error())
+	c.opts.Logger.V(1).Info("order failed", "endpoint", it.endpoint.Name, "epoch", t.epoch, "error", err.Error())
+}
+
+// knownOutcome reports whether an order that failed with err cannot take effect later.
+func knownOutcome(err error) bool {
+	return errors.IsAny(err, errNotHome, errPaused, endpoint.ErrNotSent, endpoint.ErrRefused, endpoint.ErrStaleEpoch)
+}
+
+// spread returns d changed by up to a fifth. The caller holds mu.
+func (c *Controller) spread(d time.Duration) time.Duration {
+	return d*4/5 + time.Duration(c.opts.Rand.Int64N(int64(d)*2/5+1))
+}
+
+func (c *Controller) event(kind string, it item, detail string) {
+	c.opts.Events.Add(event.Event{Kind: kind, Endpoint: it.endpoint.Name, Detail: detail})
+}
