--- a/spec/shard.pml
+++ b/spec/shard.pml
@@ -152,11 +152,7 @@
 	:: atomic { !calm && i == 0 && inc[i] != 0 && !asked[i] -> asked[i] = true; askedAge[i] = 0 }
 	:: atomic { !calm && asked[i] && !answered[i] -> answered[i] = true; peerAge[i] = 0 }
 	:: atomic { !calm && answered[i] -> lapse(i);
-#ifdef
-		silence[i] = 0;
-#else
 		if :: askedAge[i] < silence[i] -> silence[i] = askedAge[i] :: else fi;
-#endif
 		asked[i] = false; answered[i] = false; askedAge[i] = 0 }
 	:: atomic { !calm && registered(i) && !lapsed[i] && silence[i] == 0 &&
 		    epoch < Epochs && free() -> take(i) }
