--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"testing"
 	"time"
@@ -12,6 +13,11 @@
 	"carawayrouter.example/router/internal/platform"
 )
 
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "7") // the command line may set another
+	m.Run()
+}
+
 func threeIn(f *fleet, dc string, first int) []*process {
 	var out []*process
 	for i := range 3 {
--- a/internal/order/order_test.go
+++ b/internal/order/order_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -20,6 +21,11 @@
 	"carawayrouter.example/router/internal/shard"
 )
 
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "7") // the command line may set another
+	m.Run()
+}
+
 // site is one engine, its configuration and the homes that order it.
 type site struct {
 	clock   *clock.Fake
