--- a/internal/entry/parts.go
+++ b/internal/entry/parts.go
@@ -20,6 +20,8 @@
 	"carawayrouter.example/router/internal/peer/rpc"
 	"carawayrouter.example/router/internal/reqid"
 	"carawayrouter.example/router/internal/sched"
+	"carawayrouter.example/router/internal/sched/baseline"
+	"carawayrouter.example/router/internal/sched/dispatch"
 	"carawayrouter.example/router/internal/sched/pool"
 	"carawayrouter.example/router/internal/ticket"
 	"carawayrouter.example/router/internal/ticket/ticketpeer"
@@ -47,6 +49,13 @@
 	Limiter   string // "" is the policy of operation
 }
 
+// Names of schedulers that the policy of operation is compared with.
+const (
+	RoundRobin      = "round-robin"
+	LeastLoaded     = "least-loaded"
+	DecodeFirstFIFO = "decode-first-fifo"
+)
+
 // controller is a duty that runs until its context ends.
 type controller func(ctx context.Context) error
 
@@ -82,7 +91,9 @@
 	if err := d.assembleConfig(p); err != nil {
 		return err
 	}
-	d.assembleScheduler(p)
+	if err := d.assembleScheduler(p); err != nil {
+		return err
+	}
 	d.assembleOperations(p)
 	if err := d.assembleOperator(p); err != nil {
 		return err
@@ -184,8 +195,9 @@
 	return exchange.Register(p.peerServer, applier)
 }
 
-func (d *Daemon) assembleScheduler(p *parts) {
-	local := pool.NewLocal(pool.Options{
+// assembleScheduler chooses the scheduling policy.
+func (d *Daemon) assembleScheduler(p *parts) error {
+	local := pool.Options{
 		Config:     p.config,
 		Dialer:     d.dialer,
 		Clock:      d.deps.Clock,
@@ -193,9 +205,42 @@
 		DataCentre: d.settings.Instance.DataCentre,
 		Logger:     d.deps.Log.WithName("sched"),
 		Events:     d.events,
+	}
+	switch d.deps.Policy.Scheduler {
+	case "":
+		return d.assembleDispatch(p)
+	case RoundRobin:
+		p.scheduler = baseline.NewRoundRobin(p.config, local.DataCentre)
+	case LeastLoaded:
+		s := baseline.NewLeastLoaded(p.config, d.dialer, d.deps.Clock, local.DataCentre)
+		p.scheduler = s
+		p.controllers = append(p.controllers, s.Run)
+	case DecodeFirstFIFO:
+		s := baseline.NewDecodeFirstFIFO(local)
+		p.scheduler = s
+		p.controllers = append(p.controllers, s.Run)
+	default:
+		return errors.Newf("scheduler %q is unknown", d.deps.Policy.Scheduler)
+	}
+	return nil
+}
+
+// assembleDispatch schedules with one dispatcher for each pool and data centre.
+func (d *Daemon) assembleDispatch(p *parts) error {
+	node := dispatch.New(dispatch.Options{
+		Config:   p.config,
+		Members:  p.members,
+		Caller:   p.peers,
+		Dialer:   d.dialer,
+		Clock:    d.deps.Clock,
+		Rand:     d.random(seedSched),
+		Logger:   d.deps.Log.WithName("sched"),
+		Events:   d.events,
+		Evidence: newEvidence(p.members, d.deps.Platform.Table, d.deps.Clock),
 	})
-	p.scheduler = local
-	p.controllers = append(p.controllers, local.Run)
+	p.scheduler = node
+	p.controllers = append(p.controllers, node.Run)
+	return p.peerServer.Register(dispatch.ServiceName, node.Service())
 }
 
 func (d *Daemon) assembleOperations(p *parts) {
--- a/internal/sched/dispatch/node.go
+++ b/internal/sched/dispatch/node.go
@@ -170,7 +170,7 @@
 // holder returns this process as holder of demands.
 func (n *Node) holder() pool.Holder {
 	s := n.self()
-	return pool.Holder{Instance: s.Name, Incarnation: s.Epoch}
+	return pool.Holder{Instance: s.Name, Incarnation: s.Process}
 }
 
 // home returns the address of the dispatcher of a place, in this instance's view.
--- a/internal/sched/dispatch/reaper.go
+++ b/internal/sched/dispatch/reaper.go
@@ -152,7 +152,7 @@
 // addressOf returns the peer address of a process in a view.
 func addressOf(v *member.View, owner pool.Holder) (string, bool) {
 	for _, s := range v.Peers {
-		if s.Name == owner.Instance && s.Epoch == owner.Incarnation {
+		if s.Name == owner.Instance && s.Process == owner.Incarnation {
 			return s.Addr, true
 		}
 	}
@@ -197,7 +197,7 @@
 			continue
 		}
 		delete(e.absent, h)
-		return s.Epoch > incarnation
+		return s.Process > incarnation
 	}
 	since, known := e.absent[h]
 	if !known {
