--- a/internal/sched/dispatch/host.go
+++ b/internal/sched/dispatch/host.go
@@ -52,7 +52,7 @@
 		n.mu.Unlock()
 		return h, nil
 	}
-	eps := endpointsOf(st, p)
+	eps := pool.EndpointsOf(st, p.Pool, p.DataCentre)
 	kind := config.ModelPool
 	if cfg := st.Pools[p.Pool]; cfg != nil {
 		kind = cfg.Kind
@@ -64,7 +64,7 @@
 	seed := rand.New(rand.NewPCG(n.rand.Uint64(), n.rand.Uint64()))
 	ctx, cancel := context.WithCancel(n.ctx)
 	h := &host{
-		Dispatcher: pool.NewDispatcher(p.Pool, kind, n.tuning, n.opts.Clock, seed, n.opts.Events),
+		Dispatcher: pool.NewDispatcher(p.Pool, p.DataCentre, kind, n.tuning, n.opts.Clock, seed, n.opts.Events),
 		place:      p,
 		session:    n.rand.Uint64() | 1,
 		node:       n,
@@ -92,10 +92,14 @@
 		Dialer:     h.node.opts.Dialer,
 		Clock:      h.node.opts.Clock,
 		Found: func(_ context.Context, ep *config.Endpoint, running []endpoint.Running) {
-			h.node.reaper.note(h, ep, running)
+			if ep.DataCentre == h.place.DataCentre {
+				h.node.reaper.note(h, ep, running)
+			}
 		},
 	}
-	eps := func() []*config.Endpoint { return endpointsOf(h.node.opts.Config.Current(), h.place) }
+	eps := func() []*config.Endpoint {
+		return pool.PolledOf(h.node.opts.Config.Current(), h.place.Pool, h.place.DataCentre)
+	}
 	h.warmUp(ctx, w, eps())
 	h.Pause(false)
 	w.Run(ctx, eps)
--- a/internal/sched/dispatch/node.go
+++ b/internal/sched/dispatch/node.go
@@ -43,11 +43,6 @@
 	maxSuspectTime  = 10 * time.Second
 )
 
-// Evidence tells whether a process is certainly gone.
-type Evidence interface {
-	Dead(instance string, incarnation uint64) bool
-}
-
 // Options configures a Node.
 type Options struct {
 	Config   config.Source
@@ -59,7 +54,7 @@
 	Logger   logr.Logger
 	Events   *event.Ring
 	Leaving  pool.LeavingSource // nil: configuration alone says who leaves
-	Evidence Evidence           // nil: the view of the members decides, see viewEvidence
+	Evidence Evidence           // nil: the view of the members decides
 	Tuning   *pool.Tuning       // nil: pool.DefaultTuning
 }
 
@@ -67,10 +62,9 @@
 // sched.Scheduler, and the dispatchers that the instance hosts. Service must be
 // registered with the peers' server before Run.
 type Node struct {
-	opts     Options
-	tuning   pool.Tuning
-	evidence Evidence
-	reaper   *reaper
+	opts   Options
+	tuning pool.Tuning
+	reaper *reaper
 
 	mu       sync.Mutex
 	rand     *rand.Rand
@@ -117,7 +111,6 @@
 	n := &Node{
 		opts:     o,
 		tuning:   t,
-		evidence: o.Evidence,
 		rand:     o.Rand,
 		ctx:      context.Background(),
 		tickets:  map[uint64]*ticket{},
@@ -131,9 +124,6 @@
 		renewed:  map[linkKey]bool{},
 		members:  map[string][]member.Session{},
 	}
-	if n.evidence == nil {
-		n.evidence = newViewEvidence(o.Members, o.Clock)
-	}
 	n.reaper = newReaper(n)
 	return n
 }
@@ -170,7 +160,7 @@
 // holder returns this process as holder of demands.
 func (n *Node) holder() pool.Holder {
 	s := n.self()
-	return pool.Holder{Instance: s.Name, Incarnation: s.Epoch}
+	return pool.Holder{Instance: s.Name, Incarnation: s.Process}
 }
 
 // home returns the address of the dispatcher of a place, in this instance's view.
@@ -249,10 +239,10 @@
 	n.mu.Unlock()
 	for p, h := range hosts {
 		if changed {
-			h.SetEndpoints(endpointsOf(st, p), leaving)
+			h.SetEndpoints(pool.EndpointsOf(st, p.Pool, p.DataCentre), leaving)
 		}
 		h.prune()
-		n.retire(p, h, endpointsOf(st, p))
+		n.retire(p, h)
 	}
 	n.prune(st, self)
 }
@@ -268,12 +258,14 @@
 }
 
 // retire stops a dispatcher that has been idle and is not this instance's to host.
-func (n *Node) retire(p Place, h *host, eps []*config.Endpoint) {
-	if addr, ok := n.home(p); len(eps) > 0 && ok && addr == n.self().Addr {
-		return
-	}
-	if !h.idleSince(n.opts.Clock.Now(), idleTime) && len(eps) > 0 {
-		return
+func (n *Node) retire(p Place, h *host) {
+	if slices.Contains(n.places(p.Pool), p) {
+		if addr, ok := n.home(p); ok && addr == n.self().Addr {
+			return
+		}
+		if !h.idleSince(n.opts.Clock.Now(), idleTime) {
+			return
+		}
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -322,14 +314,3 @@
 	}
 	return slices.SortedFunc(maps.Keys(seen), comparePlaces)
 }
-
-// endpointsOf lists the endpoints of a place.
-func endpointsOf(st *config.State, p Place) []*config.Endpoint {
-	var eps []*config.Endpoint
-	for _, ep := range st.Pool(p.Pool) {
-		if ep.DataCentre == p.DataCentre {
-			eps = append(eps, ep)
-		}
-	}
-	return eps
-}
--- a/internal/sched/dispatch/reaper.go
+++ b/internal/sched/dispatch/reaper.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"carawayrouter.example/router/internal/clock"
 	"carawayrouter.example/router/internal/config"
 	"carawayrouter.example/router/internal/endpoint"
 	"carawayrouter.example/router/internal/event"
@@ -18,14 +17,13 @@
 const (
 	orphanGrace = 3 * time.Second  // time for which a request must run unexplained
 	strayLife   = 10 * time.Second // after the last list that had it
-	absentFor   = 20 * time.Second // absence from the view that counts as death
-	maxAbsent   = 1024             // processes remembered as absent
 )
 
 // reaper cancels what runs at this instance's engines for nobody: requests of dead
 // processes, and requests that their live owner disowns.
 type reaper struct {
-	node *Node
+	node   *Node
+	deaths *deaths
 
 	mu     sync.Mutex
 	strays map[string]map[strayKey]stray // by endpoint address
@@ -45,7 +43,11 @@
 }
 
 func newReaper(n *Node) *reaper {
-	return &reaper{node: n, strays: map[string]map[strayKey]stray{}}
+	return &reaper{
+		node:   n,
+		deaths: &deaths{opts: &n.opts, absent: map[pool.Holder]time.Time{}},
+		strays: map[string]map[strayKey]stray{},
+	}
 }
 
 // note takes an engine's list of what it runs.
@@ -122,13 +124,14 @@
 		_ = n.Service().Owns(args, &reply)
 		return at(keys, reply.Disowned)
 	}
-	if n.evidence.Dead(owner.Instance, owner.Incarnation) {
-		return keys
-	}
 	addr, ok := addressOf(n.opts.Members.View(), owner)
 	if !ok {
+		if r.deaths.dead(ctx, owner) {
+			return keys
+		}
 		return nil
 	}
+	r.deaths.present(owner)
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var reply OwnsReply
@@ -152,7 +155,7 @@
 // addressOf returns the peer address of a process in a view.
 func addressOf(v *member.View, owner pool.Holder) (string, bool) {
 	for _, s := range v.Peers {
-		if s.Name == owner.Instance && s.Epoch == owner.Incarnation {
+		if s.Name == owner.Instance && s.Process == owner.Incarnation {
 			return s.Addr, true
 		}
 	}
@@ -170,42 +173,3 @@
 	defer r.mu.Unlock()
 	delete(r.strays[s.addr], k)
 }
-
-// viewEvidence takes the members' view as evidence: a process is dead once a newer
-// incarnation of its instance is there, or once its instance was absent for long.
-type viewEvidence struct {
-	members member.Source
-	clock   clock.Clock
-
-	mu     sync.Mutex
-	absent map[pool.Holder]time.Time
-}
-
-func newViewEvidence(m member.Source, c clock.Clock) *viewEvidence {
-	return &viewEvidence{members: m, clock: c, absent: map[pool.Holder]time.Time{}}
-}
-
-// Dead implements Evidence.
-func (e *viewEvidence) Dead(instance string, incarnation uint64) bool {
-	h := pool.Holder{Instance: instance, Incarnation: incarnation}
-	v := e.members.View()
-	now := e.clock.Now()
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for _, s := range append([]member.Session{v.Self}, v.Peers...) {
-		if s.Name != instance {
-			continue
-		}
-		delete(e.absent, h)
-		return s.Epoch > incarnation
-	}
-	since, known := e.absent[h]
-	if !known {
-		if len(e.absent) >= maxAbsent {
-			clear(e.absent)
-		}
-		e.absent[h] = now
-		return false
-	}
-	return now.Sub(since) >= absentFor
-}
--- a/internal/sched/pool/core.go
+++ b/internal/sched/pool/core.go
@@ -8,6 +8,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"carawayrouter.example/router/internal/config"
@@ -77,6 +78,7 @@
 // endpoint is in no new grant.
 type Core struct {
 	pool    string
+	dc      string
 	kind    config.PoolKind
 	tuning  Tuning
 	rand    *rand.Rand
@@ -85,22 +87,27 @@
 	ids     map[reqid.ID]int // granted demands by request id
 	holders map[Holder]map[uint64]*demand
 	targets map[string]*target
-	prefill []*target
-	decode  []*target // decode engines or plain services
+	prefill []*target // own prefill engines
+	remote  []*target // prefill engines of other data centres
+	decode  []*target // own decode engines or plain services
 	paused  bool      // nothing is granted
 
+	workTime  float64 // sum over the prefill engines, see target
+	workToken float64
+
 	served       float64 // cost granted since backlogSince
 	backlogSince time.Time
 	rate         ewma // cost granted a second while demands waited
 }
 
 // NewCore returns a Core without endpoints.
-func NewCore(pool string, kind config.PoolKind, t Tuning, r *rand.Rand) *Core {
+func NewCore(pool, dataCentre string, kind config.PoolKind, t Tuning, r *rand.Rand) *Core {
 	if t.Order == FIFO {
 		t.Queue.MaxPerAccount = t.Queue.MaxEntries
 	}
 	return &Core{
 		pool:    pool,
+		dc:      dataCentre,
 		kind:    kind,
 		tuning:  t,
 		rand:    r,
@@ -112,47 +119,62 @@
 	}
 }
 
-// role returns the targets of a role.
-func (c *Core) role(r config.Role) []*target {
-	if r == config.Prefill {
+// group returns the list of targets that x is one of and is judged with.
+func (c *Core) group(x *target) []*target {
+	switch {
+	case x.ep.Role != config.Prefill:
+		return c.decode
+	case x.ep.DataCentre == c.dc:
 		return c.prefill
 	}
-	return c.decode
+	return c.remote
 }
 
 // DecodePieces returns the KV pieces that a demand needs at its decode engine.
 func DecodePieces(d sched.Demand) int { return endpoint.Pieces(d.Prompt + d.MaxOutput) }
 
 // SetEndpoints replaces the endpoints. Those in leaving, or configured as leaving,
-// get no new work from now on. State is kept by name and address.
+// get no new work from now on. State is kept by name and address. Of other data
+// centres only prefill engines count; they are used where no own one can be.
 func (c *Core) SetEndpoints(eps []*config.Endpoint, leaving map[string]bool) {
 	old := c.targets
 	c.targets = make(map[string]*target, len(eps))
-	c.prefill, c.decode = nil, nil
+	c.prefill, c.remote, c.decode = nil, nil, nil
+	c.workTime, c.workToken = 0, 0
 	for _, ep := range eps {
+		if ep.DataCentre != c.dc && ep.Role != config.Prefill {
+			continue
+		}
 		x := old[ep.Name]
 		if x == nil || x.ep.Addr != ep.Addr || x.ep.Role != ep.Role {
-			x = &target{}
-			if ep.Role == config.Prefill {
-				x.cache = newHints(c.tuning.CacheHints)
-			}
+			x = newTarget(ep, &c.tuning)
 		} else {
 			delete(old, ep.Name)
 		}
 		x.ep = ep
 		x.leaving = ep.Leaving || leaving[ep.Addr]
-		c.targets[ep.Name] = x
-		if ep.Role == config.Prefill {
-			c.prefill = append(c.prefill, x)
-		} else {
-			c.decode = append(c.decode, x)
-		}
+		c.list(x)
 	}
 	for _, x := range old {
 		x.gone = true
 	}
 }
 
+// list adds a target to its list.
+func (c *Core) list(x *target) {
+	c.targets[x.ep.Name] = x
+	switch {
+	case x.ep.Role != config.Prefill:
+		c.decode = append(c.decode, x)
+	case x.ep.DataCentre == c.dc:
+		c.prefill = append(c.prefill, x)
+	default:
+		c.remote = append(c.remote, x)
+	}
+	c.workTime += x.workTime
+	c.workToken += x.workToken
+}
+
 // Enqueue adds a demand. It is idempotent by key: a demand that is known already is
 // left as it is. The error is a final refusal. Evicted is the refusal of another
 // demand that lost its place.
@@ -255,7 +277,7 @@
 	if c.kind == config.ModelPool {
 		usable = false
 		prompt, room := endpoint.Pieces(m.d.Prompt), false
-		for _, x := range c.prefill {
+		for _, x := range slices.Concat(c.prefill, c.remote) {
 			if x.leaving || excluded(x, &m.d) {
 				continue
 			}
@@ -340,7 +362,7 @@
 	if !room || c.kind != config.ModelPool {
 		return room
 	}
-	for _, x := range c.prefill {
+	for _, x := range c.prefills(now, nil) {
 		if c.open(now, x) && c.prefillRoom(now, x, 0) {
 			return true
 		}
@@ -348,6 +370,20 @@
 	return false
 }
 
+// prefills returns the prefill engines to choose from: the own ones, or those of
+// other data centres where no own one can be used.
+func (c *Core) prefills(now time.Time, d *sched.Demand) []*target {
+	if len(c.remote) == 0 {
+		return c.prefill
+	}
+	for _, x := range c.prefill {
+		if c.open(now, x) && (d == nil || !excluded(x, d)) {
+			return c.prefill
+		}
+	}
+	return c.remote
+}
+
 // open reports whether x may get new work.
 func (c *Core) open(now time.Time, x *target) bool {
 	return !x.leaving && x.health.open(now, &c.tuning)
@@ -359,7 +395,7 @@
 	if !x.fits(now, &c.tuning, need) {
 		return false
 	}
-	return x.slots == 0 || x.backlog(now) < c.tuning.MaxPrefillBacklog
+	return x.slots == 0 || c.backlog(now, x) < c.tuning.MaxPrefillBacklog
 }
 
 // place chooses endpoints for a demand: decode slot and memory first, then the
@@ -420,19 +456,31 @@
 func (c *Core) pickPrefill(now time.Time, m *demand) (best *target, service time.Duration, uncached int) {
 	var bestEnd time.Duration
 	need := endpoint.Pieces(m.d.Prompt)
-	for _, x := range c.rotated(c.prefill) {
+	for _, x := range c.rotated(c.prefills(now, &m.d)) {
 		if !c.open(now, x) || !c.prefillRoom(now, x, need) || excluded(x, &m.d) {
 			continue
 		}
 		u := max(0, m.d.Prompt-x.cache.match(m.d.Prefix)*endpoint.PieceTokens)
 		s := c.prefillTime(x, u) + time.Duration(m.d.Prompt)*c.tuning.TransferPerToken
-		if end := x.backlog(now) + s; best == nil || end < bestEnd {
+		if end := c.backlog(now, x) + s; best == nil || end < bestEnd {
 			best, bestEnd, service, uncached = x, end, s, u
 		}
 	}
 	return best, service, uncached
 }
 
+// backlog predicts how long a prefill added to x now would wait, behind the
+// outstanding ones and behind what the engine reported besides them.
+func (c *Core) backlog(now time.Time, x *target) time.Duration {
+	d := x.backlog(now)
+	if x.foreignPieces == 0 || !now.Before(x.foreignUntil) {
+		return d
+	}
+	seen := x.foreignUntil.Add(-c.tuning.ForeignLifetime)
+	foreign := c.prefillTime(x, x.foreignPieces*endpoint.PieceTokens) - now.Sub(seen)
+	return d + max(0, foreign)
+}
+
 // rotated visits targets from a random start, so that equals are used alike.
 func (c *Core) rotated(all []*target) func(yield func(int, *target) bool) {
 	return func(yield func(int, *target) bool) {
@@ -468,15 +516,10 @@
 
 // typicalPrefill predicts the time to compute tokens at an engine of the pool.
 func (c *Core) typicalPrefill(tokens int) time.Duration {
-	seconds, work := 0.0, 0.0
-	for _, x := range c.prefill {
-		seconds += x.workTime
-		work += x.workToken
-	}
-	if work == 0 {
+	if c.workToken <= 0 {
 		return time.Duration(tokens) * c.tuning.PrefillPerToken
 	}
-	return time.Duration(float64(tokens) * seconds / work * float64(time.Second))
+	return time.Duration(float64(tokens) * c.workTime / c.workToken * float64(time.Second))
 }
 
 // grant books the placement of m.
@@ -519,7 +562,7 @@
 	switch o {
 	case sched.Succeeded:
 		transfer := time.Duration(m.d.Prompt) * c.tuning.TransferPerToken
-		x.measure(now, m.granted, m.uncached, transfer)
+		c.measure(now, m.granted, x, m.uncached, transfer)
 		c.observeRate(now, m.granted, x)
 		x.succeed(m.granted)
 	default:
@@ -527,6 +570,17 @@
 	}
 }
 
+// measure learns the rate of a prefill engine and of the pool.
+func (c *Core) measure(now, granted time.Time, x *target, tokens int, transfer time.Duration) {
+	seconds, work := x.workTime, x.workToken
+	x.measure(now, granted, tokens, transfer)
+	if x.gone {
+		return
+	}
+	c.workTime += x.workTime - seconds
+	c.workToken += x.workToken - work
+}
+
 // judge takes an outcome other than a success.
 func (c *Core) judge(now, granted time.Time, x *target, o sched.Outcome) {
 	switch o {
--- a/internal/sched/pool/dispatcher.go
+++ b/internal/sched/pool/dispatcher.go
@@ -33,11 +33,11 @@
 }
 
 // NewDispatcher returns a Dispatcher without endpoints.
-func NewDispatcher(pool string, kind config.PoolKind, t Tuning, c clock.Clock, r *rand.Rand, events *event.Ring) *Dispatcher {
+func NewDispatcher(pool, dataCentre string, kind config.PoolKind, t Tuning, c clock.Clock, r *rand.Rand, events *event.Ring) *Dispatcher {
 	return &Dispatcher{
 		clock:   c,
 		events:  events,
-		core:    NewCore(pool, kind, t, r),
+		core:    NewCore(pool, dataCentre, kind, t, r),
 		waiters: map[Key]func(Decision){},
 	}
 }
--- a/internal/sched/pool/health.go
+++ b/internal/sched/pool/health.go
@@ -124,7 +124,7 @@
 	if !x.ejected && x.latency.samples < c.tuning.SlowSamples {
 		return
 	}
-	median := c.medianLatency(x.ep.Role)
+	median := medianLatency(c.group(x), c.tuning.SlowSamples)
 	if median == 0 || x.latency.value <= median*c.tuning.SlowFactor+c.tuning.SlowFloor.Seconds() {
 		return
 	}
@@ -133,12 +133,12 @@
 	}
 }
 
-// medianLatency returns the median over the measured endpoints of a role, or 0 if
-// fewer than three were measured.
-func (c *Core) medianLatency(role roleOf) float64 {
+// medianLatency returns the median over the endpoints with enough samples, or 0 if
+// fewer than three have them.
+func medianLatency(group []*target, samples int) float64 {
 	var all []float64
-	for _, x := range c.role(role) {
-		if x.latency.samples >= c.tuning.SlowSamples {
+	for _, x := range group {
+		if x.latency.samples >= samples {
 			all = append(all, x.latency.value)
 		}
 	}
@@ -153,7 +153,7 @@
 // the configured fraction, and never the last one.
 func (c *Core) mayEject(x *target) bool {
 	total, out := 0, 0
-	for _, y := range c.role(x.ep.Role) {
+	for _, y := range c.group(x) {
 		if y.leaving {
 			continue
 		}
--- a/internal/sched/pool/local.go
+++ b/internal/sched/pool/local.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 
@@ -58,7 +59,6 @@
 // running is one dispatcher with its goroutines.
 type running struct {
 	*Dispatcher
-	eps  []*config.Endpoint
 	stop context.CancelFunc
 }
 
@@ -200,15 +200,14 @@
 		return
 	}
 	l.state, l.leaving = st, leaving
-	byPlace := map[place][]*config.Endpoint{}
+	places := map[place]bool{}
 	for name := range st.Pools {
 		for _, ep := range st.Pool(name) {
-			p := place{name, ep.DataCentre}
-			byPlace[p] = append(byPlace[p], ep)
+			places[place{name, ep.DataCentre}] = true
 		}
 	}
 	for p, r := range l.pools {
-		if byPlace[p] == nil {
+		if !places[p] {
 			r.SetEndpoints(nil, nil)
 			if r.stop != nil {
 				r.stop()
@@ -216,19 +215,57 @@
 			delete(l.pools, p)
 		}
 	}
-	for p, eps := range byPlace {
+	for p := range places {
 		r := l.pools[p]
 		if r == nil {
 			seed := rand.New(rand.NewPCG(l.rand.Uint64(), l.rand.Uint64()))
-			r = &running{Dispatcher: NewDispatcher(p.pool, st.Pools[p.pool].Kind, l.tuning, l.opts.Clock, seed, l.opts.Events)}
+			r = &running{Dispatcher: NewDispatcher(p.pool, p.dataCentre, st.Pools[p.pool].Kind, l.tuning, l.opts.Clock, seed, l.opts.Events)}
 			l.pools[p] = r
 			l.start(p, r)
 		}
-		r.eps = eps
-		r.SetEndpoints(eps, leaving)
+		r.SetEndpoints(EndpointsOf(st, p.pool, p.dataCentre), leaving)
 	}
 }
 
+// maxRemote bounds the prefill engines of other data centres that a dispatcher uses.
+const maxRemote = 8
+
+// EndpointsOf lists the endpoints that the dispatcher of a pool in a data centre
+// needs: the own ones, and some prefill engines of other data centres for the case
+// that no own one can be used.
+func EndpointsOf(st *config.State, pool, dataCentre string) []*config.Endpoint {
+	var own, remote []*config.Endpoint
+	for _, ep := range st.Pool(pool) {
+		switch {
+		case ep.DataCentre == dataCentre:
+			own = append(own, ep)
+		case ep.Role == config.Prefill && !ep.Leaving:
+			remote = append(remote, ep)
+		}
+	}
+	if len(own) == 0 {
+		return nil
+	}
+	if len(remote) > maxRemote {
+		at := int(xxhash.Sum64String(dataCentre) % uint64(len(remote)))
+		remote = append(remote[at:], remote[:at]...)[:maxRemote]
+	}
+	return append(own, remote...)
+}
+
+// PolledOf lists the endpoints that a dispatcher polls: its own ones, and those of
+// other data centres if it has no prefill engine of its own.
+func PolledOf(st *config.State, pool, dataCentre string) []*config.Endpoint {
+	eps := EndpointsOf(st, pool, dataCentre)
+	ownPrefill := slices.ContainsFunc(eps, func(ep *config.Endpoint) bool {
+		return ep.Role == config.Prefill && ep.DataCentre == dataCentre && !ep.Leaving
+	})
+	if !ownPrefill {
+		return eps
+	}
+	return slices.DeleteFunc(eps, func(ep *config.Endpoint) bool { return ep.DataCentre != dataCentre })
+}
+
 // start starts the goroutines of a dispatcher once Run was called. The caller holds mu.
 func (l *Local) start(p place, r *running) {
 	if l.ctx == nil || r.stop != nil {
@@ -243,9 +280,7 @@
 	w := &Watcher{Dispatcher: r.Dispatcher, Dialer: l.opts.Dialer, Clock: l.opts.Clock}
 	l.wg.Go(func() {
 		w.Run(ctx, func() []*config.Endpoint {
-			l.mu.Lock()
-			defer l.mu.Unlock()
-			return r.eps
+			return PolledOf(l.opts.Config.Current(), p.pool, p.dataCentre)
 		})
 	})
 }
--- a/internal/sched/pool/target.go
+++ b/internal/sched/pool/target.go
@@ -8,8 +8,6 @@
 	"carawayrouter.example/router/internal/reqid"
 )
 
-type roleOf = config.Role
-
 // target is the state of one endpoint.
 type target struct {
 	health
@@ -35,6 +33,14 @@
 	reserved  bool // kept free for a starved demand during one Dispatch
 }
 
+func newTarget(ep *config.Endpoint, t *Tuning) *target {
+	x := &target{ep: ep}
+	if ep.Role == config.Prefill {
+		x.cache = newHints(t.CacheHints)
+	}
+	return x
+}
+
 // limit returns the number of concurrent requests that the endpoint takes.
 func (x *target) limit(t *Tuning) int {
 	switch {
@@ -115,7 +121,14 @@
 	if took <= 0 || tokens <= 0 {
 		return
 	}
-	const keep = 0.9
+	const (
+		keep    = 0.9
+		largest = 4 // times the present estimate, so that one stalled transfer counts little
+	)
+	if x.workToken > 0 {
+		estimate := float64(tokens) * x.workTime / x.workToken
+		took = min(took, time.Duration(largest*estimate*float64(time.Second)))
+	}
 	x.workTime = keep*x.workTime + took.Seconds()
 	x.workToken = keep*x.workToken + float64(tokens)
 }
