Schedule: follow the platform's list of leaving endpoints

Cause: an endpoint that the platform marks as leaving gets no new work within 3 s, and not every instance can read a list of 11,000 servers each second.

Change: one instance of each data centre, by rendezvous hash, reads the list once a second; the others ask it for the leaving addresses. dispatch.Options.Instances replaces Options.Leaving.

Conclusion: TestLeavingEndpointGetsNothing holds four instances to it.

--- a/internal/sched/dispatch/dispatch_test.go
+++ b/internal/sched/dispatch/dispatch_test.go
@@ -23,6 +23,7 @@
 	"carawayrouter.example/router/internal/errkind"
 	"carawayrouter.example/router/internal/member"
 	"carawayrouter.example/router/internal/peer"
+	"carawayrouter.example/router/internal/platform"
 	"carawayrouter.example/router/internal/reqid"
 	"carawayrouter.example/router/internal/sched"
 	"carawayrouter.example/router/internal/sched/pool"
@@ -91,10 +92,11 @@
 	all     []member.Session // in every view
 	nodes   map[string]*fleetNode
 	engines map[string]*engine
-	lose    float64                     // probability that a request or an answer is lost
+	lose    float64  // probability that a request or an answer is lost
+	leaving []string // on the platform's list
+	listed  int
 	cut     func(from, to string) bool  // by address
 	views   map[string][]member.Session // views that differ, by address
-	calls   map[string]int              // by method
 }
 
 type fleetNode struct {
@@ -106,7 +108,7 @@
 }
 
 func newFleet(seed uint64, dcs []string, perDC, decodes, slots int) *fleet {
-	f := &fleet{rand: rand.New(rand.NewPCG(seed, 1)), nodes: map[string]*fleetNode{}, engines: map[string]*engine{}, calls: map[string]int{}, views: map[string][]member.Session{}}
+	f := &fleet{rand: rand.New(rand.NewPCG(seed, 1)), nodes: map[string]*fleetNode{}, engines: map[string]*engine{}, views: map[string][]member.Session{}}
 	var eps []*config.Endpoint
 	for _, dc := range dcs {
 		for i := range decodes + 2 {
@@ -141,7 +143,7 @@
 	f.mu.Unlock()
 	fn.Node = New(Options{
 		Config: f, Members: view{f, s}, Caller: caller{f, s.Addr}, Dialer: f, Clock: clock.Real{},
-		Rand: rand.New(rand.NewPCG(seed, 2)), Logger: logr.Discard(),
+		Rand: rand.New(rand.NewPCG(seed, 2)), Logger: logr.Discard(), Instances: lister{f},
 	})
 	f.mu.Lock()
 	f.nodes[s.Addr] = fn
@@ -205,6 +207,22 @@
 	return out
 }
 
+// lister is the platform's list.
+type lister struct{ f *fleet }
+
+func (l lister) Leave(context.Context, string) error { return nil }
+
+func (l lister) List(context.Context) ([]platform.Instance, error) {
+	l.f.mu.Lock()
+	defer l.f.mu.Unlock()
+	l.f.listed++
+	out := []platform.Instance{{Addr: "a-d0", State: platform.Live}}
+	for _, addr := range l.f.leaving {
+		out = append(out, platform.Instance{Addr: addr, State: platform.Leaving})
+	}
+	return out, nil
+}
+
 // view is the membership as one process sees it.
 type view struct {
 	f    *fleet
@@ -237,7 +255,6 @@
 func (c caller) Call(ctx context.Context, addr, method string, args, reply any) error {
 	c.f.mu.Lock()
 	fn := c.f.nodes[addr]
-	c.f.calls[method]++
 	lostRequest := c.f.rand.Float64() < c.f.lose
 	lostAnswer := c.f.rand.Float64() < c.f.lose
 	if c.f.cut != nil && c.f.cut(c.from, addr) {
@@ -590,6 +607,44 @@
 	})
 }
 
+// TestLeavingEndpointGetsNothing marks an endpoint as leaving on the platform's list,
+// which one instance reads for all. Running work goes on.
+func TestLeavingEndpointGetsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(7, []string{"a"}, 4, 2, 50)
+		defer f.stopAll()
+		time.Sleep(2 * time.Second)
+		var grants []*sched.Grant
+		acquire := func() string {
+			fn := f.list()[len(grants)%4]
+			g, err := fn.Acquire(context.Background(), fn.demand())
+			assert.NilError(t, err)
+			g.PrefillDone(sched.Succeeded)
+			grants = append(grants, g)
+			return g.Decode.Name
+		}
+		used := map[string]int{}
+		for range 20 {
+			used[acquire()]++
+		}
+		assert.Equal(t, len(used), 2)
+		f.mu.Lock()
+		f.leaving = []string{"a-d1"}
+		read := f.listed
+		f.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		f.mu.Lock()
+		assert.Assert(t, f.listed-read <= 4, "one instance reads the list: %d", f.listed-read)
+		f.mu.Unlock()
+		for range 20 {
+			assert.Equal(t, acquire(), "a-d0")
+		}
+		for _, g := range grants {
+			g.Release(sched.Succeeded)
+		}
+	})
+}
+
 func TestStepsRoundTrip(t *testing.T) {
 	tries := []uint64{3, 4, 9, 1 << 40}
 	assert.DeepEqual(t, unsteps(steps(tries)), tries)
--- a/internal/sched/dispatch/evidence.go
+++ b/internal/sched/dispatch/evidence.go
@@ -1,50 +1,28 @@
 package dispatch
 
 import (
-	"context"
 	"sync"
 	"time"
 
 	"carawayrouter.example/router/internal/member"
-	"carawayrouter.example/router/internal/platform"
 	"carawayrouter.example/router/internal/sched/pool"
 )
 
 const (
-	absentFor = time.Minute // absence from the view that counts as death without the store
+	absentFor = time.Minute // absence from the view that counts as death without Evidence
 	maxAbsent = 1024        // processes remembered as absent
 )
 
 // Evidence tells whether a process is certainly gone. The process number is the one
-// in its request ids. An error means that nothing can be said.
+// in its request ids.
 type Evidence interface {
-	Dead(ctx context.Context, instance string, process uint64) (bool, error)
-}
-
-// TableEvidence reads the session rows in which deaths are recorded.
-type TableEvidence struct{ Table platform.Table }
-
-// Dead implements Evidence.
-func (e TableEvidence) Dead(ctx context.Context, instance string, process uint64) (bool, error) {
-	rows, err := e.Table.Get(ctx, member.RowKey(instance))
-	if err != nil {
-		return false, err
-	}
-	if rows[0].Version == 0 {
-		return true, nil
-	}
-	row, err := member.ParseRow(rows[0])
-	if err != nil {
-		return false, err
-	}
-	return row.Process > process || row.Process == process && row.Released, nil
+	Dead(instance string, process uint64) bool
 }
 
 // deaths judges processes that are not in the members' view. A newer process of the
-// same instance in the view proves death, and so does Options.Evidence. Where that
-// cannot be had, a long absence is taken for death: what is cancelled wrongly then
-// costs its owner another prefill, while memory must not stay held for as long as
-// the store is down.
+// same instance in the view proves death, and so does Options.Evidence. Where there
+// is none, a long absence is taken for death: what is cancelled wrongly then costs
+// its owner another prefill.
 type deaths struct {
 	opts *Options
 
@@ -53,21 +31,14 @@
 }
 
 // dead reports whether a process that is not in the view is dead.
-func (d *deaths) dead(ctx context.Context, h pool.Holder) bool {
+func (d *deaths) dead(h pool.Holder) bool {
 	if newer, known := d.newer(h); known {
 		return newer
 	}
-	long := d.absentLong(h)
-	if d.opts.Evidence == nil {
-		return long
-	}
-	call, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	dead, err := d.opts.Evidence.Dead(call, h.Instance, h.Incarnation)
-	if err != nil {
-		return long
+	if d.opts.Evidence != nil {
+		return d.opts.Evidence.Dead(h.Instance, h.Incarnation)
 	}
-	return dead
+	return d.absentLong(h)
 }
 
 // newer reports whether the view has a newer process of the same instance; known is
--- /dev/null
+++ b/internal/sched/dispatch/leaving.go
@@ -0,0 +1,82 @@
+package dispatch
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+
+	"carawayrouter.example/router/internal/peer"
+	"carawayrouter.example/router/internal/platform"
+)
+
+// listPlace is hashed to choose the instance of a data centre that reads the
+// platform's list for all.
+func listPlace(dataCentre string) Place { return Place{Pool: "\x00list", DataCentre: dataCentre} }
+
+// leavingList follows the platform's list. One instance of each data centre reads it;
+// the others ask that one for the addresses that are leaving, which are few.
+type leavingList struct {
+	node *Node
+
+	mu    sync.Mutex
+	addrs map[string]bool
+}
+
+// Leaving implements pool.LeavingSource.
+func (l *leavingList) Leaving() map[string]bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.addrs
+}
+
+// run brings the list up to date. What was known stays where nobody can be asked.
+func (l *leavingList) run(ctx context.Context) {
+	n := l.node
+	addr, ok := n.home(listPlace(n.self().DataCentre))
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if addr == n.self().Addr {
+		l.read(ctx)
+		return
+	}
+	var reply LeavingReply
+	if err := n.opts.Caller.Call(peer.Idempotent(ctx), addr, methodLeaving, &Empty{}, &reply); err != nil {
+		n.suspect(addr)
+		return
+	}
+	l.set(reply.Addrs)
+}
+
+// read takes the leaving addresses from the platform's list.
+func (l *leavingList) read(ctx context.Context) {
+	all, err := l.node.opts.Instances.List(ctx)
+	if err != nil {
+		return
+	}
+	var addrs []string
+	for _, i := range all {
+		if i.State == platform.Leaving {
+			addrs = append(addrs, i.Addr)
+		}
+	}
+	l.set(addrs)
+}
+
+func (l *leavingList) set(addrs []string) {
+	m := make(map[string]bool, len(addrs))
+	for _, a := range addrs {
+		m[a] = true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.addrs = m
+}
+
+// list returns the leaving addresses in order.
+func (l *leavingList) list() []string {
+	return slices.Sorted(maps.Keys(l.Leaving()))
+}
--- a/internal/sched/dispatch/node.go
+++ b/internal/sched/dispatch/node.go
@@ -24,6 +24,7 @@
 	"carawayrouter.example/router/internal/event"
 	"carawayrouter.example/router/internal/member"
 	"carawayrouter.example/router/internal/peer"
+	"carawayrouter.example/router/internal/platform"
 	"carawayrouter.example/router/internal/reqid"
 	"carawayrouter.example/router/internal/sched/pool"
 )
@@ -45,17 +46,17 @@
 
 // Options configures a Node.
 type Options struct {
-	Config   config.Source
-	Members  member.Source
-	Caller   peer.Caller
-	Dialer   endpoint.Dialer
-	Clock    clock.Clock
-	Rand     *rand.Rand
-	Logger   logr.Logger
-	Events   *event.Ring
-	Leaving  pool.LeavingSource // nil: configuration alone says who leaves
-	Evidence Evidence           // nil: the view of the members decides
-	Tuning   *pool.Tuning       // nil: pool.DefaultTuning
+	Config    config.Source
+	Members   member.Source
+	Caller    peer.Caller
+	Dialer    endpoint.Dialer
+	Clock     clock.Clock
+	Rand      *rand.Rand
+	Logger    logr.Logger
+	Events    *event.Ring
+	Instances platform.Instances // nil: configuration alone says which endpoints leave
+	Evidence  Evidence           // nil: the view of the members decides
+	Tuning    *pool.Tuning       // nil: pool.DefaultTuning
 }
 
 // Node is an instance's part in scheduling: the client side, which implements
@@ -65,6 +66,7 @@
 	opts   Options
 	tuning pool.Tuning
 	reaper *reaper
+	list   *leavingList
 
 	mu       sync.Mutex
 	rand     *rand.Rand
@@ -125,6 +127,7 @@
 		members:  map[string][]member.Session{},
 	}
 	n.reaper = newReaper(n)
+	n.list = &leavingList{node: n}
 	return n
 }
 
@@ -137,6 +140,9 @@
 	n.wg.Go(func() { n.every(ctx, renewInterval, n.renew) })
 	n.wg.Go(func() { n.every(ctx, renewInterval, n.probe) })
 	n.wg.Go(func() { n.every(ctx, renewInterval, n.reaper.run) })
+	if n.opts.Instances != nil {
+		n.wg.Go(func() { n.every(ctx, renewInterval, n.list.run) })
+	}
 	n.every(ctx, refreshInterval, func(context.Context) { n.refresh() })
 	n.wg.Wait()
 	return nil
@@ -220,10 +226,7 @@
 // refresh follows changes of members, configuration and the platform's list.
 func (n *Node) refresh() {
 	st := n.opts.Config.Current()
-	var leaving map[string]bool
-	if n.opts.Leaving != nil {
-		leaving = n.opts.Leaving.Leaving()
-	}
+	leaving := n.list.Leaving()
 	self := n.self()
 	for _, p := range placesOf(st) {
 		addr, ok := n.home(p)
--- a/internal/sched/dispatch/reaper.go
+++ b/internal/sched/dispatch/reaper.go
@@ -126,7 +126,7 @@
 	}
 	addr, ok := addressOf(n.opts.Members.View(), owner)
 	if !ok {
-		if r.deaths.dead(ctx, owner) {
+		if r.deaths.dead(owner) {
 			return keys
 		}
 		return nil
--- a/internal/sched/dispatch/service.go
+++ b/internal/sched/dispatch/service.go
@@ -104,3 +104,9 @@
 	*reply = h.Load()
 	return nil
 }
+
+// Leaving returns the addresses that are leaving, as this instance knows them.
+func (s *Service) Leaving(_ *Empty, reply *LeavingReply) error {
+	reply.Addrs = s.node.list.list()
+	return nil
+}
--- a/internal/sched/dispatch/wire.go
+++ b/internal/sched/dispatch/wire.go
@@ -22,6 +22,7 @@
 	methodHoldings = ServiceName + ".Holdings"
 	methodOwns     = ServiceName + ".Owns"
 	methodLoad     = ServiceName + ".Load"
+	methodLeaving  = ServiceName + ".Leaving"
 )
 
 // Place names the endpoints that one dispatcher owns.
@@ -155,8 +156,11 @@
 	Held  []pool.Held
 }
 
-// Empty is an empty reply.
-type Empty struct{}
+// Empty stands for no arguments or an empty reply.
+type Empty struct{ Unused bool }
+
+// LeavingReply lists the addresses that the platform's list shows as leaving.
+type LeavingReply struct{ Addrs []string }
 
 // HoldingsArgs asks an instance what it holds at a place.
 type HoldingsArgs struct{ Place Place }
