Schedule: use small room elsewhere, probe on demand, leave margin for lateness

Cause: near saturation a data centre seldom has a fifth of its slots free, so that waiting requests stayed although another had room; hints of load were up to a second old; a demand that started at its last useful moment missed its target by the prefill queue. Each waiting request scanned the whole pool.

Change: a twentieth of free slots counts as room; a waiting request that knows of no room asks for a probe at once; lateness allows for the prefill queue and a twentieth of the target; places are computed once for a configuration, and tries elsewhere are bounded to one in 10 ms for a pool.

--- a/internal/sched/dispatch/client.go
+++ b/internal/sched/dispatch/client.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"carawayrouter.example/router/internal/config"
 	"carawayrouter.example/router/internal/errkind"
 	"carawayrouter.example/router/internal/reqid"
 	"carawayrouter.example/router/internal/sched"
@@ -15,11 +16,12 @@
 )
 
 const (
-	maxPlaces = 4                     // data centres tried
-	maxMoves  = 5                     // dispatchers tried in one data centre
-	movePause = 20 * time.Millisecond // before the next one, times the number tried
-	spillWait = 200 * time.Millisecond
-	maxSpills = 4 // requests that try another data centre at the same moment
+	maxPlaces  = 4                     // data centres tried
+	maxMoves   = 5                     // dispatchers tried in one data centre
+	movePause  = 20 * time.Millisecond // before the next one, times the number tried
+	spillWait  = 200 * time.Millisecond
+	spillPause = 10 * time.Millisecond // between two of them
+	maxSpills  = 4                     // requests that try another data centre at the same moment
 )
 
 // ticket is one demand of this instance, from its submission until its grant is
@@ -374,6 +376,22 @@
 // places lists the places of a pool, in order.
 func (n *Node) places(poolName string) []Place {
 	st := n.opts.Config.Current()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if st != n.placed {
+		n.placed = st
+		clear(n.byPool)
+	}
+	list, ok := n.byPool[poolName]
+	if !ok {
+		list = placesIn(st, poolName)
+		n.byPool[poolName] = list
+	}
+	return slices.Clone(list)
+}
+
+// placesIn lists the places of a pool in a configuration, in order.
+func placesIn(st *config.State, poolName string) []Place {
 	var out []Place
 	for _, ep := range st.Pool(poolName) {
 		p := Place{poolName, ep.DataCentre}
@@ -381,6 +399,7 @@
 			out = append(out, p)
 		}
 	}
+	slices.SortFunc(out, comparePlaces)
 	return out
 }
 
@@ -435,15 +454,16 @@
 // spill tries to get a grant of another data centre with room for a request that
 // waits in its own one.
 func (n *Node) spill(ctx context.Context, t *ticket) *sched.Grant {
-	if t.place.DataCentre != n.self().DataCentre {
+	if t.place.DataCentre != n.self().DataCentre || !n.startSpill(t.place) {
 		return nil
 	}
+	defer n.endSpill()
 	others := slices.DeleteFunc(n.places(t.place.Pool), func(p Place) bool { return p == t.place || !n.spare(p) })
 	n.sortByRoom(others)
-	if len(others) == 0 || !n.startSpill() {
+	if len(others) == 0 {
+		n.probeSoon()
 		return nil
 	}
-	defer n.endSpill()
 	addr, ok := n.home(others[0])
 	if !ok {
 		return nil
@@ -462,14 +482,19 @@
 	return nil
 }
 
-// startSpill takes one of the places for requests that try another data centre.
-func (n *Node) startSpill() bool {
+// startSpill takes one of the places for requests that try another data centre, at a
+// bounded rate.
+func (n *Node) startSpill(p Place) bool {
+	now := n.opts.Clock.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.spills >= maxSpills {
+	h := n.hints[p]
+	if n.spills >= maxSpills || now.Before(h.nextSpill) {
 		return false
 	}
 	n.spills++
+	h.nextSpill = now.Add(spillPause)
+	n.hints[p] = h
 	return true
 }
 
--- a/internal/sched/dispatch/node.go
+++ b/internal/sched/dispatch/node.go
@@ -39,6 +39,7 @@
 	warmUpTime      = 500 * time.Millisecond // longest pause of a new dispatcher
 	idleTime        = 10 * time.Second       // life of a dispatcher that nobody needs
 	hintLife        = 3 * time.Second        // of another data centre's load
+	minProbePause   = 100 * time.Millisecond
 	spillInterval   = 100 * time.Millisecond // between looks at other data centres while waiting
 	suspectTime     = time.Second            // until an instance that did not answer is asked again; doubles
 	maxSuspectTime  = 10 * time.Second
@@ -86,7 +87,10 @@
 	view     *member.View
 	members  map[string][]member.Session // of view, by data centre
 	renewed  map[linkKey]bool            // dispatchers whose last list was not empty
+	placed   *config.State               // that byPool was made from
+	byPool   map[string][]Place          // places by pool
 	spills   int
+	nudge    chan struct{} // asks for a probe before its time
 	wg       sync.WaitGroup
 }
 
@@ -102,6 +106,8 @@
 	at    time.Time
 	trip  time.Duration // round trip of the last call
 	asked time.Time     // last use of the place by a local request
+	// nextSpill is when another request that waits here may try elsewhere.
+	nextSpill time.Time
 }
 
 // New returns a Node.
@@ -124,6 +130,8 @@
 		changed:  make(chan struct{}),
 		homes:    map[Place]string{},
 		renewed:  map[linkKey]bool{},
+		byPool:   map[string][]Place{},
+		nudge:    make(chan struct{}, 1),
 		members:  map[string][]member.Session{},
 	}
 	n.reaper = newReaper(n)
@@ -138,7 +146,7 @@
 	n.mu.Unlock()
 	n.refresh()
 	n.wg.Go(func() { n.every(ctx, renewInterval, n.renew) })
-	n.wg.Go(func() { n.every(ctx, renewInterval, n.probe) })
+	n.wg.Go(func() { n.probeLoop(ctx) })
 	n.wg.Go(func() { n.every(ctx, renewInterval, n.reaper.run) })
 	if n.opts.Instances != nil {
 		n.wg.Go(func() { n.every(ctx, renewInterval, n.list.run) })
@@ -228,7 +236,7 @@
 	st := n.opts.Config.Current()
 	leaving := n.list.Leaving()
 	self := n.self()
-	for _, p := range placesOf(st) {
+	for _, p := range n.allPlaces(st) {
 		addr, ok := n.home(p)
 		n.noteHome(p, addr)
 		if ok && addr == self.Addr && p.DataCentre == self.DataCentre {
@@ -279,7 +287,7 @@
 // prune forgets what belongs to places, instances and links that are gone.
 func (n *Node) prune(st *config.State, self member.Session) {
 	known := map[Place]bool{}
-	for _, p := range placesOf(st) {
+	for _, p := range n.allPlaces(st) {
 		known[p] = true
 	}
 	addrs := map[string]bool{self.Addr: true}
@@ -307,13 +315,11 @@
 	}
 }
 
-// placesOf lists the places of a configuration, in order.
-func placesOf(st *config.State) []Place {
-	seen := map[Place]bool{}
-	for name := range st.Pools {
-		for _, ep := range st.Pool(name) {
-			seen[Place{name, ep.DataCentre}] = true
-		}
+// allPlaces lists the places of all pools.
+func (n *Node) allPlaces(st *config.State) []Place {
+	var out []Place
+	for _, name := range slices.Sorted(maps.Keys(st.Pools)) {
+		out = append(out, n.places(name)...)
 	}
-	return slices.SortedFunc(maps.Keys(seen), comparePlaces)
+	return out
 }
--- a/internal/sched/dispatch/renew.go
+++ b/internal/sched/dispatch/renew.go
@@ -201,6 +201,32 @@
 	return held, waiting
 }
 
+// probeLoop probes at an interval, and sooner where a waiting request asks for it.
+func (n *Node) probeLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.opts.Clock.After(renewInterval):
+		case <-n.nudge:
+		}
+		n.probe(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.opts.Clock.After(minProbePause):
+		}
+	}
+}
+
+// probeSoon asks for a probe.
+func (n *Node) probeSoon() {
+	select {
+	case n.nudge <- struct{}{}:
+	default:
+	}
+}
+
 // probe asks instances that did not answer whether they do now, and a few other data
 // centres for their load where requests wait in the own one.
 func (n *Node) probe(ctx context.Context) {
--- /dev/null
+++ b/internal/sched/dispatch/rpc_test.go
@@ -0,0 +1,144 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+
+	"carawayrouter.example/router/internal/clock"
+	"carawayrouter.example/router/internal/config"
+	"carawayrouter.example/router/internal/endpoint"
+	"carawayrouter.example/router/internal/member"
+	"carawayrouter.example/router/internal/peer/rpc"
+	"carawayrouter.example/router/internal/reqid"
+	"carawayrouter.example/router/internal/sched"
+)
+
+type fixedConfig struct{ st *config.State }
+
+func (f fixedConfig) Current() *config.State { return f.st }
+func (f fixedConfig) Age() time.Duration     { return 0 }
+
+// idle is an engine that runs nothing.
+type idle struct{ endpoint.Engine }
+
+func (idle) Running(context.Context) ([]endpoint.Running, error) { return nil, nil }
+
+func (idle) CacheEvents(context.Context, uint64) ([]endpoint.CacheEvent, error) { return nil, nil }
+
+type idleDialer struct{}
+
+func (idleDialer) Engine(string) endpoint.Engine   { return idle{} }
+func (idleDialer) Service(string) endpoint.Service { return nil }
+
+// pair starts two nodes that talk over real connections and returns the one that is
+// not the dispatcher, with its connections.
+func pair(tb testing.TB, eps []*config.Endpoint) (*fleetNode, *rpc.Client) {
+	tb.Helper()
+	st := config.Build(1, &config.Objects{Pools: []*config.Pool{{Name: "m", Kind: config.ModelPool}}, Endpoints: eps})
+	var listeners []net.Listener
+	var sessions []member.Session
+	for i := range 2 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(tb, err)
+		listeners = append(listeners, l)
+		sessions = append(sessions, member.Session{Name: fmt.Sprint("i", i), Addr: l.Addr().String(), DataCentre: "a", Process: 1})
+	}
+	var nodes []*fleetNode
+	var clients []*rpc.Client
+	for i, l := range listeners {
+		server, client := rpc.NewServer(rpc.Options{}), rpc.NewClient(rpc.Options{})
+		n := New(Options{
+			Config: fixedConfig{st}, Members: fixedView{&member.View{Self: sessions[i], Peers: sessions[1-i : 2-i]}},
+			Caller: client, Dialer: idleDialer{}, Clock: clock.Real{}, Rand: rand.New(rand.NewPCG(1, uint64(i))), Logger: logr.Discard(),
+		})
+		assert.NilError(tb, server.Register(ServiceName, n.Service()))
+		ctx, cancel := context.WithCancel(context.Background())
+		var wg sync.WaitGroup
+		wg.Go(func() { _ = server.Serve(l) })
+		wg.Go(func() { _ = n.Run(ctx) })
+		tb.Cleanup(func() {
+			cancel()
+			_ = server.Close()
+			_ = client.Close()
+			wg.Wait()
+		})
+		nodes = append(nodes, &fleetNode{Node: n, session: sessions[i], ids: reqid.NewSource(sessions[i].Name, 1)})
+		clients = append(clients, client)
+	}
+	addr, _ := nodes[0].home(Place{"m", "a"})
+	if addr == sessions[0].Addr {
+		return nodes[1], clients[1]
+	}
+	return nodes[0], clients[0]
+}
+
+func manyEndpoints(slots int) []*config.Endpoint {
+	var eps []*config.Endpoint
+	for i := range 33 {
+		ep := &config.Endpoint{Name: fmt.Sprintf("caption-models-decode-%d", i), Pool: "m", DataCentre: "a", Role: config.Decode, Slots: slots}
+		if i%3 == 0 {
+			ep.Role, ep.Slots = config.Prefill, 1000
+		}
+		ep.Addr = ep.Name
+		eps = append(eps, ep)
+	}
+	return eps
+}
+
+// TestOverRealConnections keeps far more requests waiting than a connection may have
+// calls in progress; all are served.
+func TestOverRealConnections(t *testing.T) {
+	n, _ := pair(t, manyEndpoints(2))
+	var wg sync.WaitGroup
+	for range 1000 {
+		wg.Go(func() {
+			g, err := n.Acquire(context.Background(), n.demand())
+			if !assert.Check(t, err) {
+				return
+			}
+			g.PrefillDone(sched.Succeeded)
+			g.FirstToken()
+			g.Release(sched.Succeeded)
+		})
+	}
+	wg.Wait()
+}
+
+// BenchmarkAcquireOverConnection measures one whole request's scheduling at an
+// instance that is not the dispatcher: time until the grant and bytes both ways.
+func BenchmarkAcquireOverConnection(b *testing.B) {
+	for _, parallel := range []int{1, 64} {
+		b.Run(fmt.Sprint(parallel), func(b *testing.B) {
+			n, client := pair(b, manyEndpoints(20))
+			time.Sleep(2 * warmUpTime)
+			in, out := client.Traffic().In.Load(), client.Traffic().Out.Load()
+			b.SetParallelism(max(1, parallel/10))
+			b.ResetTimer()
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					d := n.demand()
+					d.Account = "kita-shimbun"
+					d.Prefix = []uint64{1 << 60, 1 << 61, 1 << 62}
+					g, err := n.Acquire(context.Background(), d)
+					if err != nil {
+						b.Error(err)
+						return
+					}
+					g.PrefillDone(sched.Succeeded)
+					g.FirstToken()
+					g.Release(sched.Succeeded)
+				}
+			})
+			b.ReportMetric(float64(client.Traffic().In.Load()-in)/float64(b.N), "B-in/op")
+			b.ReportMetric(float64(client.Traffic().Out.Load()-out)/float64(b.N), "B-out/op")
+		})
+	}
+}
--- a/internal/sched/pool/core.go
+++ b/internal/sched/pool/core.go
@@ -254,13 +254,23 @@
 		e.Account, e.Class, e.Weight = "", config.Interactive, 1
 		return e
 	}
-	// A demand that cannot meet its target even alone is not treated as late.
-	if slack := m.d.FirstToken - c.typicalPrefill(m.d.Prompt); m.d.FirstToken > 0 && slack > 0 {
+	if slack := c.slack(m); slack > 0 {
 		e.Due = m.d.Arrived.Add(slack)
 	}
 	return e
 }
 
+// slack returns how long a demand may wait and still meet its latency target, or 0
+// if it has none or cannot meet it even alone. Such a demand is never late.
+func (c *Core) slack(m *demand) time.Duration {
+	if m.d.FirstToken <= 0 {
+		return 0
+	}
+	alone := c.typicalPrefill(m.d.Prompt) + time.Duration(m.d.Prompt)*c.tuning.TransferPerToken
+	left := m.d.FirstToken - alone
+	return max(left-c.tuning.MaxPrefillBacklog-m.d.FirstToken/20, left/2, 0)
+}
+
 // possible returns the refusal of a demand that no configured endpoint can take.
 func (c *Core) possible(m *demand) *errkind.Error {
 	usable, fits := false, false
--- a/internal/sched/pool/local.go
+++ b/internal/sched/pool/local.go
@@ -168,8 +168,8 @@
 func (l Load) Saturated() bool { return l.Free == 0 || l.Waiting > 0 }
 
 // Spare reports whether a data centre has room for demands of others: nothing waits
-// and a fifth of its slots are free.
-func (l Load) Spare() bool { return l.Waiting == 0 && l.Free > 0 && 5*l.Free >= l.Slots }
+// and a twentieth of its slots are free.
+func (l Load) Spare() bool { return l.Waiting == 0 && l.Free > 0 && 20*l.Free >= l.Slots }
 
 func comparePlaces(a, b place) int {
 	if a.pool != b.pool {
