Schedule: tests that fail without prompt release, warm-up, claims and suspects

Cause: mutations of these guards survived, because renewal makes good what they do a second later, and because polls showed what warm-up restores.

Change: simulated-time bounds for release and for a silent dispatcher, a crash while grants are held that no engine knows of, a stray that its owner claims. Conclusion: each of these mutations now fails a test.

--- a/internal/sched/dispatch/dispatch_test.go
+++ b/internal/sched/dispatch/dispatch_test.go
@@ -92,8 +92,9 @@
 	all     []member.Session // in every view
 	nodes   map[string]*fleetNode
 	engines map[string]*engine
-	lose    float64  // probability that a request or an answer is lost
-	leaving []string // on the platform's list
+	lose    float64       // probability that a request or an answer is lost
+	prefill time.Duration // of each request
+	leaving []string      // on the platform's list
 	listed  int
 	cut     func(from, to string) bool  // by address
 	views   map[string][]member.Session // views that differ, by address
@@ -108,7 +109,7 @@
 }
 
 func newFleet(seed uint64, dcs []string, perDC, decodes, slots int) *fleet {
-	f := &fleet{rand: rand.New(rand.NewPCG(seed, 1)), nodes: map[string]*fleetNode{}, engines: map[string]*engine{}, views: map[string][]member.Session{}}
+	f := &fleet{prefill: 5 * time.Millisecond, rand: rand.New(rand.NewPCG(seed, 1)), nodes: map[string]*fleetNode{}, engines: map[string]*engine{}, views: map[string][]member.Session{}}
 	var eps []*config.Endpoint
 	for _, dc := range dcs {
 		for i := range decodes + 2 {
@@ -316,7 +317,7 @@
 		if err != nil {
 			return err
 		}
-		time.Sleep(5 * time.Millisecond)
+		time.Sleep(f.prefill)
 		g.PrefillDone(sched.Succeeded)
 		e := f.engines[g.Decode.Addr]
 		if !e.start(d.ID) {
@@ -388,6 +389,29 @@
 	})
 }
 
+// TestReleaseIsPrompt passes one slot on between requests of an instance that is not
+// the dispatcher. None waits for the next renewal.
+func TestReleaseIsPrompt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(8, []string{"a"}, 2, 1, 1)
+		defer f.stopAll()
+		time.Sleep(2 * time.Second)
+		fn := f.list()[0]
+		if f.dispatcher(fn, "a") == fn {
+			fn = f.list()[1]
+		}
+		start := time.Now()
+		var wg sync.WaitGroup
+		for range 20 {
+			wg.Go(func() {
+				assert.Check(t, f.serve(context.Background(), t, fn, fn.demand(), 10*time.Millisecond))
+			})
+		}
+		wg.Wait()
+		assert.Assert(t, time.Since(start) < 500*time.Millisecond, "%v of simulated time", time.Since(start))
+	})
+}
+
 // TestRandomFaultsLeakNothing runs requests under lost calls, cancels, crashes and
 // restarts of instances, dispatchers among them, known to the others at once or late.
 // Afterwards nothing is booked or running, and no request that was not cancelled by
@@ -444,14 +468,16 @@
 	assert.NilError(t, f.serve(context.Background(), t, fn, fn.demand(), time.Millisecond))
 }
 
-// TestDispatcherCrashKeepsGrants kills the dispatcher while grants are held. The next
-// one learns of them before it grants, so that no engine refuses.
+// TestDispatcherCrashKeepsGrants kills the dispatcher while grants are held that no
+// decode engine knows of yet. The next one learns of them before it grants, so that
+// no engine refuses.
 func TestDispatcherCrashKeepsGrants(t *testing.T) {
 	for _, inView := range []bool{true, false} {
 		t.Run(fmt.Sprint(inView), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f := newFleet(2, []string{"a"}, 3, 2, 5)
 				defer f.stopAll()
+				f.prefill = 3 * time.Second
 				time.Sleep(2 * time.Second)
 				d := f.dispatcher(f.list()[0], "a")
 				var others []*fleetNode
@@ -522,26 +548,34 @@
 		disowned := reqid.ID{Instance: "a-i0", Incarnation: 1, Seq: 999}
 		unknown := reqid.ID{Instance: "a-i1", Incarnation: 0, Seq: 1}
 		silent := reqid.ID{Instance: "a-i2", Incarnation: 1, Seq: 5}
-		for _, id := range []reqid.ID{claimed, disowned, unknown, silent} {
+		owned := reqid.ID{Instance: "a-i0", Incarnation: 1, Seq: 777} // its dispatcher knows nothing of it
+		all[0].mu.Lock()
+		all[0].Node.ids[owned]++
+		all[0].mu.Unlock()
+		for _, id := range []reqid.ID{claimed, disowned, unknown, silent, owned} {
 			assert.Assert(t, e.start(id))
 		}
 		f.mu.Lock() // a live owner that cannot be asked keeps its work
 		f.cut = func(_, to string) bool { return to == "peer-a-i2" }
 		f.mu.Unlock()
 		time.Sleep(2 * time.Second)
-		assert.Equal(t, e.count(), 4, "nothing is cancelled within the grace")
+		assert.Equal(t, e.count(), 5, "nothing is cancelled within the grace")
 		time.Sleep(8 * time.Second)
 		e.mu.Lock()
 		assert.Equal(t, e.running[claimed], 1)
 		assert.Equal(t, e.running[silent], 1)
-		assert.Equal(t, len(e.running), 2)
+		assert.Equal(t, e.running[owned], 1)
+		assert.Equal(t, len(e.running), 3)
 		e.mu.Unlock()
 		f.mu.Lock()
 		f.cut = nil
 		f.mu.Unlock()
 		f.kill(all[2], false)
 		time.Sleep(2 * absentFor)
-		assert.Equal(t, e.count(), 1)
+		assert.Equal(t, e.count(), 2)
+		all[0].mu.Lock()
+		delete(all[0].Node.ids, owned)
+		all[0].mu.Unlock()
 		g.Release(sched.Succeeded)
 		time.Sleep(10 * time.Second)
 		assert.Equal(t, e.count(), 0)
@@ -589,7 +623,7 @@
 }
 
 // TestSilentDispatcherIsLeft lets all calls to the dispatcher vanish: waiting requests
-// get their grant from the next one.
+// get their grant from the next one, and later requests do not wait for the silent one.
 func TestSilentDispatcherIsLeft(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(6, []string{"a"}, 3, 2, 4)
@@ -600,9 +634,15 @@
 		f.cut = func(_, to string) bool { return to == d.session.Addr }
 		f.mu.Unlock()
 		for _, fn := range f.list() {
-			if fn != d {
+			if fn == d {
+				continue
+			}
+			assert.NilError(t, f.serve(context.Background(), t, fn, fn.demand(), time.Millisecond))
+			start := time.Now()
+			for range 100 {
 				assert.NilError(t, f.serve(context.Background(), t, fn, fn.demand(), time.Millisecond))
 			}
+			assert.Assert(t, time.Since(start) < 2*time.Second, "%v of simulated time", time.Since(start))
 		}
 	})
 }
