--- a/internal/sched/pool/core.go
+++ b/internal/sched/pool/core.go
@@ -92,6 +92,8 @@
 	decode  []*target // own decode engines or plain services
 	paused  bool      // nothing is granted
 
+	notices []Notice
+
 	workTime  float64 // sum over the prefill engines, see target
 	workToken float64
 
@@ -574,7 +576,7 @@
 		transfer := time.Duration(m.d.Prompt) * c.tuning.TransferPerToken
 		c.measure(now, m.granted, x, m.uncached, transfer)
 		c.observeRate(now, m.granted, x)
-		x.succeed(m.granted)
+		c.succeeded(m.granted, x)
 	default:
 		c.judge(now, m.granted, x, o)
 	}
@@ -630,7 +632,7 @@
 	m.first = true
 	if !m.ready.IsZero() {
 		c.observeLatency(now, m.granted, m.decode, now.Sub(m.ready))
-		m.decode.succeed(m.granted)
+		c.succeeded(m.granted, m.decode)
 	}
 }
 
@@ -664,7 +666,7 @@
 	if c.kind == config.ServicePool {
 		c.observeLatency(now, m.granted, x, now.Sub(m.granted))
 	}
-	x.succeed(m.granted)
+	c.succeeded(m.granted, x)
 	return true
 }
 
--- a/internal/sched/pool/core_test.go
+++ b/internal/sched/pool/core_test.go
@@ -366,6 +366,7 @@
 		assert.Assert(t, ejected() <= 2)
 	}
 	assert.Equal(t, ejected(), 2)
+	assert.Assert(t, len(c.Notices()) == 2)
 	now = now.Add(c.tuning.MaxEjectTime)
 	probes := 0
 	for range 40 { // grants that stay: at most one at each ejected engine
@@ -386,6 +387,8 @@
 		}
 	}
 	assert.Equal(t, ejected(), 0)
+	back := c.Notices()
+	assert.Assert(t, len(back) == 2 && !back[0].Ejected && !back[1].Ejected, "%v", back)
 }
 
 func TestLastEndpointStays(t *testing.T) {
--- a/internal/sched/pool/dispatcher.go
+++ b/internal/sched/pool/dispatcher.go
@@ -231,6 +231,13 @@
 	for _, dec := range d.core.Dispatch(d.clock.Now()) {
 		d.deliver(dec)
 	}
+	for _, n := range d.core.Notices() {
+		e := event.Event{Kind: "sched.return", Endpoint: n.Endpoint, Detail: n.Reason}
+		if n.Ejected {
+			e.Kind = "sched.eject"
+		}
+		d.events.Add(e)
+	}
 }
 
 // deliver hands a decision to who waits for it. The caller holds mu. A grant that
--- a/internal/sched/pool/health.go
+++ b/internal/sched/pool/health.go
@@ -99,18 +99,53 @@
 	h.latency = ewma{}
 }
 
+// Notice tells that an endpoint was ejected or is in use again.
+type Notice struct {
+	Endpoint string
+	Ejected  bool
+	Reason   string // "failures" or "slow"
+}
+
+// maxNotices bounds the notices that wait to be taken.
+const maxNotices = 256
+
+// notify keeps a notice until Notices takes it.
+func (c *Core) notify(n Notice) {
+	if len(c.notices) < maxNotices {
+		c.notices = append(c.notices, n)
+	}
+}
+
+// Notices returns what happened since the last call.
+func (c *Core) Notices() []Notice {
+	n := c.notices
+	c.notices = nil
+	return n
+}
+
+// eject takes x out of use.
+func (c *Core) eject(now time.Time, x *target, reason string) {
+	x.eject(now, &c.tuning)
+	c.notify(Notice{Endpoint: x.ep.Name, Ejected: true, Reason: reason})
+}
+
+// succeeded takes a good outcome of x.
+func (c *Core) succeeded(granted time.Time, x *target) {
+	before := x.ejected
+	x.succeed(granted)
+	if before && !x.ejected {
+		c.notify(Notice{Endpoint: x.ep.Name})
+	}
+}
+
 // failed judges a failure of x.
 func (c *Core) failed(now, granted time.Time, x *target) {
 	if x.stale(granted) {
 		return
 	}
 	x.failures++
-	if x.ejected {
-		x.eject(now, &c.tuning)
-		return
-	}
-	if x.failures >= c.tuning.EjectAfter && c.mayEject(x) {
-		x.eject(now, &c.tuning)
+	if x.ejected || x.failures >= c.tuning.EjectAfter && c.mayEject(x) {
+		c.eject(now, x, "failures")
 	}
 }
 
@@ -129,7 +164,7 @@
 		return
 	}
 	if x.ejected || c.mayEject(x) {
-		x.eject(now, &c.tuning)
+		c.eject(now, x, "slow")
 	}
 }
 
