standin: break connections after the effect by a fault of its own

Cause: TestNoRepetition failed once in about 8 runs: the fault broke the pooled connections too, and a call that met a broken one had no effect to count.

Change: fault kind drop_after; drop no longer does both. The test now needs the call to run exactly once and the error to be ErrBroken. The test of a dead service waits for ErrNotSent, since a pooled connection may have taken a call before.

--- a/internal/standin/host/fault.go
+++ b/internal/standin/host/fault.go
@@ -16,6 +16,7 @@
 	Stall         Kind = "stall"          // prefills and decode steps stop
 	Silent        Kind = "silent"         // open connections go silent for good
 	Drop          Kind = "drop"           // open connections break
+	DropAfter     Kind = "drop_after"     // each call breaks its connection after its effect
 	Late          Kind = "late"           // answers are delayed by Delay
 	Crossed       Kind = "crossed"        // two token streams are swapped
 	Die           Kind = "die"            // the process is gone with all its state
--- a/internal/standin/host/host.go
+++ b/internal/standin/host/host.go
@@ -195,9 +195,6 @@
 		if ln != nil {
 			ln.drop()
 		}
-		if f.For > 0 {
-			h.faults.start(f)
-		}
 	case Die:
 		h.die()
 		if f.For > 0 {
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -113,7 +113,7 @@
 		ctx.SetStatusCode(fasthttp.StatusBadGateway)
 		return
 	}
-	if _, drop := s.Faults().Active(host.Drop); drop {
+	if _, drop := s.Faults().Active(host.DropAfter); drop {
 		_ = ctx.Conn().Close()
 		return
 	}
--- a/internal/standin/service/service_test.go
+++ b/internal/standin/service/service_test.go
@@ -7,7 +7,9 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"carawayrouter.example/router/internal/endpoint"
 	"carawayrouter.example/router/internal/endpoint/httpendpoint"
@@ -70,9 +72,9 @@
 	r, err := c.Do(t.Context(), booking("warm"))
 	assert.NilError(t, err)
 	receipt(t, r)
-	srv.Inject(host.Fault{Kind: host.Drop, For: time.Minute})
+	srv.Inject(host.Fault{Kind: host.DropAfter})
 	_, err = c.Do(t.Context(), booking("dropped"))
-	assert.Assert(t, err != nil)
+	assert.ErrorIs(t, err, endpoint.ErrBroken)
 	srv.Inject(host.Fault{Kind: host.Clear})
 	assert.Equal(t, srv.Ledger().Runs["dropped"], 1)
 
@@ -108,10 +110,18 @@
 	assert.NilError(t, <-first)
 
 	srv.Inject(host.Fault{Kind: host.Die})
-	_, err = c.Do(t.Context(), booking("three"))
-	assert.Assert(t, err != nil)
-	_, err = c.Do(t.Context(), booking("three"))
-	assert.ErrorIs(t, err, endpoint.ErrNotSent)
+	// Calls on connections that were pooled before the death may have been sent.
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		_, err := c.Do(t.Context(), booking("three"))
+		switch {
+		case err == nil:
+			return poll.Error(errors.New("a dead service answered"))
+		case errors.Is(err, endpoint.ErrNotSent):
+			return poll.Success()
+		}
+		return poll.Continue("%v", err)
+	}, poll.WithTimeout(20*time.Second))
+	assert.Equal(t, srv.Ledger().Runs["three"], 0)
 }
 
 func TestCredentialsAreNoticed(t *testing.T) {
