ticket: state machine test of submitting and applying under faults

rapid drives submissions, resubmissions, lost, delayed and refused transactions, paused and restarted instances and announcements, and holds the real code to the invariants of spec/ticket.pml. memplatform gains DelayCommits (a transaction takes effect after its author was told that the outcome is unknown) and Peek.

--- a/internal/platform/memplatform/memplatform.go
+++ b/internal/platform/memplatform/memplatform.go
@@ -57,6 +57,8 @@
 	slow         time.Duration
 	loseAnswers  float64
 	loseRequests float64
+	delayCommits float64
+	commitDelay  time.Duration
 	lag          time.Duration
 	cut          map[string]bool
 }
@@ -114,6 +116,12 @@
 // without effect.
 func (s *Store) LoseRequests(fraction float64) { s.with(func() { s.loseRequests = fraction }) }
 
+// DelayCommits makes the given fraction of transactions report ErrUnknownOutcome at
+// once and take effect, as far as their conditions hold by then, after d.
+func (s *Store) DelayCommits(fraction float64, d time.Duration) {
+	s.with(func() { s.delayCommits, s.commitDelay = fraction, d })
+}
+
 // Cut separates a data centre from all services, or heals it.
 func (s *Store) Cut(dataCentre string, cut bool) { s.with(func() { s.cut[dataCentre] = cut }) }
 
@@ -140,6 +148,20 @@
 	})
 }
 
+// Peek returns the rows whose keys start with prefix, whatever fault is on, for
+// observers in tests. It counts no read and lets no late transaction take effect.
+func (s *Store) Peek(prefix string) []platform.Row {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var rows []platform.Row
+	for i := sort.SearchStrings(s.keys, prefix); i < len(s.keys) && strings.HasPrefix(s.keys[i], prefix); i++ {
+		r := s.rows[s.keys[i]]
+		r.Value = slices.Clone(r.Value)
+		rows = append(rows, r)
+	}
+	return rows
+}
+
 // Counts returns the totals so far.
 func (s *Store) Counts() Counts {
 	s.mu.Lock()
@@ -310,6 +332,10 @@
 	if s.loseRequests > 0 && s.rnd.Float64() < s.loseRequests {
 		return 0, errors.WithStack(platform.ErrUnknownOutcome)
 	}
+	if s.delayCommits > 0 && s.rnd.Float64() < s.delayCommits {
+		s.late = append(s.late, lateCommit{due: s.clock.Now().Add(s.commitDelay), txn: txn})
+		return 0, errors.WithStack(platform.ErrUnknownOutcome)
+	}
 	version, err := s.commit(txn)
 	if s.loseAnswers > 0 && s.rnd.Float64() < s.loseAnswers {
 		return 0, errors.WithStack(platform.ErrUnknownOutcome)
