limit/escrow: even out levels, keep tokens on share moves, failure tests

Cause: a caller within its rate was refused: tokens overflowed in data centres without demand, a share move cut the giver's level, and lenders kept tokens for requests that might come from ones that waited.

Change: a home with a low level evens it out with others; only room without tokens is moved; a waiting request comes before expected ones; rows are read again in turn, so that a lost notice delays a share and does not lose it.

--- a/internal/limit/escrow/account.go
+++ b/internal/limit/escrow/account.go
@@ -81,18 +81,19 @@
 	share   int64 // parts per million in effect, never above the row's
 	pending *move
 
-	queue     []*waiter
-	grants    map[bucket.LoanID]*waiter // granted, for repeated calls
-	order     []*waiter                 // grants by time
-	parcels   []parcel
-	pledge    pledge
-	outlook   outlook
-	borrowers map[string]borrower
-	demand    meter
-	gathering bool
-	nextAsk   time.Time
-	borrowed  time.Time // last loan from another data centre
-	refused   time.Time // last event of a refusal
+	queue       []*waiter
+	grants      map[bucket.LoanID]*waiter // granted, for repeated calls
+	order       []*waiter                 // grants by time
+	parcels     []parcel
+	pledge      pledge
+	outlook     outlook
+	borrowers   map[string]borrower
+	demand      meter
+	gathering   bool
+	nextAsk     time.Time
+	nextBalance time.Time
+	borrowed    time.Time // last loan from another data centre
+	refused     time.Time // last event of a refusal
 }
 
 func newAccount(name string, key shard.Key, epoch uint64, c *config.Account, now time.Time) *account {
@@ -309,15 +310,16 @@
 	return bucket.Time(a.ahead(w)-a.available(now)-avail, rate)
 }
 
-// reserve returns the tokens that older or imminent local requests need.
-func (a *account) reserve(now, since time.Time, dc string, must bool) int64 {
+// reserve returns the tokens that older requests need; against a borrower without a
+// waiting request also those that local requests will soon need.
+func (a *account) reserve(now, since time.Time, dc string, idle bool) int64 {
 	n := a.pledged(now, since, dc)
 	for _, w := range a.queue {
 		if older(w.since, a.key.DataCentre, since, dc) {
 			n += w.need
 		}
 	}
-	if !must {
+	if idle {
 		soon := float64(a.demand.rate(now)) * reserveSpan.Seconds()
 		n += min(int64(soon), a.bucket.Capacity()/4)
 	}
--- /dev/null
+++ b/internal/limit/escrow/fault_test.go
@@ -0,0 +1,487 @@
+package escrow
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// load makes open-loop requests at the nodes for a time and reports outcomes.
+type load struct {
+	w        *world
+	account  string
+	every    time.Duration // between arrivals
+	tokens   int
+	wait     time.Duration
+	nodes    func() []*node
+	settle   bool // uses a random part
+	mu       sync.Mutex
+	served   int
+	refused  int
+	longest  time.Duration
+	requests sync.WaitGroup
+}
+
+func (l *load) run(d time.Duration, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(l.every) {
+		nodes := l.nodes()
+		n := nodes[rng.IntN(len(nodes))]
+		used, life := l.tokens, time.Duration(rng.IntN(1000))*time.Millisecond
+		if l.settle {
+			used = rng.IntN(l.tokens + 1)
+		}
+		l.requests.Go(func() { l.request(n, l.tokens, used, life) })
+	}
+	l.requests.Wait()
+}
+
+func (l *load) request(n *node, tokens, used int, life time.Duration) {
+	begun := time.Now()
+	r, u, err := n.reserve(l.account, tokens, l.wait)
+	l.mu.Lock()
+	if err == nil {
+		l.served++
+	} else {
+		l.refused++
+	}
+	l.longest = max(l.longest, time.Since(begun))
+	l.mu.Unlock()
+	if err == nil && l.settle {
+		time.Sleep(life)
+		n.settle(r, u, used)
+	}
+}
+
+// open makes the homes of all data centres open an account.
+func (w *world) open(t *testing.T, name string) {
+	t.Helper()
+	for _, dc := range w.dcs {
+		_, _, err := w.in(dc)[0].reserve(name, 1, time.Second)
+		assert.NilError(t, err)
+	}
+}
+
+// checkWhole fails unless all rights of an account are there again, and can be had
+// in one piece.
+func (w *world) checkWhole(t *testing.T, name string, rate, burst float64) {
+	t.Helper()
+	time.Sleep(time.Duration(4*burst/rate*float64(time.Second)) + 15*time.Second)
+	synctest.Wait()
+	share, tokens := w.rights(name)
+	assert.Equal(t, share, int64(whole))
+	assert.Equal(t, tokens, micro(burst))
+	for i := range 2 {
+		nodes := w.in(w.dcs[i%len(w.dcs)])
+		_, _, err := nodes[0].reserve(name, int(burst), time.Duration(2*burst/rate*float64(time.Second))+15*time.Second)
+		assert.NilError(t, err)
+	}
+	w.checkNoExcess(t, name, rate, burst)
+}
+
+func (w *world) checkNoExcess(t *testing.T, name string, rate, burst float64) {
+	t.Helper()
+	excess, total := w.excess(name, rate, burst)
+	assert.Equal(t, excess, 0.0, "of %v tokens", total)
+}
+
+func (w *world) all() []*node {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var in []*node
+	for _, n := range w.nodes {
+		if !n.dead && n.resume == nil {
+			in = append(in, n)
+		}
+	}
+	return in
+}
+
+func TestLostMessages(t *testing.T) {
+	for _, method := range []string{"Take", "Return", "Lend", "Refresh"} {
+		for _, request := range []bool{true, false} {
+			name := method + "Answer"
+			if request {
+				name = method + "Request"
+			}
+			t.Run(name, func(t *testing.T) {
+				run(t, func(t *testing.T) {
+					w := newWorld(threeDCs, 3, acct("acme", 3000, 3000))
+					defer w.stop()
+					w.open(t, "acme")
+					l := &load{w: w, account: "acme", every: 10 * time.Millisecond, tokens: 200, wait: 2 * time.Second, nodes: func() []*node { return w.in("a") }, settle: true}
+					go func() {
+						for range 20 {
+							w.inject(fault{method: method, request: request, count: 3})
+							time.Sleep(200 * time.Millisecond)
+						}
+					}()
+					l.run(8*time.Second, 1)
+					assert.Assert(t, l.served > 80) // its own share at least
+					w.mu.Lock()
+					w.faults = nil
+					w.mu.Unlock()
+					w.checkWhole(t, "acme", 3000, 3000)
+				})
+			})
+		}
+	}
+}
+
+// A borrower that was paused between its call and the answer does not spend.
+func TestAnswerAfterLoanLife(t *testing.T) {
+	run(t, func(t *testing.T) {
+		w := newWorld(oneDC, 2, acct("acme", 100, 100))
+		defer w.stop()
+		home := w.home("a", "acme")
+		w.inject(fault{method: "Take", delay: 5 * time.Second, count: 1})
+		done := make(chan error)
+		go func() {
+			_, _, err := w.other(home).reserve("acme", 100, 30*time.Second)
+			done <- err
+		}()
+		time.Sleep(4 * time.Second) // the loan is over and its tokens have accrued anew
+		_, _, err := home.reserve("acme", 100, time.Second)
+		assert.NilError(t, err)
+		assert.NilError(t, <-done)
+		w.checkNoExcess(t, "acme", 100, 100)
+		assert.Assert(t, w.uses[1].at.Sub(w.uses[0].at) >= time.Second-50*time.Millisecond)
+	})
+}
+
+func TestHomePausedPastIsolation(t *testing.T) {
+	run(t, func(t *testing.T) {
+		w := newWorld(threeDCs, 3, acct("acme", 500, 1500))
+		defer w.stop()
+		w.open(t, "acme")
+		home := w.home("a", "acme")
+		l := &load{w: w, account: "acme", every: 50 * time.Millisecond, tokens: 50, wait: 3 * time.Second, nodes: w.all}
+		var wg sync.WaitGroup
+		wg.Go(func() { l.run(20*time.Second, 2) })
+		time.Sleep(3 * time.Second)
+		w.pause(home)
+		time.Sleep(4 * time.Second)
+		w.isolate(home, true)
+		time.Sleep(time.Second)
+		w.moveShards(home, w.other(home))
+		time.Sleep(3 * time.Second)
+		w.unpause(home) // late calls and answers arrive
+		time.Sleep(time.Second)
+		w.isolate(home, false)
+		wg.Wait()
+		w.checkWhole(t, "acme", 500, 1500)
+	})
+}
+
+func TestHomeKilledWithRights(t *testing.T) {
+	run(t, func(t *testing.T) {
+		w := newWorld(threeDCs, 3, acct("acme", 3000, 6000))
+		defer w.stop()
+		w.open(t, "acme")
+		home := w.home("a", "acme")
+		l := &load{w: w, account: "acme", every: 20 * time.Millisecond, tokens: 50, wait: 4 * time.Second, nodes: w.all, settle: true}
+		var wg sync.WaitGroup
+		wg.Go(func() { l.run(15*time.Second, 3) })
+		time.Sleep(4 * time.Second)
+		w.kill(home)
+		time.Sleep(2 * time.Second)
+		w.moveShards(home, w.other(home))
+		wg.Wait()
+		t.Logf("served %d, refused %d, longest wait %v", l.served, l.refused, l.longest)
+		assert.Equal(t, l.refused, 0) // others' homes serve meanwhile
+		w.checkWhole(t, "acme", 3000, 6000)
+	})
+}
+
+func TestRestartAtOnceWaitsOutLoans(t *testing.T) {
+	run(t, func(t *testing.T) {
+		w := newWorld(oneDC, 2, acct("acme", 1000, 1000))
+		defer w.stop()
+		home := w.home("a", "acme")
+		other := w.other(home)
+		w.inject(fault{method: "Take", delay: 400 * time.Millisecond, count: 1})
+		done := make(chan error)
+		go func() {
+			_, _, err := other.reserve("acme", 1000, time.Second)
+			done <- err
+		}()
+		time.Sleep(20 * time.Millisecond)
+		w.moveShards(home, home) // a new epoch while the loan is on its way
+		assert.NilError(t, <-done)
+		_, _, err := home.reserve("acme", 1000, 5*time.Second)
+		assert.NilError(t, err)
+		w.checkNoExcess(t, "acme", 1000, 1000)
+	})
+}
+
+func TestDataCentreCutAndHealed(t *testing.T) {
+	run(t, func(t *testing.T) {
+		w := newWorld(threeDCs, 3, acct("acme", 900, 1800))
+		defer w.stop()
+		w.open(t, "acme")
+		time.Sleep(3 * time.Second)
+		w.cut("a", "b", true)
+		w.cut("a", "c", true)
+		inside := &load{w: w, account: "acme", every: 50 * time.Millisecond, tokens: 50, wait: time.Second, nodes: func() []*node { return w.in("a") }}
+		outside := &load{w: w, account: "acme", every: 50 * time.Millisecond, tokens: 50, wait: time.Second, nodes: func() []*node { return append(w.in("b"), w.in("c")...) }}
+		var wg sync.WaitGroup
+		wg.Go(func() { inside.run(10*time.Second, 4) })
+		wg.Go(func() { outside.run(10*time.Second, 5) })
+		wg.Wait()
+		// The cut one has a third, the others the rest.
+		assert.Assert(t, inside.served*50 > 3300, "%d", inside.served)
+		assert.Assert(t, outside.served*50 > 6600, "%d", outside.served)
+		w.cut("a", "b", false)
+		w.cut("a", "c", false)
+		w.checkWhole(t, "acme", 900, 1800)
+	})
+}
+
+func TestShareMoveWithUnknownOutcome(t *testing.T) {
+	faults := map[string]func(m *memTable){
+		"AnswerLost": func(m *memTable) { m.lose = 2 },
+		"Late":       func(m *memTable) { m.late = 3 * time.Second },
+		"LateAfter":  func(m *memTable) { m.late = 500 * time.Millisecond },
+	}
+	for name, f := range faults {
+		t.Run(name, func(t *testing.T) {
+			run(t, func(t *testing.T) {
+				w := newWorld(threeDCs, 3, acct("acme", 900, 900))
+				defer w.stop()
+				w.open(t, "acme")
+				w.table.set(f)
+				l := &load{w: w, account: "acme", every: 50 * time.Millisecond, tokens: 60, wait: time.Second, nodes: func() []*node { return w.in("a") }}
+				var wg sync.WaitGroup
+				wg.Go(func() { l.run(10*time.Second, 6) })
+				for range 100 {
+					time.Sleep(100 * time.Millisecond)
+					if share, _ := w.rights("acme"); share > whole {
+						t.Fatalf("shares add up to %d", share)
+					}
+				}
+				wg.Wait()
+				w.checkWhole(t, "acme", 900, 900)
+			})
+		})
+	}
+}
+
+func TestStoreDown(t *testing.T) {
+	run(t, func(t *testing.T) {
+		w := newWorld(threeDCs, 3, acct("acme", 900, 900))
+		defer w.stop()
+		w.open(t, "acme")
+		w.table.set(func(m *memTable) { m.down = true })
+		home := w.home("a", "acme")
+		w.kill(home)
+		w.moveShards(home, w.other(home)) // the new home cannot read its share
+		l := &load{w: w, account: "acme", every: 100 * time.Millisecond, tokens: 40, wait: 2 * time.Second, nodes: func() []*node { return w.in("a") }}
+		l.run(10*time.Second, 7)
+		assert.Equal(t, l.refused, 0) // 400/s; the others hold 600/s and lend
+		w.table.set(func(m *memTable) { m.down = false })
+		w.checkWhole(t, "acme", 900, 900)
+	})
+}
+
+func TestHandOver(t *testing.T) {
+	for _, lost := range []bool{false, true} {
+		run(t, func(t *testing.T) {
+			w := newWorld(oneDC, 2, acct("acme", 10, 1000))
+			defer w.stop()
+			home := w.home("a", "acme")
+			next := w.other(home)
+			_, _, err := next.reserve("acme", 300, time.Second)
+			assert.NilError(t, err)
+			if lost {
+				w.inject(fault{method: "Handover", request: true, count: 1})
+			}
+			w.table.set(func(m *memTable) { m.down = true }) // it needs no store
+			home.limiter.Freeze()
+			w.moveShards(home, next)
+			assert.NilError(t, home.limiter.Close(context.Background()))
+			_, _, err = next.reserve("acme", 700, time.Second)
+			assert.Equal(t, err == nil, !lost, "%v", err)
+			w.table.set(func(m *memTable) { m.down = false })
+			w.checkWhole(t, "acme", 10, 1000)
+		})
+	}
+}
+
+func TestRateChange(t *testing.T) {
+	run(t, func(t *testing.T) {
+		w := newWorld(threeDCs, 3, acct("acme", 600, 1200))
+		defer w.stop()
+		w.open(t, "acme")
+		l := &load{w: w, account: "acme", every: 20 * time.Millisecond, tokens: 30, wait: time.Second, nodes: w.all, settle: true}
+		var wg sync.WaitGroup
+		wg.Go(func() { l.run(6*time.Second, 8) })
+		time.Sleep(3 * time.Second)
+		w.setAccount(acct("acme", 60, 120))
+		wg.Wait()
+		w.checkNoExcess(t, "acme", 600, 1200)
+		w.mu.Lock()
+		w.uses = nil
+		w.mu.Unlock()
+		w.checkWhole(t, "acme", 60, 120)
+	})
+}
+
+func TestFloodLeavesOthersAlone(t *testing.T) {
+	run(t, func(t *testing.T) {
+		w := newWorld(threeDCs, 3, acct("flood", 1000, 2000), acct("calm", 1000, 2000))
+		defer w.stop()
+		flood := &load{w: w, account: "flood", every: 10 * time.Millisecond, tokens: 100, wait: time.Second, nodes: w.all}
+		calm := &load{w: w, account: "calm", every: 100 * time.Millisecond, tokens: 95, wait: time.Second, nodes: w.all}
+		var wg sync.WaitGroup
+		wg.Go(func() { flood.run(10*time.Second, 9) })
+		wg.Go(func() { calm.run(10*time.Second, 10) })
+		wg.Wait()
+		t.Logf("calm: longest wait %v; flood: served %d, refused %d", calm.longest, flood.served, flood.refused)
+		assert.Equal(t, calm.refused, 0)
+		assert.Assert(t, flood.refused > 0)
+		// The flooding account still gets what is its own.
+		assert.Assert(t, flood.served*100 >= 11400, "%d", flood.served*100)
+		w.checkNoExcess(t, "flood", 1000, 2000)
+		w.checkNoExcess(t, "calm", 1000, 2000)
+	})
+}
+
+func TestCapacityMovesToDemand(t *testing.T) {
+	run(t, func(t *testing.T) {
+		w := newWorld(threeDCs, 3, acct("acme", 3000, 3000))
+		defer w.stop()
+		w.open(t, "acme")
+		for _, dc := range []string{"a", "b"} {
+			l := &load{w: w, account: "acme", every: 20 * time.Millisecond, tokens: 100, wait: time.Second, nodes: func() []*node { return w.in(dc) }}
+			begun := time.Now()
+			l.run(12*time.Second, 11)
+			used := int64(0)
+			for _, u := range w.uses {
+				if since := u.at.Sub(begun); u.dc == dc && since >= 2*time.Second && since < 12*time.Second {
+					used += u.tokens
+				}
+			}
+			t.Logf("%s used %d of 30000 tokens from 2 s on", dc, used)
+			assert.Assert(t, used >= 28500, "%d", used)
+			n := w.home(dc, "acme")
+			st, err := n.limiter.Status(context.Background(), "acme")
+			assert.NilError(t, err)
+			assert.Assert(t, st.Share > whole/2, "%d", st.Share)
+		}
+		w.checkWhole(t, "acme", 3000, 3000)
+	})
+}
+
+// A caller that keeps to a part of its rate is not refused without faults. One that
+// always uses the last token of its whole rate meets what was lost to lending and to
+// overflow in single data centres as a longer wait.
+func TestNoWrongfulRefusals(t *testing.T) {
+	for _, c := range []struct {
+		part float64
+		wait time.Duration
+	}{{0.9, time.Second}, {1, 3 * time.Second}} {
+		for seed := range uint64(6) {
+			run(t, func(t *testing.T) {
+				w := newWorld(threeDCs, 3, acct("acme", 500, 2000))
+				defer w.stop()
+				w.open(t, "acme")
+				time.Sleep(5 * time.Second)
+				l := &load{w: w, account: "acme", wait: c.wait}
+				l.conforming(c.part*500, c.part*2000, rand.New(rand.NewPCG(seed, 2)))
+				t.Logf("part %v, seed %d: longest wait %v", c.part, seed, l.longest)
+				assert.Equal(t, l.refused, 0)
+				w.checkNoExcess(t, "acme", 500, 2000)
+			})
+		}
+	}
+}
+
+// conforming makes requests, more at some instances than at others, that keep to a
+// rate and burst.
+func (l *load) conforming(rate, burst float64, rng *rand.Rand) {
+	level, last := burst, time.Now()
+	for range 300 {
+		time.Sleep(time.Duration(rng.ExpFloat64() * float64(300*time.Millisecond)))
+		now := time.Now()
+		level = min(burst, level+rate*now.Sub(last).Seconds())
+		last = now
+		tokens := 1 + rng.IntN(800)
+		n := l.w.nodes[min(rng.IntN(9), rng.IntN(9))]
+		if float64(tokens) > level {
+			continue
+		}
+		level -= float64(tokens)
+		l.requests.Go(func() { l.request(n, tokens, tokens, 0) })
+	}
+	l.requests.Wait()
+}
+
+// Random faults, several at a time, never make a window exceed rate and burst, and
+// no right is lost for ever.
+func TestRandomFaults(t *testing.T) {
+	for seed := range uint64(8) {
+		run(t, func(t *testing.T) {
+			w := newWorld(threeDCs, 3, acct("acme", 600, 1500))
+			defer w.stop()
+			w.open(t, "acme")
+			rng := rand.New(rand.NewPCG(seed, 3))
+			l := &load{w: w, account: "acme", every: 15 * time.Millisecond, tokens: 1 + rng.IntN(700), wait: 2 * time.Second, nodes: w.all, settle: true}
+			var wg sync.WaitGroup
+			wg.Go(func() { l.run(30*time.Second, seed) })
+			for range 12 {
+				own := rand.New(rand.NewPCG(seed, rng.Uint64()))
+				wg.Go(func() { w.randomFault(own) })
+				time.Sleep(time.Duration(rng.IntN(3000)) * time.Millisecond)
+			}
+			wg.Wait()
+			assert.Assert(t, l.served > 0)
+			w.checkWhole(t, "acme", 600, 1500)
+		})
+	}
+}
+
+// randomFault makes one fault and ends it.
+func (w *world) randomFault(rng *rand.Rand) {
+	d := time.Duration(rng.IntN(5000)) * time.Millisecond
+	nodes := w.all()
+	n := nodes[rng.IntN(len(nodes))]
+	switch rng.IntN(8) {
+	case 0:
+		w.inject(fault{request: true, count: 1 + rng.IntN(20)})
+	case 1:
+		w.inject(fault{count: 1 + rng.IntN(20)})
+	case 2:
+		w.inject(fault{delay: d, count: 1 + rng.IntN(3)})
+	case 3:
+		a, b := w.dcs[rng.IntN(3)], w.dcs[rng.IntN(3)]
+		w.cut(a, b, true)
+		time.Sleep(d)
+		w.cut(a, b, false)
+	case 4:
+		w.table.set(func(m *memTable) { m.down = true })
+		time.Sleep(d)
+		w.table.set(func(m *memTable) { m.down = false })
+	case 5:
+		w.table.set(func(m *memTable) { m.lose = 3 })
+	case 6: // paused, taken over, back
+		w.pause(n)
+		w.isolate(n, true)
+		time.Sleep(d)
+		for _, o := range w.all() {
+			if o.self.DataCentre == n.self.DataCentre && !o.isolated {
+				w.moveShards(n, o)
+				break
+			}
+		}
+		time.Sleep(d)
+		w.unpause(n)
+		w.isolate(n, false)
+	case 7: // restart at once, under a new epoch
+		w.moveShards(n, n)
+	}
+}
--- a/internal/limit/escrow/gather.go
+++ b/internal/limit/escrow/gather.go
@@ -1,6 +1,7 @@
 package escrow
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -16,6 +17,12 @@
 	gatherers = 64
 	// gatherPause is the shortest time between two rounds for one account.
 	gatherPause = 50 * time.Millisecond
+	// stragglers is how long slow answers are waited for once others suffice.
+	stragglers = 30 * time.Millisecond
+	// balancePause is the shortest time between two rounds that only even out levels.
+	balancePause = 250 * time.Millisecond
+	// balanceLenders bounds the homes asked to even out levels.
+	balanceLenders = 3
 )
 
 // gatherer borrows tokens from the homes of other data centres for requests that
@@ -24,12 +31,9 @@
 	h   *home
 	o   *Options
 	out *outbox
-	ids loanIDs
+	ids *client
 }
 
-// loanIDs makes ids for loans that this process borrows.
-type loanIDs interface{ nextLoan() bucket.LoanID }
-
 // askGather hands the account to the gatherer if its waiters lack tokens that its
 // own rate will not bring soon. The caller holds a.mu.
 func (h *home) askGather(a *account, lack int64, now time.Time) {
@@ -46,6 +50,21 @@
 	}
 }
 
+// askBalance has levels evened out when the own one is low. Otherwise tokens would
+// overflow in data centres without demand while this one has room. The caller holds
+// a.mu.
+func (h *home) askBalance(a *account, now time.Time) {
+	if a.gathering || len(h.o.DataCentres) < 2 || now.Before(a.nextBalance) || a.bucket.Level(now) >= a.bucket.Capacity()/2 {
+		return
+	}
+	select {
+	case h.shorts <- a:
+		a.gathering = true
+		a.nextBalance = now.Add(balancePause)
+	default:
+	}
+}
+
 // queueHead returns the need of the first waiter, 0 if there is none.
 func (a *account) queueHead() int64 {
 	for _, w := range a.queue {
@@ -74,8 +93,10 @@
 
 // shortage is what an account lacks at the start of a round.
 type shortage struct {
-	head   int64 // lacking for the first waiter
+	head   int64 // lacking for the first waiter, at most 0 without one
 	all    int64 // lacking for all present waiters
+	level  int64 // of the own bucket that no waiter needs
+	cap    int64 // of the own bucket
 	must   bool
 	since  time.Time
 	demand int64
@@ -93,26 +114,63 @@
 }
 
 // gather asks the other homes what they could lend, then borrows what is lacking
-// if that serves at least the first waiter.
+// if that serves at least the first waiter, and enough to even out the levels.
 func (g *gatherer) gather(ctx context.Context, a *account) {
 	defer g.finish(a)
 	s, ok := g.shortage(a)
 	if !ok {
 		return
 	}
-	lenders := g.lenders(a)
-	g.each(lenders, func(l *lender) { g.lend(ctx, a, l, &s, true) })
-	lenders = slices.DeleteFunc(lenders, func(l *lender) bool { return !l.ok })
-	g.note(a, lenders)
+	lenders := g.probe(ctx, a, g.lenders(a, &s), &s)
+	if s.head > 0 {
+		g.note(a, lenders)
+	}
 	if !plan(lenders, &s) {
 		return
 	}
-	lenders = slices.DeleteFunc(lenders, func(l *lender) bool { return l.ask == 0 })
-	g.each(lenders, func(l *lender) {
+	g.credit(a, g.borrow(ctx, a, lenders, &s))
+}
+
+// probe returns the homes that answered and what they could lend.
+func (g *gatherer) probe(ctx context.Context, a *account, lenders []lender, s *shortage) []lender {
+	answers := make(chan lender, len(lenders))
+	for _, l := range lenders {
+		go func() {
+			g.lend(ctx, a, &l, s, true)
+			answers <- l
+		}()
+	}
+	var answered []lender
+	var late <-chan time.Time
+	sum := int64(0)
+	for range lenders {
+		select {
+		case l := <-answers:
+			if l.ok {
+				answered = append(answered, l)
+				sum += l.reply.Amount
+			}
+		case <-late:
+			return answered
+		}
+		if sum >= s.head && late == nil {
+			late = g.o.Clock.After(stragglers)
+		}
+	}
+	return answered
+}
+
+// borrow asks each lender for what was planned.
+func (g *gatherer) borrow(ctx context.Context, a *account, lenders []lender, s *shortage) []lender {
+	lenders = slices.DeleteFunc(lenders, func(l lender) bool { return l.ask == 0 })
+	var wg sync.WaitGroup
+	for i := range lenders {
+		l := &lenders[i]
 		l.loan = g.ids.nextLoan()
-		g.lend(ctx, a, l, &s, false)
-	})
-	g.credit(a, lenders)
+		wg.Go(func() { g.lend(ctx, a, l, s, false) })
+	}
+	wg.Wait()
+	return lenders
 }
 
 func (g *gatherer) shortage(a *account) (s shortage, ok bool) {
@@ -134,31 +192,29 @@
 		}
 		s.all += w.need
 	}
-	s.all -= avail
+	s.all = max(0, s.all-avail)
+	s.level, s.cap = max(0, avail-s.all), a.bucket.Capacity()
 	s.demand, s.rate = a.demand.rate(now), a.rate()
-	return s, !first && s.head > 0 && !a.frozen
+	return s, !a.frozen && (s.head > 0 || s.level < s.cap)
 }
 
-// lenders returns the homes of the account in the other data centres.
-func (g *gatherer) lenders(a *account) []*lender {
-	var all []*lender
+// lenders returns the homes of the account in the other data centres; a few of
+// them if it is only to even out levels.
+func (g *gatherer) lenders(a *account, s *shortage) []lender {
+	var all []lender
 	for _, dc := range g.o.DataCentres {
 		if dc == g.o.Self.DataCentre {
 			continue
 		}
 		if as, ok := g.o.Directory.Home(keyOf(dc, a.name)); ok {
-			all = append(all, &lender{addr: as.Home.Addr})
+			all = append(all, lender{addr: as.Home.Addr})
 		}
 	}
-	return all
-}
-
-func (g *gatherer) each(lenders []*lender, f func(*lender)) {
-	var wg sync.WaitGroup
-	for _, l := range lenders {
-		wg.Go(func() { f(l) })
+	for s.head <= 0 && len(all) > balanceLenders {
+		i := int(g.ids.jitter(time.Duration(len(all) - 1)))
+		all = slices.Delete(all, i, i+1)
 	}
-	wg.Wait()
+	return all
 }
 
 func (g *gatherer) lend(ctx context.Context, a *account, l *lender, s *shortage, probe bool) {
@@ -169,6 +225,7 @@
 		Loan:       l.loan,
 		Amount:     l.ask,
 		Probe:      probe,
+		Idle:       s.head <= 0,
 		Must:       s.must,
 		Waited:     l.sent.Sub(s.since),
 		Demand:     s.demand,
@@ -183,7 +240,7 @@
 }
 
 // note keeps what the others said for estimates of waits.
-func (g *gatherer) note(a *account, lenders []*lender) {
+func (g *gatherer) note(a *account, lenders []lender) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.outlook = outlook{at: g.o.Clock.Now()}
@@ -195,18 +252,46 @@
 
 // plan sets what to ask of each lender, the one with most first. It reports whether
 // the first waiter can be served.
-func plan(lenders []*lender, s *shortage) bool {
-	slices.SortStableFunc(lenders, func(x, y *lender) int { return int(min(1, max(-1, y.reply.Amount-x.reply.Amount))) })
+func plan(lenders []lender, s *shortage) bool {
+	slices.SortStableFunc(lenders, func(x, y lender) int { return cmp.Compare(y.reply.Amount, x.reply.Amount) })
 	sum := int64(0)
-	for _, l := range lenders {
+	for i := range lenders {
+		l := &lenders[i]
 		l.ask = min(l.reply.Amount, max(0, s.all-sum))
 		sum += l.ask
 	}
-	return sum >= s.head
+	if sum < s.head {
+		return false
+	}
+	balance(lenders, s)
+	return true
+}
+
+// balance raises what to ask so that the levels become the same part of their
+// capacities.
+func balance(lenders []lender, s *shortage) {
+	level, capacity := float64(s.level), float64(s.cap)
+	for _, l := range lenders {
+		level += float64(l.reply.Amount - l.ask)
+		capacity += float64(l.reply.Capacity)
+	}
+	if capacity == 0 {
+		return
+	}
+	room := int64(level/capacity*float64(s.cap)) - s.level
+	for i := range lenders {
+		l := &lenders[i]
+		left := int64(level / capacity * float64(l.reply.Capacity))
+		n := min(room, l.reply.Amount-l.ask-left)
+		if n > 0 {
+			l.ask += n
+			room -= n
+		}
+	}
 }
 
 // credit adds the loans that were granted; those too late to be of use are returned.
-func (g *gatherer) credit(a *account, lenders []*lender) {
+func (g *gatherer) credit(a *account, lenders []lender) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := g.o.Clock.Now()
@@ -224,6 +309,23 @@
 		a.outlook.avail = max(0, a.outlook.avail-p.amount)
 	}
 	g.h.pump(a, now)
+	if len(a.queue) == 0 {
+		g.deposit(a, now)
+	}
+}
+
+// deposit adds parcels that no waiter needs to the own level, as far as there is
+// room. To the lender they count as spent.
+func (g *gatherer) deposit(a *account, now time.Time) {
+	for i, p := range a.live(now) {
+		n := a.bucket.Credit(now, p.amount)
+		if n == 0 {
+			continue
+		}
+		a.parcels[i].amount -= n
+		g.out.add(p.addr, ReturnItem{Account: a.name, Epoch: p.epoch, Loan: p.loan, Spent: n})
+	}
+	a.dropEmpty()
 }
 
 // finish ends a round and returns parcels that no waiter is there for.
--- a/internal/limit/escrow/home.go
+++ b/internal/limit/escrow/home.go
@@ -200,6 +200,7 @@
 	}
 	lack := a.pump(now, h.o.Self.Addr, h.o.LoanLife)
 	if w.granted {
+		h.askBalance(a, now)
 		return h.grantReply(a, w, local, now), true
 	}
 	estimate := a.estimate(now, w)
@@ -343,8 +344,8 @@
 		a.borrowers[args.DataCentre] = borrower{excess: args.Demand - args.Rate, at: now}
 	}
 	h.pump(a, now)
-	reply := LendReply{Status: Granted, Epoch: a.epoch, SpareRate: a.rate()}
-	if !args.Must {
+	reply := LendReply{Status: Granted, Epoch: a.epoch, SpareRate: a.rate(), Capacity: a.bucket.Capacity()}
+	if len(a.queue) > 0 && !args.Must {
 		reply.SpareRate = max(0, a.rate()-a.demand.rate(now))
 	}
 	if n, life, ok := a.bucket.Lent(now, args.Loan); ok && !args.Probe {
@@ -352,7 +353,7 @@
 		return reply
 	}
 	since := now.Add(-args.Waited)
-	avail := max(0, a.bucket.Level(now)-a.reserve(now, since, args.DataCentre, args.Must))
+	avail := max(0, a.bucket.Level(now)-a.reserve(now, since, args.DataCentre, args.Idle))
 	if args.Probe {
 		reply.Amount = avail
 		if args.Must {
--- a/internal/limit/escrow/messages.go
+++ b/internal/limit/escrow/messages.go
@@ -76,6 +76,7 @@
 	Loan       bucket.LoanID
 	Amount     int64
 	Probe      bool
+	Idle       bool          // no request waits; levels are evened out
 	Must       bool          // the borrower's share cannot hold what it needs
 	Waited     time.Duration // age of the borrower's oldest request
 	Demand     int64         // borrower's demand, micro-tokens per second
@@ -88,6 +89,7 @@
 	Epoch     uint64
 	Amount    int64 // lent, or with Probe what could be lent
 	Life      time.Duration
+	Capacity  int64 // of the lender's bucket
 	SpareRate int64 // lender's rate that its own demand leaves
 }
 
--- a/internal/limit/escrow/mover.go
+++ b/internal/limit/escrow/mover.go
@@ -100,7 +100,7 @@
 
 func (m *mover) round(ctx context.Context) {
 	now := m.o.Clock.Now()
-	var unsettled, takers []*account
+	var unsettled, takers, rest []*account
 	var moves []planned
 	for _, a := range m.h.list() {
 		a.mu.Lock()
@@ -113,13 +113,17 @@
 		case len(moves) < moveRows:
 			if p, ok := a.planMove(now, m.o.DataCentres); ok {
 				moves = append(moves, p)
+				break
 			}
+			rest = append(rest, a)
 		}
 		a.mu.Unlock()
 	}
 	for _, a := range unsettled[:min(len(unsettled), moveRows)] {
 		m.settle(ctx, a)
 	}
+	// Rows whose taker was not told are found in time: the list is in random order.
+	takers = append(takers, rest...)
 	m.read(ctx, takers[:min(len(takers), openBatch)])
 	if len(moves) > 0 {
 		m.commit(ctx, moves)
@@ -139,13 +143,15 @@
 func (a *account) planMove(now time.Time, dataCentres []string) (planned, bool) {
 	total := micro(a.config.Rate)
 	taker, excess := a.neediest(now)
-	if taker == "" || total == 0 {
+	if taker == "" || total == 0 || a.config.Burst <= 0 {
 		return planned{}, false
 	}
 	others := int64(len(dataCentres) - 1)
 	floor := whole / int64(len(dataCentres)) / shareFloor
 	keep := max(floor, ppmOf(a.demand.rate(now)/4*5, total))
-	delta := min(a.share-keep, ppmOf(excess, total)/others)
+	// Room that holds tokens stays: a cut level would be lost to everyone.
+	room := a.bucket.Capacity() - a.bucket.Level(now) - a.bucket.Outstanding(now)
+	delta := min(a.share-keep, ppmOf(excess, total)/others, ppmOf(room, micro(a.config.Burst)))
 	if delta < leastMove {
 		return planned{}, false
 	}
--- a/internal/limit/escrow/world_test.go
+++ b/internal/limit/escrow/world_test.go
@@ -139,7 +139,6 @@
 	faults  []*fault
 	latency time.Duration
 	calls   map[string]int
-	bytes   int
 
 	uses []*use
 }
@@ -320,6 +319,7 @@
 		n.stop()
 		<-n.done
 	}
+	time.Sleep(time.Minute) // messages under way arrive
 }
 
 // Home and Held implement shard.Directory.
