limit: baselines and a comparison in one run; fewer idle share moves

Baselines: per instance (rate/n), a table write per request, unlimited.

A data centre that cannot serve its first waiter evens out levels meanwhile, so that nothing overflows elsewhere; a lender that is still being opened no longer counts as empty; a share moves only for demand that lasts.

API: baseline.NewPerInstance(config, members, clock), baseline.NewTablePerRequest(config, table, clock), baseline.Unlimited{}.

--- /dev/null
+++ b/internal/limit/baseline/instance.go
@@ -0,0 +1,133 @@
+package baseline
+
+import (
+	"context"
+	"math"
+	"sync"
+	"time"
+
+	"carawayrouter.example/router/internal/clock"
+	"carawayrouter.example/router/internal/config"
+	"carawayrouter.example/router/internal/limit"
+	"carawayrouter.example/router/internal/limit/bucket"
+	"carawayrouter.example/router/internal/member"
+)
+
+// PerInstance gives every instance an equal part of each account's rate and burst.
+type PerInstance struct {
+	config  config.Source
+	members member.Source
+	clock   clock.Clock
+
+	mu       sync.Mutex
+	accounts map[string]*local
+}
+
+var _ limit.Limiter = (*PerInstance)(nil)
+
+// local is an account's bucket at this instance.
+type local struct {
+	turn chan struct{} // held by the first waiter; waiters pass it on in order
+
+	mu     sync.Mutex
+	bucket *bucket.Bucket
+	queued int64
+}
+
+// NewPerInstance returns a PerInstance that divides by the number of members.
+func NewPerInstance(c config.Source, m member.Source, clk clock.Clock) *PerInstance {
+	return &PerInstance{config: c, members: m, clock: clk, accounts: map[string]*local{}}
+}
+
+// Reserve implements limit.Limiter.
+func (p *PerInstance) Reserve(ctx context.Context, account string, tokens int, deadline time.Time) (limit.Reservation, error) {
+	a, err := lookup(p.config, account, tokens)
+	if err != nil {
+		return nil, err
+	}
+	n := float64(len(p.members.View().Peers) + 1)
+	l := p.local(account, micro(a.Burst/n), micro(a.Rate/n))
+	need := int64(tokens) * bucket.Micro
+	if wait := l.join(p.clock.Now(), need); wait > deadline.Sub(p.clock.Now()) {
+		l.leave(need)
+		return nil, overRate(wait)
+	}
+	defer l.leave(need)
+	select {
+	case <-ctx.Done():
+		return nil, gone(ctx.Err())
+	case l.turn <- struct{}{}:
+	}
+	defer func() { <-l.turn }()
+	for {
+		mark, wait := l.charge(p.clock.Now(), need)
+		if wait == 0 {
+			return l.reservation(p.clock, mark, need), nil
+		}
+		if wait > deadline.Sub(p.clock.Now()) {
+			return nil, overRate(wait)
+		}
+		if err := sleep(ctx, p.clock, wait); err != nil {
+			return nil, err
+		}
+	}
+}
+
+func (p *PerInstance) local(account string, capacity, rate int64) *local {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	l := p.accounts[account]
+	if l == nil {
+		l = &local{turn: make(chan struct{}, 1), bucket: bucket.New(now, capacity, rate, capacity)}
+		p.accounts[account] = l
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.bucket.SetLimits(now, capacity, rate)
+	return l
+}
+
+// join adds a waiter and returns how long it will have to wait.
+func (l *local) join(now time.Time, need int64) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.queued += need
+	if need > l.bucket.Capacity() {
+		return math.MaxInt64
+	}
+	return bucket.Time(l.queued-l.bucket.Level(now), l.bucket.Rate())
+}
+
+func (l *local) leave(need int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.queued -= need
+}
+
+// charge takes the tokens or returns the time until they are there.
+func (l *local) charge(now time.Time, need int64) (bucket.Mark, time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if mark, ok := l.bucket.Charge(now, need); ok {
+		return mark, 0
+	}
+	wait, ok := l.bucket.Until(now, need)
+	if !ok {
+		wait = math.MaxInt64
+	}
+	return 0, wait
+}
+
+func (l *local) reservation(c clock.Clock, m bucket.Mark, need int64) limit.Reservation {
+	var once sync.Once
+	return reservation{func(used int) {
+		once.Do(func() { l.refund(c.Now(), m, need-int64(max(0, used))*bucket.Micro) })
+	}}
+}
+
+func (l *local) refund(now time.Time, m bucket.Mark, n int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.bucket.Refund(now, m, n)
+}
--- a/internal/limit/escrow/account.go
+++ b/internal/limit/escrow/account.go
@@ -54,7 +54,8 @@
 
 // borrower is the demand of another data centre above its share.
 type borrower struct {
-	excess int64 // micro-tokens per second
+	excess int64     // micro-tokens per second
+	since  time.Time // begin of the demand
 	at     time.Time
 }
 
--- /dev/null
+++ b/internal/limit/escrow/compare_test.go
@@ -0,0 +1,191 @@
+package escrow
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"carawayrouter.example/router/internal/clock"
+	"carawayrouter.example/router/internal/config"
+	"carawayrouter.example/router/internal/limit"
+	"carawayrouter.example/router/internal/limit/baseline"
+	"carawayrouter.example/router/internal/limit/bucket"
+	"carawayrouter.example/router/internal/member"
+)
+
+// nine is a member.Source of a fleet of nine.
+type nine struct{}
+
+func (nine) View() *member.View { return &member.View{Peers: make([]member.Session, 8)} }
+
+// demand is the open-loop demand of one account.
+type demand struct {
+	account *config.Account
+	tokens  int           // reserved by each request; it uses half on average
+	every   time.Duration // mean time between arrivals
+	nodes   int           // first nodes of the fleet that it arrives at
+	inRate  bool
+}
+
+// demands has an account spread evenly, one that arrives at one data centre, one whose
+// prompt is larger than any share of its burst, and one at five times its rate.
+var demands = []demand{
+	{acct("even", 1000, 4000), 200, 220 * time.Millisecond, 9, true},
+	{acct("skewed", 1000, 4000), 200, 220 * time.Millisecond, 3, true},
+	{acct("small", 200, 1000), 800, 5 * time.Second, 9, true},
+	{acct("flood", 1000, 4000), 200, 20 * time.Millisecond, 9, false},
+}
+
+// outcome is what a policy made of one demand.
+type outcome struct {
+	requests, refused int
+	// wrongful counts requests of accounts within their rate that were refused
+	// although one bucket for the fleet, charged with all that was admitted, had the
+	// tokens.
+	wrongful int
+	tokens   float64
+	excess   float64
+	waits    []time.Duration
+}
+
+func compare(seed uint64, policy string, latency time.Duration) (byAccount map[string]*outcome, w *world) {
+	var accounts []*config.Account
+	for _, d := range demands {
+		accounts = append(accounts, d.account)
+	}
+	w = newWorld(threeDCs, 3, accounts...)
+	defer w.stop()
+	w.table.delay = latency
+	for _, n := range w.nodes {
+		n.reserver = policyOf(policy, w, n)
+	}
+	byAccount = map[string]*outcome{}
+	var wg sync.WaitGroup
+	for i, d := range demands {
+		o := &outcome{}
+		byAccount[d.account.Name] = o
+		wg.Go(func() { w.demand(d, o, rand.New(rand.NewPCG(seed, uint64(i)))) })
+	}
+	wg.Wait()
+	for _, d := range demands {
+		o := byAccount[d.account.Name]
+		o.excess, o.tokens = w.excess(d.account.Name, d.account.Rate, d.account.Burst)
+	}
+	return byAccount, w
+}
+
+func policyOf(policy string, w *world, n *node) limit.Limiter {
+	switch policy {
+	case "per-instance":
+		return baseline.NewPerInstance(w, nine{}, clock.Real{})
+	case "table":
+		return baseline.NewTablePerRequest(w, w.table, clock.Real{})
+	case "unlimited":
+		return baseline.Unlimited{}
+	}
+	return n.limiter
+}
+
+// demand makes the requests of 30 seconds.
+func (w *world) demand(d demand, o *outcome, rng *rand.Rand) {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	begun := time.Now()
+	whole := bucket.New(begun, micro(d.account.Burst), micro(d.account.Rate), micro(d.account.Burst))
+	for end := begun.Add(30 * time.Second); time.Now().Before(end); {
+		time.Sleep(time.Duration(rng.ExpFloat64() * float64(d.every)))
+		n := w.nodes[rng.IntN(d.nodes)]
+		used, life := rng.IntN(d.tokens+1), time.Duration(rng.IntN(2000))*time.Millisecond
+		wg.Go(func() {
+			begun := time.Now()
+			r, u, err := n.reserve(d.account.Name, d.tokens, time.Second)
+			mu.Lock()
+			need := micro(float64(d.tokens))
+			mark, within := whole.Charge(time.Now(), need)
+			if err != nil && within {
+				whole.Refund(time.Now(), mark, need)
+			}
+			o.requests++
+			o.waits = append(o.waits, time.Since(begun))
+			if err != nil {
+				o.refused++
+				if within && d.inRate {
+					o.wrongful++
+				}
+			}
+			mu.Unlock()
+			if err == nil {
+				time.Sleep(life)
+				n.settle(r, u, used)
+				mu.Lock()
+				whole.Refund(time.Now(), mark, need-micro(float64(used)))
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// TestCompareWithBaselines prints the table of docs/design/rates.md.
+func TestCompareWithBaselines(t *testing.T) {
+	t.Logf("%-12s %-7s %8s %8s %8s %8s %8s %9s %9s", "policy", "account", "requests", "refused", "wrongly", "tokens", "excess", "wait p50", "wait p99")
+	for _, policy := range []string{"escrow", "per-instance", "table", "unlimited"} {
+		run(t, func(t *testing.T) {
+			results, w := compare(1, policy, 2*time.Millisecond)
+			requests := 0
+			for _, d := range demands {
+				o := results[d.account.Name]
+				requests += o.requests
+				slices.Sort(o.waits)
+				t.Logf("%-12s %-7s %8d %8d %8d %8.0f %8.0f %9v %9v", policy, d.account.Name, o.requests, o.refused, o.wrongful, o.tokens, o.excess,
+					o.waits[len(o.waits)/2].Round(time.Millisecond), o.waits[len(o.waits)*99/100].Round(time.Millisecond))
+				if policy == "escrow" {
+					assert.Equal(t, o.excess, 0.0)
+					assert.Assert(t, o.wrongful == 0)
+				}
+			}
+			calls := 0
+			for _, n := range w.calls {
+				calls += n
+			}
+			per := func(n int) string { return fmt.Sprintf("%.2f", float64(n)/float64(requests)) }
+			t.Logf("%-12s per request: %s calls to peers %v, %s reads and %s writes of the table", policy, per(calls), w.calls, per(w.table.reads), per(w.table.writes))
+		})
+	}
+}
+
+// BenchmarkReserve measures the processor time of a reservation and its settlement,
+// messages to peers included but not their encoding.
+func BenchmarkReserve(b *testing.B) {
+	for _, policy := range []string{"home", "remote", "per-instance", "table"} {
+		b.Run(policy, func(b *testing.B) {
+			w := newWorld(oneDC, 2, acct("acme", 1e9, 1e9))
+			defer func() {
+				for _, n := range w.nodes {
+					n.stop()
+					<-n.done
+				}
+			}()
+			w.latency = 0
+			n := w.home("a", "acme")
+			if policy == "remote" {
+				n = w.other(n)
+			}
+			l := policyOf(policy, w, n)
+			ctx := context.Background()
+			for b.Loop() {
+				r, err := l.Reserve(ctx, "acme", 100, time.Now().Add(time.Second))
+				if err != nil {
+					b.Fatal(err)
+				}
+				r.Settle(50)
+			}
+		})
+	}
+}
--- a/internal/limit/escrow/fault_test.go
+++ b/internal/limit/escrow/fault_test.go
@@ -384,7 +384,7 @@
 	for _, c := range []struct {
 		part float64
 		wait time.Duration
-	}{{0.9, time.Second}, {1, 3 * time.Second}} {
+	}{{0.9, time.Second}, {1, 2 * time.Second}} {
 		for seed := range uint64(6) {
 			run(t, func(t *testing.T) {
 				w := newWorld(threeDCs, 3, acct("acme", 500, 2000))
--- a/internal/limit/escrow/gather.go
+++ b/internal/limit/escrow/gather.go
@@ -95,12 +95,16 @@
 type shortage struct {
 	head   int64 // lacking for the first waiter, at most 0 without one
 	all    int64 // lacking for all present waiters
-	level  int64 // of the own bucket that no waiter needs
+	own    int64 // level of the own bucket
+	level  int64 // the part of it that no waiter needs
 	cap    int64 // of the own bucket
 	must   bool
 	since  time.Time
 	demand int64
 	rate   int64
+
+	opening bool // a lender was not ready to answer
+	short   bool // the first waiter cannot be served
 }
 
 // lender is another data centre's home and its answer.
@@ -122,13 +126,11 @@
 		return
 	}
 	lenders := g.probe(ctx, a, g.lenders(a, &s), &s)
-	if s.head > 0 {
+	if s.head > 0 && !s.opening {
 		g.note(a, lenders)
 	}
-	if !plan(lenders, &s) {
-		return
-	}
-	g.credit(a, g.borrow(ctx, a, lenders, &s))
+	plan(lenders, &s)
+	g.credit(a, g.borrow(ctx, a, lenders, &s), &s)
 }
 
 // probe returns the homes that answered and what they could lend.
@@ -142,10 +144,12 @@
 	}
 	var answered []lender
 	var late <-chan time.Time
+	s.opening = false
 	sum := int64(0)
 	for range lenders {
 		select {
 		case l := <-answers:
+			s.opening = s.opening || l.reply.Status == Queued
 			if l.ok {
 				answered = append(answered, l)
 				sum += l.reply.Amount
@@ -193,6 +197,7 @@
 		s.all += w.need
 	}
 	s.all = max(0, s.all-avail)
+	s.own = a.bucket.Level(now)
 	s.level, s.cap = max(0, avail-s.all), a.bucket.Capacity()
 	s.demand, s.rate = a.demand.rate(now), a.rate()
 	return s, !a.frozen && (s.head > 0 || s.level < s.cap)
@@ -250,9 +255,10 @@
 	}
 }
 
-// plan sets what to ask of each lender, the one with most first. It reports whether
-// the first waiter can be served.
-func plan(lenders []lender, s *shortage) bool {
+// plan sets what to ask of each lender, the one with most first. Where all of them
+// cannot serve the first waiter, levels are evened out, so that the tokens still to
+// come overflow nowhere.
+func plan(lenders []lender, s *shortage) {
 	slices.SortStableFunc(lenders, func(x, y lender) int { return cmp.Compare(y.reply.Amount, x.reply.Amount) })
 	sum := int64(0)
 	for i := range lenders {
@@ -260,11 +266,13 @@
 		l.ask = min(l.reply.Amount, max(0, s.all-sum))
 		sum += l.ask
 	}
-	if sum < s.head {
-		return false
+	if s.short = sum < s.head; s.short {
+		for i := range lenders {
+			lenders[i].ask = 0
+		}
+		s.level = s.own
 	}
 	balance(lenders, s)
-	return true
 }
 
 // balance raises what to ask so that the levels become the same part of their
@@ -291,7 +299,7 @@
 }
 
 // credit adds the loans that were granted; those too late to be of use are returned.
-func (g *gatherer) credit(a *account, lenders []lender) {
+func (g *gatherer) credit(a *account, lenders []lender, s *shortage) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := g.o.Clock.Now()
@@ -308,6 +316,9 @@
 		a.borrowed = now
 		a.outlook.avail = max(0, a.outlook.avail-p.amount)
 	}
+	if s.short {
+		g.deposit(a, now)
+	}
 	g.h.pump(a, now)
 	if len(a.queue) == 0 {
 		g.deposit(a, now)
--- a/internal/limit/escrow/home.go
+++ b/internal/limit/escrow/home.go
@@ -338,10 +338,10 @@
 	defer a.mu.Unlock()
 	now := h.o.Clock.Now()
 	if !a.opened || a.frozen {
-		return LendReply{Status: Granted, Epoch: a.epoch}
+		return LendReply{Status: Queued}
 	}
 	if args.Demand > args.Rate {
-		a.borrowers[args.DataCentre] = borrower{excess: args.Demand - args.Rate, at: now}
+		a.noteBorrower(now, args.DataCentre, args.Demand-args.Rate)
 	}
 	h.pump(a, now)
 	reply := LendReply{Status: Granted, Epoch: a.epoch, SpareRate: a.rate(), Capacity: a.bucket.Capacity()}
--- a/internal/limit/escrow/messages.go
+++ b/internal/limit/escrow/messages.go
@@ -15,7 +15,7 @@
 // The statuses.
 const (
 	Granted Status = iota + 1
-	Queued         // keeps its place; ask again with the same loan
+	Queued         // keeps its place, or is being opened; ask again with the same loan
 	Refused        // the tokens cannot be there in the time allowed
 	NotHome        // the instance may not act as home now
 	Unknown        // the account is not in the home's configuration
--- a/internal/limit/escrow/mover.go
+++ b/internal/limit/escrow/mover.go
@@ -26,6 +26,8 @@
 	shareFloor = 8
 	// borrowerFresh is how long the demand of another data centre counts.
 	borrowerFresh = 2 * time.Second
+	// burstTime is how long demand must last before a share is moved.
+	burstTime = time.Second
 	// refreshFor is how long after a loan a row is read again in every round.
 	refreshFor = 3 * time.Second
 )
@@ -164,11 +166,22 @@
 	return planned{a, row, a.version, taker}, true
 }
 
-// neediest returns the data centre with the largest recent demand above its share.
+// noteBorrower records demand of another data centre above its share.
+func (a *account) noteBorrower(now time.Time, dc string, excess int64) {
+	b, ok := a.borrowers[dc]
+	if !ok || now.Sub(b.at) > borrowerFresh {
+		b.since = now
+	}
+	b.excess, b.at = excess, now
+	a.borrowers[dc] = b
+}
+
+// neediest returns the data centre with the largest recent demand above its share
+// that is more than a single burst.
 func (a *account) neediest(now time.Time) (dc string, excess int64) {
 	maps.DeleteFunc(a.borrowers, func(_ string, b borrower) bool { return now.Sub(b.at) > borrowerFresh })
 	for _, name := range slices.Sorted(maps.Keys(a.borrowers)) {
-		if b := a.borrowers[name]; b.excess > excess {
+		if b := a.borrowers[name]; b.excess > excess && b.at.Sub(b.since) >= burstTime {
 			dc, excess = name, b.excess
 		}
 	}
--- a/internal/limit/escrow/world_test.go
+++ b/internal/limit/escrow/world_test.go
@@ -117,6 +117,7 @@
 	w        *world
 	self     member.Session
 	limiter  *Limiter
+	reserver limit.Limiter // limiter, or a baseline in its place
 	svc      *service
 	stop     context.CancelFunc
 	done     chan struct{}
@@ -195,7 +196,7 @@
 	if err != nil {
 		panic(err)
 	}
-	n.limiter = l
+	n.limiter, n.reserver = l, l
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stop = cancel
 	go func() {
@@ -447,7 +448,7 @@
 
 // reserve takes tokens at a node and notes the use.
 func (n *node) reserve(name string, tokens int, wait time.Duration) (limit.Reservation, *use, error) {
-	r, err := n.limiter.Reserve(context.Background(), name, tokens, time.Now().Add(wait))
+	r, err := n.reserver.Reserve(context.Background(), name, tokens, time.Now().Add(wait))
 	if err != nil {
 		return nil, nil, err
 	}
