limit: bound records and rounds; sizes, 16 data centres, processor time

Records of loans end with their request or after an hour; rounds that ask other data centres are spaced by their number.

--- a/internal/limit/bucket/bucket.go
+++ b/internal/limit/bucket/bucket.go
@@ -26,8 +26,12 @@
 // Micro is the number of micro-tokens in one token.
 const Micro = 1_000_000
 
-// maxRecords bounds the loans of one bucket that can still be refunded.
-const maxRecords = 4096
+const (
+	// maxRecords bounds the loans of one bucket that can still be refunded.
+	maxRecords = 4096
+	// maxAge is how long after its life a loan can be refunded.
+	maxAge = time.Hour
+)
 
 // Mark identifies the moment of a charge for a later refund.
 type Mark uint64
@@ -365,7 +369,7 @@
 }
 
 // retire puts a loan without an open part among those that only await refunds,
-// and forgets the oldest of them above the bound.
+// and forgets those above the bounds.
 func (b *Bucket) retire(l *loan) {
 	if l.open > 0 {
 		return
@@ -375,12 +379,18 @@
 		return
 	}
 	b.closed = append(b.closed, l.id)
-	for len(b.closed) > maxRecords {
+	for len(b.closed) > 0 && b.over(b.closed[0]) {
 		b.forget(b.closed[0])
 		b.closed = b.closed[1:]
 	}
 }
 
+// over reports whether the oldest closed loan is to be forgotten.
+func (b *Bucket) over(id LoanID) bool {
+	l := b.loans[id]
+	return l == nil || len(b.closed) > maxRecords || b.at.Sub(l.expires) > maxAge
+}
+
 func (b *Bucket) refundLoan(l *loan, n int64) int64 {
 	n = min(n, l.spent, b.history.since(l.mark))
 	if n <= 0 || l.mark == 0 {
--- a/internal/limit/bucket/bucket_test.go
+++ b/internal/limit/bucket/bucket_test.go
@@ -212,4 +212,9 @@
 	}
 	assert.Assert(t, len(b.loans) <= maxRecords)
 	assert.Assert(t, len(b.closed) <= maxRecords)
+	later := start.Add(2 * maxAge)
+	id := LoanID{Borrower: 1}
+	b.Lend(later, id, 1, time.Second)
+	b.Spend(later, id, 1)
+	assert.Equal(t, len(b.loans), 1) // the old ones are forgotten
 }
--- a/internal/limit/escrow/client.go
+++ b/internal/limit/escrow/client.go
@@ -315,7 +315,7 @@
 	for _, p := range r.parts {
 		n := min(back, p.Amount)
 		back -= n
-		if n > 0 {
+		if n > 0 || p.Sole {
 			r.client.news(r.account, p, ReturnItem{Refund: n, Done: p.Sole})
 		}
 	}
--- a/internal/limit/escrow/compare_test.go
+++ b/internal/limit/escrow/compare_test.go
@@ -161,26 +161,27 @@
 }
 
 // BenchmarkReserve measures the processor time of a reservation and its settlement,
-// messages to peers included but not their encoding.
+// messages to peers included but not their encoding. In "remote" the accounts take
+// turns and every request asks the home; in "ahead" one busy account fetches tokens
+// ahead.
 func BenchmarkReserve(b *testing.B) {
-	for _, policy := range []string{"home", "remote", "per-instance", "table"} {
+	for _, policy := range []string{"home", "remote", "ahead", "per-instance", "table"} {
 		b.Run(policy, func(b *testing.B) {
-			w := newWorld(oneDC, 2, acct("acme", 1e9, 1e9))
-			defer func() {
-				for _, n := range w.nodes {
-					n.stop()
-					<-n.done
-				}
-			}()
-			w.latency = 0
-			n := w.home("a", "acme")
+			accounts := 1
 			if policy == "remote" {
+				accounts = 4096
+			}
+			w, names := manyAccounts(accounts)
+			defer w.endNow()
+			n := w.home("a", names[0])
+			if policy != "home" {
 				n = w.other(n)
 			}
+			names = slices.DeleteFunc(names, func(name string) bool { return (w.home("a", name) == n) != (policy == "home") })
 			l := policyOf(policy, w, n)
 			ctx := context.Background()
-			for b.Loop() {
-				r, err := l.Reserve(ctx, "acme", 100, time.Now().Add(time.Second))
+			for i := 0; b.Loop(); i++ {
+				r, err := l.Reserve(ctx, names[i%len(names)], 100, time.Now().Add(time.Second))
 				if err != nil {
 					b.Fatal(err)
 				}
@@ -189,3 +190,45 @@
 		})
 	}
 }
+
+// BenchmarkDuties measures one second of a home's background work for 1000 accounts
+// without traffic.
+func BenchmarkDuties(b *testing.B) {
+	w, names := manyAccounts(1000)
+	defer w.endNow()
+	n := w.nodes[0]
+	for _, name := range names {
+		if w.home("a", name) != n {
+			w.assign(keyOf("a", name), n)
+		}
+	}
+	for _, name := range names {
+		if _, _, err := n.reserve(name, 1, time.Second); err != nil {
+			b.Fatal(err)
+		}
+	}
+	m := &mover{h: n.limiter.home, o: &n.limiter.o}
+	for b.Loop() {
+		n.limiter.home.sweep()
+		m.round(context.Background())
+	}
+}
+
+// manyAccounts starts two nodes without network latency.
+func manyAccounts(count int) (w *world, names []string) {
+	var accounts []*config.Account
+	for i := range count {
+		names = append(names, fmt.Sprint("account-", i))
+		accounts = append(accounts, acct(names[i], 1e9, 1e9))
+	}
+	w = newWorld(oneDC, 2, accounts...)
+	w.latency = 0
+	return w, names
+}
+
+func (w *world) endNow() {
+	for _, n := range w.nodes {
+		n.stop()
+		<-n.done
+	}
+}
--- a/internal/limit/escrow/escrow.go
+++ b/internal/limit/escrow/escrow.go
@@ -32,8 +32,10 @@
 	defaultLoanLife  = 2 * time.Second
 	defaultCallTime  = 300 * time.Millisecond
 	defaultStoreTime = 2 * time.Second
-	// sweepTime is the time between two looks at what can be dropped or returned.
+	// sweepTime is the time between two looks at tokens that are not used.
 	sweepTime = 100 * time.Millisecond
+	// homeSweeps is the number of these after which the accounts at home are looked at.
+	homeSweeps = 10
 )
 
 // Options are the parts that a Limiter is built from. LoanLife, CallTime and
@@ -121,8 +123,10 @@
 
 // sweep drops what is no longer needed.
 func (l *Limiter) sweep(ctx context.Context) error {
-	for {
-		l.home.sweep()
+	for i := 0; ; i++ {
+		if i%homeSweeps == 0 {
+			l.home.sweep()
+		}
 		l.client.sweep()
 		select {
 		case <-ctx.Done():
--- a/internal/limit/escrow/fault_test.go
+++ b/internal/limit/escrow/fault_test.go
@@ -411,7 +411,7 @@
 		level = min(burst, level+rate*now.Sub(last).Seconds())
 		last = now
 		tokens := 1 + rng.IntN(800)
-		n := l.w.nodes[min(rng.IntN(9), rng.IntN(9))]
+		n := l.w.nodes[min(rng.IntN(len(l.w.nodes)), rng.IntN(len(l.w.nodes)))]
 		if float64(tokens) > level {
 			continue
 		}
@@ -421,6 +421,25 @@
 	l.requests.Wait()
 }
 
+// With many data centres every share is small: one prompt needs most of them.
+func TestSixteenDataCentres(t *testing.T) {
+	run(t, func(t *testing.T) {
+		var dcs []string
+		for i := range 16 {
+			dcs = append(dcs, string(rune('a'+i)))
+		}
+		w := newWorld(dcs, 2, acct("acme", 500, 2000))
+		defer w.stop()
+		w.open(t, "acme")
+		time.Sleep(5 * time.Second)
+		l := &load{w: w, account: "acme", wait: 2 * time.Second}
+		l.conforming(450, 1800, rand.New(rand.NewPCG(1, 4)))
+		t.Logf("served %d, longest wait %v, calls %v", l.served, l.longest, w.calls)
+		assert.Equal(t, l.refused, 0)
+		w.checkWhole(t, "acme", 500, 2000)
+	})
+}
+
 // Random faults, several at a time, never make a window exceed rate and burst, and
 // no right is lost for ever.
 func TestRandomFaults(t *testing.T) {
--- a/internal/limit/escrow/gather.go
+++ b/internal/limit/escrow/gather.go
@@ -15,7 +15,8 @@
 const (
 	// gatherers bounds the accounts that are gathered for at one time.
 	gatherers = 64
-	// gatherPause is the shortest time between two rounds for one account.
+	// gatherPause is the shortest time between two rounds for one account, for every
+	// two homes that are asked.
 	gatherPause = 50 * time.Millisecond
 	// stragglers is how long slow answers are waited for once others suffice.
 	stragglers = 30 * time.Millisecond
@@ -345,7 +346,7 @@
 	defer a.mu.Unlock()
 	now := g.o.Clock.Now()
 	a.gathering = false
-	a.nextAsk = now.Add(gatherPause)
+	a.nextAsk = now.Add(gatherPause * time.Duration(max(2, len(g.o.DataCentres)-1)) / 2)
 	if a.queueHead() > 0 {
 		return
 	}
--- a/internal/limit/escrow/home.go
+++ b/internal/limit/escrow/home.go
@@ -33,6 +33,8 @@
 	reserveSpan = 250 * time.Millisecond
 	// pledgeTime is how long tokens are kept for another data centre.
 	pledgeTime = time.Second
+	// maxRetryAfter bounds what callers are told.
+	maxRetryAfter = time.Hour
 	// refusalEvents is the shortest time between two events of refusals of an account.
 	refusalEvents = time.Second
 )
@@ -240,7 +242,7 @@
 		a.refused = now
 		h.o.Events.Add(event.Event{Kind: "limit.refuse", Account: a.name})
 	}
-	return TakeReply{Status: Refused, RetryAfter: max(a.estimate(now, w), time.Millisecond)}
+	return TakeReply{Status: Refused, RetryAfter: min(max(a.estimate(now, w), time.Millisecond), maxRetryAfter)}
 }
 
 // step returns the time until the next look at the queue.
