Join the daemon's state: shards, rate limits, orders, dispatchers

Cause: each part stood alone; the daemon scheduled and limited by itself. Change: the daemon takes part in shards, gives fenced orders, limits rates by escrow, schedules through one dispatcher for each pool and data centre, shares the budget of operation writes over the fleet and hands over at shutdown. An endpoint that nobody listens on is waited for rather than tried again until attempts run out; a request that every endpoint failed may use them again. Before: a stream whose only two decode engines died for 500 ms ended in no_endpoint.

--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -22,6 +22,7 @@
 	"carawayrouter.example/router/internal/metrics"
 	"carawayrouter.example/router/internal/netgate"
 	"carawayrouter.example/router/internal/platform"
+	"carawayrouter.example/router/internal/refusal"
 	"carawayrouter.example/router/internal/reqid"
 	"carawayrouter.example/router/internal/retry"
 )
@@ -31,6 +32,7 @@
 	retryBase        = 20 * time.Millisecond
 	retryCap         = time.Second
 	leaveTimeout     = 2 * time.Second
+	handOverTimeout  = 5 * time.Second
 )
 
 // Deps are what a daemon needs besides its settings. Zero fields take defaults.
@@ -97,6 +99,7 @@
 	listeners Listeners
 	events    *event.Ring
 	metrics   *metrics.Set
+	refusals  *refusal.Recorder
 	dialer    endpoint.Dialer
 	canceller *cancel.Canceller
 	front     *front.Server
@@ -122,6 +125,7 @@
 		listeners: d.Listeners,
 		events:    event.NewRing(s.Instance.Name, s.Log.Events, d.Clock),
 		metrics:   metrics.New(),
+		refusals:  refusal.NewRecorder(d.Clock),
 	}
 	if err := daemon.listeners.open(s.Listen); err != nil {
 		return nil, err
@@ -181,6 +185,7 @@
 		Log:          d.deps.Log,
 		Events:       d.events,
 		Metrics:      d.metrics,
+		Refused:      d.refusals.Add,
 		MaxBody:      d.settings.Requests.MaxBody,
 		MaxOutput:    d.settings.Requests.MaxOutput,
 		Connections:  d.settings.Listen.Connections,
@@ -235,27 +240,23 @@
 		d.deps.Log.Error(err, "close callers' connections")
 	}
 	if force.Err() == nil {
-		d.parts.handOver()
-		d.release()
+		d.handOver()
 	}
 }
 
-// release gives up the session, so that others take over at once.
-func (d *Daemon) release() {
-	ctx, stop := context.WithTimeout(context.Background(), leaveTimeout)
+// handOver gives shards, rights and the session up, so that others take over at once.
+func (d *Daemon) handOver() {
+	ctx, stop := context.WithTimeout(context.Background(), handOverTimeout)
 	defer stop()
-	if err := d.parts.members.Leave(ctx); err != nil {
-		d.deps.Log.Info("session not released", "error", err.Error())
-	}
+	d.parts.handOver(ctx)
+	d.note("session not released", d.parts.members.Leave(ctx))
 }
 
 // leave tells the platform's balancer to send no more callers.
 func (d *Daemon) leave() {
 	ctx, stop := context.WithTimeout(context.Background(), leaveTimeout)
 	defer stop()
-	if err := d.deps.Platform.Instances.Leave(ctx, d.settings.Instance.Name); err != nil {
-		d.deps.Log.Info("platform not told of shutdown", "error", err.Error())
-	}
+	d.note("platform not told of shutdown", d.deps.Platform.Instances.Leave(ctx, d.settings.Instance.Name))
 	d.events.Add(event.Event{Kind: "instance.drain"})
 }
 
--- a/internal/entry/parts.go
+++ b/internal/entry/parts.go
@@ -12,17 +12,21 @@
 	"carawayrouter.example/router/internal/endpoint"
 	"carawayrouter.example/router/internal/endpoint/httpendpoint"
 	"carawayrouter.example/router/internal/limit"
+	"carawayrouter.example/router/internal/limit/baseline"
+	"carawayrouter.example/router/internal/limit/escrow"
 	"carawayrouter.example/router/internal/member"
 	"carawayrouter.example/router/internal/netgate"
 	"carawayrouter.example/router/internal/operation"
 	"carawayrouter.example/router/internal/operation/tablestore"
 	"carawayrouter.example/router/internal/operator"
+	"carawayrouter.example/router/internal/order"
 	"carawayrouter.example/router/internal/peer/rpc"
 	"carawayrouter.example/router/internal/reqid"
 	"carawayrouter.example/router/internal/sched"
-	"carawayrouter.example/router/internal/sched/baseline"
+	schedbaseline "carawayrouter.example/router/internal/sched/baseline"
 	"carawayrouter.example/router/internal/sched/dispatch"
 	"carawayrouter.example/router/internal/sched/pool"
+	"carawayrouter.example/router/internal/shard"
 	"carawayrouter.example/router/internal/ticket"
 	"carawayrouter.example/router/internal/ticket/ticketpeer"
 )
@@ -36,6 +40,7 @@
 	seedMember
 	seedShard
 	seedLimit
+	seedOrder
 )
 
 // Network is the daemon's way to other processes.
@@ -56,6 +61,13 @@
 	DecodeFirstFIFO = "decode-first-fifo"
 )
 
+// Names of limiters that the policy of operation is compared with.
+const (
+	PerInstance     = "per-instance"
+	TablePerRequest = "table-per-request"
+	Unlimited       = "unlimited"
+)
+
 // controller is a duty that runs until its context ends.
 type controller func(ctx context.Context) error
 
@@ -67,10 +79,12 @@
 	operations  operation.Store
 	scheduler   sched.Scheduler
 	controllers []controller
-	handOver    func()
+	handOver    func(ctx context.Context) // gives shards and rights to other instances
 	peerServer  *rpc.Server
 	peers       *rpc.Client
 	members     *member.Controller
+	evidence    *evidence
+	shards      *shard.Controller
 }
 
 // newDialer returns the clients for endpoints.
@@ -80,7 +94,7 @@
 
 // assemble builds the controllers, the filter chain and the front.
 func (d *Daemon) assemble() error {
-	p := &parts{handOver: func() {}}
+	p := &parts{}
 	d.parts = p
 	if err := d.assemblePeers(p); err != nil {
 		return err
@@ -91,6 +105,9 @@
 	if err := d.assembleConfig(p); err != nil {
 		return err
 	}
+	if err := d.assembleShards(p); err != nil {
+		return err
+	}
 	if err := d.assembleScheduler(p); err != nil {
 		return err
 	}
@@ -98,21 +115,13 @@
 	if err := d.assembleOperator(p); err != nil {
 		return err
 	}
-	p.limiter = unlimited{}
+	if err := d.assembleLimiter(p); err != nil {
+		return err
+	}
 	d.front = d.newFront(reqid.NewSource(d.settings.Instance.Name, d.process))
 	return nil
 }
 
-type unlimited struct{}
-
-type unlimitedReservation struct{}
-
-func (unlimitedReservation) Settle(int) {}
-
-func (unlimited) Reserve(context.Context, string, int, time.Time) (limit.Reservation, error) {
-	return unlimitedReservation{}, nil
-}
-
 // assemblePeers opens the connections between instances.
 func (d *Daemon) assemblePeers(p *parts) error {
 	o := rpc.Options{Dial: d.gate.DialContext, Logger: d.deps.Log.WithName("peer")}
@@ -166,6 +175,7 @@
 		return err
 	}
 	p.members = members
+	p.evidence = newEvidence(members, d.deps.Platform.Table, d.deps.Clock)
 	p.controllers = append(p.controllers, members.Run)
 	return nil
 }
@@ -210,13 +220,13 @@
 	case "":
 		return d.assembleDispatch(p)
 	case RoundRobin:
-		p.scheduler = baseline.NewRoundRobin(p.config, local.DataCentre)
+		p.scheduler = schedbaseline.NewRoundRobin(p.config, local.DataCentre)
 	case LeastLoaded:
-		s := baseline.NewLeastLoaded(p.config, d.dialer, d.deps.Clock, local.DataCentre)
+		s := schedbaseline.NewLeastLoaded(p.config, d.dialer, d.deps.Clock, local.DataCentre)
 		p.scheduler = s
 		p.controllers = append(p.controllers, s.Run)
 	case DecodeFirstFIFO:
-		s := baseline.NewDecodeFirstFIFO(local)
+		s := schedbaseline.NewDecodeFirstFIFO(local)
 		p.scheduler = s
 		p.controllers = append(p.controllers, s.Run)
 	default:
@@ -228,21 +238,100 @@
 // assembleDispatch schedules with one dispatcher for each pool and data centre.
 func (d *Daemon) assembleDispatch(p *parts) error {
 	node := dispatch.New(dispatch.Options{
-		Config:   p.config,
-		Members:  p.members,
-		Caller:   p.peers,
-		Dialer:   d.dialer,
-		Clock:    d.deps.Clock,
-		Rand:     d.random(seedSched),
-		Logger:   d.deps.Log.WithName("sched"),
-		Events:   d.events,
-		Evidence: newEvidence(p.members, d.deps.Platform.Table, d.deps.Clock),
+		Config:    p.config,
+		Members:   p.members,
+		Caller:    p.peers,
+		Dialer:    d.dialer,
+		Clock:     d.deps.Clock,
+		Rand:      d.random(seedSched),
+		Logger:    d.deps.Log.WithName("sched"),
+		Events:    d.events,
+		Evidence:  p.evidence,
+		Instances: d.deps.Platform.Instances,
 	})
 	p.scheduler = node
 	p.controllers = append(p.controllers, node.Run)
 	return p.peerServer.Register(dispatch.ServiceName, node.Service())
 }
 
+// assembleLimiter chooses the rate limit policy.
+func (d *Daemon) assembleLimiter(p *parts) error {
+	switch d.deps.Policy.Limiter {
+	case "":
+		return d.assembleEscrow(p)
+	case PerInstance:
+		p.limiter = baseline.NewPerInstance(p.config, p.members, d.deps.Clock)
+	case TablePerRequest:
+		p.limiter = baseline.NewTablePerRequest(p.config, d.deps.Platform.Table, d.deps.Clock)
+	case Unlimited:
+		p.limiter = baseline.Unlimited{}
+	default:
+		return errors.Newf("limiter %q is unknown", d.deps.Policy.Limiter)
+	}
+	return nil
+}
+
+// assembleEscrow limits rates with one home for each account and data centre.
+func (d *Daemon) assembleEscrow(p *parts) error {
+	limiter, err := escrow.New(escrow.Options{
+		Self:        p.members.Self(),
+		Config:      p.config,
+		Directory:   p.shards,
+		Members:     p.members,
+		Caller:      p.peers,
+		Registrar:   p.peerServer,
+		Table:       d.deps.Platform.Table,
+		DataCentres: d.settings.Instance.DataCentres,
+		Clock:       d.deps.Clock,
+		Rand:        d.random(seedLimit),
+		Logger:      d.deps.Log.WithName("limit"),
+		Events:      d.events,
+	})
+	if err != nil {
+		return err
+	}
+	p.limiter = limiter
+	p.controllers = append(p.controllers, limiter.Run)
+	p.handOver = func(ctx context.Context) {
+		limiter.Freeze()
+		d.note("shards not released", p.shards.Release(ctx))
+		d.note("rights not handed over", limiter.Close(ctx))
+	}
+	return nil
+}
+
+// assembleShards takes part in the shards of the data centre and gives the orders to
+// the endpoints that this instance is home of.
+func (d *Daemon) assembleShards(p *parts) error {
+	shards, err := shard.NewController(shard.Options{
+		Members:   p.members,
+		Table:     d.deps.Platform.Table,
+		Caller:    p.peers,
+		Registrar: p.peerServer,
+		Clock:     d.deps.Clock,
+		Rand:      d.random(seedShard),
+		Logger:    d.deps.Log.WithName("shard"),
+		Events:    d.events,
+	})
+	if err != nil {
+		return err
+	}
+	orders := order.NewController(order.Options{
+		Home:    d.settings.Instance.Name,
+		Shards:  shards,
+		Config:  p.config,
+		Engines: func(e *config.Endpoint) endpoint.Engine { return d.dialer.Engine(e.Addr) },
+		Clock:   d.deps.Clock,
+		Rand:    d.random(seedOrder),
+		Logger:  d.deps.Log.WithName("order"),
+		Events:  d.events,
+	})
+	p.shards = shards
+	p.handOver = func(ctx context.Context) { d.note("shards not released", shards.Release(ctx)) }
+	p.controllers = append(p.controllers, shards.Run, orders.Run)
+	return nil
+}
+
 func (d *Daemon) assembleOperations(p *parts) {
 	s := tablestore.DefaultSettings()
 	s.Retention = d.settings.Requests.OperationTTL
@@ -251,9 +340,16 @@
 		Table:    d.deps.Platform.Table,
 		Clock:    d.deps.Clock,
 		Log:      d.deps.Log.WithName("operation"),
+		OwnerDead: func(owner string) bool {
+			id, err := reqid.Parse(owner)
+			return err == nil && p.evidence.Dead(id.Instance, id.Incarnation)
+		},
+		Sweeps: func() bool { return firstOfDataCentre(p.members.View()) },
 	})
 	p.operations = store
-	p.controllers = append(p.controllers, store.Run)
+	p.controllers = append(p.controllers, store.Run, func(ctx context.Context) error {
+		return d.shareWrites(ctx, store)
+	})
 }
 
 // assembleOperator serves the operator port; without operators there is none.
@@ -268,6 +364,8 @@
 		Tokens:     d.settings.Operator.TokenHashes,
 		Config:     p.config,
 		Table:      d.deps.Platform.Table,
+		Cuts:       cuts{members: p.members, dataCentres: d.settings.Instance.DataCentres},
+		Refusals:   d.refusals,
 		Ring:       d.events,
 	})
 	if err != nil {
--- a/internal/filters/dispatch.go
+++ b/internal/filters/dispatch.go
@@ -290,6 +290,8 @@
 		return sched.Succeeded
 	case ctx.Err() != nil:
 		return sched.Abandoned
+	case errors.Is(err, endpoint.ErrNotSent):
+		return sched.Unreachable
 	case isFull(err):
 		return sched.Full
 	}
--- a/internal/filters/schedule.go
+++ b/internal/filters/schedule.go
@@ -27,6 +27,11 @@
 // Handle implements filter.Filter.
 func (f *Schedule) Handle(ctx context.Context, r *filter.Request, next filter.Handler) error {
 	grant, err := f.Scheduler.Acquire(ctx, demand(r))
+	if errkind.Is(err, errkind.NoEndpoint) && len(r.Excluded) > 0 {
+		// Every endpoint failed the request once; one of them is better than none.
+		r.Excluded = nil
+		grant, err = f.Scheduler.Acquire(ctx, demand(r))
+	}
 	if err != nil {
 		return notRunUnlessSent(r, err)
 	}
@@ -42,16 +47,15 @@
 	}()
 	err = next(ctx, r)
 	outcome = outcomeOf(err)
-	if outcome != sched.Failed {
-		return err
-	}
 	if r.FailedEndpoint == "" {
 		r.FailedEndpoint = grant.Decode.Name
 	}
-	if r.FailedEndpoint != grant.Decode.Name {
-		outcome = sched.Abandoned
+	if outcome == sched.Failed {
+		r.Excluded = append(r.Excluded, r.FailedEndpoint)
+	}
+	if err != nil && r.FailedEndpoint != grant.Decode.Name {
+		outcome = sched.Abandoned // the prefill engine was judged by its own outcome
 	}
-	r.Excluded = append(r.Excluded, r.FailedEndpoint)
 	return err
 }
 
@@ -64,6 +68,8 @@
 	switch e.Kind {
 	case errkind.EndpointFailed, errkind.EndpointTimeout:
 		switch {
+		case errors.Is(err, endpoint.ErrNotSent):
+			return sched.Unreachable
 		case errors.Is(err, endpoint.ErrFull):
 			return sched.Full
 		case errors.Is(err, endpoint.ErrGone):
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -43,6 +43,7 @@
 	Log          logr.Logger
 	Events       *event.Ring
 	Metrics      *metrics.Set
+	Refused      func(account string, kind errkind.Kind) // told of every refusal
 	MaxBody      int           // bytes
 	MaxOutput    int           // tokens
 	Connections  int           // open callers' connections
@@ -254,6 +255,7 @@
 		known := errkind.From(x.err)
 		s.countRefusal(known)
 		e.Kind = "request.refused"
+		s.o.Refused(e.Account, known.Kind)
 		e.Detail = string(known.Kind) + " " + string(known.Execution)
 		if known.Kind == errkind.Internal {
 			s.o.Log.Error(x.err, "internal error", "request", x.id)
--- a/internal/limit/escrow/client.go
+++ b/internal/limit/escrow/client.go
@@ -46,7 +46,7 @@
 		o:        o,
 		home:     h,
 		out:      newOutbox(o, h),
-		borrower: xxhash.Sum64String(o.Self.Addr + "/" + strconv.FormatUint(o.Self.Epoch, 10)),
+		borrower: xxhash.Sum64String(o.Self.Addr + "/" + strconv.FormatUint(o.Self.Process, 10)),
 		rand:     o.Rand,
 		spares:   spares{accounts: map[string]*spare{}},
 	}
--- a/internal/sched/pool/outcome.go
+++ b/internal/sched/pool/outcome.go
@@ -46,6 +46,15 @@
 		c.failed(now, granted, x)
 	case sched.Full:
 		x.full(now, granted, &c.tuning)
+	case sched.Unreachable:
+		if c.kind == config.ServicePool {
+			c.failed(now, granted, x) // services are not polled
+			return
+		}
+		// Nobody listens there: it waits for a poll to succeed, also where it is
+		// the last endpoint, because waiting is better than failing.
+		x.badPolls = c.tuning.UnreachableAt
+		x.abandon(granted)
 	default:
 		x.abandon(granted)
 	}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -33,10 +33,11 @@
 
 // The outcomes.
 const (
-	Succeeded Outcome = iota
-	Failed            // error, broken connection or silence
-	Full              // refused for want of a slot or memory
-	Abandoned         // caller gone or request given up; says nothing of the endpoint
+	Succeeded   Outcome = iota
+	Failed              // error, broken connection or silence
+	Full                // refused for want of a slot or memory
+	Unreachable         // no connection could be made
+	Abandoned           // caller gone or request given up; says nothing of the endpoint
 )
 
 // Grant is the right to use endpoints for one request. Each method may be called
