--- a/internal/ticket/machine_test.go
+++ b/internal/ticket/machine_test.go
@@ -55,6 +55,8 @@
 
 // submit sends a draft and records what its author is told.
 func (m *machine) submit(t *rapid.T, d *Draft) {
+	m.lose(t)
+	defer m.keep()
 	p := m.store.For("a")
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Millisecond)
 	defer cancel()
@@ -99,30 +101,40 @@
 	m.submit(t, d)
 }
 
-// Fault changes what the platform does to calls.
+// Fault takes the store down, cuts a data centre off, or heals all.
 func (m *machine) Fault(t *rapid.T) {
-	switch rapid.IntRange(0, 5).Draw(t, "fault") {
+	switch rapid.IntRange(0, 4).Draw(t, "fault") {
 	case 0:
-		m.store.Down(rapid.Bool().Draw(t, "down"))
+		m.store.Down(true)
 	case 1:
-		m.store.LoseAnswers(rapid.SampledFrom([]float64{0, 0.5, 1}).Draw(t, "lost answers"))
-	case 2:
-		m.store.LoseRequests(rapid.SampledFrom([]float64{0, 0.5, 1}).Draw(t, "lost requests"))
-	case 3:
-		dc := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "data centre")
-		m.store.Cut(dc, rapid.Bool().Draw(t, "cut"))
-	case 4:
-		m.store.DelayCommits(rapid.SampledFrom([]float64{0, 0.5, 1}).Draw(t, "delayed commits"), time.Second)
-	case 5:
+		m.store.Cut(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "data centre"), true)
+	default:
 		m.heal()
 	}
 }
 
-func (m *machine) heal() {
-	m.store.Down(false)
+// lose draws what becomes of the transactions of one submission.
+func (m *machine) lose(t *rapid.T) {
+	fraction := rapid.SampledFrom([]float64{0.5, 1}).Draw(t, "fraction")
+	switch rapid.IntRange(0, 3).Draw(t, "loss") {
+	case 0:
+		m.store.LoseAnswers(fraction)
+	case 1:
+		m.store.LoseRequests(fraction)
+	case 2:
+		m.store.DelayCommits(fraction, time.Second)
+	}
+}
+
+// keep ends the loss of transactions; delayed ones are still on their way.
+func (m *machine) keep() {
 	m.store.DelayCommits(0, 0)
 	m.store.LoseAnswers(0)
 	m.store.LoseRequests(0)
+}
+
+func (m *machine) heal() {
+	m.store.Down(false)
 	m.store.Cut("a", false)
 	m.store.Cut("b", false)
 }
@@ -154,7 +166,7 @@
 	i := rapid.IntRange(0, machineInstances-1).Draw(t, "to")
 	from := m.appliers[rapid.IntRange(0, machineInstances-1).Draw(t, "from")]
 	tail, need := from.Tail(rapid.Uint64Range(0, from.Applied()).Draw(t, "after"))
-	if need {
+	if need || rapid.Bool().Draw(t, "whole state") {
 		data, err := from.Snapshot()
 		if err != nil {
 			t.Fatal(err)
@@ -221,6 +233,9 @@
 		}
 	}
 	for i, a := range m.appliers {
+		if a.set.ticket != a.Applied() {
+			t.Fatalf("instance %d holds ticket %d and has %d in force", i, a.set.ticket, a.Applied())
+		}
 		m.checkState(t, i, a.Current(), table)
 	}
 }
