--- a/internal/ticket/ticketpeer/ticketpeer.go
+++ b/internal/ticket/ticketpeer/ticketpeer.go
@@ -222,8 +222,10 @@
 	var g errgroup.Group
 	for i, addr := range addrs {
 		g.Go(func() error {
-			if err := n.call(ctx, fetchTimeout, addr, "Head", HeadArgs{}, &heads[i]); err != nil {
-				heads[i] = HeadReply{}
+			// A reply of a call that failed may still be written to.
+			var h HeadReply
+			if err := n.call(ctx, fetchTimeout, addr, "Head", HeadArgs{}, &h); err == nil {
+				heads[i] = h
 			}
 			return nil
 		})
--- a/internal/ticket/ticketpeer/ticketpeer_test.go
+++ b/internal/ticket/ticketpeer/ticketpeer_test.go
@@ -89,7 +89,7 @@
 	node *Node
 }
 
-func (f *fabric) start(t *testing.T, store *memplatform.Store, fast, slow time.Duration) map[string]*instance {
+func (f *fabric) start(t testing.TB, store *memplatform.Store, fast, slow time.Duration) map[string]*instance {
 	t.Helper()
 	all := map[string]*instance{}
 	for _, s := range f.sessions {
@@ -98,7 +98,7 @@
 	return all
 }
 
-func (f *fabric) startOne(t *testing.T, store *memplatform.Store, s member.Session, fast, slow time.Duration) *instance {
+func (f *fabric) startOne(t testing.TB, store *memplatform.Store, s member.Session, fast, slow time.Duration) *instance {
 	t.Helper()
 	node := New(Options{Members: viewOf{f, s.Name}, Caller: f, Seed: score(s.Name)})
 	p := store.For(s.DataCentre)
