operator, rollout: cut-off data centres from session rows; count refusals

A data centre none of whose sessions was renewed for 20 s is shown as cut off, on the page and by caraway-ctl status. Released and unregistered sessions no longer count as instances. Calls for tickets are declared idempotent, so that a silent connection costs half a call.

--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -142,6 +142,7 @@
 	assert.NilError(t, json.Unmarshal([]byte(b.ok("--json", "status")), &s))
 	assert.Equal(t, s.Accepted, uint64(2))
 	assert.Assert(t, s.Progress.Everywhere())
+	assert.DeepEqual(t, s.CutOff, []string{"a"}) // its sessions were never renewed
 }
 
 func TestFaultsAndExitCodes(t *testing.T) {
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -22,6 +22,7 @@
 type status struct {
 	Accepted      uint64            `json:"accepted"`
 	Progress      *rollout.Progress `json:"progress,omitempty"`
+	CutOff        []string          `json:"cut_off,omitempty"` // data centres
 	StoreError    string            `json:"store_error,omitempty"`
 	Instance      *operator.Status  `json:"instance,omitempty"`
 	InstanceError string            `json:"instance_error,omitempty"`
@@ -50,11 +51,13 @@
 	if err != nil {
 		return err
 	}
-	p, err := c.progress(ctx, head)
+	sessions, err := rollout.Sessions(ctx, c.platform.Table)
 	if err != nil {
 		return err
 	}
+	p := rollout.ProgressOf(head, sessions)
 	s.Accepted, s.Progress = head, &p
+	s.CutOff = rollout.CutOff(sessions, c.clock.Now())
 	return nil
 }
 
@@ -94,6 +97,9 @@
 	} else {
 		l.add("ticket %d accepted", s.Accepted)
 		showProgress(l, *s.Progress)
+		for _, dc := range s.CutOff {
+			l.add("cut off: %s", dc)
+		}
 	}
 	if s.InstanceError != "" {
 		l.add("instance cannot be read")
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -9,6 +9,7 @@
 	"encoding/base64"
 	"encoding/hex"
 	"encoding/json"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -17,6 +18,7 @@
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/expvarhandler"
 
+	"carawayrouter.example/router/internal/clock"
 	"carawayrouter.example/router/internal/config"
 	"carawayrouter.example/router/internal/errkind"
 	"carawayrouter.example/router/internal/event"
@@ -29,7 +31,8 @@
 // readTimeout bounds the reads from the table that one request makes.
 const readTimeout = 2 * time.Second
 
-// Cuts knows which data centres this instance cannot hear.
+// Cuts knows which data centres this instance cannot hear. Those whose instances no
+// longer renew their sessions are known from the table.
 type Cuts interface {
 	CutOff() []string
 }
@@ -54,8 +57,9 @@
 	Tokens     []string // SHA-256 of the operators' tokens, in hexadecimal
 	Config     config.Source
 	Table      platform.Table
-	Cuts       Cuts     // may be nil
-	Refusals   Refusals // may be nil
+	Cuts       Cuts        // may be nil
+	Refusals   Refusals    // may be nil
+	Clock      clock.Clock // the system clock if nil
 	Ring       *event.Ring
 }
 
@@ -76,6 +80,9 @@
 // Handler returns the operator port's handler. It returns an error if a token's
 // hash is malformed or there is none.
 func Handler(o Options) (fasthttp.RequestHandler, error) {
+	if o.Clock == nil {
+		o.Clock = clock.Real{}
+	}
 	h := &handler{Options: o}
 	for _, text := range o.Tokens {
 		hash, err := hex.DecodeString(text)
@@ -168,15 +175,17 @@
 	if age := h.Config.Age(); age < ticket.UnknownAge {
 		s.AgeSeconds = age.Seconds()
 	}
-	if h.Cuts != nil {
-		s.CutOff = h.Cuts.CutOff()
-	}
 	if h.Refusals != nil {
 		s.Refusals = h.Refusals.Refusals()
 	}
 	if err := h.readFleet(&s); err != nil {
 		s.StoreError = err.Error()
 	}
+	if h.Cuts != nil {
+		s.CutOff = append(s.CutOff, h.Cuts.CutOff()...)
+		slices.Sort(s.CutOff)
+		s.CutOff = slices.Compact(s.CutOff)
+	}
 	return s
 }
 
@@ -193,6 +202,7 @@
 	}
 	s.Accepted = head
 	s.Progress = rollout.ProgressOf(head, sessions)
+	s.CutOff = rollout.CutOff(sessions, h.Clock.Now())
 	return nil
 }
 
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -6,7 +6,6 @@
 	"encoding/base64"
 	"encoding/hex"
 	"encoding/json"
-	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -18,6 +17,7 @@
 	"carawayrouter.example/router/internal/config"
 	"carawayrouter.example/router/internal/errkind"
 	"carawayrouter.example/router/internal/event"
+	"carawayrouter.example/router/internal/member"
 	"carawayrouter.example/router/internal/platform"
 	"carawayrouter.example/router/internal/platform/memplatform"
 	"carawayrouter.example/router/internal/ticket"
@@ -51,9 +51,17 @@
 		_, err := ticket.Submit(ctx, table, "ana", ticket.NewDraft("", ticket.PutAccount(&config.Account{Name: "x", Rate: float64(i + 1)})))
 		assert.NilError(t, err)
 	}
-	for i, applied := range []int{2, 1, 2} {
-		row := fmt.Sprintf(`{"name":"e%d","addr":"127.0.0.1:1","data_centre":"a","epoch":1,"applied":%d}`, i, applied)
-		_, err := table.Commit(ctx, platform.Txn{Writes: []platform.Write{{Key: fmt.Sprintf("session/e%d", i), Value: []byte(row)}}})
+	now := clock.NewFake(time.Unix(1000, 0).UTC())
+	recent, old := now.Now().Add(-time.Second), now.Now().Add(-time.Minute)
+	for _, r := range []member.Row{
+		{Name: "e0", DataCentre: "a", Epoch: 1, Applied: 2, Renewed: recent},
+		{Name: "e1", DataCentre: "b", Epoch: 2, Applied: 1, Renewed: old},
+		{Name: "e2", DataCentre: "a", Epoch: 3, Applied: 2, Renewed: old},
+		{Name: "left", DataCentre: "a", Epoch: 4, Applied: 1, Renewed: old, Released: true},
+	} {
+		value, err := json.Marshal(r)
+		assert.NilError(t, err)
+		_, err = table.Commit(ctx, platform.Txn{Writes: []platform.Write{{Key: member.RowKey(r.Name), Value: value}}})
 		assert.NilError(t, err)
 	}
 	sum := sha256.Sum256([]byte(token))
@@ -61,7 +69,7 @@
 	ring.Add(event.Event{Kind: "x.y"})
 	h, err := Handler(Options{
 		Instance: "e0", DataCentre: "a", Version: "v1", Tokens: []string{hex.EncodeToString(sum[:])},
-		Config: fixed{config.Build(2, nil), 3 * time.Second}, Table: table, Ring: ring,
+		Config: fixed{config.Build(2, nil), 3 * time.Second}, Table: table, Ring: ring, Clock: now,
 		Cuts: cuts{"dohoku-c"}, Refusals: refusals{{Account: "<b>x", Kind: errkind.OverRate, Count: 7}},
 	})
 	assert.NilError(t, err)
@@ -110,6 +118,7 @@
 	assert.Equal(t, s.Progress.Instances, 3)
 	assert.Equal(t, s.Progress.Laggards[0].Name, "e1")
 	assert.Equal(t, s.AgeSeconds, 3.0)
+	assert.DeepEqual(t, s.CutOff, []string{"b", "dohoku-c"})
 	store.Down(true)
 	_, body = get(h, "/status", "Bearer "+token)
 	assert.NilError(t, json.Unmarshal([]byte(body), &s))
@@ -139,3 +148,22 @@
 		assert.Equal(t, status, want, path)
 	}
 }
+
+func TestRefusalCounterForgetsAndIsBounded(t *testing.T) {
+	c := clock.NewFake(time.Unix(0, 0))
+	r := NewRefusalCounter(c)
+	for i := range maxRefusals + 50 {
+		r.Add(string(rune('a'+i%26))+strings.Repeat("x", i/26), errkind.OverRate)
+	}
+	r.Add("a", errkind.OverRate)
+	got := r.Refusals()
+	assert.Equal(t, len(got), maxRefusals)
+	assert.DeepEqual(t, got[0], Refusal{Account: "a", Kind: errkind.OverRate, Count: 2})
+	c.Advance(refusalWindow)
+	r.Add("b", errkind.QueueFull)
+	assert.Equal(t, len(r.Refusals()), maxRefusals+1)
+	c.Advance(refusalWindow)
+	assert.DeepEqual(t, r.Refusals(), []Refusal{{Account: "b", Kind: errkind.QueueFull, Count: 1}})
+	c.Advance(2 * refusalWindow)
+	assert.Equal(t, len(r.Refusals()), 0)
+}
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -4,46 +4,49 @@
 
 import (
 	"context"
-	"encoding/json"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"carawayrouter.example/router/internal/member"
 	"carawayrouter.example/router/internal/platform"
 )
 
 const (
-	sessionPrefix = "session/"
-	pageSize      = 500 // rows read in one call
+	pageSize = 500 // rows read in one call
+	// silentAfter is the time without a renewed session after which a data centre
+	// counts as cut off from the platform.
+	silentAfter = 20 * time.Second
 )
 
 // Session is the part of an instance's session row that operators see.
 type Session struct {
-	Name       string `json:"name"`
-	Addr       string `json:"addr"`
-	DataCentre string `json:"data_centre"`
-	Epoch      uint64 `json:"epoch"`
-	Applied    uint64 `json:"applied"` // newest ticket in force there
+	Name       string    `json:"name"`
+	Addr       string    `json:"addr"`
+	DataCentre string    `json:"data_centre"`
+	Epoch      uint64    `json:"epoch"`
+	Applied    uint64    `json:"applied"` // newest ticket in force there
+	Renewed    time.Time `json:"renewed"` // by the instance's clock
 }
 
-// Sessions reads the sessions of all instances, sorted by name. Rows that cannot be
-// read give a session with the row's name alone, so that none goes unseen.
+// Sessions reads the sessions of all instances that have not left, sorted by name.
+// Rows that cannot be read give a session with the row's name alone, so that none
+// goes unseen.
 func Sessions(ctx context.Context, table platform.Table) ([]Session, error) {
 	var all []Session
 	after := ""
 	for {
-		rows, err := table.Scan(ctx, sessionPrefix, after, pageSize)
+		rows, err := table.Scan(ctx, member.RowPrefix, after, pageSize)
 		if err != nil {
 			return nil, errors.Wrap(err, "read sessions")
 		}
 		for _, r := range rows {
-			var s Session
-			if json.Unmarshal(r.Value, &s) != nil || s.Name == "" {
-				s = Session{Name: strings.TrimPrefix(r.Key, sessionPrefix)}
-			}
-			all = append(all, s)
 			after = r.Key
+			if s, ok := session(r); ok {
+				all = append(all, s)
+			}
 		}
 		if len(rows) < pageSize {
 			slices.SortFunc(all, func(a, b Session) int { return strings.Compare(a.Name, b.Name) })
@@ -52,6 +55,36 @@
 	}
 }
 
+// session reads one row; ok is false for an instance that has left or that has not
+// finished its registration.
+func session(r platform.Row) (s Session, ok bool) {
+	row, err := member.ParseRow(r)
+	if err != nil || row.Name == "" {
+		return Session{Name: strings.TrimPrefix(r.Key, member.RowPrefix)}, true
+	}
+	s = Session{Name: row.Name, Addr: row.Addr, DataCentre: row.DataCentre, Epoch: row.Epoch, Applied: row.Applied, Renewed: row.Renewed}
+	return s, !row.Released && row.Epoch > 0
+}
+
+// CutOff returns the data centres in which no session has been renewed lately,
+// sorted. Clocks of instances may differ by a few seconds.
+func CutOff(sessions []Session, now time.Time) []string {
+	heard := map[string]bool{}
+	for _, s := range sessions {
+		if s.DataCentre != "" {
+			heard[s.DataCentre] = heard[s.DataCentre] || now.Sub(s.Renewed) < silentAfter
+		}
+	}
+	var cut []string
+	for dc, ok := range heard {
+		if !ok {
+			cut = append(cut, dc)
+		}
+	}
+	slices.Sort(cut)
+	return cut
+}
+
 // Progress tells on how many instances a ticket is in force.
 type Progress struct {
 	Ticket    uint64    `json:"ticket"`
--- a/internal/ticket/ticketpeer/ticketpeer.go
+++ b/internal/ticket/ticketpeer/ticketpeer.go
@@ -185,10 +185,11 @@
 	return out
 }
 
+// call makes one call; all of this package's calls are idempotent.
 func (n *Node) call(ctx context.Context, timeout time.Duration, addr, method string, args, reply any) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return n.o.Caller.Call(ctx, addr, ServiceName+"."+method, args, reply)
+	return n.o.Caller.Call(peer.Idempotent(ctx), addr, ServiceName+"."+method, args, reply)
 }
 
 // Fetch implements ticket.PeerSource: it asks a few peers for their newest ticket
