--- a/internal/ticket/ticketpeer/ticketpeer.go
+++ b/internal/ticket/ticketpeer/ticketpeer.go
@@ -185,10 +185,11 @@
 	return out
 }
 
+// call makes one call; all of this package's calls are idempotent.
 func (n *Node) call(ctx context.Context, timeout time.Duration, addr, method string, args, reply any) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return n.o.Caller.Call(ctx, addr, ServiceName+"."+method, args, reply)
+	return n.o.Caller.Call(peer.Idempotent(ctx), addr, ServiceName+"."+method, args, reply)
 }
 
 // Fetch implements ticket.PeerSource: it asks a few peers for their newest ticket
@@ -222,8 +223,10 @@
 	var g errgroup.Group
 	for i, addr := range addrs {
 		g.Go(func() error {
-			if err := n.call(ctx, fetchTimeout, addr, "Head", HeadArgs{}, &heads[i]); err != nil {
-				heads[i] = HeadReply{}
+			// A reply of a call that failed may still be written to.
+			var h HeadReply
+			if err := n.call(ctx, fetchTimeout, addr, "Head", HeadArgs{}, &h); err == nil {
+				heads[i] = h
 			}
 			return nil
 		})
