--- a/internal/limit/escrow/client.go
+++ b/internal/limit/escrow/client.go
@@ -46,7 +46,7 @@
 		o:        o,
 		home:     h,
 		out:      newOutbox(o, h),
-		borrower: xxhash.Sum64String(o.Self.Addr + "/" + strconv.FormatUint(o.Self.Epoch, 10)),
+		borrower: xxhash.Sum64String(o.Self.Addr + "/" + strconv.FormatUint(o.Self.Process, 10)),
 		rand:     o.Rand,
 		spares:   spares{accounts: map[string]*spare{}},
 	}
@@ -315,7 +315,7 @@
 	for _, p := range r.parts {
 		n := min(back, p.Amount)
 		back -= n
-		if n > 0 {
+		if n > 0 || p.Sole {
 			r.client.news(r.account, p, ReturnItem{Refund: n, Done: p.Sole})
 		}
 	}
--- a/internal/limit/escrow/mover.go
+++ b/internal/limit/escrow/mover.go
@@ -26,6 +26,8 @@
 	shareFloor = 8
 	// borrowerFresh is how long the demand of another data centre counts.
 	borrowerFresh = 2 * time.Second
+	// burstTime is how long demand must last before a share is moved.
+	burstTime = time.Second
 	// refreshFor is how long after a loan a row is read again in every round.
 	refreshFor = 3 * time.Second
 )
@@ -100,7 +102,7 @@
 
 func (m *mover) round(ctx context.Context) {
 	now := m.o.Clock.Now()
-	var unsettled, takers []*account
+	var unsettled, takers, rest []*account
 	var moves []planned
 	for _, a := range m.h.list() {
 		a.mu.Lock()
@@ -113,13 +115,17 @@
 		case len(moves) < moveRows:
 			if p, ok := a.planMove(now, m.o.DataCentres); ok {
 				moves = append(moves, p)
+				break
 			}
+			rest = append(rest, a)
 		}
 		a.mu.Unlock()
 	}
 	for _, a := range unsettled[:min(len(unsettled), moveRows)] {
 		m.settle(ctx, a)
 	}
+	// Rows whose taker was not told are found in time: the list is in random order.
+	takers = append(takers, rest...)
 	m.read(ctx, takers[:min(len(takers), openBatch)])
 	if len(moves) > 0 {
 		m.commit(ctx, moves)
@@ -139,13 +145,15 @@
 func (a *account) planMove(now time.Time, dataCentres []string) (planned, bool) {
 	total := micro(a.config.Rate)
 	taker, excess := a.neediest(now)
-	if taker == "" || total == 0 {
+	if taker == "" || total == 0 || a.config.Burst <= 0 {
 		return planned{}, false
 	}
 	others := int64(len(dataCentres) - 1)
 	floor := whole / int64(len(dataCentres)) / shareFloor
 	keep := max(floor, ppmOf(a.demand.rate(now)/4*5, total))
-	delta := min(a.share-keep, ppmOf(excess, total)/others)
+	// Room that holds tokens stays: a cut level would be lost to everyone.
+	room := a.bucket.Capacity() - a.bucket.Level(now) - a.bucket.Outstanding(now)
+	delta := min(a.share-keep, ppmOf(excess, total)/others, ppmOf(room, micro(a.config.Burst)))
 	if delta < leastMove {
 		return planned{}, false
 	}
@@ -158,11 +166,22 @@
 	return planned{a, row, a.version, taker}, true
 }
 
-// neediest returns the data centre with the largest recent demand above its share.
+// noteBorrower records demand of another data centre above its share.
+func (a *account) noteBorrower(now time.Time, dc string, excess int64) {
+	b, ok := a.borrowers[dc]
+	if !ok || now.Sub(b.at) > borrowerFresh {
+		b.since = now
+	}
+	b.excess, b.at = excess, now
+	a.borrowers[dc] = b
+}
+
+// neediest returns the data centre with the largest recent demand above its share
+// that is more than a single burst.
 func (a *account) neediest(now time.Time) (dc string, excess int64) {
 	maps.DeleteFunc(a.borrowers, func(_ string, b borrower) bool { return now.Sub(b.at) > borrowerFresh })
 	for _, name := range slices.Sorted(maps.Keys(a.borrowers)) {
-		if b := a.borrowers[name]; b.excess > excess {
+		if b := a.borrowers[name]; b.excess > excess && b.at.Sub(b.since) >= burstTime {
 			dc, excess = name, b.excess
 		}
 	}
--- a/internal/sched/dispatch/node.go
+++ b/internal/sched/dispatch/node.go
@@ -24,6 +24,7 @@
 	"carawayrouter.example/router/internal/event"
 	"carawayrouter.example/router/internal/member"
 	"carawayrouter.example/router/internal/peer"
+	"carawayrouter.example/router/internal/platform"
 	"carawayrouter.example/router/internal/reqid"
 	"carawayrouter.example/router/internal/sched/pool"
 )
@@ -38,39 +39,35 @@
 	warmUpTime      = 500 * time.Millisecond // longest pause of a new dispatcher
 	idleTime        = 10 * time.Second       // life of a dispatcher that nobody needs
 	hintLife        = 3 * time.Second        // of another data centre's load
+	minProbePause   = 100 * time.Millisecond
 	spillInterval   = 100 * time.Millisecond // between looks at other data centres while waiting
 	suspectTime     = time.Second            // until an instance that did not answer is asked again; doubles
 	maxSuspectTime  = 10 * time.Second
 )
 
-// Evidence tells whether a process is certainly gone.
-type Evidence interface {
-	Dead(instance string, incarnation uint64) bool
-}
-
 // Options configures a Node.
 type Options struct {
-	Config   config.Source
-	Members  member.Source
-	Caller   peer.Caller
-	Dialer   endpoint.Dialer
-	Clock    clock.Clock
-	Rand     *rand.Rand
-	Logger   logr.Logger
-	Events   *event.Ring
-	Leaving  pool.LeavingSource // nil: configuration alone says who leaves
-	Evidence Evidence           // nil: the view of the members decides, see viewEvidence
-	Tuning   *pool.Tuning       // nil: pool.DefaultTuning
+	Config    config.Source
+	Members   member.Source
+	Caller    peer.Caller
+	Dialer    endpoint.Dialer
+	Clock     clock.Clock
+	Rand      *rand.Rand
+	Logger    logr.Logger
+	Events    *event.Ring
+	Instances platform.Instances // nil: configuration alone says which endpoints leave
+	Evidence  Evidence           // nil: the view of the members decides
+	Tuning    *pool.Tuning       // nil: pool.DefaultTuning
 }
 
 // Node is an instance's part in scheduling: the client side, which implements
 // sched.Scheduler, and the dispatchers that the instance hosts. Service must be
 // registered with the peers' server before Run.
 type Node struct {
-	opts     Options
-	tuning   pool.Tuning
-	evidence Evidence
-	reaper   *reaper
+	opts   Options
+	tuning pool.Tuning
+	reaper *reaper
+	list   *leavingList
 
 	mu       sync.Mutex
 	rand     *rand.Rand
@@ -90,7 +87,10 @@
 	view     *member.View
 	members  map[string][]member.Session // of view, by data centre
 	renewed  map[linkKey]bool            // dispatchers whose last list was not empty
+	placed   *config.State               // that byPool was made from
+	byPool   map[string][]Place          // places by pool
 	spills   int
+	nudge    chan struct{} // asks for a probe before its time
 	wg       sync.WaitGroup
 }
 
@@ -106,6 +106,8 @@
 	at    time.Time
 	trip  time.Duration // round trip of the last call
 	asked time.Time     // last use of the place by a local request
+	// nextSpill is when another request that waits here may try elsewhere.
+	nextSpill time.Time
 }
 
 // New returns a Node.
@@ -117,7 +119,6 @@
 	n := &Node{
 		opts:     o,
 		tuning:   t,
-		evidence: o.Evidence,
 		rand:     o.Rand,
 		ctx:      context.Background(),
 		tickets:  map[uint64]*ticket{},
@@ -129,12 +130,12 @@
 		changed:  make(chan struct{}),
 		homes:    map[Place]string{},
 		renewed:  map[linkKey]bool{},
+		byPool:   map[string][]Place{},
+		nudge:    make(chan struct{}, 1),
 		members:  map[string][]member.Session{},
 	}
-	if n.evidence == nil {
-		n.evidence = newViewEvidence(o.Members, o.Clock)
-	}
 	n.reaper = newReaper(n)
+	n.list = &leavingList{node: n}
 	return n
 }
 
@@ -145,8 +146,11 @@
 	n.mu.Unlock()
 	n.refresh()
 	n.wg.Go(func() { n.every(ctx, renewInterval, n.renew) })
-	n.wg.Go(func() { n.every(ctx, renewInterval, n.probe) })
+	n.wg.Go(func() { n.probeLoop(ctx) })
 	n.wg.Go(func() { n.every(ctx, renewInterval, n.reaper.run) })
+	if n.opts.Instances != nil {
+		n.wg.Go(func() { n.every(ctx, renewInterval, n.list.run) })
+	}
 	n.every(ctx, refreshInterval, func(context.Context) { n.refresh() })
 	n.wg.Wait()
 	return nil
@@ -170,7 +174,7 @@
 // holder returns this process as holder of demands.
 func (n *Node) holder() pool.Holder {
 	s := n.self()
-	return pool.Holder{Instance: s.Name, Incarnation: s.Epoch}
+	return pool.Holder{Instance: s.Name, Incarnation: s.Process}
 }
 
 // home returns the address of the dispatcher of a place, in this instance's view.
@@ -230,12 +234,9 @@
 // refresh follows changes of members, configuration and the platform's list.
 func (n *Node) refresh() {
 	st := n.opts.Config.Current()
-	var leaving map[string]bool
-	if n.opts.Leaving != nil {
-		leaving = n.opts.Leaving.Leaving()
-	}
+	leaving := n.list.Leaving()
 	self := n.self()
-	for _, p := range placesOf(st) {
+	for _, p := range n.allPlaces(st) {
 		addr, ok := n.home(p)
 		n.noteHome(p, addr)
 		if ok && addr == self.Addr && p.DataCentre == self.DataCentre {
@@ -249,10 +250,10 @@
 	n.mu.Unlock()
 	for p, h := range hosts {
 		if changed {
-			h.SetEndpoints(endpointsOf(st, p), leaving)
+			h.SetEndpoints(pool.EndpointsOf(st, p.Pool, p.DataCentre), leaving)
 		}
 		h.prune()
-		n.retire(p, h, endpointsOf(st, p))
+		n.retire(p, h)
 	}
 	n.prune(st, self)
 }
@@ -268,12 +269,14 @@
 }
 
 // retire stops a dispatcher that has been idle and is not this instance's to host.
-func (n *Node) retire(p Place, h *host, eps []*config.Endpoint) {
-	if addr, ok := n.home(p); len(eps) > 0 && ok && addr == n.self().Addr {
-		return
-	}
-	if !h.idleSince(n.opts.Clock.Now(), idleTime) && len(eps) > 0 {
-		return
+func (n *Node) retire(p Place, h *host) {
+	if slices.Contains(n.places(p.Pool), p) {
+		if addr, ok := n.home(p); ok && addr == n.self().Addr {
+			return
+		}
+		if !h.idleSince(n.opts.Clock.Now(), idleTime) {
+			return
+		}
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -284,7 +287,7 @@
 // prune forgets what belongs to places, instances and links that are gone.
 func (n *Node) prune(st *config.State, self member.Session) {
 	known := map[Place]bool{}
-	for _, p := range placesOf(st) {
+	for _, p := range n.allPlaces(st) {
 		known[p] = true
 	}
 	addrs := map[string]bool{self.Addr: true}
@@ -312,24 +315,11 @@
 	}
 }
 
-// placesOf lists the places of a configuration, in order.
-func placesOf(st *config.State) []Place {
-	seen := map[Place]bool{}
-	for name := range st.Pools {
-		for _, ep := range st.Pool(name) {
-			seen[Place{name, ep.DataCentre}] = true
-		}
-	}
-	return slices.SortedFunc(maps.Keys(seen), comparePlaces)
-}
-
-// endpointsOf lists the endpoints of a place.
-func endpointsOf(st *config.State, p Place) []*config.Endpoint {
-	var eps []*config.Endpoint
-	for _, ep := range st.Pool(p.Pool) {
-		if ep.DataCentre == p.DataCentre {
-			eps = append(eps, ep)
-		}
+// allPlaces lists the places of all pools.
+func (n *Node) allPlaces(st *config.State) []Place {
+	var out []Place
+	for _, name := range slices.Sorted(maps.Keys(st.Pools)) {
+		out = append(out, n.places(name)...)
 	}
-	return eps
+	return out
 }
--- a/internal/sched/pool/dispatcher.go
+++ b/internal/sched/pool/dispatcher.go
@@ -33,11 +33,11 @@
 }
 
 // NewDispatcher returns a Dispatcher without endpoints.
-func NewDispatcher(pool string, kind config.PoolKind, t Tuning, c clock.Clock, r *rand.Rand, events *event.Ring) *Dispatcher {
+func NewDispatcher(pool, dataCentre string, kind config.PoolKind, t Tuning, c clock.Clock, r *rand.Rand, events *event.Ring) *Dispatcher {
 	return &Dispatcher{
 		clock:   c,
 		events:  events,
-		core:    NewCore(pool, kind, t, r),
+		core:    NewCore(pool, dataCentre, kind, t, r),
 		waiters: map[Key]func(Decision){},
 	}
 }
@@ -231,6 +231,13 @@
 	for _, dec := range d.core.Dispatch(d.clock.Now()) {
 		d.deliver(dec)
 	}
+	for _, n := range d.core.Notices() {
+		e := event.Event{Kind: "sched.return", Endpoint: n.Endpoint, Detail: n.Reason}
+		if n.Ejected {
+			e.Kind = "sched.eject"
+		}
+		d.events.Add(e)
+	}
 }
 
 // deliver hands a decision to who waits for it. The caller holds mu. A grant that
