shard: hand shards over only to members that can take them

Cause: a member that hears its peers but has lost the table stays in the view and in the placement. Homes released shards for it again and again, and each time the shards had no home for ClaimDelay.

Change: before a hand-over the home asks the member whether it may act and reaches the table (Shards.Ready); one that cannot is passed by for 15 s. A hand-over goes to one member at a time.

Conclusion: TestMemberWithoutTheTableIsGivenNothing fails without the question.

--- a/internal/shard/controller.go
+++ b/internal/shard/controller.go
@@ -114,6 +114,7 @@
 	held     map[Key]holding
 	retiring map[Key]uint64 // version of a row whose release may or may not have been written
 	orphans  map[Key]time.Time
+	notReady map[string]time.Time // members that could not take shards, and when
 	seen     map[string]seenMember
 	// departing are the session epochs of members that are giving up all they have.
 	departing map[string]uint64
@@ -157,6 +158,7 @@
 		held:      map[Key]holding{},
 		retiring:  map[Key]uint64{},
 		orphans:   map[Key]time.Time{},
+		notReady:  map[string]time.Time{},
 		seen:      map[string]seenMember{},
 		departing: map[string]uint64{},
 		source:    o.Rand.Uint64(),
--- a/internal/shard/round.go
+++ b/internal/shard/round.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -249,30 +250,55 @@
 }
 
 // handOver releases a few of the shards that another member is to have, once that
-// member has been seen for StableFor.
+// member has been seen for StableFor and says that it can take them.
 func (c *Controller) handOver(ctx context.Context, self member.Session, members []member.Session, intended placement) {
-	now := c.opts.Clock.Now()
+	to, give := c.nextHandOver(self, members, intended)
+	if len(give) == 0 {
+		return
+	}
+	if !c.ready(ctx, to, give[0]) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.notReady[to.Name] = c.opts.Clock.Now()
+		return
+	}
+	if c.release(ctx, give) == nil {
+		c.offer(ctx, give, intended, members)
+	}
+}
+
+// nextHandOver picks shards of one member. One that was not ready lately is passed by.
+func (c *Controller) nextHandOver(
+	self member.Session, members []member.Session, intended placement,
+) (to member.Session, give []Key) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.opts.Clock.Now()
 	if now.Before(c.nextGive) || c.leaving {
-		c.mu.Unlock()
-		return
+		return to, nil
 	}
-	var give []Key
 	for i := range Count {
 		k := Key{DataCentre: c.dc, Index: i}
-		to := c.seen[intended[i]]
-		if _, held := c.held[k]; held && intended[i] != self.Name && now.Sub(to.since) >= c.opts.StableFor {
+		name := intended[i]
+		if _, held := c.held[k]; !held || name == self.Name || len(give) == c.opts.HandOvers {
+			continue
+		}
+		if now.Sub(c.seen[name].since) < c.opts.StableFor || now.Sub(c.notReady[name]) < notReadyFor {
+			continue
+		}
+		if to.Name == "" {
+			at := slices.IndexFunc(members, func(m member.Session) bool { return m.Name == name })
+			to = members[at]
+		}
+		if to.Name == name {
 			give = append(give, k)
 		}
 	}
-	give = give[:min(len(give), c.opts.HandOvers)]
 	if len(give) > 0 {
 		c.nextGive = now.Add(c.opts.HandOverEvery)
 	}
-	c.mu.Unlock()
-	if c.release(ctx, give) == nil {
-		c.offer(ctx, give, intended, members)
-	}
+	maps.DeleteFunc(c.notReady, func(_ string, at time.Time) bool { return now.Sub(at) >= notReadyFor })
+	return to, give
 }
 
 // release gives up shards: first here, then in the table. From its start this process
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -101,6 +101,8 @@
 	switch a := args.(type) {
 	case SyncArgs:
 		return s.Sync(a, reply.(*SyncReply))
+	case ReadyArgs:
+		return s.Ready(a, reply.(*ReadyReply))
 	case OfferArgs:
 		return s.Offer(a, reply.(*OfferReply))
 	case LookupArgs:
@@ -240,6 +242,23 @@
 	}
 }
 
+// A member that hears its peers but not the table is given no shards, which would stay
+// without a home.
+func TestMemberWithoutTheTableIsGivenNothing(t *testing.T) {
+	w := newWorld()
+	w.start(t, "i1")
+	w.rounds(t, 3)
+	b := w.start(t, "i2")
+	cut := memplatform.New(memplatform.Options{})
+	cut.Down(true)
+	b.opts.Table = cut.For("a").Table
+	w.rounds(t, 60)
+	assert.DeepEqual(t, w.loads(), map[string]int{"i1": Count, "i2": 0})
+	b.opts.Table = w
+	w.rounds(t, 90)
+	assert.Equal(t, w.loads()["i2"], Count/2)
+}
+
 func TestOlderReadIsIgnored(t *testing.T) {
 	w := newWorld()
 	a := w.start(t, "i1")
--- a/internal/shard/sync.go
+++ b/internal/shard/sync.go
@@ -18,6 +18,8 @@
 	maxLookup = 64
 	// offerLimit bounds the offers in progress.
 	offerLimit = 8
+	// notReadyFor is how long a member that could not take shards is not asked again.
+	notReadyFor = 15 * time.Second
 	// lookupPause is the shortest time between two lookups of one process.
 	lookupPause = 200 * time.Millisecond
 	// ownScanFactor is how much less often an instance reads the rows of its data
@@ -41,6 +43,12 @@
 // LookupReply answers LookupArgs.
 type LookupReply struct{ Rows []Record }
 
+// ReadyArgs asks whether the callee could take a shard now.
+type ReadyArgs struct{ Key Key }
+
+// ReadyReply answers ReadyArgs.
+type ReadyReply struct{ OK bool }
+
 // OfferArgs tells that shards were released for the callee, and whether the caller
 // gives up all it has.
 type OfferArgs struct {
@@ -89,6 +97,31 @@
 	return nil
 }
 
+// Ready tells whether this process may act and reaches the table.
+func (s *Service) Ready(args ReadyArgs, reply *ReadyReply) error {
+	c := s.c
+	c.mu.Lock()
+	leaving := c.leaving
+	c.mu.Unlock()
+	if _, ok := c.opts.Members.Granting(); !ok || leaving {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), c.opts.CallTimeout/2)
+	defer cancel()
+	_, err := c.opts.Table.Get(ctx, RowKey(args.Key))
+	reply.OK = err == nil
+	return nil
+}
+
+// ready asks a member whether it could take a shard.
+func (c *Controller) ready(ctx context.Context, m member.Session, k Key) bool {
+	ctx, cancel := context.WithTimeout(peer.Idempotent(ctx), c.opts.CallTimeout)
+	defer cancel()
+	var reply ReadyReply
+	err := c.opts.Caller.Call(ctx, m.Addr, serviceName+".Ready", ReadyArgs{Key: k}, &reply)
+	return err == nil && reply.OK
+}
+
 // Offer takes note of released shards and starts a round.
 func (s *Service) Offer(args OfferArgs, _ *OfferReply) error {
 	c := s.c
