member, shard: another instance reads the table where the first has lost it

Cause: the first instance by name reads session and shard rows for its data centre and judges. One that hears its peers but has lost its own way to the table left the data centre with old rows and without a judge.

Change: answers to Sync say whether the callee has lately read the table; a poller that has not is passed by for a while, and the next by name reads. At most three instances of a data centre step in, so that the end of an outage brings no rush on the table.

Conclusion: TestAnotherInstanceReadsWhereTheFirstHasLostTheTable covers discovery and the verdict; the state machines pass as before.

--- a/internal/member/controller.go
+++ b/internal/member/controller.go
@@ -120,7 +120,10 @@
 	lapsed     bool                   // cut off for longer than LapseAfter; a renewal must follow
 	nextRenew  time.Time
 	nextScan   time.Time
-	rumours    map[string]int // names to gossip about, with rounds left
+	scanned    time.Time            // last successful scan by this instance
+	scanWait   time.Duration        // interval of scans
+	unfit      map[string]time.Time // pollers that had not scanned lately, and when
+	rumours    map[string]int       // names to gossip about, with rounds left
 	changes    history
 	pulled     pullPosition
 }
@@ -147,6 +150,7 @@
 		answerable: o.Clock.Now(),
 		known:      map[string]*entry{},
 		observed:   map[string]observation{},
+		unfit:      map[string]time.Time{},
 		rumours:    map[string]int{},
 		changes:    newHistory(o.Rand.Uint64()),
 	}
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -163,6 +163,23 @@
 	assert.Assert(t, f.dead(p[1]))
 }
 
+// The first instance by name, which reads for the others and judges, has lost the table.
+func TestAnotherInstanceReadsWhereTheFirstHasLostTheTable(t *testing.T) {
+	f := newFleet(t)
+	p := threeIn(f, "a", 1)
+	f.rounds(20)
+	p[0].opts.Table = f.store.For("cut off").Table
+	p[0].opts.Instances = f.store.For("cut off").Instances
+	f.store.Cut("cut off", true)
+	f.rounds(rounds(unfitFor * DefaultScanEvery))
+	threeIn(f, "b", 4)
+	f.crash("10.0.0.3:1")
+	f.rounds(rounds(10 * DefaultDeadAfter))
+	assert.Equal(t, len(p[1].View().InDataCentre("b")), 3)
+	assert.Assert(t, f.dead(p[2]))
+	assert.Assert(t, granting(p[0]), "it hears its peers")
+}
+
 func TestRestartAtSameAddressTakesHigherEpochAtOnce(t *testing.T) {
 	f := newFleet(t)
 	p := threeIn(f, "a", 1)
--- a/internal/member/scan.go
+++ b/internal/member/scan.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"time"
 
 	"carawayrouter.example/router/internal/peer"
@@ -14,6 +16,13 @@
 	// staleRenewals is the number of renewals that an instance of another data
 	// centre may miss before it is left out of the view.
 	staleRenewals = 4
+	// maxPollers is the number of instances of a data centre that may scan at all.
+	maxPollers = 3
+	// unfitFor is the number of scan intervals for which a poller that has not scanned
+	// lately is passed by.
+	unfitFor = 5
+	// staleScans is the number of scan intervals after which a scan is old.
+	staleScans = 3
 	// historySize is the number of changes that a puller may lag behind.
 	historySize = 256
 )
@@ -26,6 +35,7 @@
 
 // SyncReply answers SyncArgs. With Full, Sessions holds all there are.
 type SyncReply struct {
+	Fresh    bool // the callee scans, and has lately succeeded
 	Source   uint64
 	Gen      uint64
 	Full     bool
@@ -60,6 +70,7 @@
 	defer c.mu.Unlock()
 	h := &c.changes
 	reply.Source, reply.Gen = h.source, h.gen
+	reply.Fresh = !c.scanned.IsZero() && c.opts.Clock.Now().Sub(c.scanned) <= staleScans*c.scanWait
 	if args.Source != h.source || args.Gen > h.gen || h.gen-args.Gen > historySize {
 		reply.Full = true
 		for _, e := range c.known {
@@ -85,17 +96,29 @@
 func (e *entry) passedOn(dc string) bool { return e.session.DataCentre == dc || !e.suspect }
 
 // poller returns the instance that scans the session rows for its data centre: the
-// first by name that is believed alive. ok is false if it is this one.
+// first by name that is believed alive and was not found to have lost the table. At
+// most maxPollers instances step in, so that the end of an outage brings no rush.
+// other is false if the poller is this instance.
 func (c *Controller) poller() (s Session, other bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	name := c.self.Name
-	for n, e := range c.known {
-		if n < name && !e.suspect && e.session.Epoch > 0 && e.session.DataCentre == c.self.DataCentre {
-			name, s, other = n, e.session, true
+	all := []Session{c.self}
+	for _, e := range c.known {
+		if !e.suspect && e.session.Epoch > 0 && e.session.DataCentre == c.self.DataCentre {
+			all = append(all, e.session)
 		}
 	}
-	return s, other
+	slices.SortFunc(all, func(a, b Session) int { return strings.Compare(a.Name, b.Name) })
+	now := c.opts.Clock.Now()
+	for _, m := range all[:min(len(all), maxPollers)] {
+		if m.Name == c.self.Name {
+			return m, false
+		}
+		if since, unfit := c.unfit[m.Name]; !unfit || now.Sub(since) > unfitFor*c.opts.ScanEvery {
+			return m, true
+		}
+	}
+	return all[0], true
 }
 
 // scanRound reads the session rows, or asks the poller what it has read.
@@ -126,7 +149,7 @@
 	rows, err := c.readRows(ctx)
 	if err != nil {
 		c.opts.Logger.V(1).Info("session rows not read", "error", err.Error())
-		return c.opts.ScanEvery
+		return max(c.opts.ScanEvery, c.scanWait)
 	}
 	c.mutate(func() { c.mergeScan(rows, start) })
 	dcs := map[string]bool{}
@@ -134,7 +157,10 @@
 		dcs[r.DataCentre] = true
 	}
 	spread := time.Duration(len(rows)*len(dcs)) * time.Second / time.Duration(c.opts.ScanRowsPerSec)
-	return max(c.opts.ScanEvery, spread)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.scanned, c.scanWait = c.opts.Clock.Now(), max(c.opts.ScanEvery, spread)
+	return c.scanWait
 }
 
 // versioned is a session row with its version.
@@ -216,6 +242,7 @@
 }
 
 func (c *Controller) forget(name string) {
+	delete(c.unfit, name)
 	delete(c.known, name)
 	c.changes.remove(name)
 }
@@ -229,10 +256,17 @@
 	ctx, cancel := context.WithTimeout(peer.Idempotent(ctx), c.opts.CallTimeout)
 	defer cancel()
 	var reply SyncReply
-	if err := c.opts.Caller.Call(ctx, from.Addr, serviceName+".Sync", args, &reply); err != nil {
+	err := c.opts.Caller.Call(ctx, from.Addr, serviceName+".Sync", args, &reply)
+	if err != nil || !reply.Fresh {
+		c.mutate(func() { c.unfit[from.Name] = c.opts.Clock.Now() })
+	}
+	if err != nil {
 		return
 	}
 	c.mutate(func() {
+		if reply.Fresh {
+			delete(c.unfit, from.Name)
+		}
 		c.pulled = pullPosition{source: reply.Source, gen: reply.Gen}
 		told := map[string]bool{from.Name: true}
 		for _, s := range reply.Sessions {
--- a/internal/shard/controller.go
+++ b/internal/shard/controller.go
@@ -118,7 +118,9 @@
 	seen     map[string]seenMember
 	// departing are the session epochs of members that are giving up all they have.
 	departing map[string]uint64
-	loaded    bool // the rows of the data centre were read at least once
+	loaded    bool                 // the rows of the data centre were read at least once
+	scanned   time.Time            // last successful read of the rows from the table
+	unfit     map[string]time.Time // pollers that had not read lately, and when
 	gen       uint64
 	source    uint64
 	pulled    SyncArgs
@@ -159,6 +161,7 @@
 		retiring:  map[Key]uint64{},
 		orphans:   map[Key]time.Time{},
 		notReady:  map[string]time.Time{},
+		unfit:     map[string]time.Time{},
 		seen:      map[string]seenMember{},
 		departing: map[string]uint64{},
 		source:    o.Rand.Uint64(),
--- a/internal/shard/round.go
+++ b/internal/shard/round.go
@@ -96,6 +96,10 @@
 		seen[m.Name] = s
 	}
 	c.seen = seen
+	maps.DeleteFunc(c.unfit, func(name string, _ time.Time) bool {
+		_, present := seen[name]
+		return !present
+	})
 }
 
 // claim takes the shards that have no home, or whose home is proved to be dead, and
--- a/internal/shard/sync.go
+++ b/internal/shard/sync.go
@@ -22,9 +22,10 @@
 	notReadyFor = 15 * time.Second
 	// lookupPause is the shortest time between two lookups of one process.
 	lookupPause = 200 * time.Millisecond
-	// ownScanFactor is how much less often an instance reads the rows of its data
-	// centre itself while it cannot ask the poller.
-	ownScanFactor = 2
+	// maxPollers is the number of members of a data centre that may read its rows.
+	maxPollers = 3
+	// staleScans is the number of scan intervals after which a scan is old.
+	staleScans = 4
 )
 
 // SyncArgs asks for the rows of the data centre if they differ from those known.
@@ -33,7 +34,7 @@
 // SyncReply answers SyncArgs.
 type SyncReply struct {
 	Source, Gen uint64
-	Loaded      bool
+	Fresh       bool     // the callee reads the table, and has lately succeeded
 	Rows        []Record // empty if nothing changed
 }
 
@@ -68,8 +69,8 @@
 	c := s.c
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	*reply = SyncReply{Source: c.source, Gen: c.gen, Loaded: c.loaded}
-	if args.Source == c.source && args.Gen == c.gen {
+	*reply = SyncReply{Source: c.source, Gen: c.gen, Fresh: c.fresh()}
+	if !reply.Fresh || args.Source == c.source && args.Gen == c.gen {
 		return nil
 	}
 	for k, r := range c.records {
@@ -80,6 +81,12 @@
 	return nil
 }
 
+// fresh reports whether this member reads the rows of its data centre and has lately
+// done so. The caller holds mu.
+func (c *Controller) fresh() bool {
+	return !c.scanned.IsZero() && c.opts.Clock.Now().Sub(c.scanned) <= staleScans*c.opts.ScanEvery
+}
+
 // Lookup gives rows of other data centres, read from the table if need be.
 func (s *Service) Lookup(args LookupArgs, reply *LookupReply) error {
 	c := s.c
@@ -174,20 +181,31 @@
 	_ = g.Wait()
 }
 
-// poller returns the member that reads the table for its data centre, the first by
-// name; other is false if it is this one.
+// poller returns the member that reads the table for its data centre: the first by
+// name that was not found to have lost the table. At most maxPollers members step in.
+// other is false if the poller is this member.
 func (c *Controller) poller() (s member.Session, other bool) {
 	v := c.opts.Members.View()
 	members := registered(v.InDataCentre(c.dc))
-	if len(members) == 0 || members[0].Name == v.Self.Name {
+	if len(members) == 0 {
 		return v.Self, false
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.opts.Clock.Now()
+	for _, m := range members[:min(len(members), maxPollers)] {
+		if m.Name == v.Self.Name {
+			return m, false
+		}
+		if since, unfit := c.unfit[m.Name]; !unfit || now.Sub(since) > notReadyFor {
+			return m, true
+		}
+	}
 	return members[0], true
 }
 
 // refreshOwn reads the rows of this data centre if that is due: the poller from the
-// table, others from the poller. While the poller is not reached, others read the
-// table themselves, but rarely.
+// table, others from the poller.
 func (c *Controller) refreshOwn(ctx context.Context) {
 	now := c.opts.Clock.Now()
 	c.mu.Lock()
@@ -196,32 +214,30 @@
 	if !due {
 		return
 	}
-	wait := c.opts.ScanEvery
-	p, other := c.poller()
-	if !other || !c.pull(ctx, p) {
-		if c.scan(ctx) && other {
-			wait *= ownScanFactor
-		}
+	if p, other := c.poller(); other {
+		c.pull(ctx, p)
+	} else {
+		c.scan(ctx)
 	}
-	wait = c.jitter(wait)
+	wait := c.jitter(c.opts.ScanEvery)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.nextScan = now.Add(wait)
 }
 
-func (c *Controller) scan(ctx context.Context) bool {
+func (c *Controller) scan(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, c.opts.StoreTimeout)
 	defer cancel()
 	rows, err := c.opts.Table.Scan(ctx, RowPrefix+c.dc+"/", "", Count)
 	if err != nil {
 		c.opts.Logger.V(1).Info("shard rows not read", "error", err.Error())
-		return false
+		return
 	}
 	c.noteAll(parseRows(rows))
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.loaded = true
-	return true
+	c.scanned = c.opts.Clock.Now()
 }
 
 func parseRows(rows []platform.Row) []Record {
@@ -238,22 +254,25 @@
 	return out
 }
 
-func (c *Controller) pull(ctx context.Context, from member.Session) bool {
+func (c *Controller) pull(ctx context.Context, from member.Session) {
 	c.mu.Lock()
 	args := c.pulled
 	c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(peer.Idempotent(ctx), c.opts.CallTimeout)
 	defer cancel()
 	var reply SyncReply
-	if err := c.opts.Caller.Call(ctx, from.Addr, serviceName+".Sync", args, &reply); err != nil || !reply.Loaded {
-		return false
+	if err := c.opts.Caller.Call(ctx, from.Addr, serviceName+".Sync", args, &reply); err != nil || !reply.Fresh {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.unfit[from.Name] = c.opts.Clock.Now()
+		return
 	}
 	c.noteAll(reply.Rows)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.pulled = SyncArgs{Source: reply.Source, Gen: reply.Gen}
 	c.loaded = true
-	return true
+	delete(c.unfit, from.Name)
 }
 
 // runLookups answers Home's wishes for rows of other data centres.
