--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -193,6 +193,18 @@
 	assert.DeepEqual(t, w.loads(), map[string]int{"i1": Count / 2, "i2": Count / 2})
 }
 
+func TestSixMembersBalance(t *testing.T) {
+	w := newWorld()
+	for i := range 6 {
+		w.start(t, fmt.Sprintf("i%d", i))
+		w.rounds(t, 1)
+	}
+	w.rounds(t, 120)
+	for name, n := range w.loads() {
+		assert.Assert(t, n >= Count/6-1 && n <= Count/6+1, "%s is home of %d shards: %v", name, n, w.loads())
+	}
+}
+
 func TestSilentHomeKeepsItsShardsUntilItsDeathIsProved(t *testing.T) {
 	w := newWorld()
 	a := w.start(t, "i1")
