Count refusals in the operator's recorder; read call counts under their lock

Cause: TestSixteenDataCentres printed a map that other goroutines still wrote. Before: the race detector failed the test once in a full run.

--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -21,8 +21,8 @@
 	"carawayrouter.example/router/internal/front"
 	"carawayrouter.example/router/internal/metrics"
 	"carawayrouter.example/router/internal/netgate"
+	"carawayrouter.example/router/internal/operator"
 	"carawayrouter.example/router/internal/platform"
-	"carawayrouter.example/router/internal/refusal"
 	"carawayrouter.example/router/internal/reqid"
 	"carawayrouter.example/router/internal/retry"
 )
@@ -99,7 +99,7 @@
 	listeners Listeners
 	events    *event.Ring
 	metrics   *metrics.Set
-	refusals  *refusal.Recorder
+	refusals  *operator.RefusalCounter
 	dialer    endpoint.Dialer
 	canceller *cancel.Canceller
 	front     *front.Server
@@ -125,7 +125,7 @@
 		listeners: d.Listeners,
 		events:    event.NewRing(s.Instance.Name, s.Log.Events, d.Clock),
 		metrics:   metrics.New(),
-		refusals:  refusal.NewRecorder(d.Clock),
+		refusals:  operator.NewRefusalCounter(d.Clock),
 	}
 	if err := daemon.listeners.open(s.Listen); err != nil {
 		return nil, err
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -44,12 +44,12 @@
 	Events       *event.Ring
 	Metrics      *metrics.Set
 	Refused      func(account string, kind errkind.Kind) // told of every refusal
-	MaxBody      int           // bytes
-	MaxOutput    int           // tokens
-	Connections  int           // open callers' connections
-	ReadTimeout  time.Duration // for a whole request, headers included
-	IdleTimeout  time.Duration // between requests of a connection
-	WriteTimeout time.Duration // for each write
+	MaxBody      int                                     // bytes
+	MaxOutput    int                                     // tokens
+	Connections  int                                     // open callers' connections
+	ReadTimeout  time.Duration                           // for a whole request, headers included
+	IdleTimeout  time.Duration                           // between requests of a connection
+	WriteTimeout time.Duration                           // for each write
 }
 
 // Server serves callers.
@@ -255,7 +255,9 @@
 		known := errkind.From(x.err)
 		s.countRefusal(known)
 		e.Kind = "request.refused"
-		s.o.Refused(e.Account, known.Kind)
+		if e.Account != "" {
+			s.o.Refused(e.Account, known.Kind)
+		}
 		e.Detail = string(known.Kind) + " " + string(known.Execution)
 		if known.Kind == errkind.Internal {
 			s.o.Log.Error(x.err, "internal error", "request", x.id)
--- a/internal/limit/escrow/world_test.go
+++ b/internal/limit/escrow/world_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/gob"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"reflect"
 	"slices"
@@ -511,5 +512,12 @@
 	return share, tokens
 }
 
+// callCounts returns how often each method was called.
+func (w *world) callCounts() map[string]int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return maps.Clone(w.calls)
+}
+
 // run calls f in a bubble of fake time.
 func run(t *testing.T, f func(t *testing.T)) { synctest.Test(t, f) }
