member: peers are learnt while the table is down

Cause: processes that start while the table is down met only the instances in their settings and those that called them.

Change: where the table cannot be read, some peer is asked for the sessions it knows; its answer adds and never removes. An instance without an epoch is passed on only by those that hear it, so a dead one is forgotten.

Conclusion: TestStartWithStoreDown now starts six instances that know one address; all see all, and one that dies is forgotten.

--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -223,15 +223,19 @@
 func TestStartWithStoreDown(t *testing.T) {
 	f := newFleet(t)
 	f.setDown(true)
-	p := threeIn(f, "a", 1)
+	p := append(threeIn(f, "a", 1), threeIn(f, "a", 4)...)
 	for _, c := range p {
-		c.opts.Seeds = []string{"10.0.0.1:1", "10.0.0.2:1"}
+		c.opts.Seeds = []string{"10.0.0.3:1"}
 	}
-	f.rounds(10)
+	f.rounds(40)
 	for _, c := range p {
-		assert.Equal(t, len(c.View().Peers), 2)
+		assert.Equal(t, len(c.View().Peers), 5)
 		assert.Assert(t, !granting(c))
 	}
+	f.crash("10.0.0.6:1")
+	f.rounds(rounds(4 * provisionalLife))
+	assert.Equal(t, len(p[0].known), 4, "an instance without an epoch is forgotten")
+	p = p[:5]
 	f.setDown(false)
 	f.rounds(10)
 	for _, c := range p {
--- a/internal/member/scan.go
+++ b/internal/member/scan.go
@@ -69,12 +69,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	h := &c.changes
+	now := c.opts.Clock.Now()
 	reply.Source, reply.Gen = h.source, h.gen
 	reply.Fresh = !c.scanned.IsZero() && c.opts.Clock.Now().Sub(c.scanned) <= staleScans*c.scanWait
 	if args.Source != h.source || args.Gen > h.gen || h.gen-args.Gen > historySize {
 		reply.Full = true
 		for _, e := range c.known {
-			if e.passedOn(c.self.DataCentre) {
+			if e.passedOn(c.self.DataCentre, now) {
 				reply.Sessions = append(reply.Sessions, e.session)
 			}
 		}
@@ -82,7 +83,7 @@
 	}
 	for g := args.Gen + 1; g <= h.gen; g++ {
 		name := h.names[g%historySize]
-		if e := c.known[name]; e != nil && e.passedOn(c.self.DataCentre) {
+		if e := c.known[name]; e != nil && e.passedOn(c.self.DataCentre, now) {
 			reply.Sessions = append(reply.Sessions, e.session)
 		} else {
 			reply.Removed = append(reply.Removed, name)
@@ -92,8 +93,14 @@
 }
 
 // passedOn reports whether the entry belongs into a digest. Whether an instance of
-// the own data centre is suspect is learnt by heartbeats alone.
-func (e *entry) passedOn(dc string) bool { return e.session.DataCentre == dc || !e.suspect }
+// the own data centre is suspect is learnt by heartbeats alone; one without an epoch
+// is passed on only by those that hear it.
+func (e *entry) passedOn(dc string, now time.Time) bool {
+	if e.session.Epoch == 0 {
+		return now.Sub(e.heard) < provisionalLife/4
+	}
+	return e.session.DataCentre == dc || !e.suspect
+}
 
 // poller returns the instance that scans the session rows for its data centre: the
 // first by name that is believed alive and was not found to have lost the table. At
@@ -134,7 +141,10 @@
 	if p, other := c.poller(); other {
 		c.pull(ctx, p)
 	} else {
-		next = c.scan(ctx)
+		var ok bool
+		if next, ok = c.scan(ctx); !ok {
+			c.pullAny(ctx)
+		}
 	}
 	next = c.jitter(next)
 	c.mu.Lock()
@@ -144,12 +154,12 @@
 
 // scan reads all session rows and returns the time until the next scan, which keeps
 // the rows read by the pollers of all data centres within ScanRowsPerSec.
-func (c *Controller) scan(ctx context.Context) time.Duration {
+func (c *Controller) scan(ctx context.Context) (next time.Duration, ok bool) {
 	start := c.opts.Clock.Now()
 	rows, err := c.readRows(ctx)
 	if err != nil {
 		c.opts.Logger.V(1).Info("session rows not read", "error", err.Error())
-		return max(c.opts.ScanEvery, c.scanWait)
+		return max(c.opts.ScanEvery, c.scanWait), false
 	}
 	c.mutate(func() { c.mergeScan(rows, start) })
 	dcs := map[string]bool{}
@@ -160,7 +170,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.scanned, c.scanWait = c.opts.Clock.Now(), max(c.opts.ScanEvery, spread)
-	return c.scanWait
+	return c.scanWait, true
 }
 
 // versioned is a session row with its version.
@@ -237,6 +247,9 @@
 	if s.Epoch > e.session.Epoch || e.session.Name == "" {
 		*e = entry{session: s}
 		c.changes.set(s)
+		if s.Epoch == 0 {
+			e.heard = c.opts.Clock.Now().Add(-provisionalLife / 2) // time to hear it
+		}
 	}
 	return e
 }
@@ -264,10 +277,6 @@
 		return
 	}
 	c.mutate(func() {
-		if reply.Fresh {
-			delete(c.unfit, from.Name)
-		}
-		c.pulled = pullPosition{source: reply.Source, gen: reply.Gen}
 		told := map[string]bool{from.Name: true}
 		for _, s := range reply.Sessions {
 			told[s.Name] = true
@@ -275,6 +284,11 @@
 				c.learn(s).toldAlive(c.self.DataCentre)
 			}
 		}
+		if !reply.Fresh {
+			return // what it does not list may exist
+		}
+		delete(c.unfit, from.Name)
+		c.pulled = pullPosition{source: reply.Source, gen: reply.Gen}
 		for _, name := range reply.Removed {
 			c.dropUnlessHeard(name, start)
 		}
@@ -289,6 +303,26 @@
 	})
 }
 
+// pullAny asks some peer of the data centre for the sessions that it knows. It serves
+// while the table is down, above all to processes that started meanwhile.
+func (c *Controller) pullAny(ctx context.Context) {
+	c.mu.Lock()
+	var peers []Session
+	for _, e := range c.known {
+		if !e.suspect && e.session.DataCentre == c.self.DataCentre {
+			peers = append(peers, e.session)
+		}
+	}
+	if len(peers) == 0 {
+		c.mu.Unlock()
+		return
+	}
+	slices.SortFunc(peers, func(a, b Session) int { return strings.Compare(a.Name, b.Name) })
+	from := peers[c.opts.Rand.IntN(len(peers))]
+	c.mu.Unlock()
+	c.pull(ctx, from)
+}
+
 // toldAlive clears the suspicion of an instance of another data centre.
 func (e *entry) toldAlive(dc string) {
 	if e.session.DataCentre != dc {
