member: the state machine also takes the table from single processes

Cause: a process that hears its peers but not the table meets rules that the state machine did not reach: the verdict by another judge, and renewal after a lapse that fails.

Change: the state machine cuts single processes off from the platform.

--- a/internal/member/fleet_test.go
+++ b/internal/member/fleet_test.go
@@ -123,6 +123,16 @@
 	f.store.Down(down)
 }
 
+// loseTable cuts one process off from the platform, or heals it.
+func (f *fleet) loseTable(p *process, lost bool) {
+	dc := p.opts.Session.DataCentre
+	if lost {
+		dc = "cut off"
+		f.store.Cut(dc, true)
+	}
+	p.opts.Table, p.opts.Instances = f.store.For(dc).Table, f.store.For(dc).Instances
+}
+
 // dead reads past all faults whether the death of p's session is on record.
 func (f *fleet) dead(p *process) bool {
 	f.store.Down(false)
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -150,8 +150,7 @@
 	f.cut = func(from, to string) bool {
 		return isolate("10.0.0.2:1")(from, to) && from+to != "10.0.0.2:110.0.0.3:1"
 	}
-	p[1].opts.Table = f.store.For("cut off").Table
-	f.store.Cut("cut off", true)
+	f.loseTable(p[1], true)
 	f.rounds(rounds(4 * DefaultDeadAfter))
 	assert.Assert(t, granting(p[1]))
 	f.crash("10.0.0.3:1")
@@ -168,9 +167,7 @@
 	f := newFleet(t)
 	p := threeIn(f, "a", 1)
 	f.rounds(20)
-	p[0].opts.Table = f.store.For("cut off").Table
-	p[0].opts.Instances = f.store.For("cut off").Instances
-	f.store.Cut("cut off", true)
+	f.loseTable(p[0], true)
 	f.rounds(rounds(unfitFor * DefaultScanEvery))
 	threeIn(f, "b", 4)
 	f.crash("10.0.0.3:1")
@@ -334,8 +331,13 @@
 				silent[a] = !silent[a]
 			},
 			"cut data centre": func(rt *rapid.T) { f.store.Cut("a", rapid.Bool().Draw(rt, "cut")) },
-			"store":           func(rt *rapid.T) { f.setDown(rapid.Bool().Draw(rt, "down")) },
-			"lost answers":    func(rt *rapid.T) { f.store.LoseAnswers(rapid.SampledFrom([]float64{0, 0.5}).Draw(rt, "p")) },
+			"lose table": func(rt *rapid.T) {
+				if p := f.processes[addr.Draw(rt, "addr")]; p != nil {
+					f.loseTable(p, rapid.Bool().Draw(rt, "lost"))
+				}
+			},
+			"store":        func(rt *rapid.T) { f.setDown(rapid.Bool().Draw(rt, "down")) },
+			"lost answers": func(rt *rapid.T) { f.store.LoseAnswers(rapid.SampledFrom([]float64{0, 0.5}).Draw(rt, "p")) },
 			"answer waits": func(rt *rapid.T) {
 				a := addr.Draw(rt, "addr")
 				n := rapid.IntRange(1, 30).Draw(rt, "rounds")
@@ -351,6 +353,7 @@
 		f.store.LoseAnswers(0)
 		clear(silent)
 		for _, p := range f.processes {
+			f.loseTable(p, false)
 			p.paused = false
 			s := p.opts.Session
 			f.store.SetInstance(platform.Instance{Name: s.Name, Addr: s.Addr, DataCentre: s.DataCentre, State: platform.Live})
