--- a/internal/entry/evidence.go
+++ b/internal/entry/evidence.go
@@ -13,7 +13,7 @@
 const (
 	evidenceEvery   = 2 * time.Second // between reads of one process's session row
 	evidenceTimeout = time.Second
-	absentFor       = 30 * time.Second // a process without session and unheard for this long is dead
+	absentFor       = 8 * time.Second // a process without session and unheard for this long is dead
 	maxEvidence     = 4096             // processes remembered
 )
 
