--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -170,36 +170,77 @@
 
 // Build makes the State of the given objects at a ticket number.
 func Build(ticket uint64, o *Objects) *State {
-	s := &State{
-		Ticket:    ticket,
-		Accounts:  map[string]*Account{},
-		Keys:      map[KeyHash]*Key{},
-		Pools:     map[string]*Pool{},
-		Endpoints: map[string]*Endpoint{},
-		byPool:    map[string][]*Endpoint{},
-	}
 	if o == nil {
-		return s
+		o = &Objects{}
+	}
+	s := &State{Ticket: ticket}
+	s.setAccounts(o.Accounts)
+	s.setKeys(o.Keys)
+	s.setPools(o.Pools)
+	s.setEndpoints(o.Endpoints)
+	s.setRoutes(o.Routes)
+	return s
+}
+
+// Replace returns the State at a later ticket in which each list of o that is not
+// nil stands for all objects of its kind. It shares the other kinds with s.
+func (s *State) Replace(ticket uint64, o *Objects) *State {
+	next := *s
+	next.Ticket = ticket
+	if o.Accounts != nil {
+		next.setAccounts(o.Accounts)
 	}
-	for _, a := range o.Accounts {
+	if o.Keys != nil {
+		next.setKeys(o.Keys)
+	}
+	if o.Pools != nil {
+		next.setPools(o.Pools)
+	}
+	if o.Endpoints != nil {
+		next.setEndpoints(o.Endpoints)
+	}
+	if o.Routes != nil {
+		next.setRoutes(o.Routes)
+	}
+	return &next
+}
+
+func (s *State) setAccounts(list []*Account) {
+	s.Accounts = make(map[string]*Account, len(list))
+	for _, a := range list {
 		s.Accounts[a.Name] = a
 	}
-	for _, k := range o.Keys {
+}
+
+func (s *State) setKeys(list []*Key) {
+	s.Keys = make(map[KeyHash]*Key, len(list))
+	for _, k := range list {
 		s.Keys[k.Hash] = k
 	}
-	for _, p := range o.Pools {
+}
+
+func (s *State) setPools(list []*Pool) {
+	s.Pools = make(map[string]*Pool, len(list))
+	for _, p := range list {
 		s.Pools[p.Name] = p
 	}
-	for _, e := range o.Endpoints {
+}
+
+func (s *State) setEndpoints(list []*Endpoint) {
+	s.Endpoints = make(map[string]*Endpoint, len(list))
+	s.byPool = map[string][]*Endpoint{}
+	for _, e := range list {
 		s.Endpoints[e.Name] = e
 		s.byPool[e.Pool] = append(s.byPool[e.Pool], e)
 	}
 	for _, es := range s.byPool {
 		slices.SortFunc(es, func(a, b *Endpoint) int { return strings.Compare(a.Name, b.Name) })
 	}
-	s.Routes = slices.Clone(o.Routes)
+}
+
+func (s *State) setRoutes(list []*Route) {
+	s.Routes = slices.Clone(list)
 	slices.SortStableFunc(s.Routes, compareRoutes)
-	return s
 }
 
 // Pool returns the endpoints of a pool, sorted by name. The slice is shared.
--- a/internal/ticket/applier.go
+++ b/internal/ticket/applier.go
@@ -318,7 +318,7 @@
 // publish makes the set's configuration the one in force.
 func (a *Applier) publish(fresh [][]byte, from origin) {
 	a.mu.Lock()
-	a.current.Store(a.set.state())
+	a.current.Store(a.set.next(a.Current()))
 	a.remember(fresh)
 	for ch := range a.watchers {
 		signal(ch)
--- a/internal/ticket/applier_test.go
+++ b/internal/ticket/applier_test.go
@@ -113,6 +113,32 @@
 	assert.Assert(t, store.Counts().RowsRead-before < 36)
 }
 
+func TestOldSnapshotsAreEmptied(t *testing.T) {
+	ctx := context.Background()
+	p := memplatform.New(memplatform.Options{}).For("a")
+	submitN(t, p, 1, 9)
+	rows, err := readTail(ctx, p.Table, 0, 9)
+	assert.NilError(t, err)
+	o := testOptions(p)
+	o.SnapshotEvery = 1
+	a := NewApplier(o)
+	s := &saver{Applier: a}
+	for n := range rows {
+		a.apply(update{tail: Tail{Head: uint64(n + 1), Tickets: rows[n : n+1]}})
+		assert.NilError(t, s.save(ctx))
+	}
+	for n := uint64(1); n <= 9; n++ {
+		data, err := p.Objects.Get(ctx, snapshotName(n))
+		assert.NilError(t, err)
+		assert.Equal(t, len(data) > 0, n > 9-keptSnapshots, "snapshot %d", n)
+	}
+	for _, n := range []uint64{3, 8, 9} { // also from before the oldest that is kept
+		state, err := Load(ctx, p, n)
+		assert.NilError(t, err)
+		assert.Equal(t, state.Ticket, n)
+	}
+}
+
 func TestApplierStartsFromPeerWithStoreDown(t *testing.T) {
 	store := memplatform.New(memplatform.Options{})
 	p := store.For("a")
@@ -181,6 +207,63 @@
 	assert.Equal(t, a.Applied(), uint64(3))
 }
 
+// gate is a table whose scans wait, once read, until the gate is opened.
+type gate struct {
+	platform.Table
+	read chan struct{} // receives when a scan has its rows
+	open chan struct{}
+}
+
+func (g *gate) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	rows, err := g.Table.Scan(ctx, prefix, after, limit)
+	select {
+	case g.read <- struct{}{}:
+		<-g.open
+	default:
+	}
+	return rows, err
+}
+
+// TestPausedPollAppliesNothingOld pauses an instance between reading and applying,
+// lets announcements pass it, and resumes it.
+func TestPausedPollAppliesNothingOld(t *testing.T) {
+	p := memplatform.New(memplatform.Options{}).For("a")
+	submitN(t, p, 1, 2)
+	g := &gate{Table: p.Table, read: make(chan struct{}), open: make(chan struct{})}
+	o := testOptions(p)
+	o.Table = g
+	a, _ := run(t, o)
+	<-g.read // the instance holds tickets 1 and 2 and is paused
+	submitN(t, p, 3, 6)
+	rows, err := readTail(context.Background(), p.Table, 0, 6)
+	assert.NilError(t, err)
+	a.Offer(Tail{Head: 6, Tickets: rows})
+	waitApplied(t, a, 6)
+	close(g.open)
+	submitN(t, p, 7, 7)
+	waitApplied(t, a, 7)
+	want, err := Load(context.Background(), p, 7)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, a.Current().Objects(), want.Objects())
+}
+
+// TestSlowStoreAndCutDataCentre has two failures at once.
+func TestSlowStoreAndCutDataCentre(t *testing.T) {
+	store := memplatform.New(memplatform.Options{Seed: 5})
+	a, b := store.For("a"), store.For("b")
+	cut, _ := run(t, testOptions(a))
+	whole, _ := run(t, testOptions(b))
+	submitN(t, b, 1, 2)
+	waitApplied(t, cut, 2)
+	store.Slow(20 * time.Millisecond)
+	store.Cut("a", true)
+	submitN(t, b, 3, 6)
+	waitApplied(t, whole, 6)
+	assert.Equal(t, cut.Applied(), uint64(2))
+	store.Cut("a", false)
+	waitApplied(t, cut, 6)
+}
+
 func TestAnnouncementsNeverGoBackOrSkip(t *testing.T) {
 	store := memplatform.New(memplatform.Options{})
 	p := store.For("a")
--- a/internal/ticket/loader.go
+++ b/internal/ticket/loader.go
@@ -78,6 +78,9 @@
 		if err != nil {
 			return nil, errors.Wrapf(err, "read %s", names[i])
 		}
+		if len(data) == 0 {
+			continue // emptied
+		}
 		if s, err := decodeSnapshot(data); err == nil {
 			return s, nil
 		}
--- a/internal/ticket/set.go
+++ b/internal/ticket/set.go
@@ -17,6 +17,8 @@
 	pools     map[string]*config.Pool
 	endpoints map[string]*config.Endpoint
 	routes    map[string]*config.Route
+
+	touched map[config.Kind]bool // kinds that differ from the state built last
 }
 
 func newSet(ticket uint64, o *config.Objects) *set {
@@ -27,6 +29,10 @@
 		pools:     map[string]*config.Pool{},
 		endpoints: map[string]*config.Endpoint{},
 		routes:    map[string]*config.Route{},
+		touched: map[config.Kind]bool{
+			config.KindAccount: true, config.KindKey: true, config.KindPool: true,
+			config.KindEndpoint: true, config.KindRoute: true,
+		},
 	}
 	for _, c := range Changes(o) {
 		s.change(&c)
@@ -43,6 +49,7 @@
 }
 
 func (s *set) change(c *Change) {
+	s.touched[c.Kind] = true
 	switch c.Kind {
 	case config.KindAccount:
 		put(s.accounts, c, c.Account)
@@ -65,15 +72,38 @@
 	m[c.Name] = v
 }
 
-// objects lists the set's objects in no particular order.
-func (s *set) objects() *config.Objects {
-	return &config.Objects{
+// next builds the immutable form. It shares with prev, the State built last from
+// this set, the kinds that have not been touched since.
+func (s *set) next(prev *config.State) *config.State {
+	var o config.Objects
+	if s.touched[config.KindAccount] {
+		o.Accounts = values(s.accounts)
+	}
+	if s.touched[config.KindKey] {
+		o.Keys = values(s.keys)
+	}
+	if s.touched[config.KindPool] {
+		o.Pools = values(s.pools)
+	}
+	if s.touched[config.KindEndpoint] {
+		o.Endpoints = values(s.endpoints)
+	}
+	if s.touched[config.KindRoute] {
+		o.Routes = values(s.routes)
+	}
+	clear(s.touched)
+	return prev.Replace(s.ticket, &o)
+}
+
+// state builds the immutable form of all kinds.
+func (s *set) state() *config.State {
+	return config.Build(s.ticket, &config.Objects{
 		Accounts:  values(s.accounts),
 		Keys:      values(s.keys),
 		Pools:     values(s.pools),
 		Endpoints: values(s.endpoints),
 		Routes:    values(s.routes),
-	}
+	})
 }
 
 func values[T any](m map[string]*T) []*T {
@@ -84,9 +114,6 @@
 	return list
 }
 
-// state builds the immutable form.
-func (s *set) state() *config.State { return config.Build(s.ticket, s.objects()) }
-
 // Snapshot is the whole configuration at one ticket.
 type Snapshot struct {
 	Ticket  uint64          `json:"ticket"`
--- a/internal/ticket/snapshot.go
+++ b/internal/ticket/snapshot.go
@@ -10,6 +10,11 @@
 	"carawayrouter.example/router/internal/platform"
 )
 
+const (
+	keptSnapshots    = 3
+	emptiedSnapshots = 3 // older ones that each save empties
+)
+
 // saveLoop writes snapshots. Instances that poll for others do it; a row in the
 // table decides between them.
 func (a *Applier) saveLoop(ctx context.Context) error {
@@ -53,6 +58,23 @@
 		return errors.Wrap(err, "write snapshot")
 	}
 	s.o.Ring.Add(event.Event{Kind: "ticket.snapshot_saved", Ticket: state.Ticket})
+	return s.empty(ctx)
+}
+
+// empty overwrites the snapshots that have just become too old with empty objects.
+// Earlier calls have done so with those before them; it goes over a few more, since
+// their writers may have died.
+func (s *saver) empty(ctx context.Context) error {
+	names, err := s.o.Objects.List(ctx, snapshotPrefix)
+	if err != nil {
+		return errors.Wrap(err, "list snapshots")
+	}
+	old := names[:max(0, len(names)-keptSnapshots)]
+	for _, name := range old[max(0, len(old)-emptiedSnapshots):] {
+		if err := s.o.Objects.Put(ctx, name, nil); err != nil {
+			return errors.Wrapf(err, "empty %s", name)
+		}
+	}
 	return nil
 }
 
