--- a/internal/shard/controller.go
+++ b/internal/shard/controller.go
@@ -114,10 +114,13 @@
 	held     map[Key]holding
 	retiring map[Key]uint64 // version of a row whose release may or may not have been written
 	orphans  map[Key]time.Time
+	notReady map[string]time.Time // members that could not take shards, and when
 	seen     map[string]seenMember
 	// departing are the session epochs of members that are giving up all they have.
 	departing map[string]uint64
-	loaded    bool // the rows of the data centre were read at least once
+	loaded    bool                 // the rows of the data centre were read at least once
+	scanned   time.Time            // last successful read of the rows from the table
+	unfit     map[string]time.Time // pollers that had not read lately, and when
 	gen       uint64
 	source    uint64
 	pulled    SyncArgs
@@ -157,6 +160,8 @@
 		held:      map[Key]holding{},
 		retiring:  map[Key]uint64{},
 		orphans:   map[Key]time.Time{},
+		notReady:  map[string]time.Time{},
+		unfit:     map[string]time.Time{},
 		seen:      map[string]seenMember{},
 		departing: map[string]uint64{},
 		source:    o.Rand.Uint64(),
