--- a/internal/limit/escrow/home.go
+++ b/internal/limit/escrow/home.go
@@ -33,6 +33,8 @@
 	reserveSpan = 250 * time.Millisecond
 	// pledgeTime is how long tokens are kept for another data centre.
 	pledgeTime = time.Second
+	// maxRetryAfter bounds what callers are told.
+	maxRetryAfter = time.Hour
 	// refusalEvents is the shortest time between two events of refusals of an account.
 	refusalEvents = time.Second
 )
@@ -200,6 +202,7 @@
 	}
 	lack := a.pump(now, h.o.Self.Addr, h.o.LoanLife)
 	if w.granted {
+		h.askBalance(a, now)
 		return h.grantReply(a, w, local, now), true
 	}
 	estimate := a.estimate(now, w)
@@ -239,7 +242,7 @@
 		a.refused = now
 		h.o.Events.Add(event.Event{Kind: "limit.refuse", Account: a.name})
 	}
-	return TakeReply{Status: Refused, RetryAfter: max(a.estimate(now, w), time.Millisecond)}
+	return TakeReply{Status: Refused, RetryAfter: min(max(a.estimate(now, w), time.Millisecond), maxRetryAfter)}
 }
 
 // step returns the time until the next look at the queue.
@@ -337,14 +340,14 @@
 	defer a.mu.Unlock()
 	now := h.o.Clock.Now()
 	if !a.opened || a.frozen {
-		return LendReply{Status: Granted, Epoch: a.epoch}
+		return LendReply{Status: Queued}
 	}
 	if args.Demand > args.Rate {
-		a.borrowers[args.DataCentre] = borrower{excess: args.Demand - args.Rate, at: now}
+		a.noteBorrower(now, args.DataCentre, args.Demand-args.Rate)
 	}
 	h.pump(a, now)
-	reply := LendReply{Status: Granted, Epoch: a.epoch, SpareRate: a.rate()}
-	if !args.Must {
+	reply := LendReply{Status: Granted, Epoch: a.epoch, SpareRate: a.rate(), Capacity: a.bucket.Capacity()}
+	if len(a.queue) > 0 && !args.Must {
 		reply.SpareRate = max(0, a.rate()-a.demand.rate(now))
 	}
 	if n, life, ok := a.bucket.Lent(now, args.Loan); ok && !args.Probe {
@@ -352,7 +355,7 @@
 		return reply
 	}
 	since := now.Add(-args.Waited)
-	avail := max(0, a.bucket.Level(now)-a.reserve(now, since, args.DataCentre, args.Must))
+	avail := max(0, a.bucket.Level(now)-a.reserve(now, since, args.DataCentre, args.Idle))
 	if args.Probe {
 		reply.Amount = avail
 		if args.Must {
