limit/escrow: bound the calls that wait at a home; test over real connections

Cause: every waiting request held a call at its home for up to 500 ms. The peer server takes 256 calls of a connection and then reads no more, so one flooding account held up all others between two instances.

Change: only the first eight requests of an account wait at the home, 200 ms a call; the others ask again and keep their place. Calls that are safe to repeat are marked, so that a silent connection costs half the time.

The test of 16 data centres read a map without its lock; mended.

--- a/internal/limit/escrow/account.go
+++ b/internal/limit/escrow/account.go
@@ -27,8 +27,9 @@
 	extra    int64
 	since    time.Time // when the request began to wait, at its client
 	deadline time.Time
-	present  bool      // a call of its client is waiting here
-	kept     time.Time // place is kept until then while not present
+	calls    int       // calls of its client that are waiting here
+	soon     time.Time // its client asks again by then
+	kept     time.Time // place is kept until then without a call
 	woken    chan struct{}
 
 	granted bool
@@ -36,6 +37,9 @@
 	expires time.Time // of the grant
 }
 
+// present reports whether a grant to the waiter would be noticed at once.
+func (w *waiter) present(now time.Time) bool { return w.calls > 0 || now.Before(w.soon) }
+
 // pledge keeps tokens of this home for an older request of another data centre
 // that no share alone can hold. It is a matter of order, not of safety.
 type pledge struct {
@@ -188,17 +192,17 @@
 
 // pump grants tokens in order of arrival. A waiter whose client is not asking at
 // the moment keeps its place but does not hold up the ones behind it. It returns
-// the tokens that present waiters lack.
+// the tokens that the others lack.
 func (a *account) pump(now time.Time, self string, life time.Duration) (lack int64) {
 	kept := a.queue[:0]
 	for _, w := range a.queue {
 		switch {
-		case w.present && lack == 0 && a.grant(now, w, self, life):
+		case w.present(now) && lack == 0 && a.grant(now, w, self, life):
 			wake(w)
-		case !now.Before(w.deadline), !w.present && !now.Before(w.kept):
+		case !now.Before(w.deadline), w.calls == 0 && !now.Before(w.kept):
 			wake(w)
 		default:
-			if w.present {
+			if w.present(now) {
 				lack += w.need
 			}
 			kept = append(kept, w)
--- a/internal/limit/escrow/client.go
+++ b/internal/limit/escrow/client.go
@@ -13,6 +13,7 @@
 	"carawayrouter.example/router/internal/errkind"
 	"carawayrouter.example/router/internal/limit"
 	"carawayrouter.example/router/internal/limit/bucket"
+	"carawayrouter.example/router/internal/peer"
 )
 
 const (
@@ -116,7 +117,7 @@
 	if as.Home.Addr == c.o.Self.Addr {
 		return c.home.status(account), nil
 	}
-	err = c.o.call(ctx, c.o.CallTime, as.Home.Addr, "Status", &StatusArgs{Account: account}, &reply)
+	err = c.o.call(peer.Idempotent(ctx), c.o.CallTime, as.Home.Addr, "Status", &StatusArgs{Account: account}, &reply)
 	return reply, err
 }
 
@@ -212,7 +213,7 @@
 		return c.home.take(&args, true, ctx.Done()), sent, nil
 	}
 	args.Extra = c.spares.wanted(t.account, sent)
-	err = c.o.call(ctx, pollTime+c.o.CallTime, addr, "Take", &args, &reply)
+	err = c.o.call(peer.Idempotent(ctx), pollTime+c.o.CallTime, addr, "Take", &args, &reply)
 	return reply, sent, err
 }
 
--- a/internal/limit/escrow/fault_test.go
+++ b/internal/limit/escrow/fault_test.go
@@ -434,7 +434,7 @@
 		time.Sleep(5 * time.Second)
 		l := &load{w: w, account: "acme", wait: 2 * time.Second}
 		l.conforming(450, 1800, rand.New(rand.NewPCG(1, 4)))
-		t.Logf("served %d, longest wait %v, calls %v", l.served, l.longest, w.calls)
+		t.Logf("served %d, longest wait %v, calls %v", l.served, l.longest, w.callsSoFar())
 		assert.Equal(t, l.refused, 0)
 		w.checkWhole(t, "acme", 500, 2000)
 	})
--- a/internal/limit/escrow/gather.go
+++ b/internal/limit/escrow/gather.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"carawayrouter.example/router/internal/limit/bucket"
+	"carawayrouter.example/router/internal/peer"
 )
 
 const (
@@ -41,7 +42,7 @@
 	if lack <= 0 || a.gathering || len(h.o.DataCentres) < 2 || now.Before(a.nextAsk) {
 		return
 	}
-	if need := a.queueHead(); need <= a.capacity() && a.ownWait(now, lack) < gatherAfter {
+	if need := a.queueHead(now); need <= a.capacity() && a.ownWait(now, lack) < gatherAfter {
 		return
 	}
 	select {
@@ -67,9 +68,9 @@
 }
 
 // queueHead returns the need of the first waiter, 0 if there is none.
-func (a *account) queueHead() int64 {
+func (a *account) queueHead(now time.Time) int64 {
 	for _, w := range a.queue {
-		if w.present {
+		if w.present(now) {
 			return w.need
 		}
 	}
@@ -95,7 +96,7 @@
 // shortage is what an account lacks at the start of a round.
 type shortage struct {
 	head   int64 // lacking for the first waiter, at most 0 without one
-	all    int64 // lacking for all present waiters
+	all    int64 // lacking for all waiters that are present
 	own    int64 // level of the own bucket
 	level  int64 // the part of it that no waiter needs
 	cap    int64 // of the own bucket
@@ -185,7 +186,7 @@
 	avail := a.available(now)
 	first := true
 	for _, w := range a.queue {
-		if !w.present {
+		if !w.present(now) {
 			continue
 		}
 		if first {
@@ -241,7 +242,7 @@
 		args.Amount = s.head
 	}
 	l.reply = LendReply{}
-	err := g.o.call(ctx, g.o.CallTime, l.addr, "Lend", &args, &l.reply)
+	err := g.o.call(peer.Idempotent(ctx), g.o.CallTime, l.addr, "Lend", &args, &l.reply)
 	l.ok = err == nil && l.reply.Status == Granted
 }
 
@@ -347,7 +348,7 @@
 	now := g.o.Clock.Now()
 	a.gathering = false
 	a.nextAsk = now.Add(gatherPause * time.Duration(max(2, len(g.o.DataCentres)-1)) / 2)
-	if a.queueHead() > 0 {
+	if a.queueHead(now) > 0 {
 		return
 	}
 	for _, p := range a.live(now) {
--- a/internal/limit/escrow/home.go
+++ b/internal/limit/escrow/home.go
@@ -12,10 +12,19 @@
 
 const (
 	// pollTime is the longest time that a call waits at a home.
-	pollTime = 500 * time.Millisecond
+	pollTime = 200 * time.Millisecond
+	// pollWithin is the longest expected wait for which a call waits at the home.
+	pollWithin = 2 * time.Second
+	// pollCalls is the number of requests at the head of an account's queue whose
+	// calls may wait at the home; the others ask again. It keeps a busy account from
+	// using up the calls that a connection may have in progress.
+	pollCalls = 8
+	// askSoon is the time in which a client that was told to asks again.
+	askSoon = 50 * time.Millisecond
 	// pollStep is the longest time between two looks at the queue.
 	pollStep = 50 * time.Millisecond
-	// maxAgain is the longest time after which a queued client asks again.
+	// minAgain and maxAgain bound the time after which a queued client asks again.
+	minAgain = 20 * time.Millisecond
 	maxAgain = 5 * time.Second
 	// placeKept is how long a place is kept beyond the time told to the client.
 	placeKept = 3 * time.Second
@@ -170,7 +179,8 @@
 		}
 		a.queue = append(a.queue, w)
 	}
-	w.present = true
+	w.calls++
+	defer func() { w.calls-- }()
 	for {
 		reply, over := h.try(a, w, local, now, end)
 		if over {
@@ -212,13 +222,14 @@
 	}
 	h.askOpen(a)
 	h.askGather(a, lack, now)
-	if estimate > pollTime {
-		again := min(estimate/2, maxAgain)
-		a.absent(w, now.Add(again+placeKept))
+	if estimate > pollWithin || slices.Index(a.queue, w) >= pollCalls {
+		again := min(max(estimate/2, minAgain), maxAgain)
+		w.kept = now.Add(again + placeKept)
 		return TakeReply{Status: Queued, Again: again}, true
 	}
 	if !now.Before(end) {
-		a.absent(w, now.Add(placeKept))
+		w.kept = now.Add(placeKept)
+		w.soon = now.Add(askSoon)
 		return TakeReply{Status: Queued}, true
 	}
 	return TakeReply{}, false
@@ -261,12 +272,6 @@
 	}
 }
 
-// absent marks that no call of the waiter's client is here.
-func (a *account) absent(w *waiter, kept time.Time) {
-	w.present = false
-	w.kept = kept
-}
-
 // giveBack applies what borrowers report about their loans.
 func (h *home) giveBack(items []ReturnItem) {
 	now := h.o.Clock.Now()
--- a/internal/limit/escrow/world_test.go
+++ b/internal/limit/escrow/world_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/gob"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"reflect"
 	"slices"
@@ -141,6 +142,7 @@
 	latency time.Duration
 	calls   map[string]int
 	encode  bool
+	listen  func() (peer.Caller, peer.Registrar, string) // real connections instead
 
 	uses []*use
 }
@@ -158,7 +160,13 @@
 }
 
 func newWorld(dcs []string, perDC int, accounts ...*config.Account) *world {
-	w := &world{
+	w := emptyWorld(dcs, accounts...)
+	w.populate(perDC)
+	return w
+}
+
+func emptyWorld(dcs []string, accounts ...*config.Account) *world {
+	return &world{
 		dcs:     dcs,
 		byAddr:  map[string]*node{},
 		homes:   map[shard.Key]shard.Assignment{},
@@ -168,7 +176,11 @@
 		latency: time.Millisecond,
 		calls:   map[string]int{},
 	}
-	for _, dc := range dcs {
+}
+
+// populate starts the nodes and gives each a part of its data centre's shards.
+func (w *world) populate(perDC int) {
+	for _, dc := range w.dcs {
 		for i := range perDC {
 			w.add(dc, i)
 		}
@@ -177,7 +189,6 @@
 			w.assign(k, w.in(dc)[i%perDC])
 		}
 	}
-	return w
 }
 
 // add starts a node.
@@ -185,12 +196,18 @@
 	n := &node{w: w, done: make(chan struct{})}
 	w.mu.Lock()
 	id := len(w.nodes)
-	n.self = member.Session{Name: fmt.Sprintf("%s-%d-%d", dc, i, id), Addr: fmt.Sprintf("10.0.0.%d:1", id), DataCentre: dc, Epoch: uint64(id + 1)}
+	addr := fmt.Sprintf("10.0.0.%d:1", id)
+	var caller peer.Caller = n
+	var registrar peer.Registrar = n
+	if w.listen != nil {
+		caller, registrar, addr = w.listen()
+	}
+	n.self = member.Session{Name: fmt.Sprintf("%s-%d-%d", dc, i, id), Addr: addr, DataCentre: dc, Epoch: uint64(id + 1)}
 	w.nodes = append(w.nodes, n)
 	w.byAddr[n.self.Addr] = n
 	w.mu.Unlock()
 	l, err := New(Options{
-		Self: n.self, Config: w, Directory: n, Members: n, Caller: n, Registrar: n, Table: w.table,
+		Self: n.self, Config: w, Directory: n, Members: n, Caller: caller, Registrar: registrar, Table: w.table,
 		DataCentres: w.dcs, Clock: clock.Real{}, Rand: rand.New(rand.NewPCG(1, uint64(id))), Logger: logr.Discard(),
 	})
 	if err != nil {
@@ -397,6 +414,13 @@
 	}
 }
 
+// callsSoFar returns the number of calls by method.
+func (w *world) callsSoFar() map[string]int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return maps.Clone(w.calls)
+}
+
 // wait blocks while a node is paused.
 func (w *world) wait(n *node) {
 	w.mu.Lock()
