--- a/cmd/caraway-load/main.go
+++ b/cmd/caraway-load/main.go
@@ -28,6 +28,7 @@
 }
 
 type args struct {
+	Run      *runArgs      `arg:"subcommand:run" help:"run a load against a deployment and judge it"`
 	Overhead *overheadArgs `arg:"subcommand:overhead" help:"measure what one instance adds to direct calls of an engine"`
 }
 
@@ -38,14 +39,27 @@
 	var a args
 	cli.Parse(program, &a)
 	first, _ := cli.Signals()
-	if a.Overhead == nil {
-		cli.Exit(program, cli.ExitUsage, errors.New("a subcommand is required"))
+	var err error
+	switch {
+	case a.Run != nil:
+		err = run(first, a.Run)
+	case a.Overhead != nil:
+		err = runOverhead(first, a.Overhead)
+	default:
+		err = &usageError{errors.New("a subcommand is required")}
 	}
-	if err := runOverhead(first, a.Overhead); err != nil {
+	var usage *usageError
+	if errors.As(err, &usage) {
+		cli.Exit(program, cli.ExitUsage, err)
+	}
+	if err != nil {
 		cli.Exit(program, cli.ExitFailed, err)
 	}
 }
 
+// usageError is a fault of the arguments; nothing was tried.
+type usageError struct{ error }
+
 func runOverhead(ctx context.Context, a *overheadArgs) error {
 	r, err := overhead.Run(ctx, overhead.Options(*a))
 	if err != nil {
--- /dev/null
+++ b/cmd/caraway-load/run.go
@@ -0,0 +1,124 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+
+	"carawayrouter.example/router/internal/fleet"
+	"carawayrouter.example/router/internal/load/experiment"
+	"carawayrouter.example/router/internal/load/fault"
+	"carawayrouter.example/router/internal/load/workload"
+)
+
+type runArgs struct {
+	Deployment string        `arg:"--deployment,required" placeholder:"NAME" help:"dohoku or sierra-norte"`
+	Load       float64       `arg:"--load" default:"0.95" placeholder:"FACTOR" help:"multiple of the deployment's capacity"`
+	Duration   time.Duration `arg:"--duration" default:"20s" help:"measured time of arrivals"`
+	Warmup     time.Duration `arg:"--warmup" default:"4s" help:"time of arrivals before the measured time"`
+	Drain      time.Duration `arg:"--drain" default:"40s" help:"longest wait for the last answers"`
+	Seed       uint64        `arg:"--seed" default:"1" help:"seed of arrivals and random choices"`
+	Policy     string        `arg:"--policy" default:"caraway" placeholder:"NAME[,NAME...]" help:"policies to compare with the same arrivals"`
+	Faults     string        `arg:"--faults" placeholder:"FILE.ini" help:"fault script"`
+	Flood      []string      `arg:"--flood,separate" placeholder:"ACCOUNT=FACTOR" help:"multiply an account's arrivals"`
+	JSON       string        `arg:"--json" placeholder:"FILE" help:"write the result here"`
+}
+
+// options turns the arguments into an experiment.
+func (a *runArgs) options() (experiment.Options, error) {
+	o := experiment.Options{
+		Load: a.Load, Duration: a.Duration, Warmup: a.Warmup, Drain: a.Drain, Seed: a.Seed,
+		Policies: strings.Split(a.Policy, ","), Floods: map[string]float64{},
+		Mix: workload.DefaultMix(), Log: logr.Discard(),
+	}
+	var err error
+	if o.Deployment, err = fleet.Find(a.Deployment); err != nil {
+		return o, err
+	}
+	if a.Load <= 0 || a.Duration <= 0 || a.Warmup < 0 || a.Drain <= 0 {
+		return o, errors.New("--load, --duration and --drain must be above zero")
+	}
+	for _, text := range a.Flood {
+		account, factor, err := fault.ParseFlood(text)
+		if err != nil {
+			return o, err
+		}
+		o.Floods[account] = factor
+	}
+	if a.Faults != "" {
+		if o.Script, err = fault.Load(a.Faults); err != nil {
+			return o, err
+		}
+	}
+	return o, o.Check()
+}
+
+// run runs an experiment, prints its table and saves it.
+func run(ctx context.Context, a *runArgs) error {
+	o, err := a.options()
+	if err != nil {
+		return &usageError{err}
+	}
+	if info, err := os.Stderr.Stat(); err == nil && info.Mode()&os.ModeCharDevice != 0 {
+		o.Progress = os.Stderr
+	}
+	report, err := experiment.Run(ctx, o)
+	if err != nil {
+		return err
+	}
+	printReport(os.Stdout, report)
+	if a.JSON != "" {
+		data, err := json.MarshalIndent(report, "", "  ")
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(a.JSON, append(data, '\n'), 0o644); err != nil {
+			return errors.Wrap(err, "--json")
+		}
+	}
+	if report.Broken() {
+		return errors.New("a promise was broken")
+	}
+	return nil
+}
+
+// printReport writes one column for each policy.
+func printReport(w io.Writer, r *experiment.Report) {
+	fmt.Fprintf(w, "%s, load %g, %g s, seed %d; capacity %.1f requests/s (prefill %.1f, decode %.1f, link %.1f)\n",
+		r.Deployment, r.Load, r.Duration, r.Seed, r.Capacity.Requests, r.Capacity.Prefill, r.Capacity.Decode, r.Capacity.Link)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(t, "\t%s\n", strings.Join(r.Order, "\t"))
+	for _, row := range rows {
+		fmt.Fprint(t, row.name)
+		for _, name := range r.Order {
+			fmt.Fprint(t, "\t", row.value(r.Policies[name]))
+		}
+		fmt.Fprintln(t)
+	}
+	_ = t.Flush()
+	for _, name := range r.Order {
+		p := r.Policies[name]
+		fmt.Fprintf(w, "%s: missed %v; refused %v; wrongful %v\n", name, p.MissedByReason, p.RefusalsByKind, p.WrongfulByKind)
+		for _, a := range p.Accounts {
+			fmt.Fprintf(w, "  %s: %d requests, %d in rate, %d good (%.3f), wrongful %d, excess %.0f tokens\n",
+				a.Account, a.Requests, a.InRate, a.Good, a.Fraction, a.WrongfulRefusals, a.ExcessTokens)
+		}
+		for _, b := range p.Broken {
+			fmt.Fprintf(w, "  BROKEN %s\n", b)
+		}
+		for _, n := range p.Notes {
+			fmt.Fprintf(w, "    %s\n", n)
+		}
+	}
+}
+
+func number(x float64) string { return strconv.FormatFloat(x, 'f', 3, 64) }
--- /dev/null
+++ b/internal/load/experiment/experiment.go
@@ -0,0 +1,138 @@
+// Package experiment runs a workload against a fleet of its own, once for each policy,
+// with the same arrivals and faults, and judges what the callers and stand-ins saw.
+package experiment
+
+import (
+	"context"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+
+	"carawayrouter.example/router/internal/entry"
+	"carawayrouter.example/router/internal/fleet"
+	"carawayrouter.example/router/internal/load/fault"
+	"carawayrouter.example/router/internal/load/observe"
+	"carawayrouter.example/router/internal/load/workload"
+)
+
+// Options describe an experiment.
+type Options struct {
+	Deployment fleet.Deployment
+	Load       float64 // multiple of the capacity
+	Duration   time.Duration
+	Warmup     time.Duration
+	Drain      time.Duration // longest wait for the last answers
+	Seed       uint64
+	Policies   []string
+	Floods     map[string]float64 // factor of an account's arrivals
+	Script     fault.Script
+	Mix        workload.Mix
+	Progress   io.Writer // nil: no progress
+	Log        logr.Logger
+}
+
+// Report is a saved experiment.
+type Report struct {
+	Deployment string                     `json:"deployment"`
+	Load       float64                    `json:"load"`
+	Duration   float64                    `json:"duration_seconds"`
+	Seed       uint64                     `json:"seed"`
+	Faults     string                     `json:"faults,omitempty"` // name of the script
+	Capacity   workload.Capacity          `json:"capacity"`
+	Order      []string                   `json:"order"` // of the policies
+	Policies   map[string]*observe.Result `json:"policies"`
+}
+
+// Broken reports whether a promise was broken under any policy.
+func (r *Report) Broken() bool {
+	for _, p := range r.Policies {
+		if len(p.Broken) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Check reports what of the options names nothing of the deployment.
+func (o *Options) Check() error {
+	for _, name := range o.Policies {
+		if _, err := findPolicy(name); err != nil {
+			return err
+		}
+	}
+	for account := range o.Floods {
+		if !slices.ContainsFunc(o.Deployment.Accounts, func(a fleet.AccountSpec) bool { return a.Name == account }) {
+			return errors.Newf("account %q is unknown in %s", account, o.Deployment.Name)
+		}
+	}
+	return o.Script.Check(o.Deployment)
+}
+
+// startTimeout bounds the start of a fleet and its first ticket.
+const startTimeout = time.Minute
+
+// Run runs the experiment.
+func Run(ctx context.Context, o Options) (*Report, error) {
+	if err := o.Check(); err != nil {
+		return nil, err
+	}
+	capacity := workload.CapacityOf(o.Deployment, o.Mix, o.Seed)
+	workload.SetRates(&o.Deployment, capacity)
+	report := &Report{
+		Deployment: o.Deployment.Name, Load: o.Load, Duration: o.Duration.Seconds(), Seed: o.Seed,
+		Faults: o.Script.File, Capacity: capacity, Order: o.Policies, Policies: map[string]*observe.Result{},
+	}
+	requests := workload.Generate(arrivals(o, capacity))
+	for _, name := range o.Policies {
+		p, _ := findPolicy(name)
+		result, err := runPolicy(ctx, o, p, name, capacity, requests)
+		if err != nil {
+			return report, errors.Wrapf(err, "policy %s", name)
+		}
+		report.Policies[name] = result
+	}
+	return report, nil
+}
+
+// arrivals spreads the load over the accounts and times of the experiment.
+func arrivals(o Options, c workload.Capacity) workload.Options {
+	w := workload.Options{Seed: o.Seed, Mix: o.Mix, Duration: o.Warmup + o.Duration}
+	for _, a := range o.Deployment.Accounts {
+		x := workload.Account{Name: a.Name, Rate: c.Requests * o.Load * a.Rate / c.Tokens}
+		if f, ok := o.Floods[a.Name]; ok {
+			x.Bursts = append(x.Bursts, workload.Burst{From: 0, To: w.Duration, Factor: f})
+		}
+		for _, f := range o.Script.Floods(a.Name) {
+			x.Bursts = append(x.Bursts, workload.Burst{From: o.Warmup + f.At, To: o.Warmup + f.At + f.For, Factor: f.Factor})
+		}
+		w.Accounts = append(w.Accounts, x)
+	}
+	return w
+}
+
+// runPolicy runs the requests against a fresh fleet.
+func runPolicy(ctx context.Context, o Options, p entry.Policy, name string, c workload.Capacity, requests []workload.Request) (*observe.Result, error) {
+	f, err := fleet.Start(o.Deployment, fleet.Options{Seed: o.Seed, Log: o.Log, ListLag: listLag, Policy: p})
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	startCtx, stop := context.WithTimeout(ctx, startTimeout)
+	defer stop()
+	if _, err := f.Bootstrap(startCtx); err != nil {
+		return nil, errors.Wrap(err, "first ticket")
+	}
+	r := newRunner(o, f, name, c, len(requests))
+	evidence, err := r.run(ctx, requests)
+	if err != nil {
+		return nil, err
+	}
+	result := observe.Judge(evidence)
+	result.Policy = name
+	counts := f.Store.Counts()
+	result.StoreReads, result.StoreWrites = counts.Reads, counts.Writes
+	return result, nil
+}
--- /dev/null
+++ b/internal/load/experiment/policy.go
@@ -0,0 +1,36 @@
+package experiment
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"carawayrouter.example/router/internal/entry"
+)
+
+// policies are the policies that can be compared, by name.
+var policies = map[string]entry.Policy{
+	"caraway":             {},
+	entry.RoundRobin:      {Scheduler: entry.RoundRobin},
+	entry.LeastLoaded:     {Scheduler: entry.LeastLoaded},
+	entry.DecodeFirstFIFO: {Scheduler: entry.DecodeFirstFIFO},
+}
+
+// Policies returns the names of the policies that can be compared.
+func Policies() []string {
+	var names []string
+	for name := range policies {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+func findPolicy(name string) (entry.Policy, error) {
+	p, ok := policies[name]
+	if !ok {
+		return p, errors.Newf("policy %q is unknown; known: %s", name, strings.Join(Policies(), ", "))
+	}
+	return p, nil
+}
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -148,10 +148,15 @@
 }
 
 func digestOf(ctx *fasthttp.RequestCtx) string {
+	return Digest(string(ctx.Method()), string(ctx.RequestURI()), ctx.PostBody())
+}
+
+// Digest returns the name under which calls without an Idempotency-Key are counted.
+func Digest(method, uri string, body []byte) string {
 	h := xxhash.New()
-	_, _ = h.Write(ctx.Method())
-	_, _ = h.Write(ctx.RequestURI())
-	_, _ = h.WriteString(strconv.Itoa(len(ctx.PostBody())))
-	_, _ = h.Write(ctx.PostBody())
+	_, _ = h.WriteString(method)
+	_, _ = h.WriteString(uri)
+	_, _ = h.WriteString(strconv.Itoa(len(body)))
+	_, _ = h.Write(body)
 	return hex.EncodeToString(h.Sum(nil))
 }
