--- a/cmd/caraway-load/run.go
+++ b/cmd/caraway-load/run.go
@@ -115,7 +115,7 @@
 		for _, b := range p.Broken {
 			fmt.Fprintf(w, "  BROKEN %s\n", b)
 		}
-		for _, n := range p.Notes {
+		for _, n := range append(p.Notes, p.Troubles...) {
 			fmt.Fprintf(w, "    %s\n", n)
 		}
 	}
--- a/internal/load/experiment/runner.go
+++ b/internal/load/experiment/runner.go
@@ -167,7 +167,7 @@
 	d := &r.o.Deployment
 	e := &observe.Evidence{
 		Model: d.Model.Model, FirstToken: d.Model.FirstToken,
-		Capacity: r.capacity.Requests, Measured: r.o.Duration,
+		Capacity: r.capacity.Requests, Measured: r.o.Duration, Start: r.start.Add(r.o.Warmup),
 		Requests: r.requests, Probes: r.probes, Accepted: r.accepted,
 		Drained: r.faults.drained, Killed: r.faults.killed, Started: r.faults.started,
 		Leaving: r.faults.leaving, Withdrawn: r.faults.withdrawn,
--- a/internal/load/observe/result.go
+++ b/internal/load/observe/result.go
@@ -67,6 +67,7 @@
 	Accounts             []AccountResult `json:"accounts"`
 	Broken               []string        `json:"broken_promises"`
 	Notes                Notes           `json:"violations"`
+	Troubles             Notes           `json:"troubles"` // requests that broke or never ended
 	EngineFull           int             `json:"engine_full_refusals"`
 	StoreReads           uint64          `json:"store_reads"`
 	StoreWrites          uint64          `json:"store_writes"`
@@ -80,6 +81,7 @@
 	r.latency(e)
 	r.waste(e)
 	r.Broken = r.broken(e)
+	e.troubles(&r.Troubles)
 	return r
 }
 
@@ -205,6 +207,17 @@
 	return gaps
 }
 
+// troubles tells of the requests that broke or that never ended.
+func (e *Evidence) troubles(n *Notes) {
+	for i := range e.Requests {
+		q := &e.Requests[i]
+		if q.Outcome == Broken || q.Outcome == Unfinished {
+			n.add("%s: %s %d (%s%s) of %s at %s, sent %.3f s after the start, ended %.3f s later with %d of %d tokens: %s", q.Outcome, q.Kind, q.Seq,
+				q.ID, q.Key, q.Account, q.Instance, q.Sent.Sub(e.Start).Seconds(), q.End.Sub(q.Sent).Seconds(), q.Tokens, q.Expected, q.Error)
+		}
+	}
+}
+
 // inRate tells by sequence number which requests a reference token bucket admits at
 // the moment they were sent.
 func (e *Evidence) inRate() map[int]bool {
