--- a/internal/load/observe/evidence.go
+++ b/internal/load/observe/evidence.go
@@ -103,7 +103,7 @@
 	Model      string
 	FirstToken time.Duration // target of the completions' route
 	Capacity   float64       // requests per second
-	Start      time.Time // of the measured time
+	Start      time.Time     // of the measured time
 	Measured   time.Duration
 	Accounts   []Account
 	Requests   []Request
