interface: netgate counts the traffic of an instance

Slopes of the control cost need the bytes and messages of each instance apart from those of the stand-ins in the same process. The gate counts bytes both ways and writes; fleet.Entry.Traffic returns them.

--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -113,6 +113,16 @@
 	return e.daemon
 }
 
+// Traffic returns what passed the instance's network since its last start.
+func (e *Entry) Traffic() netgate.Traffic {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.gate == nil {
+		return netgate.Traffic{}
+	}
+	return e.gate.Traffic()
+}
+
 // Start starts the instance; it has no memory of an earlier run.
 func (e *Entry) Start() error {
 	f := e.fleet
--- a/internal/netgate/netgate.go
+++ b/internal/netgate/netgate.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -24,6 +25,23 @@
 	paused bool
 	dead   bool
 	conns  map[*conn]struct{}
+
+	traffic traffic
+}
+
+// traffic counts what passed a gate.
+type traffic struct{ bytesIn, bytesOut, writes atomic.Uint64 }
+
+// Traffic is what passed a gate since it was made.
+type Traffic struct {
+	BytesIn  uint64
+	BytesOut uint64
+	Writes   uint64 // on connections; a message is written at once
+}
+
+// Traffic returns what passed so far.
+func (g *Gate) Traffic() Traffic {
+	return Traffic{g.traffic.bytesIn.Load(), g.traffic.bytesOut.Load(), g.traffic.writes.Load()}
 }
 
 // New returns an open Gate. cut tells whether the link to an address is cut now.
@@ -166,6 +184,7 @@
 func (c *conn) Read(b []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(b)
+		c.gate.traffic.bytesIn.Add(uint64(n))
 		if gateErr := c.gate.pass(); gateErr != nil {
 			return 0, gateErr
 		}
@@ -198,7 +217,10 @@
 	if c.lost() {
 		return len(b), nil
 	}
-	return c.Conn.Write(b)
+	n, err := c.Conn.Write(b)
+	c.gate.traffic.bytesOut.Add(uint64(n))
+	c.gate.traffic.writes.Add(1)
+	return n, err
 }
 
 // CloseWrite ends the sending side.
