--- a/internal/load/experiment/policy.go
+++ b/internal/load/experiment/policy.go
@@ -15,6 +15,9 @@
 	entry.RoundRobin:      {Scheduler: entry.RoundRobin},
 	entry.LeastLoaded:     {Scheduler: entry.LeastLoaded},
 	entry.DecodeFirstFIFO: {Scheduler: entry.DecodeFirstFIFO},
+	"limit-per-instance":  {Limiter: entry.PerInstance},
+	"limit-table":         {Limiter: entry.TablePerRequest},
+	"limit-none":          {Limiter: entry.Unlimited},
 }
 
 // Policies returns the names of the policies that can be compared.
