--- a/cmd/caraway-load/run.go
+++ b/cmd/caraway-load/run.go
@@ -68,22 +68,14 @@
 	if err != nil {
 		return &usageError{err}
 	}
-	if info, err := os.Stderr.Stat(); err == nil && info.Mode()&os.ModeCharDevice != 0 {
-		o.Progress = os.Stderr
-	}
+	o.Progress = terminal()
 	report, err := experiment.Run(ctx, o)
 	if err != nil {
 		return err
 	}
 	printReport(os.Stdout, report)
-	if a.JSON != "" {
-		data, err := json.MarshalIndent(report, "", "  ")
-		if err != nil {
-			return err
-		}
-		if err := os.WriteFile(a.JSON, append(data, '\n'), 0o644); err != nil {
-			return errors.Wrap(err, "--json")
-		}
+	if err := saveJSON(a.JSON, report); err != nil {
+		return err
 	}
 	if report.Broken() {
 		return errors.New("a promise was broken")
@@ -122,3 +114,23 @@
 }
 
 func number(x float64) string { return strconv.FormatFloat(x, 'f', 3, 64) }
+
+// terminal returns the standard error stream if a person reads it.
+func terminal() io.Writer {
+	if info, err := os.Stderr.Stat(); err == nil && info.Mode()&os.ModeCharDevice != 0 {
+		return os.Stderr
+	}
+	return nil
+}
+
+// saveJSON writes a result to a file; without a name it does nothing.
+func saveJSON(file string, v any) error {
+	if file == "" {
+		return nil
+	}
+	data, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return err
+	}
+	return errors.Wrap(os.WriteFile(file, append(data, '\n'), 0o644), "--json")
+}
