caraway-load report: saved runs as one HTML page

Compares policies and runs: a table of the measures for each run, distributions of first token and token gaps, the accounts, and, where several runs of a deployment have no faults, the main measures over the load. Plots are SVG inside the page.

--- a/cmd/caraway-load/main.go
+++ b/cmd/caraway-load/main.go
@@ -29,6 +29,7 @@
 
 type args struct {
 	Run      *runArgs      `arg:"subcommand:run" help:"run a load against a deployment and judge it"`
+	Report   *reportArgs   `arg:"subcommand:report" help:"render saved runs to one HTML page"`
 	Slopes   *slopesArgs   `arg:"subcommand:slopes" help:"measure what control costs at several sizes of a fleet"`
 	Overhead *overheadArgs `arg:"subcommand:overhead" help:"measure what one instance adds to direct calls of an engine"`
 }
@@ -44,6 +45,8 @@
 	switch {
 	case a.Run != nil:
 		err = run(first, a.Run)
+	case a.Report != nil:
+		err = runReport(a.Report)
 	case a.Slopes != nil:
 		err = runSlopes(first, a.Slopes)
 	case a.Overhead != nil:
--- /dev/null
+++ b/internal/load/report/report.go
@@ -0,0 +1,257 @@
+// Package report renders saved experiments as one self-contained HTML page that
+// compares runs and policies.
+package report
+
+import (
+	"bytes"
+	"cmp"
+	"fmt"
+	"html/template"
+	"io"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+
+	"carawayrouter.example/router/internal/load/experiment"
+	"carawayrouter.example/router/internal/load/observe"
+)
+
+// Size of a plot.
+const (
+	plotWidth  = 14 * vg.Centimeter
+	plotHeight = 8 * vg.Centimeter
+)
+
+// page is what the template shows.
+type page struct {
+	Comparisons []comparison
+	Runs        []runView
+}
+
+// comparison is one deployment's plots over the load.
+type comparison struct {
+	Deployment string
+	Plots      []template.HTML
+}
+
+// runView is one run's part of the page.
+type runView struct {
+	Title    string
+	Capacity string
+	Policies []string
+	Rows     []tableRow
+	Accounts []accountRow
+	Plots    []template.HTML
+	Notes    []string
+}
+
+type tableRow struct {
+	Name   string
+	Values []string
+}
+
+type accountRow struct {
+	Policy string
+	observe.AccountResult
+}
+
+// Render writes the page.
+func Render(w io.Writer, runs []*experiment.Report) error {
+	var p page
+	for _, r := range runs {
+		v, err := view(r)
+		if err != nil {
+			return err
+		}
+		p.Runs = append(p.Runs, v)
+	}
+	var err error
+	if p.Comparisons, err = compare(runs); err != nil {
+		return err
+	}
+	return errors.Wrap(pageTemplate.Execute(w, p), "report")
+}
+
+func title(r *experiment.Report) string {
+	t := fmt.Sprintf("%s, load %g, %g s, seed %d", r.Deployment, r.Load, r.Duration, r.Seed)
+	if r.Faults != "" {
+		t += ", faults " + r.Faults[strings.LastIndexByte(r.Faults, '/')+1:]
+	}
+	return t
+}
+
+// view prepares one run.
+func view(r *experiment.Report) (runView, error) {
+	v := runView{
+		Title:    title(r),
+		Capacity: fmt.Sprintf("%.1f requests/s (prefill %.1f, decode %.1f, link %.1f)", r.Capacity.Requests, r.Capacity.Prefill, r.Capacity.Decode, r.Capacity.Link),
+		Policies: r.Order,
+	}
+	for _, m := range measures {
+		row := tableRow{Name: m.name}
+		for _, name := range r.Order {
+			row.Values = append(row.Values, strconv.FormatFloat(m.value(r.Policies[name]), 'g', 4, 64))
+		}
+		v.Rows = append(v.Rows, row)
+	}
+	for _, name := range r.Order {
+		p := r.Policies[name]
+		for _, a := range p.Accounts {
+			v.Accounts = append(v.Accounts, accountRow{name, a})
+		}
+		for _, n := range append(p.Broken, p.Notes...) {
+			v.Notes = append(v.Notes, name+": "+n)
+		}
+	}
+	for _, l := range latencies {
+		svg, err := distribution(r, l)
+		if err != nil {
+			return v, err
+		}
+		v.Plots = append(v.Plots, svg)
+	}
+	return v, nil
+}
+
+// latency is a distribution that is plotted for each run.
+type latency struct {
+	title  string
+	points func(*observe.Result) []observe.Point
+}
+
+var latencies = []latency{
+	{"time to first token", func(r *observe.Result) []observe.Point { return r.TTFT }},
+	{"time between tokens", func(r *observe.Result) []observe.Point { return r.ITL }},
+}
+
+// shown is the highest quantile plotted; the few slowest would flatten the rest.
+const shown = 0.995
+
+// distribution plots a latency over its quantiles, a line for each policy.
+func distribution(r *experiment.Report, l latency) (template.HTML, error) {
+	lines := map[string]plotter.XYs{}
+	for _, name := range r.Order {
+		for _, p := range l.points(r.Policies[name]) {
+			if p.Quantile <= shown {
+				lines[name] = append(lines[name], plotter.XY{X: 100 * p.Quantile, Y: 1000 * p.Seconds})
+			}
+		}
+	}
+	return draws(l.title, "percentile", "ms", r.Order, lines)
+}
+
+// measure is a figure of a result.
+type measure struct {
+	name  string
+	value func(*observe.Result) float64
+}
+
+var measures = []measure{
+	{"requests", func(r *observe.Result) float64 { return float64(r.Requests) }},
+	{"goodput_fraction", func(r *observe.Result) float64 { return r.GoodputFraction }},
+	{"goodput_of_capacity", func(r *observe.Result) float64 { return r.GoodputOfCapacity }},
+	{"wasted_prefill_fraction", func(r *observe.Result) float64 { return r.WastedPrefill }},
+	{"worst_account_fraction", func(r *observe.Result) float64 { return r.WorstAccount }},
+	{"wrongful_refusals", func(r *observe.Result) float64 { return float64(r.WrongfulRefusals) }},
+	{"ttft_p95_seconds", func(r *observe.Result) float64 { return r.TTFTP95 }},
+	{"itl_p95_seconds", func(r *observe.Result) float64 { return r.ITLP95 }},
+	{"ticket_in_force_max_seconds", func(r *observe.Result) float64 { return r.TicketInForceSeconds }},
+	{"excess_tokens", func(r *observe.Result) float64 { return r.ExcessTokens }},
+	{"duplicate_answers", func(r *observe.Result) float64 { return float64(r.DuplicateAnswers) }},
+	{"incomplete_answers", func(r *observe.Result) float64 { return float64(r.IncompleteAnswers) }},
+	{"cut_requests", func(r *observe.Result) float64 { return float64(r.CutRequests) }},
+	{"false_not_run", func(r *observe.Result) float64 { return float64(r.FalseNotRun) }},
+	{"operations_run_twice", func(r *observe.Result) float64 { return float64(r.OperationsRunTwice) }},
+	{"key_leaks", func(r *observe.Result) float64 { return float64(r.KeyLeaks) }},
+	{"held_after_drain", func(r *observe.Result) float64 { return float64(r.HeldAfterDrain) }},
+	{"late_new_work", func(r *observe.Result) float64 { return float64(r.LateNewWork) }},
+}
+
+// compared are the measures that are plotted over the load.
+var compared = []string{"goodput_of_capacity", "worst_account_fraction", "wasted_prefill_fraction", "wrongful_refusals"}
+
+// compare plots the runs of each deployment without faults over their loads.
+func compare(runs []*experiment.Report) ([]comparison, error) {
+	byDeployment := map[string][]*experiment.Report{}
+	var order []string
+	for _, r := range runs {
+		if r.Faults != "" {
+			continue
+		}
+		if byDeployment[r.Deployment] == nil {
+			order = append(order, r.Deployment)
+		}
+		byDeployment[r.Deployment] = append(byDeployment[r.Deployment], r)
+	}
+	var list []comparison
+	for _, name := range order {
+		c := comparison{Deployment: name}
+		for _, m := range measures {
+			if !slices.Contains(compared, m.name) {
+				continue
+			}
+			svg, err := overLoad(byDeployment[name], m)
+			if err != nil {
+				return nil, err
+			}
+			c.Plots = append(c.Plots, svg)
+		}
+		list = append(list, c)
+	}
+	return list, nil
+}
+
+func overLoad(runs []*experiment.Report, m measure) (template.HTML, error) {
+	runs = slices.Clone(runs)
+	slices.SortStableFunc(runs, func(a, b *experiment.Report) int { return cmp.Compare(a.Load, b.Load) })
+	lines := map[string]plotter.XYs{}
+	var order []string
+	for _, r := range runs {
+		for _, name := range r.Order {
+			if lines[name] == nil {
+				order = append(order, name)
+			}
+			lines[name] = append(lines[name], plotter.XY{X: r.Load, Y: m.value(r.Policies[name])})
+		}
+	}
+	return draws(m.name, "load", "", order, lines)
+}
+
+// draws returns a plot with one line for each name.
+func draws(title, x, y string, order []string, lines map[string]plotter.XYs) (template.HTML, error) {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, x, y
+	p.Legend.Top = true
+	p.Legend.Left = true
+	p.Y.Min = 0
+	p.Add(plotter.NewGrid())
+	for i, name := range order {
+		if len(lines[name]) == 0 {
+			continue
+		}
+		line, dots, err := plotter.NewLinePoints(lines[name])
+		if err != nil {
+			return "", errors.Wrapf(err, "plot %s", title)
+		}
+		line.Color, dots.Color = plotutil.Color(i), plotutil.Color(i)
+		dots.Radius = vg.Points(1.5)
+		p.Add(line, dots)
+		p.Legend.Add(name, line, dots)
+	}
+	c := vgsvg.New(plotWidth, plotHeight)
+	p.Draw(draw.New(c))
+	var b bytes.Buffer
+	if _, err := c.WriteTo(&b); err != nil {
+		return "", errors.Wrapf(err, "plot %s", title)
+	}
+	svg := b.String()
+	return template.HTML(svg[max(0, strings.Index(svg, "<svg")):]), nil
+}
