--- a/cmd/caraway-load/run.go
+++ b/cmd/caraway-load/run.go
@@ -18,6 +18,7 @@
 	"carawayrouter.example/router/internal/load/experiment"
 	"carawayrouter.example/router/internal/load/fault"
 	"carawayrouter.example/router/internal/load/workload"
+	"carawayrouter.example/router/internal/timeline"
 )
 
 type runArgs struct {
@@ -31,6 +32,7 @@
 	Faults     string        `arg:"--faults" placeholder:"FILE.ini" help:"fault script"`
 	Flood      []string      `arg:"--flood,separate" placeholder:"ACCOUNT=FACTOR" help:"multiply an account's arrivals"`
 	JSON       string        `arg:"--json" placeholder:"FILE" help:"write the result here"`
+	Events     string        `arg:"--events" placeholder:"FILE" help:"write the time line of all instances here, with the policy's name added"`
 }
 
 // options turns the arguments into an experiment.
@@ -69,6 +71,9 @@
 		return &usageError{err}
 	}
 	o.Progress = terminal()
+	if a.Events != "" {
+		o.Events = a.saveEvents
+	}
 	report, err := experiment.Run(ctx, o)
 	if err != nil {
 		return err
@@ -83,6 +88,15 @@
 	return nil
 }
 
+// saveEvents writes one policy's time line.
+func (a *runArgs) saveEvents(policy string, line *timeline.Line) error {
+	f, err := os.Create(a.Events + "." + policy)
+	if err != nil {
+		return errors.Wrap(err, "--events")
+	}
+	return errors.Wrap(errors.CombineErrors(line.Text(f), f.Close()), "--events")
+}
+
 // printReport writes one column for each policy.
 func printReport(w io.Writer, r *experiment.Report) {
 	fmt.Fprintf(w, "%s, load %g, %g s, seed %d; capacity %.1f requests/s (prefill %.1f, decode %.1f, link %.1f)\n",
--- a/internal/load/experiment/experiment.go
+++ b/internal/load/experiment/experiment.go
@@ -16,6 +16,7 @@
 	"carawayrouter.example/router/internal/load/fault"
 	"carawayrouter.example/router/internal/load/observe"
 	"carawayrouter.example/router/internal/load/workload"
+	"carawayrouter.example/router/internal/timeline"
 )
 
 // Options describe an experiment.
@@ -32,6 +33,8 @@
 	Mix        workload.Mix
 	Progress   io.Writer // nil: no progress
 	Log        logr.Logger
+	// Events, if set, gets the events of all instances that run after the drain.
+	Events func(policy string, line *timeline.Line) error
 }
 
 // Report is a saved experiment.
@@ -130,9 +133,31 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := saveEvents(ctx, o, f, name); err != nil {
+		return nil, err
+	}
 	result := observe.Judge(evidence)
 	result.Policy = name
 	counts := f.Store.Counts()
 	result.StoreReads, result.StoreWrites = counts.Reads, counts.Writes
 	return result, nil
 }
+
+// saveEvents hands over the time line of a run.
+func saveEvents(ctx context.Context, o Options, f *fleet.Fleet, policy string) error {
+	if o.Events == nil {
+		return nil
+	}
+	var addrs []string
+	for _, e := range f.Entries {
+		if e.Running() {
+			addrs = append(addrs, e.Settings().Listen.Operator)
+		}
+	}
+	ctx, stop := context.WithTimeout(ctx, startTimeout)
+	defer stop()
+	pages, losses := timeline.Fetch(ctx, addrs, f.OperatorToken())
+	line := timeline.Merge(pages, timeline.Filter{})
+	line.Losses = append(line.Losses, losses...)
+	return o.Events(policy, line)
+}
