--- a/internal/entry/evidence.go
+++ b/internal/entry/evidence.go
@@ -14,7 +14,7 @@
 	evidenceEvery   = 2 * time.Second // between reads of one process's session row
 	evidenceTimeout = time.Second
 	absentFor       = 8 * time.Second // a process without session and unheard for this long is dead
-	maxEvidence     = 4096             // processes remembered
+	maxEvidence     = 4096            // processes remembered
 )
 
 // process names one process incarnation of an instance.
