--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -225,11 +225,15 @@
 	return err
 }
 
-// shutDown leaves the platform's list, waits for running requests, then closes the
-// front and hands back rights.
+// shutDown leaves the platform's list, serves those that the lagging list still sends,
+// waits for running requests, then closes the front and hands back rights.
 func (d *Daemon) shutDown(ctx, force context.Context) {
 	if force.Err() == nil && ctx.Err() == nil {
 		d.leave()
+		select {
+		case <-d.deps.Clock.After(d.settings.Requests.LeaveGrace):
+		case <-force.Done():
+		}
 	}
 	waitCtx, stop := context.WithTimeout(force, d.drainTimeout())
 	defer stop()
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -8,6 +8,7 @@
 	"net"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -21,8 +22,9 @@
 // Entry is an entry instance of the fleet. It can be killed, drained and restarted
 // at the same addresses.
 type Entry struct {
-	fleet    *Fleet
-	settings entry.Settings
+	fleet     *Fleet
+	settings  entry.Settings
+	listeners entry.Listeners // of the first start
 
 	mu      sync.Mutex
 	daemon  *entry.Daemon
@@ -60,17 +62,49 @@
 	if err := settings.Parse(name, f.settingsFile(dc, name), &s); err != nil {
 		return nil, err
 	}
-	for _, addr := range []*string{&s.Listen.Callers, &s.Listen.Peers, &s.Listen.Operator} {
-		ln, err := net.Listen("tcp", loopback)
-		if err != nil {
+	e := &Entry{fleet: f}
+	for addr, ln := range map[*string]*net.Listener{
+		&s.Listen.Callers:  &e.listeners.Callers,
+		&s.Listen.Peers:    &e.listeners.Peers,
+		&s.Listen.Operator: &e.listeners.Operator,
+	} {
+		var err error
+		if *ln, err = net.Listen("tcp", loopback); err != nil {
 			return nil, errors.Wrapf(err, "instance %s", name)
 		}
-		defer ln.Close()
-		*addr = ln.Addr().String()
+		*addr = (*ln).Addr().String()
+	}
+	e.settings = s
+	return e, nil
+}
+
+// open returns the listeners of a first start, or opens those of a restart, for which
+// another process's connection may hold a port for a moment.
+func (e *Entry) open() (entry.Listeners, error) {
+	opened := e.listeners
+	e.listeners = entry.Listeners{}
+	if opened.Callers != nil {
+		return opened, nil
+	}
+	l := e.settings.Listen
+	for addr, ln := range map[string]*net.Listener{l.Callers: &opened.Callers, l.Peers: &opened.Peers, l.Operator: &opened.Operator} {
+		var err error
+		for range listenTries {
+			if *ln, err = net.Listen("tcp", addr); err == nil {
+				break
+			}
+			time.Sleep(pollInterval)
+		}
+		if err != nil {
+			return opened, errors.Wrapf(err, "instance %s", e.Name())
+		}
 	}
-	return &Entry{fleet: f, settings: s}, nil
+	return opened, nil
 }
 
+// listenTries bounds the wait for a port at a restart.
+const listenTries = 100
+
 // settingsFile returns an instance's settings but for its own addresses.
 func (f *Fleet) settingsFile(dc, name string) []byte {
 	hash := sha256.Sum256([]byte(f.operatorToken))
@@ -127,11 +161,16 @@
 func (e *Entry) Start() error {
 	f := e.fleet
 	gate := netgate.New(f.cutFrom(e.DataCentre()))
+	listeners, err := e.open()
+	if err != nil {
+		return err
+	}
 	daemon, err := entry.New(e.settings, entry.Deps{
-		Platform: httpplatform.ClientVia(f.PlatformAddr, e.DataCentre(), gate.DialContext),
-		Log:      f.o.Log,
-		Network:  entry.Network{Gate: gate},
-		Policy:   f.o.Policy,
+		Listeners: listeners,
+		Platform:  httpplatform.ClientVia(f.PlatformAddr, e.DataCentre(), gate.DialContext),
+		Log:       f.o.Log,
+		Network:   entry.Network{Gate: gate},
+		Policy:    f.o.Policy,
 	})
 	if err != nil {
 		return errors.Wrapf(err, "instance %s", e.Name())
