sched/dispatch: answers reach a holder that was away

A dispatcher forgets the mailbox of a holder that asked for nothing for 8 s, and numbered the answers in its new mailbox from 1 again; the holder took them for answers it had had.

Change: all mailboxes of a dispatcher share one sequence. A demand that waits for long is sent again after 2 s, then at doubling pauses, so that no lost answer can hold a request up for ever.

Conclusion: TestQuietHolderComesBack failed before the change and passes.

--- a/internal/sched/dispatch/client.go
+++ b/internal/sched/dispatch/client.go
@@ -25,7 +25,7 @@
 )
 
 // ticket is one demand of this instance, from its submission until its grant is
-// released or it is refused. Its fields after ch are guarded by Node.mu.
+// released or it is refused. Fields home and held are guarded by Node.mu.
 type ticket struct {
 	try    uint64
 	demand sched.Demand
@@ -34,6 +34,10 @@
 
 	home string     // address of the dispatcher
 	held *pool.Held // nil while waiting
+
+	// Of a ticket that waits at a link, guarded by link.mu.
+	sent  time.Time     // when the demand was sent last
+	pause time.Duration // until it is sent again
 }
 
 // result is the end of a ticket's wait.
--- a/internal/sched/dispatch/dispatch_test.go
+++ b/internal/sched/dispatch/dispatch_test.go
@@ -412,6 +412,26 @@
 	})
 }
 
+// TestQuietHolderComesBack uses a dispatcher again after longer than it remembers a
+// holder that asks for nothing.
+func TestQuietHolderComesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(9, []string{"a"}, 2, 1, 4)
+		defer f.stopAll()
+		time.Sleep(2 * time.Second)
+		for _, fn := range f.list() {
+			for range 3 {
+				for range 5 {
+					ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+					assert.NilError(t, f.serve(ctx, t, fn, fn.demand(), time.Millisecond))
+					cancel()
+				}
+				time.Sleep(3 * leaseTime)
+			}
+		}
+	})
+}
+
 // TestRandomFaultsLeakNothing runs requests under lost calls, cancels, crashes and
 // restarts of instances, dispatchers among them, known to the others at once or late.
 // Afterwards nothing is booked or running, and no request that was not cancelled by
--- a/internal/sched/dispatch/host.go
+++ b/internal/sched/dispatch/host.go
@@ -29,12 +29,13 @@
 
 	mu    sync.Mutex
 	boxes map[pool.Holder]*mailbox
+	seq   uint64 // of the last answer to any holder
 	asked time.Time
 }
 
-// mailbox keeps the answers that a holder has not confirmed.
+// mailbox keeps the answers that a holder has not confirmed. A holder that was away
+// gets a new one; answers stay in order because all mailboxes share one sequence.
 type mailbox struct {
-	next    uint64 // sequence number of the next answer
 	answers []Answer
 	arrived chan struct{} // closed when an answer comes
 	used    time.Time
@@ -139,7 +140,7 @@
 func (h *host) box(of pool.Holder) *mailbox {
 	b := h.boxes[of]
 	if b == nil {
-		b = &mailbox{next: 1, arrived: make(chan struct{})}
+		b = &mailbox{arrived: make(chan struct{})}
 		h.boxes[of] = b
 	}
 	b.used = h.node.opts.Clock.Now()
@@ -153,8 +154,8 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	b := h.box(dec.Key.Holder())
-	a.Seq = b.next
-	b.next++
+	h.seq++
+	a.Seq = h.seq
 	b.answers = append(b.answers, a)
 	close(b.arrived)
 	b.arrived = make(chan struct{})
--- a/internal/sched/dispatch/link.go
+++ b/internal/sched/dispatch/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -13,6 +14,9 @@
 const (
 	maxPush    = 256  // operations in one call
 	maxPending = 8192 // operations that wait for a call; more are dropped
+
+	firstRemind = 2 * time.Second // until a waiting demand is sent again; doubles
+	maxRemind   = time.Minute
 )
 
 // errMoved tells a waiting request to look for its dispatcher again.
@@ -64,7 +68,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.waiting[t.try] = t
-	l.send(Op{Kind: OpSubmit, Try: t.try, Seq: t.demand.ID.Seq, Demand: toWire(t.demand, l.node.opts.Clock.Now())})
+	t.pause = firstRemind
+	l.sendDemand(t)
 }
 
 // report sends another operation of a ticket.
@@ -82,10 +87,31 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if t := l.waiting[try]; t != nil {
-		l.send(Op{Kind: OpSubmit, Try: t.try, Seq: t.demand.ID.Seq, Demand: toWire(t.demand, l.node.opts.Clock.Now())})
+		l.sendDemand(t)
 	}
 }
 
+// remind sends the demands again that have waited for long since they were last sent.
+// The dispatcher answers again if it granted one already.
+func (l *link) remind() {
+	now := l.node.opts.Clock.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, t := range l.waiting {
+		if now.Sub(t.sent) < t.pause {
+			continue
+		}
+		t.pause = min(2*t.pause, maxRemind)
+		l.sendDemand(t)
+	}
+}
+
+// sendDemand queues the demand of a ticket. The caller holds mu.
+func (l *link) sendDemand(t *ticket) {
+	t.sent = l.node.opts.Clock.Now()
+	l.send(Op{Kind: OpSubmit, Try: t.try, Seq: t.demand.ID.Seq, Demand: toWire(t.demand, t.sent)})
+}
+
 // send queues an operation. The caller holds mu.
 func (l *link) send(op Op) {
 	if len(l.ops) >= maxPending {
@@ -205,7 +231,7 @@
 		return
 	}
 	for _, t := range l.waiting {
-		l.send(Op{Kind: OpSubmit, Try: t.try, Seq: t.demand.ID.Seq, Demand: toWire(t.demand, l.node.opts.Clock.Now())})
+		l.sendDemand(t)
 	}
 }
 
--- a/internal/sched/dispatch/renew.go
+++ b/internal/sched/dispatch/renew.go
@@ -183,6 +183,7 @@
 	for _, try := range waiting {
 		l.resubmit(try)
 	}
+	l.remind()
 }
 
 // split sorts tries into grants held and tries that wait.
--- a/internal/sched/dispatch/wire.go
+++ b/internal/sched/dispatch/wire.go
@@ -83,7 +83,7 @@
 
 // Answer is the decision on one demand.
 type Answer struct {
-	Seq        uint64 // counts up for each holder within a session
+	Seq        uint64 // grows within a session
 	Try        uint64
 	Request    uint64 // sequence number of the request id
 	Prefill    string // endpoint names
