shard: hooks in order, and only changed rows to peers

Change: hooks are queued in the order of gains and losses and run one at a time; before a release is written, all have run. Sync answers carry the rows that changed since the position asked for.

--- a/internal/shard/controller.go
+++ b/internal/shard/controller.go
@@ -108,6 +108,8 @@
 	placedFor  []member.Session
 	lastPlaced placement // for placedFor; both guarded by round
 
+	hooks sync.Mutex // held while hooks run
+
 	mu       sync.Mutex // guards all below, and opts.Rand
 	records  map[Key]Record
 	read     map[Key]time.Time // when rows of other data centres were read
@@ -121,11 +123,13 @@
 	loaded    bool                 // the rows of the data centre were read at least once
 	scanned   time.Time            // last successful read of the rows from the table
 	unfit     map[string]time.Time // pollers that had not read lately, and when
-	gen       uint64
+	gen       uint64               // counts the changes of rows of the data centre
+	changed   map[Key]uint64       // gen of the last change of each
 	source    uint64
 	pulled    SyncArgs
 	nextScan  time.Time
 	nextGive  time.Time
+	pending   []func() // hooks to call
 	leaving   bool
 	onGain    []Hook
 	onLose    []Hook
@@ -161,6 +165,7 @@
 		retiring:  map[Key]uint64{},
 		orphans:   map[Key]time.Time{},
 		notReady:  map[string]time.Time{},
+		changed:   map[Key]uint64{},
 		unfit:     map[string]time.Time{},
 		seen:      map[string]seenMember{},
 		departing: map[string]uint64{},
@@ -277,18 +282,19 @@
 }
 
 // note takes over a row if it is newer than the one known, and settles whether this
-// process holds the shard. It returns the hooks to call. The caller holds mu.
-func (c *Controller) note(r Record) (calls []func()) {
+// process holds the shard. The caller holds mu and calls runHooks after that.
+func (c *Controller) note(r Record) {
 	old, known := c.records[r.Key]
 	if known && r.Version < old.Version && r.Version != 0 {
-		return nil // an older read
+		return // an older read
 	}
 	c.records[r.Key] = r
 	if r.Key.DataCentre != c.dc {
-		return nil
+		return
 	}
 	if !known || old != r {
 		c.gen++
+		c.changed[r.Key] = c.gen
 	}
 	if v, ok := c.retiring[r.Key]; ok && r.Version > v {
 		delete(c.retiring, r.Key)
@@ -298,36 +304,41 @@
 	mine := !retiring && self.Epoch > 0 && r.Home.Name == self.Name && r.Home.Epoch == self.Epoch
 	h, held := c.held[r.Key]
 	if held && (!mine || h.epoch != r.Epoch) {
-		calls = append(calls, c.lose(r.Key)...)
+		c.lose(r.Key)
 		held = false
 	}
 	if mine && !held {
-		calls = append(calls, c.gain(r.Key, holding{epoch: r.Epoch, session: self.Epoch})...)
+		c.gain(r.Key, holding{epoch: r.Epoch, session: self.Epoch})
 	}
-	return calls
 }
 
-func (c *Controller) gain(k Key, h holding) (calls []func()) {
+func (c *Controller) gain(k Key, h holding) {
 	c.held[k] = h
 	c.opts.Events.Add(event.Event{Kind: "shard.gained", Detail: k.String()})
 	for _, hook := range c.onGain {
-		calls = append(calls, func() { hook(k, h.epoch) })
+		c.pending = append(c.pending, func() { hook(k, h.epoch) })
 	}
-	return calls
 }
 
-func (c *Controller) lose(k Key) (calls []func()) {
+func (c *Controller) lose(k Key) {
 	h := c.held[k]
 	delete(c.held, k)
 	c.opts.Events.Add(event.Event{Kind: "shard.lost", Detail: k.String()})
 	for _, hook := range c.onLose {
-		calls = append(calls, func() { hook(k, h.epoch) })
+		c.pending = append(c.pending, func() { hook(k, h.epoch) })
 	}
-	return calls
 }
 
-func run(calls []func()) {
-	for _, f := range calls {
+// runHooks calls the hooks that are due, in the order of the gains and losses. On its
+// return all that were due at its start have been called.
+func (c *Controller) runHooks() {
+	c.hooks.Lock()
+	defer c.hooks.Unlock()
+	c.mu.Lock()
+	due := c.pending
+	c.pending = nil
+	c.mu.Unlock()
+	for _, f := range due {
 		f()
 	}
 }
--- a/internal/shard/round.go
+++ b/internal/shard/round.go
@@ -75,12 +75,11 @@
 
 func (c *Controller) loseAll() {
 	c.mu.Lock()
-	var calls []func()
 	for k := range c.held {
-		calls = append(calls, c.lose(k)...)
+		c.lose(k)
 	}
 	c.mu.Unlock()
-	run(calls)
+	c.runHooks()
 }
 
 // noteMembers keeps since when each member has been in the view.
@@ -187,6 +186,7 @@
 // take writes this session into rows, each on condition that it is unchanged, with an
 // epoch higher by one.
 func (c *Controller) take(ctx context.Context, self member.Session, rows []Record) error {
+	self.Process = 0 // not in the row
 	next := make([]Record, len(rows))
 	for i, r := range rows {
 		next[i] = Record{Assignment: Assignment{Key: r.Key, Home: self, Epoch: r.Epoch + 1}}
@@ -245,12 +245,11 @@
 
 func (c *Controller) noteAll(rows []Record) {
 	c.mu.Lock()
-	var calls []func()
 	for _, r := range rows {
-		calls = append(calls, c.note(r)...)
+		c.note(r)
 	}
 	c.mu.Unlock()
-	run(calls)
+	c.runHooks()
 }
 
 // handOver releases a few of the shards that another member is to have, once that
@@ -309,19 +308,18 @@
 // holds none of them, whatever the outcome of the write.
 func (c *Controller) release(ctx context.Context, keys []Key) error {
 	var rows, next []Record
-	var calls []func()
 	c.mu.Lock()
 	for _, k := range keys {
 		r := c.records[k]
 		if _, held := c.held[k]; held {
-			calls = append(calls, c.lose(k)...)
+			c.lose(k)
 		}
 		c.retiring[k] = r.Version
 		rows = append(rows, r)
 		next = append(next, Record{Assignment: Assignment{Key: k, Epoch: r.Epoch}})
 	}
 	c.mu.Unlock()
-	run(calls)
+	c.runHooks()
 	if len(rows) == 0 {
 		return nil
 	}
--- a/internal/shard/sync.go
+++ b/internal/shard/sync.go
@@ -28,14 +28,14 @@
 	staleScans = 4
 )
 
-// SyncArgs asks for the rows of the data centre if they differ from those known.
+// SyncArgs asks for the rows of the data centre that changed since a position.
 type SyncArgs struct{ Source, Gen uint64 }
 
 // SyncReply answers SyncArgs.
 type SyncReply struct {
 	Source, Gen uint64
-	Fresh       bool     // the callee reads the table, and has lately succeeded
-	Rows        []Record // empty if nothing changed
+	Fresh       bool // the callee reads the table, and has lately succeeded
+	Rows        []Record
 }
 
 // LookupArgs asks for rows of other data centres.
@@ -70,11 +70,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	*reply = SyncReply{Source: c.source, Gen: c.gen, Fresh: c.fresh()}
-	if !reply.Fresh || args.Source == c.source && args.Gen == c.gen {
+	if !reply.Fresh {
 		return nil
 	}
-	for k, r := range c.records {
-		if k.DataCentre == c.dc {
+	for k, gen := range c.changed {
+		if r := c.records[k]; args.Source != c.source || gen > args.Gen {
 			reply.Rows = append(reply.Rows, r)
 		}
 	}
