--- a/internal/shard/controller.go
+++ b/internal/shard/controller.go
@@ -21,7 +21,7 @@
 	DefaultRoundEvery    = time.Second
 	DefaultScanEvery     = 2 * time.Second
 	DefaultStableFor     = 10 * time.Second
-	DefaultHandOverEvery = 3 * time.Second
+	DefaultHandOverEvery = time.Second
 	DefaultHandOvers     = 4
 	DefaultClaimDelay    = 5 * time.Second
 	DefaultForeignTTL    = time.Minute
