limit/escrow: rapid draws the fault scripts

Each holds the homes, clients and share moves to: no window above rate and burst, shares never above the whole, all rights back at the end.

--- a/internal/limit/escrow/fault_test.go
+++ b/internal/limit/escrow/fault_test.go
@@ -2,13 +2,17 @@
 
 import (
 	"context"
+	"flag"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 )
 
 // load makes open-loop requests at the nodes for a time and reports outcomes.
@@ -67,21 +71,31 @@
 	}
 }
 
-// checkWhole fails unless all rights of an account are there again, and can be had
-// in one piece.
+// checkWhole fails unless all rights of an account are there again.
 func (w *world) checkWhole(t *testing.T, name string, rate, burst float64) {
 	t.Helper()
-	time.Sleep(time.Duration(4*burst/rate*float64(time.Second)) + 15*time.Second)
+	assert.NilError(t, w.wholeAgain(name, rate, burst))
+}
+
+// wholeAgain reports whether all rights of an account are there again after a while,
+// and can be had in one piece, and that it never used more than its own.
+func (w *world) wholeAgain(name string, rate, burst float64) error {
+	fill := time.Duration(burst / rate * float64(time.Second))
+	time.Sleep(4*fill + 15*time.Second)
 	synctest.Wait()
-	share, tokens := w.rights(name)
-	assert.Equal(t, share, int64(whole))
-	assert.Equal(t, tokens, micro(burst))
+	if share, tokens := w.rights(name); share != whole || tokens != micro(burst) {
+		return errors.Newf("share %d of %d, tokens %d of %d", share, int64(whole), tokens, micro(burst))
+	}
 	for i := range 2 {
-		nodes := w.in(w.dcs[i%len(w.dcs)])
-		_, _, err := nodes[0].reserve(name, int(burst), time.Duration(2*burst/rate*float64(time.Second))+15*time.Second)
-		assert.NilError(t, err)
+		n := w.in(w.dcs[i%len(w.dcs)])[0]
+		if _, _, err := n.reserve(name, int(burst), 2*fill+15*time.Second); err != nil {
+			return errors.Wrap(err, "the whole burst")
+		}
+	}
+	if excess, total := w.excess(name, rate, burst); excess > 0 {
+		return errors.Newf("%v of %v tokens above rate and burst", excess, total)
 	}
-	w.checkNoExcess(t, name, rate, burst)
+	return nil
 }
 
 func (w *world) checkNoExcess(t *testing.T, name string, rate, burst float64) {
@@ -440,54 +454,101 @@
 	})
 }
 
-// Random faults, several at a time, never make a window exceed rate and burst, and
-// no right is lost for ever.
+// step is one fault of a script and the pause after it.
+type step struct {
+	Kind   int
+	Node   int
+	Other  int
+	Count  int
+	Length int // of the fault, ms
+	Pause  int // ms
+}
+
+// drawScript draws faults that may overlap.
+func drawScript(t *rapid.T) []step {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) step {
+		return step{
+			Kind:   rapid.IntRange(0, 7).Draw(t, "kind"),
+			Node:   rapid.IntRange(0, 8).Draw(t, "node"),
+			Other:  rapid.IntRange(0, 8).Draw(t, "other"),
+			Count:  rapid.IntRange(1, 20).Draw(t, "count"),
+			Length: rapid.IntRange(0, 5000).Draw(t, "length"),
+			Pause:  rapid.IntRange(0, 3000).Draw(t, "pause"),
+		}
+	}), 1, 12).Draw(t, "script")
+}
+
+// Faults in any order, several at a time, never make a window exceed rate and burst
+// nor the shares exceed the whole, and no right is lost for ever. More runs:
+// -rapid.checks.
 func TestRandomFaults(t *testing.T) {
-	for seed := range uint64(8) {
-		run(t, func(t *testing.T) {
-			w := newWorld(threeDCs, 3, acct("acme", 600, 1500))
-			defer w.stop()
-			w.open(t, "acme")
-			rng := rand.New(rand.NewPCG(seed, 3))
-			l := &load{w: w, account: "acme", every: 15 * time.Millisecond, tokens: 1 + rng.IntN(700), wait: 2 * time.Second, nodes: w.all, settle: true}
-			var wg sync.WaitGroup
-			wg.Go(func() { l.run(30*time.Second, seed) })
-			for range 12 {
-				own := rand.New(rand.NewPCG(seed, rng.Uint64()))
-				wg.Go(func() { w.randomFault(own) })
-				time.Sleep(time.Duration(rng.IntN(3000)) * time.Millisecond)
-			}
-			wg.Wait()
-			assert.Assert(t, l.served > 0)
-			w.checkWhole(t, "acme", 600, 1500)
-		})
+	if f := flag.Lookup("rapid.checks"); f.Value.String() == f.DefValue {
+		assert.NilError(t, flag.Set("rapid.checks", "12"))
+		assert.NilError(t, flag.Set("rapid.seed", "1"))
+	}
+	rapid.Check(t, func(rt *rapid.T) {
+		script := drawScript(rt)
+		tokens := rapid.IntRange(1, 700).Draw(rt, "tokens")
+		seed := rapid.Uint64().Draw(rt, "seed")
+		var err error
+		run(t, func(t *testing.T) { err = runScript(t, script, tokens, seed) })
+		if err != nil {
+			rt.Fatal(err)
+		}
+	})
+}
+
+func runScript(t *testing.T, script []step, tokens int, seed uint64) error {
+	w := newWorld(threeDCs, 3, acct("acme", 600, 1500))
+	defer w.stop()
+	w.open(t, "acme")
+	length := 10 * time.Second
+	for _, s := range script {
+		length += time.Duration(s.Pause) * time.Millisecond
+	}
+	l := &load{w: w, account: "acme", every: 15 * time.Millisecond, tokens: tokens, wait: 2 * time.Second, nodes: w.all, settle: true}
+	var wg sync.WaitGroup
+	wg.Go(func() { l.run(length, seed) })
+	for _, s := range script {
+		wg.Go(func() { w.play(s) })
+		time.Sleep(time.Duration(s.Pause) * time.Millisecond)
+		if share, _ := w.rights("acme"); share > whole {
+			return errors.Newf("shares add up to %d", share)
+		}
+	}
+	wg.Wait()
+	if l.served == 0 {
+		return errors.New("nothing was served")
 	}
+	w.heal()
+	return w.wholeAgain("acme", 600, 1500)
 }
 
-// randomFault makes one fault and ends it.
-func (w *world) randomFault(rng *rand.Rand) {
-	d := time.Duration(rng.IntN(5000)) * time.Millisecond
-	nodes := w.all()
-	n := nodes[rng.IntN(len(nodes))]
-	switch rng.IntN(8) {
+// play makes one fault and ends it.
+func (w *world) play(s step) {
+	d := time.Duration(s.Length) * time.Millisecond
+	n, o := w.nodes[s.Node], w.nodes[s.Other]
+	switch s.Kind {
 	case 0:
-		w.inject(fault{request: true, count: 1 + rng.IntN(20)})
+		w.inject(fault{request: true, count: s.Count})
 	case 1:
-		w.inject(fault{count: 1 + rng.IntN(20)})
+		w.inject(fault{count: s.Count})
 	case 2:
-		w.inject(fault{delay: d, count: 1 + rng.IntN(3)})
+		w.inject(fault{delay: d, count: s.Count%3 + 1})
 	case 3:
-		a, b := w.dcs[rng.IntN(3)], w.dcs[rng.IntN(3)]
-		w.cut(a, b, true)
+		w.cut(n.self.DataCentre, o.self.DataCentre, true)
 		time.Sleep(d)
-		w.cut(a, b, false)
+		w.cut(n.self.DataCentre, o.self.DataCentre, false)
 	case 4:
 		w.table.set(func(m *memTable) { m.down = true })
 		time.Sleep(d)
 		w.table.set(func(m *memTable) { m.down = false })
 	case 5:
-		w.table.set(func(m *memTable) { m.lose = 3 })
+		w.table.set(func(m *memTable) { m.lose, m.late = s.Count%4, d })
 	case 6: // paused, taken over, back
+		if !slices.Contains(w.all(), n) {
+			return // paused already
+		}
 		w.pause(n)
 		w.isolate(n, true)
 		time.Sleep(d)
@@ -504,3 +565,11 @@
 		w.moveShards(n, n)
 	}
 }
+
+// heal ends the faults that are left.
+func (w *world) heal() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.faults = nil
+	w.table.set(func(m *memTable) { m.lose, m.late = 0, 0 })
+}
