limit/escrow: end the calls of a paused caller in the fault tests

The trial that did not end: the fake network lost the answer to a call whose caller it models as paused, and nothing else ends such a call. It now gets an error after the pause. No change outside tests.

--- a/internal/limit/escrow/world_test.go
+++ b/internal/limit/escrow/world_test.go
@@ -392,11 +392,16 @@
 		w.mu.Lock()
 		gone := to.dead || w.cuts[[2]string{n.self.DataCentre, to.self.DataCentre}]
 		w.mu.Unlock()
-		if gone || (f != nil && f.delay == 0) {
+		if f != nil && f.delay > 0 {
+			time.Sleep(f.delay)
+			if gone {
+				err = peer.ErrBroken // its caller has no other way to end
+			}
+			answer <- err
 			return
 		}
-		if f != nil {
-			time.Sleep(f.delay)
+		if gone || f != nil {
+			return
 		}
 		answer <- err
 	}()
