interface: a fleet keeps its instances' listeners open until they start

The ports were chosen by opening and closing a listener; in fleets of 16 and more instances another socket sometimes got one first (slopes: "cannot listen: address already in use"). The listeners are now handed to the daemon.

--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -25,6 +25,7 @@
 	settings entry.Settings
 
 	mu      sync.Mutex
+	opened  entry.Listeners // for the first start
 	daemon  *entry.Daemon
 	gate    *netgate.Gate
 	drain   context.CancelFunc
@@ -54,21 +55,30 @@
 	return nil
 }
 
-// newEntry prepares the settings of an instance, with ports that are free now.
+// newEntry prepares the settings of an instance and opens its listeners, so that no
+// other socket gets their ports before it starts.
 func (f *Fleet) newEntry(dc, name string) (*Entry, error) {
 	var s entry.Settings
 	if err := settings.Parse(name, f.settingsFile(dc, name), &s); err != nil {
 		return nil, err
 	}
-	for _, addr := range []*string{&s.Listen.Callers, &s.Listen.Peers, &s.Listen.Operator} {
+	e := &Entry{fleet: f}
+	for _, x := range []struct {
+		addr *string
+		ln   *net.Listener
+	}{
+		{&s.Listen.Callers, &e.opened.Callers},
+		{&s.Listen.Peers, &e.opened.Peers},
+		{&s.Listen.Operator, &e.opened.Operator},
+	} {
 		ln, err := net.Listen("tcp", loopback)
 		if err != nil {
 			return nil, errors.Wrapf(err, "instance %s", name)
 		}
-		defer ln.Close()
-		*addr = ln.Addr().String()
+		*x.addr, *x.ln = ln.Addr().String(), ln
 	}
-	return &Entry{fleet: f, settings: s}, nil
+	e.settings = s
+	return e, nil
 }
 
 // settingsFile returns an instance's settings but for its own addresses.
@@ -127,11 +137,16 @@
 func (e *Entry) Start() error {
 	f := e.fleet
 	gate := netgate.New(f.cutFrom(e.DataCentre()))
+	e.mu.Lock()
+	opened := e.opened
+	e.opened = entry.Listeners{}
+	e.mu.Unlock()
 	daemon, err := entry.New(e.settings, entry.Deps{
-		Platform: httpplatform.ClientVia(f.PlatformAddr, e.DataCentre(), gate.DialContext),
-		Log:      f.o.Log,
-		Network:  entry.Network{Gate: gate},
-		Policy:   f.o.Policy,
+		Listeners: opened,
+		Platform:  httpplatform.ClientVia(f.PlatformAddr, e.DataCentre(), gate.DialContext),
+		Log:       f.o.Log,
+		Network:   entry.Network{Gate: gate},
+		Policy:    f.o.Policy,
 	})
 	if err != nil {
 		return errors.Wrapf(err, "instance %s", e.Name())
@@ -188,7 +203,14 @@
 func (e *Entry) end(how func()) {
 	e.mu.Lock()
 	stopped := e.stopped
+	opened := e.opened
+	e.opened = entry.Listeners{}
 	e.mu.Unlock()
+	for _, ln := range []net.Listener{opened.Callers, opened.Peers, opened.Operator} {
+		if ln != nil {
+			_ = ln.Close()
+		}
+	}
 	if stopped == nil {
 		return
 	}
