--- a/internal/filters/schedule.go
+++ b/internal/filters/schedule.go
@@ -95,7 +95,7 @@
 		Prompt:     r.Tokens,
 	}
 	if r.Account != nil {
-		d.Weight = r.Account.Weight
+		d.Weight = r.Account.Weight * r.Account.Rate
 	}
 	if c := r.Completion; c != nil {
 		d.Model = c.Model
