--- a/internal/platform/httpplatform/client.go
+++ b/internal/platform/httpplatform/client.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -152,17 +153,27 @@
 	case codeConflict:
 		return errors.WithStack(&platform.ConflictError{Key: a.Key, Want: a.Want, Have: a.Have})
 	case codeUnknown:
-		return errors.Wrap(platform.ErrUnknownOutcome, a.Message)
+		return received(platform.ErrUnknownOutcome, a.Message)
 	case codeUnavailable:
-		return errors.Wrap(platform.ErrUnavailable, a.Message)
+		return received(platform.ErrUnavailable, a.Message)
 	case codeNotFound:
-		return errors.Wrap(platform.ErrNotFound, a.Message)
+		return received(platform.ErrNotFound, a.Message)
 	case codeBadRequest:
 		return errors.Newf("platform refused the request: %s", a.Message)
 	}
 	return lost(writes, errors.Newf("status %d: %s", resp.StatusCode, a.Message))
 }
 
+// received returns kind with what the server's message tells beyond it.
+func received(kind error, message string) error {
+	detail := strings.TrimSuffix(message, kind.Error())
+	detail = strings.TrimSuffix(detail, ": ")
+	if detail == "" {
+		return errors.WithStack(kind)
+	}
+	return errors.Wrap(kind, detail)
+}
+
 type tableClient client
 
 // Get implements platform.Table.
--- a/internal/platform/httpplatform/httpplatform_test.go
+++ b/internal/platform/httpplatform/httpplatform_test.go
@@ -90,6 +90,7 @@
 	assert.NilError(t, SetFault(ctx, addr, Fault{Cut: map[string]bool{"a": true}}))
 	_, err = table.Get(ctx, "x")
 	assert.ErrorIs(t, err, platform.ErrUnavailable)
+	assert.Error(t, err, "data centre a is cut off: platform service unavailable")
 	rows, err := Client(addr, "b").Table.Get(ctx, "x")
 	assert.NilError(t, err)
 	assert.Assert(t, rows[0].Version > 0)
