--- a/internal/ticket/applier_test.go
+++ b/internal/ticket/applier_test.go
@@ -307,3 +307,27 @@
 	_, err = Get(ctx, p.Table, 4)
 	assert.Assert(t, errors.Is(err, platform.ErrNotFound))
 }
+
+// FuzzApply gives an instance tickets and a snapshot as they might come from a peer.
+func FuzzApply(f *testing.F) {
+	f.Add([]byte(`{"number":1,"changes":[{"kind":"account","name":"a","account":{"name":"a","rate":1}}]}`), []byte(`{"ticket":3,"objects":{"keys":[{"id":"k"}]}}`))
+	f.Add([]byte(`{"number":2,"changes":[{"kind":"key","name":"k","delete":true}]}`), []byte(`{"ticket":1,"objects":{"accounts":[null]}}`))
+	f.Add([]byte(`{"number":1,"changes":[{"kind":"pool","name":"p"}]}`), []byte(`{"ticket":1}`))
+	f.Add([]byte(`null`), []byte(`null`))
+	f.Fuzz(func(t *testing.T, data, snapshot []byte) {
+		a := NewApplier(Options{})
+		before := uint64(0)
+		for _, u := range []update{
+			{tail: Tail{Tickets: [][]byte{data}}},
+			{tail: Tail{Snapshot: snapshot, Tickets: [][]byte{data}}},
+			{tail: Tail{Tickets: [][]byte{data, data}}},
+		} {
+			a.apply(u)
+			assert.Assert(t, a.Applied() >= before)
+			assert.Equal(t, a.Applied(), a.set.ticket)
+			before = a.Applied()
+		}
+		_, err := a.Snapshot()
+		assert.NilError(t, err)
+	})
+}
--- a/internal/ticket/set.go
+++ b/internal/ticket/set.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 
@@ -135,5 +136,14 @@
 	if s.Objects == nil {
 		return nil, errors.New("decode snapshot: no objects")
 	}
+	if hasNil(s.Objects) {
+		return nil, errors.New("decode snapshot: empty object")
+	}
 	return newSet(s.Ticket, s.Objects), nil
 }
+
+// hasNil reports whether a list holds no object where one should be.
+func hasNil(o *config.Objects) bool {
+	return slices.Contains(o.Accounts, nil) || slices.Contains(o.Keys, nil) || slices.Contains(o.Pools, nil) ||
+		slices.Contains(o.Endpoints, nil) || slices.Contains(o.Routes, nil)
+}
