--- a/internal/ticket/applier_test.go
+++ b/internal/ticket/applier_test.go
@@ -94,15 +94,10 @@
 		submitN(t, p, i, i)
 		waitApplied(t, a, uint64(i))
 		waitApplied(t, b, uint64(i))
-	}
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		names, err := p.Objects.List(context.Background(), snapshotPrefix)
-		assert.NilError(t, err)
-		if len(names) >= 3 {
-			return poll.Success()
+		if i%12 == 0 {
+			waitSnapshots(t, p, i/12)
 		}
-		return poll.Continue("%d snapshots", len(names))
-	}, poll.WithTimeout(testTimeout))
+	}
 	names, err := p.Objects.List(context.Background(), snapshotPrefix)
 	assert.NilError(t, err)
 	assert.Equal(t, len(names), 3, "each snapshot is written once: %v", names)
@@ -113,6 +108,18 @@
 	assert.Assert(t, store.Counts().RowsRead-before < 36)
 }
 
+func waitSnapshots(t *testing.T, p platform.Platform, n int) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		names, err := p.Objects.List(context.Background(), snapshotPrefix)
+		assert.NilError(t, err)
+		if len(names) >= n {
+			return poll.Success()
+		}
+		return poll.Continue("%d snapshots of %d", len(names), n)
+	}, poll.WithTimeout(testTimeout), poll.WithDelay(time.Millisecond))
+}
+
 func TestOldSnapshotsAreEmptied(t *testing.T) {
 	ctx := context.Background()
 	p := memplatform.New(memplatform.Options{}).For("a")
