--- a/internal/entry/evidence.go
+++ b/internal/entry/evidence.go
@@ -13,8 +13,8 @@
 const (
 	evidenceEvery   = 2 * time.Second // between reads of one process's session row
 	evidenceTimeout = time.Second
-	absentFor       = 30 * time.Second // a process without session and unheard for this long is dead
-	maxEvidence     = 4096             // processes remembered
+	absentFor       = 8 * time.Second // a process without session and unheard for this long is dead
+	maxEvidence     = 4096            // processes remembered
 )
 
 // process names one process incarnation of an instance.
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -8,6 +8,7 @@
 	"net"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -21,11 +22,11 @@
 // Entry is an entry instance of the fleet. It can be killed, drained and restarted
 // at the same addresses.
 type Entry struct {
-	fleet    *Fleet
-	settings entry.Settings
+	fleet     *Fleet
+	settings  entry.Settings
+	listeners entry.Listeners // of the first start
 
 	mu      sync.Mutex
-	opened  entry.Listeners // for the first start
 	daemon  *entry.Daemon
 	gate    *netgate.Gate
 	drain   context.CancelFunc
@@ -55,32 +56,55 @@
 	return nil
 }
 
-// newEntry prepares the settings of an instance and opens its listeners, so that no
-// other socket gets their ports before it starts.
+// newEntry prepares the settings of an instance, with ports that are free now.
 func (f *Fleet) newEntry(dc, name string) (*Entry, error) {
 	var s entry.Settings
 	if err := settings.Parse(name, f.settingsFile(dc, name), &s); err != nil {
 		return nil, err
 	}
 	e := &Entry{fleet: f}
-	for _, x := range []struct {
-		addr *string
-		ln   *net.Listener
-	}{
-		{&s.Listen.Callers, &e.opened.Callers},
-		{&s.Listen.Peers, &e.opened.Peers},
-		{&s.Listen.Operator, &e.opened.Operator},
+	for addr, ln := range map[*string]*net.Listener{
+		&s.Listen.Callers:  &e.listeners.Callers,
+		&s.Listen.Peers:    &e.listeners.Peers,
+		&s.Listen.Operator: &e.listeners.Operator,
 	} {
-		ln, err := net.Listen("tcp", loopback)
-		if err != nil {
+		var err error
+		if *ln, err = net.Listen("tcp", loopback); err != nil {
 			return nil, errors.Wrapf(err, "instance %s", name)
 		}
-		*x.addr, *x.ln = ln.Addr().String(), ln
+		*addr = (*ln).Addr().String()
 	}
 	e.settings = s
 	return e, nil
 }
 
+// open returns the listeners of a first start, or opens those of a restart, for which
+// another process's connection may hold a port for a moment.
+func (e *Entry) open() (entry.Listeners, error) {
+	opened := e.listeners
+	e.listeners = entry.Listeners{}
+	if opened.Callers != nil {
+		return opened, nil
+	}
+	l := e.settings.Listen
+	for addr, ln := range map[string]*net.Listener{l.Callers: &opened.Callers, l.Peers: &opened.Peers, l.Operator: &opened.Operator} {
+		var err error
+		for range listenTries {
+			if *ln, err = net.Listen("tcp", addr); err == nil {
+				break
+			}
+			time.Sleep(pollInterval)
+		}
+		if err != nil {
+			return opened, errors.Wrapf(err, "instance %s", e.Name())
+		}
+	}
+	return opened, nil
+}
+
+// listenTries bounds the wait for a port at a restart.
+const listenTries = 100
+
 // settingsFile returns an instance's settings but for its own addresses.
 func (f *Fleet) settingsFile(dc, name string) []byte {
 	hash := sha256.Sum256([]byte(f.operatorToken))
@@ -137,12 +161,12 @@
 func (e *Entry) Start() error {
 	f := e.fleet
 	gate := netgate.New(f.cutFrom(e.DataCentre()))
-	e.mu.Lock()
-	opened := e.opened
-	e.opened = entry.Listeners{}
-	e.mu.Unlock()
+	listeners, err := e.open()
+	if err != nil {
+		return err
+	}
 	daemon, err := entry.New(e.settings, entry.Deps{
-		Listeners: opened,
+		Listeners: listeners,
 		Platform:  httpplatform.ClientVia(f.PlatformAddr, e.DataCentre(), gate.DialContext),
 		Log:       f.o.Log,
 		Network:   entry.Network{Gate: gate},
@@ -203,14 +227,7 @@
 func (e *Entry) end(how func()) {
 	e.mu.Lock()
 	stopped := e.stopped
-	opened := e.opened
-	e.opened = entry.Listeners{}
 	e.mu.Unlock()
-	for _, ln := range []net.Listener{opened.Callers, opened.Peers, opened.Operator} {
-		if ln != nil {
-			_ = ln.Close()
-		}
-	}
 	if stopped == nil {
 		return
 	}
--- a/internal/member/scan.go
+++ b/internal/member/scan.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"time"
 
 	"carawayrouter.example/router/internal/peer"
@@ -14,6 +16,13 @@
 	// staleRenewals is the number of renewals that an instance of another data
 	// centre may miss before it is left out of the view.
 	staleRenewals = 4
+	// maxPollers is the number of instances of a data centre that may scan at all.
+	maxPollers = 3
+	// unfitFor is the number of scan intervals for which a poller that has not scanned
+	// lately is passed by.
+	unfitFor = 5
+	// staleScans is the number of scan intervals after which a scan is old.
+	staleScans = 3
 	// historySize is the number of changes that a puller may lag behind.
 	historySize = 256
 )
@@ -26,6 +35,7 @@
 
 // SyncReply answers SyncArgs. With Full, Sessions holds all there are.
 type SyncReply struct {
+	Fresh    bool // the callee scans, and has lately succeeded
 	Source   uint64
 	Gen      uint64
 	Full     bool
@@ -59,11 +69,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	h := &c.changes
+	now := c.opts.Clock.Now()
 	reply.Source, reply.Gen = h.source, h.gen
+	reply.Fresh = !c.scanned.IsZero() && c.opts.Clock.Now().Sub(c.scanned) <= staleScans*c.scanWait
 	if args.Source != h.source || args.Gen > h.gen || h.gen-args.Gen > historySize {
 		reply.Full = true
 		for _, e := range c.known {
-			if e.passedOn(c.self.DataCentre) {
+			if e.passedOn(c.self.DataCentre, now) {
 				reply.Sessions = append(reply.Sessions, e.session)
 			}
 		}
@@ -71,7 +83,7 @@
 	}
 	for g := args.Gen + 1; g <= h.gen; g++ {
 		name := h.names[g%historySize]
-		if e := c.known[name]; e != nil && e.passedOn(c.self.DataCentre) {
+		if e := c.known[name]; e != nil && e.passedOn(c.self.DataCentre, now) {
 			reply.Sessions = append(reply.Sessions, e.session)
 		} else {
 			reply.Removed = append(reply.Removed, name)
@@ -81,21 +93,39 @@
 }
 
 // passedOn reports whether the entry belongs into a digest. Whether an instance of
-// the own data centre is suspect is learnt by heartbeats alone.
-func (e *entry) passedOn(dc string) bool { return e.session.DataCentre == dc || !e.suspect }
+// the own data centre is suspect is learnt by heartbeats alone; one without an epoch
+// is passed on only by those that hear it.
+func (e *entry) passedOn(dc string, now time.Time) bool {
+	if e.session.Epoch == 0 {
+		return now.Sub(e.heard) < provisionalLife/4
+	}
+	return e.session.DataCentre == dc || !e.suspect
+}
 
 // poller returns the instance that scans the session rows for its data centre: the
-// first by name that is believed alive. ok is false if it is this one.
+// first by name that is believed alive and was not found to have lost the table. At
+// most maxPollers instances step in, so that the end of an outage brings no rush.
+// other is false if the poller is this instance.
 func (c *Controller) poller() (s Session, other bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	name := c.self.Name
-	for n, e := range c.known {
-		if n < name && !e.suspect && e.session.Epoch > 0 && e.session.DataCentre == c.self.DataCentre {
-			name, s, other = n, e.session, true
+	all := []Session{c.self}
+	for _, e := range c.known {
+		if !e.suspect && e.session.Epoch > 0 && e.session.DataCentre == c.self.DataCentre {
+			all = append(all, e.session)
+		}
+	}
+	slices.SortFunc(all, func(a, b Session) int { return strings.Compare(a.Name, b.Name) })
+	now := c.opts.Clock.Now()
+	for _, m := range all[:min(len(all), maxPollers)] {
+		if m.Name == c.self.Name {
+			return m, false
+		}
+		if since, unfit := c.unfit[m.Name]; !unfit || now.Sub(since) > unfitFor*c.opts.ScanEvery {
+			return m, true
 		}
 	}
-	return s, other
+	return all[0], true
 }
 
 // scanRound reads the session rows, or asks the poller what it has read.
@@ -111,7 +141,10 @@
 	if p, other := c.poller(); other {
 		c.pull(ctx, p)
 	} else {
-		next = c.scan(ctx)
+		var ok bool
+		if next, ok = c.scan(ctx); !ok {
+			c.pullAny(ctx)
+		}
 	}
 	next = c.jitter(next)
 	c.mu.Lock()
@@ -121,12 +154,12 @@
 
 // scan reads all session rows and returns the time until the next scan, which keeps
 // the rows read by the pollers of all data centres within ScanRowsPerSec.
-func (c *Controller) scan(ctx context.Context) time.Duration {
+func (c *Controller) scan(ctx context.Context) (next time.Duration, ok bool) {
 	start := c.opts.Clock.Now()
 	rows, err := c.readRows(ctx)
 	if err != nil {
 		c.opts.Logger.V(1).Info("session rows not read", "error", err.Error())
-		return c.opts.ScanEvery
+		return max(c.opts.ScanEvery, c.scanWait), false
 	}
 	c.mutate(func() { c.mergeScan(rows, start) })
 	dcs := map[string]bool{}
@@ -134,7 +167,10 @@
 		dcs[r.DataCentre] = true
 	}
 	spread := time.Duration(len(rows)*len(dcs)) * time.Second / time.Duration(c.opts.ScanRowsPerSec)
-	return max(c.opts.ScanEvery, spread)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.scanned, c.scanWait = c.opts.Clock.Now(), max(c.opts.ScanEvery, spread)
+	return c.scanWait, true
 }
 
 // versioned is a session row with its version.
@@ -211,11 +247,15 @@
 	if s.Epoch > e.session.Epoch || e.session.Name == "" {
 		*e = entry{session: s}
 		c.changes.set(s)
+		if s.Epoch == 0 {
+			e.heard = c.opts.Clock.Now().Add(-provisionalLife / 2) // time to hear it
+		}
 	}
 	return e
 }
 
 func (c *Controller) forget(name string) {
+	delete(c.unfit, name)
 	delete(c.known, name)
 	c.changes.remove(name)
 }
@@ -229,11 +269,14 @@
 	ctx, cancel := context.WithTimeout(peer.Idempotent(ctx), c.opts.CallTimeout)
 	defer cancel()
 	var reply SyncReply
-	if err := c.opts.Caller.Call(ctx, from.Addr, serviceName+".Sync", args, &reply); err != nil {
+	err := c.opts.Caller.Call(ctx, from.Addr, serviceName+".Sync", args, &reply)
+	if err != nil || !reply.Fresh {
+		c.mutate(func() { c.unfit[from.Name] = c.opts.Clock.Now() })
+	}
+	if err != nil {
 		return
 	}
 	c.mutate(func() {
-		c.pulled = pullPosition{source: reply.Source, gen: reply.Gen}
 		told := map[string]bool{from.Name: true}
 		for _, s := range reply.Sessions {
 			told[s.Name] = true
@@ -241,6 +284,11 @@
 				c.learn(s).toldAlive(c.self.DataCentre)
 			}
 		}
+		if !reply.Fresh {
+			return // what it does not list may exist
+		}
+		delete(c.unfit, from.Name)
+		c.pulled = pullPosition{source: reply.Source, gen: reply.Gen}
 		for _, name := range reply.Removed {
 			c.dropUnlessHeard(name, start)
 		}
@@ -255,6 +303,26 @@
 	})
 }
 
+// pullAny asks some peer of the data centre for the sessions that it knows. It serves
+// while the table is down, above all to processes that started meanwhile.
+func (c *Controller) pullAny(ctx context.Context) {
+	c.mu.Lock()
+	var peers []Session
+	for _, e := range c.known {
+		if !e.suspect && e.session.DataCentre == c.self.DataCentre {
+			peers = append(peers, e.session)
+		}
+	}
+	if len(peers) == 0 {
+		c.mu.Unlock()
+		return
+	}
+	slices.SortFunc(peers, func(a, b Session) int { return strings.Compare(a.Name, b.Name) })
+	from := peers[c.opts.Rand.IntN(len(peers))]
+	c.mu.Unlock()
+	c.pull(ctx, from)
+}
+
 // toldAlive clears the suspicion of an instance of another data centre.
 func (e *entry) toldAlive(dc string) {
 	if e.session.DataCentre != dc {
