caraway-load slopes: take the stand-ins' cost from a fleet without instances

Killed instances stayed in the heap for a while in small fleets (193 KB an instance at 4, 2.7 MB at 16), so the heap of the stand-ins alone was wrong. They are now measured in a fleet of their own.

--- a/cmd/caraway-load/slopes.go
+++ b/cmd/caraway-load/slopes.go
@@ -17,7 +17,7 @@
 type slopesArgs struct {
 	Vary     string        `arg:"--vary" default:"instances,accounts,endpoints,tickets" placeholder:"NAME[,NAME...]" help:"what the series vary"`
 	Duration time.Duration `arg:"--duration" default:"8s" help:"measured time of each point"`
-	Settle   time.Duration `arg:"--settle" default:"4s" help:"time before each point, and with the stand-ins alone after it"`
+	Settle   time.Duration `arg:"--settle" default:"4s" help:"time before each point"`
 	Seed     uint64        `arg:"--seed" default:"1"`
 	JSON     string        `arg:"--json" placeholder:"FILE" help:"write the result here"`
 }
--- a/internal/load/slopes/slopes.go
+++ b/internal/load/slopes/slopes.go
@@ -138,49 +138,66 @@
 	return d, nil
 }
 
-// measure starts a fleet of one size, measures it without callers, and then the
-// stand-ins alone.
+// measure measures a fleet of one size without callers, and its stand-ins alone.
 func measure(ctx context.Context, o Options, q Quantity, size float64) (Point, error) {
 	d, err := deployment(q, size)
 	if err != nil {
 		return Point{}, err
 	}
-	f, err := fleet.Start(d, fleet.Options{Seed: o.Seed, Log: logr.Discard(), ListLag: time.Second})
+	with, err := spanOf(ctx, o, q, size, d)
 	if err != nil {
 		return Point{}, err
 	}
+	alone, err := spanOf(ctx, o, q, size, withoutEntries(d))
+	if err != nil {
+		return Point{}, errors.Wrap(err, "stand-ins alone")
+	}
+	return point(size, d.Entries(), with, alone), nil
+}
+
+func withoutEntries(d fleet.Deployment) fleet.Deployment {
+	list := slices.Clone(d.DataCentres)
+	for i := range list {
+		list[i].Entries = 0
+	}
+	d.DataCentres = list
+	return d
+}
+
+// span is a measured time: the readings at its start and end.
+type span struct{ from, to reading }
+
+// spanOf starts a fleet and reads its counters before and after a time of idleness.
+func spanOf(ctx context.Context, o Options, q Quantity, size float64, d fleet.Deployment) (span, error) {
+	empty := heap()
+	f, err := fleet.Start(d, fleet.Options{Seed: o.Seed, Log: logr.Discard(), ListLag: time.Second})
+	if err != nil {
+		return span{}, err
+	}
 	defer f.Close()
 	if _, err := f.Bootstrap(ctx); err != nil {
-		return Point{}, err
+		return span{}, err
 	}
-	if q == Accounts {
+	rate := 0.0
+	switch q {
+	case Accounts:
 		if err := addAccounts(ctx, f, int(size)); err != nil {
-			return Point{}, err
+			return span{}, err
 		}
-	}
-	rate := 0.0
-	if q == Tickets {
+	case Tickets:
 		rate = size
 	}
 	if err := idle(ctx, f, o.Settle, rate); err != nil {
-		return Point{}, err
+		return span{}, err
 	}
-	before := read(f)
+	var s span
+	s.from = read(f)
 	if err := idle(ctx, f, o.Duration, rate); err != nil {
-		return Point{}, err
+		return span{}, err
 	}
-	after := read(f)
-	after.heap = heap()
-	for _, e := range f.Entries {
-		e.Kill()
-	}
-	alone := read(f)
-	if err := idle(ctx, f, o.Settle, 0); err != nil {
-		return Point{}, err
-	}
-	rest := read(f)
-	rest.heap = heap()
-	return point(size, len(f.Entries), before, after, alone, rest), nil
+	s.to = read(f)
+	s.to.heap = heap() - empty
+	return s, nil
 }
 
 // ticketObjects bounds the objects of one ticket; each account takes two.
@@ -271,25 +288,30 @@
 	return float64(m.HeapAlloc)
 }
 
-// point works out the costs between two readings with the instances, less those
-// between two readings without them.
-func point(size float64, instances int, before, after, alone, rest reading) Point {
+// point works out the costs of the instances: those of the whole fleet less those of
+// the stand-ins alone.
+func point(size float64, instances int, with, alone span) Point {
 	n := float64(instances)
-	with := after.at.Sub(before.at).Seconds()
-	without := rest.at.Sub(alone.at).Seconds()
-	each := func(a, b uint64) float64 { return float64(b-a) / with / n }
+	seconds := with.to.at.Sub(with.from.at).Seconds()
+	each := func(a, b uint64) float64 { return float64(b-a) / seconds / n }
+	from, to := &with.from, &with.to
 	return Point{
 		Size: size, Instances: instances,
-		CPU:         ((after.cpu-before.cpu).Seconds()/with - (rest.cpu-alone.cpu).Seconds()/without) / n,
-		Heap:        (after.heap - rest.heap) / n,
-		BytesOut:    each(before.bytesOut, after.bytesOut),
-		BytesIn:     each(before.bytesIn, after.bytesIn),
-		Messages:    each(before.writes, after.writes),
-		StoreReads:  float64(after.store.Reads-before.store.Reads) / with,
-		StoreWrites: float64(after.store.Writes-before.store.Writes) / with,
+		CPU:         (with.cores() - alone.cores()) / n,
+		Heap:        (to.heap - alone.to.heap) / n,
+		BytesOut:    each(from.bytesOut, to.bytesOut),
+		BytesIn:     each(from.bytesIn, to.bytesIn),
+		Messages:    each(from.writes, to.writes),
+		StoreReads:  float64(to.store.Reads-from.store.Reads) / seconds,
+		StoreWrites: float64(to.store.Writes-from.store.Writes) / seconds,
 	}
 }
 
+// cores returns the processor time by time.
+func (s *span) cores() float64 {
+	return (s.to.cpu - s.from.cpu).Seconds() / s.to.at.Sub(s.from.at).Seconds()
+}
+
 // Costs names the costs of a point in the order of Point.Costs.
 var Costs = []string{"cpu_fraction", "heap_bytes", "bytes_out_per_second", "bytes_in_per_second", "messages_per_second", "store_reads_per_second", "store_writes_per_second"}
 
