--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -56,8 +56,7 @@
 	return nil
 }
 
-// newEntry prepares the settings of an instance and opens its listeners, so that no
-// other socket gets their ports before it starts.
+// newEntry prepares the settings of an instance, with ports that are free now.
 func (f *Fleet) newEntry(dc, name string) (*Entry, error) {
 	var s entry.Settings
 	if err := settings.Parse(name, f.settingsFile(dc, name), &s); err != nil {
@@ -228,14 +227,7 @@
 func (e *Entry) end(how func()) {
 	e.mu.Lock()
 	stopped := e.stopped
-	opened := e.listeners
-	e.listeners = entry.Listeners{}
 	e.mu.Unlock()
-	for _, ln := range []net.Listener{opened.Callers, opened.Peers, opened.Operator} {
-		if ln != nil {
-			_ = ln.Close()
-		}
-	}
 	if stopped == nil {
 		return
 	}
