--- a/internal/sched/dispatch/host.go
+++ b/internal/sched/dispatch/host.go
@@ -29,12 +29,13 @@
 
 	mu    sync.Mutex
 	boxes map[pool.Holder]*mailbox
+	seq   uint64 // of the last answer to any holder
 	asked time.Time
 }
 
-// mailbox keeps the answers that a holder has not confirmed.
+// mailbox keeps the answers that a holder has not confirmed. A holder that was away
+// gets a new one; answers stay in order because all mailboxes share one sequence.
 type mailbox struct {
-	next    uint64 // sequence number of the next answer
 	answers []Answer
 	arrived chan struct{} // closed when an answer comes
 	used    time.Time
@@ -52,7 +53,7 @@
 		n.mu.Unlock()
 		return h, nil
 	}
-	eps := endpointsOf(st, p)
+	eps := pool.EndpointsOf(st, p.Pool, p.DataCentre)
 	kind := config.ModelPool
 	if cfg := st.Pools[p.Pool]; cfg != nil {
 		kind = cfg.Kind
@@ -64,7 +65,7 @@
 	seed := rand.New(rand.NewPCG(n.rand.Uint64(), n.rand.Uint64()))
 	ctx, cancel := context.WithCancel(n.ctx)
 	h := &host{
-		Dispatcher: pool.NewDispatcher(p.Pool, kind, n.tuning, n.opts.Clock, seed, n.opts.Events),
+		Dispatcher: pool.NewDispatcher(p.Pool, p.DataCentre, kind, n.tuning, n.opts.Clock, seed, n.opts.Events),
 		place:      p,
 		session:    n.rand.Uint64() | 1,
 		node:       n,
@@ -92,10 +93,14 @@
 		Dialer:     h.node.opts.Dialer,
 		Clock:      h.node.opts.Clock,
 		Found: func(_ context.Context, ep *config.Endpoint, running []endpoint.Running) {
-			h.node.reaper.note(h, ep, running)
+			if ep.DataCentre == h.place.DataCentre {
+				h.node.reaper.note(h, ep, running)
+			}
 		},
 	}
-	eps := func() []*config.Endpoint { return endpointsOf(h.node.opts.Config.Current(), h.place) }
+	eps := func() []*config.Endpoint {
+		return pool.PolledOf(h.node.opts.Config.Current(), h.place.Pool, h.place.DataCentre)
+	}
 	h.warmUp(ctx, w, eps())
 	h.Pause(false)
 	w.Run(ctx, eps)
@@ -135,7 +140,7 @@
 func (h *host) box(of pool.Holder) *mailbox {
 	b := h.boxes[of]
 	if b == nil {
-		b = &mailbox{next: 1, arrived: make(chan struct{})}
+		b = &mailbox{arrived: make(chan struct{})}
 		h.boxes[of] = b
 	}
 	b.used = h.node.opts.Clock.Now()
@@ -149,8 +154,8 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	b := h.box(dec.Key.Holder())
-	a.Seq = b.next
-	b.next++
+	h.seq++
+	a.Seq = h.seq
 	b.answers = append(b.answers, a)
 	close(b.arrived)
 	b.arrived = make(chan struct{})
--- a/internal/sched/dispatch/wire.go
+++ b/internal/sched/dispatch/wire.go
@@ -22,6 +22,7 @@
 	methodHoldings = ServiceName + ".Holdings"
 	methodOwns     = ServiceName + ".Owns"
 	methodLoad     = ServiceName + ".Load"
+	methodLeaving  = ServiceName + ".Leaving"
 )
 
 // Place names the endpoints that one dispatcher owns.
@@ -82,7 +83,7 @@
 
 // Answer is the decision on one demand.
 type Answer struct {
-	Seq        uint64 // counts up for each holder within a session
+	Seq        uint64 // grows within a session
 	Try        uint64
 	Request    uint64 // sequence number of the request id
 	Prefill    string // endpoint names
@@ -155,8 +156,11 @@
 	Held  []pool.Held
 }
 
-// Empty is an empty reply.
-type Empty struct{}
+// Empty stands for no arguments or an empty reply.
+type Empty struct{ Unused bool }
+
+// LeavingReply lists the addresses that the platform's list shows as leaving.
+type LeavingReply struct{ Addrs []string }
 
 // HoldingsArgs asks an instance what it holds at a place.
 type HoldingsArgs struct{ Place Place }
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -14,7 +14,7 @@
 type Demand struct {
 	ID         reqid.ID
 	Account    string
-	Weight     float64 // the account's share in fair queues
+	Weight     float64 // the account's share in fair queues, in proportion to its rate
 	Pool       string
 	Model      string
 	Class      config.Class
@@ -33,10 +33,11 @@
 
 // The outcomes.
 const (
-	Succeeded Outcome = iota
-	Failed            // error, broken connection or silence
-	Full              // refused for want of a slot or memory
-	Abandoned         // caller gone or request given up; says nothing of the endpoint
+	Succeeded   Outcome = iota
+	Failed              // error, broken connection or silence
+	Full                // refused for want of a slot or memory
+	Unreachable         // no connection could be made
+	Abandoned           // caller gone or request given up; says nothing of the endpoint
 )
 
 // Grant is the right to use endpoints for one request. Each method may be called
--- /dev/null
+++ b/internal/shard/sync.go
@@ -0,0 +1,367 @@
+package shard
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"carawayrouter.example/router/internal/member"
+	"carawayrouter.example/router/internal/peer"
+	"carawayrouter.example/router/internal/platform"
+)
+
+const (
+	serviceName = "Shards"
+
+	// maxLookup bounds the keys of one lookup.
+	maxLookup = 64
+	// offerLimit bounds the offers in progress.
+	offerLimit = 8
+	// notReadyFor is how long a member that could not take shards is not asked again.
+	notReadyFor = 15 * time.Second
+	// lookupPause is the shortest time between two lookups of one process.
+	lookupPause = 200 * time.Millisecond
+	// maxPollers is the number of members of a data centre that may read its rows.
+	maxPollers = 3
+	// staleScans is the number of scan intervals after which a scan is old.
+	staleScans = 4
+)
+
+// SyncArgs asks for the rows of the data centre that changed since a position.
+type SyncArgs struct{ Source, Gen uint64 }
+
+// SyncReply answers SyncArgs.
+type SyncReply struct {
+	Source, Gen uint64
+	Fresh       bool // the callee reads the table, and has lately succeeded
+	Rows        []Record
+}
+
+// LookupArgs asks for rows of other data centres.
+type LookupArgs struct{ Keys []Key }
+
+// LookupReply answers LookupArgs.
+type LookupReply struct{ Rows []Record }
+
+// ReadyArgs asks whether the callee could take a shard now.
+type ReadyArgs struct{ Key Key }
+
+// ReadyReply answers ReadyArgs.
+type ReadyReply struct{ OK bool }
+
+// OfferArgs tells that shards were released for the callee, and whether the caller
+// gives up all it has.
+type OfferArgs struct {
+	From    member.Session
+	Leaving bool
+	Rows    []Record
+}
+
+// OfferReply answers OfferArgs.
+type OfferReply struct{}
+
+// Service is the peer service "Shards".
+type Service struct{ c *Controller }
+
+// Sync gives the rows of this data centre.
+func (s *Service) Sync(args SyncArgs, reply *SyncReply) error {
+	c := s.c
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	*reply = SyncReply{Source: c.source, Gen: c.gen, Fresh: c.fresh()}
+	if !reply.Fresh {
+		return nil
+	}
+	for k, gen := range c.changed {
+		if r := c.records[k]; args.Source != c.source || gen > args.Gen {
+			reply.Rows = append(reply.Rows, r)
+		}
+	}
+	return nil
+}
+
+// fresh reports whether this member reads the rows of its data centre and has lately
+// done so. The caller holds mu.
+func (c *Controller) fresh() bool {
+	return !c.scanned.IsZero() && c.opts.Clock.Now().Sub(c.scanned) <= staleScans*c.opts.ScanEvery
+}
+
+// Lookup gives rows of other data centres, read from the table if need be.
+func (s *Service) Lookup(args LookupArgs, reply *LookupReply) error {
+	c := s.c
+	keys := args.Keys[:min(len(args.Keys), maxLookup)]
+	ctx, cancel := context.WithTimeout(context.Background(), c.opts.StoreTimeout)
+	defer cancel()
+	if err := c.readForeign(ctx, keys); err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, k := range keys {
+		reply.Rows = append(reply.Rows, c.records[k])
+	}
+	return nil
+}
+
+// Ready tells whether this process may act and reaches the table.
+func (s *Service) Ready(args ReadyArgs, reply *ReadyReply) error {
+	c := s.c
+	c.mu.Lock()
+	leaving := c.leaving
+	c.mu.Unlock()
+	if _, ok := c.opts.Members.Granting(); !ok || leaving {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), c.opts.CallTimeout/2)
+	defer cancel()
+	_, err := c.opts.Table.Get(ctx, RowKey(args.Key))
+	reply.OK = err == nil
+	return nil
+}
+
+// ready asks a member whether it could take a shard.
+func (c *Controller) ready(ctx context.Context, m member.Session, k Key) bool {
+	ctx, cancel := context.WithTimeout(peer.Idempotent(ctx), c.opts.CallTimeout)
+	defer cancel()
+	var reply ReadyReply
+	err := c.opts.Caller.Call(ctx, m.Addr, serviceName+".Ready", ReadyArgs{Key: k}, &reply)
+	return err == nil && reply.OK
+}
+
+// Offer takes note of released shards and starts a round.
+func (s *Service) Offer(args OfferArgs, _ *OfferReply) error {
+	c := s.c
+	var rows []Record
+	for _, r := range args.Rows[:min(len(args.Rows), Count)] {
+		if r.Key.DataCentre == c.dc {
+			rows = append(rows, r)
+		}
+	}
+	c.noteAll(rows)
+	if args.Leaving && args.From.DataCentre == c.dc {
+		c.mu.Lock()
+		c.departing[args.From.Name] = args.From.Epoch
+		c.mu.Unlock()
+	}
+	select {
+	case c.offered <- struct{}{}:
+	default:
+	}
+	return nil
+}
+
+// offer tells the members that are to have released shards, and all members if this
+// one is leaving.
+func (c *Controller) offer(ctx context.Context, keys []Key, intended placement, members []member.Session) {
+	c.mu.Lock()
+	rows := map[string][]Record{}
+	for _, k := range keys {
+		if r := c.records[k]; r.released() && r.Version > 0 {
+			rows[intended[k.Index]] = append(rows[intended[k.Index]], r)
+		}
+	}
+	args := OfferArgs{From: c.opts.Members.View().Self, Leaving: c.leaving}
+	c.mu.Unlock()
+	ctx, cancel := context.WithTimeout(peer.Idempotent(ctx), c.opts.CallTimeout)
+	defer cancel()
+	var g errgroup.Group
+	g.SetLimit(offerLimit)
+	for _, m := range members {
+		args := args
+		args.Rows = rows[m.Name]
+		if len(args.Rows) == 0 && !args.Leaving {
+			continue
+		}
+		g.Go(func() error {
+			// A member that is not reached learns of the release by its next sync.
+			return c.opts.Caller.Call(ctx, m.Addr, serviceName+".Offer", args, &OfferReply{})
+		})
+	}
+	_ = g.Wait()
+}
+
+// poller returns the member that reads the table for its data centre: the first by
+// name that was not found to have lost the table. At most maxPollers members step in.
+// other is false if the poller is this member.
+func (c *Controller) poller() (s member.Session, other bool) {
+	v := c.opts.Members.View()
+	members := registered(v.InDataCentre(c.dc))
+	if len(members) == 0 {
+		return v.Self, false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.opts.Clock.Now()
+	for _, m := range members[:min(len(members), maxPollers)] {
+		if m.Name == v.Self.Name {
+			return m, false
+		}
+		if since, unfit := c.unfit[m.Name]; !unfit || now.Sub(since) > notReadyFor {
+			return m, true
+		}
+	}
+	return members[0], true
+}
+
+// refreshOwn reads the rows of this data centre if that is due: the poller from the
+// table, others from the poller.
+func (c *Controller) refreshOwn(ctx context.Context) {
+	now := c.opts.Clock.Now()
+	c.mu.Lock()
+	due := !now.Before(c.nextScan)
+	c.mu.Unlock()
+	if !due {
+		return
+	}
+	if p, other := c.poller(); other {
+		c.pull(ctx, p)
+	} else {
+		c.scan(ctx)
+	}
+	wait := c.jitter(c.opts.ScanEvery)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.nextScan = now.Add(wait)
+}
+
+func (c *Controller) scan(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, c.opts.StoreTimeout)
+	defer cancel()
+	rows, err := c.opts.Table.Scan(ctx, RowPrefix+c.dc+"/", "", Count)
+	if err != nil {
+		c.opts.Logger.V(1).Info("shard rows not read", "error", err.Error())
+		return
+	}
+	c.noteAll(parseRows(rows))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.loaded = true
+	c.scanned = c.opts.Clock.Now()
+}
+
+func parseRows(rows []platform.Row) []Record {
+	var out []Record
+	for _, r := range rows {
+		k, err := parseKey(r.Key)
+		if err != nil {
+			continue
+		}
+		if rec, err := parseRow(k, r); err == nil {
+			out = append(out, rec)
+		}
+	}
+	return out
+}
+
+func (c *Controller) pull(ctx context.Context, from member.Session) {
+	c.mu.Lock()
+	args := c.pulled
+	c.mu.Unlock()
+	ctx, cancel := context.WithTimeout(peer.Idempotent(ctx), c.opts.CallTimeout)
+	defer cancel()
+	var reply SyncReply
+	if err := c.opts.Caller.Call(ctx, from.Addr, serviceName+".Sync", args, &reply); err != nil || !reply.Fresh {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.unfit[from.Name] = c.opts.Clock.Now()
+		return
+	}
+	c.noteAll(reply.Rows)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pulled = SyncArgs{Source: reply.Source, Gen: reply.Gen}
+	c.loaded = true
+	delete(c.unfit, from.Name)
+}
+
+// runLookups answers Home's wishes for rows of other data centres.
+func (c *Controller) runLookups(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case k := <-c.wanted:
+			c.lookup(ctx, c.gather(k))
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-c.opts.Clock.After(lookupPause):
+		}
+	}
+}
+
+// gather returns first and what else is wanted by now, without repetition.
+func (c *Controller) gather(first Key) []Key {
+	keys := map[Key]bool{first: true}
+	for len(keys) < maxLookup {
+		select {
+		case k := <-c.wanted:
+			keys[k] = true
+			continue
+		default:
+		}
+		break
+	}
+	out := make([]Key, 0, len(keys))
+	for k := range keys {
+		out = append(out, k)
+	}
+	return out
+}
+
+// lookup learns rows of other data centres from the poller, or from the table where
+// this instance is the poller or does not reach it.
+func (c *Controller) lookup(ctx context.Context, keys []Key) {
+	if p, other := c.poller(); other {
+		callCtx, cancel := context.WithTimeout(peer.Idempotent(ctx), c.opts.CallTimeout)
+		defer cancel()
+		var reply LookupReply
+		err := c.opts.Caller.Call(callCtx, p.Addr, serviceName+".Lookup", LookupArgs{Keys: keys}, &reply)
+		if err == nil {
+			c.noteForeign(reply.Rows)
+			return
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.opts.StoreTimeout)
+	defer cancel()
+	if err := c.readForeign(ctx, keys); err != nil {
+		c.opts.Logger.V(1).Info("shards of other data centres not read", "error", err.Error())
+	}
+}
+
+func (c *Controller) noteForeign(rows []Record) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, r := range rows {
+		if r.Key.DataCentre != c.dc {
+			c.note(r)
+			c.read[r.Key] = c.opts.Clock.Now()
+		}
+	}
+}
+
+// refreshAfter is the age at which a cached row is read again when a peer asks.
+const refreshAfter = 5 * time.Second
+
+// readForeign reads the rows that are not in the cache or are older than refreshAfter.
+func (c *Controller) readForeign(ctx context.Context, keys []Key) error {
+	var rowKeys []string
+	c.mu.Lock()
+	for _, k := range keys {
+		if k.DataCentre != c.dc && c.opts.Clock.Now().Sub(c.read[k]) > refreshAfter {
+			rowKeys = append(rowKeys, RowKey(k))
+		}
+	}
+	c.mu.Unlock()
+	if len(rowKeys) == 0 {
+		return nil
+	}
+	rows, err := c.opts.Table.Get(ctx, rowKeys...)
+	if err != nil {
+		return err
+	}
+	c.noteForeign(parseRows(rows))
+	return nil
+}
