Refuse early above the rate on interactive routes; compare with FIFO at the dispatcher

Change: on interactive routes the wait for tokens ends at half the time to the first token. The FIFO baseline now decides at one dispatcher, as the policy of operation does, so that only fairness differs. Stand-ins end on SIGTERM. With the store down, a process unheard for a minute counts as dead for freeing memory.

--- a/cmd/caraway-standin/main.go
+++ b/cmd/caraway-standin/main.go
@@ -57,7 +57,7 @@
 	first, _ := cli.Signals()
 	go func() {
 		<-first.Done()
-		_ = ln.Close()
+		_ = s.Close()
 	}()
 	fmt.Printf("serving on %s\n", ln.Addr())
 	if err := s.Serve(ln); err != nil && !errors.Is(err, net.ErrClosed) && first.Err() == nil {
--- a/internal/entry/evidence.go
+++ b/internal/entry/evidence.go
@@ -14,6 +14,7 @@
 	evidenceEvery   = 2 * time.Second // between reads of one process's session row
 	evidenceTimeout = time.Second
 	absentFor       = 8 * time.Second // a process without session and unheard for this long is dead
+	unheardFor      = time.Minute     // so is one unheard for this long while the store is down
 	maxEvidence     = 4096            // processes remembered
 )
 
@@ -27,12 +28,14 @@
 type verdict struct {
 	dead    bool
 	checked time.Time
+	unheard time.Time // since when it has not been in the view
 	absent  time.Time // since when there is no session row; zero if there is one
 }
 
 // evidence tells whether a process is certainly gone: a newer one has taken its
 // place, its session was released or its death recorded, or it has neither a session
-// nor been heard of for long. It implements dispatch.Evidence.
+// nor been heard of for long. It frees engine memory only; rights move on the
+// evidence of package member. It implements dispatch.Evidence.
 type evidence struct {
 	members member.Source
 	table   platform.Table
@@ -50,12 +53,18 @@
 func (e *evidence) Dead(instance string, number uint64) bool {
 	p := process{instance, number}
 	if current, ok := e.inView(instance); ok {
+		e.mu.Lock()
+		delete(e.known, p)
+		e.mu.Unlock()
 		return current > number
 	}
 	e.mu.Lock()
 	v := e.known[p]
 	e.mu.Unlock()
 	now := e.clock.Now()
+	if v.unheard.IsZero() {
+		v.unheard = now
+	}
 	if v.dead || now.Sub(v.checked) < evidenceEvery {
 		return v.dead
 	}
@@ -83,14 +92,15 @@
 	return 0, false
 }
 
-// read judges a process by its instance's session row. With the table down nothing
-// is known.
+// read judges a process by its instance's session row. With the table down only a
+// long silence counts: what is freed wrongly then costs its owner another prefill.
 func (e *evidence) read(p process, v verdict, now time.Time) verdict {
 	ctx, cancel := context.WithTimeout(context.Background(), evidenceTimeout)
 	defer cancel()
 	v.checked = now
 	rows, err := e.table.Get(ctx, member.RowKey(p.instance))
 	if err != nil {
+		v.dead = now.Sub(v.unheard) >= unheardFor
 		return v
 	}
 	if rows[0].Version == 0 {
--- a/internal/entry/parts.go
+++ b/internal/entry/parts.go
@@ -163,6 +163,7 @@
 		},
 		Table:     d.deps.Platform.Table,
 		Instances: d.deps.Platform.Instances,
+		Tuning:    tuning,
 		Caller:    p.peers,
 		Registrar: p.peerServer,
 		Clock:     d.deps.Clock,
@@ -207,36 +208,26 @@
 
 // assembleScheduler chooses the scheduling policy.
 func (d *Daemon) assembleScheduler(p *parts) error {
-	local := pool.Options{
-		Config:     p.config,
-		Dialer:     d.dialer,
-		Clock:      d.deps.Clock,
-		Rand:       d.random(seedSched),
-		DataCentre: d.settings.Instance.DataCentre,
-		Logger:     d.deps.Log.WithName("sched"),
-		Events:     d.events,
-	}
 	switch d.deps.Policy.Scheduler {
 	case "":
-		return d.assembleDispatch(p)
+		return d.assembleDispatch(p, nil)
 	case RoundRobin:
-		p.scheduler = schedbaseline.NewRoundRobin(p.config, local.DataCentre)
+		p.scheduler = schedbaseline.NewRoundRobin(p.config, d.settings.Instance.DataCentre)
 	case LeastLoaded:
-		s := schedbaseline.NewLeastLoaded(p.config, d.dialer, d.deps.Clock, local.DataCentre)
+		s := schedbaseline.NewLeastLoaded(p.config, d.dialer, d.deps.Clock, d.settings.Instance.DataCentre)
 		p.scheduler = s
 		p.controllers = append(p.controllers, s.Run)
 	case DecodeFirstFIFO:
-		s := schedbaseline.NewDecodeFirstFIFO(local)
-		p.scheduler = s
-		p.controllers = append(p.controllers, s.Run)
+		return d.assembleDispatch(p, schedbaseline.FIFOTuning())
 	default:
 		return errors.Newf("scheduler %q is unknown", d.deps.Policy.Scheduler)
 	}
 	return nil
 }
 
-// assembleDispatch schedules with one dispatcher for each pool and data centre.
-func (d *Daemon) assembleDispatch(p *parts) error {
+// assembleDispatch schedules with one dispatcher for each pool and data centre. A nil
+// tuning is that of operation.
+func (d *Daemon) assembleDispatch(p *parts, tuning *pool.Tuning) error {
 	node := dispatch.New(dispatch.Options{
 		Config:    p.config,
 		Members:   p.members,
--- a/internal/filters/ratelimit.go
+++ b/internal/filters/ratelimit.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"time"
 
+	"carawayrouter.example/router/internal/config"
 	"carawayrouter.example/router/internal/filter"
 	"carawayrouter.example/router/internal/limit"
 )
@@ -21,7 +23,7 @@
 	if r.Account == nil {
 		return next(ctx, r)
 	}
-	res, err := f.Limiter.Reserve(ctx, r.Account.Name, r.Tokens, r.Arrived.Add(r.Route.MaxWait))
+	res, err := f.Limiter.Reserve(ctx, r.Account.Name, r.Tokens, r.Arrived.Add(longestWait(r.Route)))
 	if err != nil {
 		return err
 	}
@@ -29,3 +31,13 @@
 	defer func() { res.Settle(r.Used) }()
 	return next(ctx, r)
 }
+
+// longestWait bounds the wait for the account's tokens. An interactive request that
+// has waited for half of its time to the first token leaves the other half to queue
+// and prefill; one that needs longer is told at once when to come back.
+func longestWait(r *config.Route) time.Duration {
+	if r.Class == config.Interactive && r.FirstToken > 0 {
+		return min(r.MaxWait, r.FirstToken/2)
+	}
+	return r.MaxWait
+}
--- a/internal/filters/schedule.go
+++ b/internal/filters/schedule.go
@@ -37,13 +37,13 @@
 	}
 	r.Attempt++
 	f.Metrics.Attempts.Add(1)
-	f.Events.Add(event.Event{Kind: "sched.grant", Request: r.ID.String(), Account: accountName(r), Endpoint: grant.Decode.Name})
+	f.Events.Add(event.Event{Kind: "request.grant", Request: r.ID.String(), Account: accountName(r), Endpoint: grant.Decode.Name})
 	r.Grant = grant
 	outcome := sched.Abandoned
 	defer func() {
 		r.Grant = nil
 		grant.Release(outcome)
-		f.Events.Add(event.Event{Kind: "sched.release", Request: r.ID.String(), Endpoint: grant.Decode.Name})
+		f.Events.Add(event.Event{Kind: "request.release", Request: r.ID.String(), Endpoint: grant.Decode.Name})
 	}()
 	err = next(ctx, r)
 	outcome = outcomeOf(err)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -217,7 +217,9 @@
 	if err != nil {
 		return 0, err
 	}
-	t, err := ticket.Submit(ctx, f.Platform().Table, "fleet", draft)
+	p := f.Platform()
+	submitter := ticket.Submitter{Table: p.Table, Objects: p.Objects}
+	t, err := submitter.Submit(ctx, "fleet", draft)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/standin/process/process.go
+++ b/internal/standin/process/process.go
@@ -48,10 +48,22 @@
 
 // Standin is a stand-in ready to serve.
 type Standin struct {
-	addr  string
-	serve func(net.Listener) error
+	addr   string
+	server server
 }
 
+// server is what all stand-ins have.
+type server interface {
+	Serve(ln net.Listener) error
+	Close() error
+}
+
+// platformServer is the platform stand-in as a server.
+type platformServer struct{ *fasthttp.Server }
+
+// Close implements server.
+func (s platformServer) Close() error { return s.Shutdown() }
+
 // Platform prepares a platform stand-in.
 func Platform(file string) (*Standin, error) {
 	var s PlatformSettings
@@ -68,7 +80,7 @@
 	}
 	store.ListLag(s.Platform.ListLag)
 	server := &fasthttp.Server{Handler: httpplatform.Handler(store), MaxRequestBodySize: maxPlatformBody}
-	return newStandin(file, s.Listen.Addr, server.Serve)
+	return newStandin(file, s.Listen.Addr, platformServer{server})
 }
 
 // Engine prepares an engine stand-in.
@@ -77,7 +89,7 @@
 	if err := settings.Load(file, &s); err != nil {
 		return nil, err
 	}
-	return newStandin(file, s.Listen.Addr, engine.New(engine.Options{Settings: s.Engine}).Serve)
+	return newStandin(file, s.Listen.Addr, engine.New(engine.Options{Settings: s.Engine}))
 }
 
 // Service prepares a plain service stand-in.
@@ -86,15 +98,15 @@
 	if err := settings.Load(file, &s); err != nil {
 		return nil, err
 	}
-	return newStandin(file, s.Listen.Addr, service.New(service.Options{Settings: s.Service}).Serve)
+	return newStandin(file, s.Listen.Addr, service.New(service.Options{Settings: s.Service}))
 }
 
-func newStandin(file, addr string, serve func(net.Listener) error) (*Standin, error) {
+func newStandin(file, addr string, s server) (*Standin, error) {
 	host, _, err := net.SplitHostPort(addr)
 	if ip := net.ParseIP(host); err != nil || ip == nil || !ip.IsLoopback() {
 		return nil, &settings.FileError{File: file, Name: "listen.addr", Allowed: "must be IP:port of loopback, for example 127.0.0.1:7100"}
 	}
-	return &Standin{addr: addr, serve: serve}, nil
+	return &Standin{addr: addr, server: s}, nil
 }
 
 // Listen opens the stand-in's address.
@@ -103,8 +115,11 @@
 	return ln, errors.Wrap(err, "listen.addr")
 }
 
-// Serve answers on ln until the listener is closed.
-func (s *Standin) Serve(ln net.Listener) error { return s.serve(ln) }
+// Serve answers on ln until Close.
+func (s *Standin) Serve(ln net.Listener) error { return s.server.Serve(ln) }
+
+// Close ends Serve and all connections.
+func (s *Standin) Close() error { return s.server.Close() }
 
 // parseInstance reads NAME@IP:port@DATA_CENTRE@GROUP.
 func parseInstance(text string) (platform.Instance, error) {
