--- a/internal/shard/round.go
+++ b/internal/shard/round.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -74,12 +75,11 @@
 
 func (c *Controller) loseAll() {
 	c.mu.Lock()
-	var calls []func()
 	for k := range c.held {
-		calls = append(calls, c.lose(k)...)
+		c.lose(k)
 	}
 	c.mu.Unlock()
-	run(calls)
+	c.runHooks()
 }
 
 // noteMembers keeps since when each member has been in the view.
@@ -95,6 +95,10 @@
 		seen[m.Name] = s
 	}
 	c.seen = seen
+	maps.DeleteFunc(c.unfit, func(name string, _ time.Time) bool {
+		_, present := seen[name]
+		return !present
+	})
 }
 
 // claim takes the shards that have no home, or whose home is proved to be dead, and
@@ -182,6 +186,7 @@
 // take writes this session into rows, each on condition that it is unchanged, with an
 // epoch higher by one.
 func (c *Controller) take(ctx context.Context, self member.Session, rows []Record) error {
+	self.Process = 0 // not in the row
 	next := make([]Record, len(rows))
 	for i, r := range rows {
 		next[i] = Record{Assignment: Assignment{Key: r.Key, Home: self, Epoch: r.Epoch + 1}}
@@ -240,58 +245,81 @@
 
 func (c *Controller) noteAll(rows []Record) {
 	c.mu.Lock()
-	var calls []func()
 	for _, r := range rows {
-		calls = append(calls, c.note(r)...)
+		c.note(r)
 	}
 	c.mu.Unlock()
-	run(calls)
+	c.runHooks()
 }
 
 // handOver releases a few of the shards that another member is to have, once that
-// member has been seen for StableFor.
+// member has been seen for StableFor and says that it can take them.
 func (c *Controller) handOver(ctx context.Context, self member.Session, members []member.Session, intended placement) {
-	now := c.opts.Clock.Now()
+	to, give := c.nextHandOver(self, members, intended)
+	if len(give) == 0 {
+		return
+	}
+	if !c.ready(ctx, to, give[0]) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.notReady[to.Name] = c.opts.Clock.Now()
+		return
+	}
+	if c.release(ctx, give) == nil {
+		c.offer(ctx, give, intended, members)
+	}
+}
+
+// nextHandOver picks shards of one member. One that was not ready lately is passed by.
+func (c *Controller) nextHandOver(
+	self member.Session, members []member.Session, intended placement,
+) (to member.Session, give []Key) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.opts.Clock.Now()
 	if now.Before(c.nextGive) || c.leaving {
-		c.mu.Unlock()
-		return
+		return to, nil
 	}
-	var give []Key
 	for i := range Count {
 		k := Key{DataCentre: c.dc, Index: i}
-		to := c.seen[intended[i]]
-		if _, held := c.held[k]; held && intended[i] != self.Name && now.Sub(to.since) >= c.opts.StableFor {
+		name := intended[i]
+		if _, held := c.held[k]; !held || name == self.Name || len(give) == c.opts.HandOvers {
+			continue
+		}
+		if now.Sub(c.seen[name].since) < c.opts.StableFor || now.Sub(c.notReady[name]) < notReadyFor {
+			continue
+		}
+		if to.Name == "" {
+			at := slices.IndexFunc(members, func(m member.Session) bool { return m.Name == name })
+			to = members[at]
+		}
+		if to.Name == name {
 			give = append(give, k)
 		}
 	}
-	give = give[:min(len(give), c.opts.HandOvers)]
 	if len(give) > 0 {
 		c.nextGive = now.Add(c.opts.HandOverEvery)
 	}
-	c.mu.Unlock()
-	if c.release(ctx, give) == nil {
-		c.offer(ctx, give, intended, members)
-	}
+	maps.DeleteFunc(c.notReady, func(_ string, at time.Time) bool { return now.Sub(at) >= notReadyFor })
+	return to, give
 }
 
 // release gives up shards: first here, then in the table. From its start this process
 // holds none of them, whatever the outcome of the write.
 func (c *Controller) release(ctx context.Context, keys []Key) error {
 	var rows, next []Record
-	var calls []func()
 	c.mu.Lock()
 	for _, k := range keys {
 		r := c.records[k]
 		if _, held := c.held[k]; held {
-			calls = append(calls, c.lose(k)...)
+			c.lose(k)
 		}
 		c.retiring[k] = r.Version
 		rows = append(rows, r)
 		next = append(next, Record{Assignment: Assignment{Key: k, Epoch: r.Epoch}})
 	}
 	c.mu.Unlock()
-	run(calls)
+	c.runHooks()
 	if len(rows) == 0 {
 		return nil
 	}
