--- a/internal/entry/parts.go
+++ b/internal/entry/parts.go
@@ -163,7 +163,6 @@
 		},
 		Table:     d.deps.Platform.Table,
 		Instances: d.deps.Platform.Instances,
-		Tuning:    tuning,
 		Caller:    p.peers,
 		Registrar: p.peerServer,
 		Clock:     d.deps.Clock,
@@ -237,6 +236,7 @@
 		Rand:      d.random(seedSched),
 		Logger:    d.deps.Log.WithName("sched"),
 		Events:    d.events,
+		Tuning:    tuning,
 		Evidence:  p.evidence,
 		Instances: d.deps.Platform.Instances,
 	})
