--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -14,7 +14,7 @@
 type Demand struct {
 	ID         reqid.ID
 	Account    string
-	Weight     float64 // the account's share in fair queues
+	Weight     float64 // the account's share in fair queues, in proportion to its rate
 	Pool       string
 	Model      string
 	Class      config.Class
--- a/internal/ticket/applier_test.go
+++ b/internal/ticket/applier_test.go
@@ -94,15 +94,10 @@
 		submitN(t, p, i, i)
 		waitApplied(t, a, uint64(i))
 		waitApplied(t, b, uint64(i))
-	}
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		names, err := p.Objects.List(context.Background(), snapshotPrefix)
-		assert.NilError(t, err)
-		if len(names) >= 3 {
-			return poll.Success()
+		if i%12 == 0 {
+			waitSnapshots(t, p, i/12)
 		}
-		return poll.Continue("%d snapshots", len(names))
-	}, poll.WithTimeout(testTimeout))
+	}
 	names, err := p.Objects.List(context.Background(), snapshotPrefix)
 	assert.NilError(t, err)
 	assert.Equal(t, len(names), 3, "each snapshot is written once: %v", names)
@@ -113,6 +108,18 @@
 	assert.Assert(t, store.Counts().RowsRead-before < 36)
 }
 
+func waitSnapshots(t *testing.T, p platform.Platform, n int) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		names, err := p.Objects.List(context.Background(), snapshotPrefix)
+		assert.NilError(t, err)
+		if len(names) >= n {
+			return poll.Success()
+		}
+		return poll.Continue("%d snapshots of %d", len(names), n)
+	}, poll.WithTimeout(testTimeout), poll.WithDelay(time.Millisecond))
+}
+
 func TestOldSnapshotsAreEmptied(t *testing.T) {
 	ctx := context.Background()
 	p := memplatform.New(memplatform.Options{}).For("a")
@@ -307,3 +314,27 @@
 	_, err = Get(ctx, p.Table, 4)
 	assert.Assert(t, errors.Is(err, platform.ErrNotFound))
 }
+
+// FuzzApply gives an instance tickets and a snapshot as they might come from a peer.
+func FuzzApply(f *testing.F) {
+	f.Add([]byte(`{"number":1,"changes":[{"kind":"account","name":"a","account":{"name":"a","rate":1}}]}`), []byte(`{"ticket":3,"objects":{"keys":[{"id":"k"}]}}`))
+	f.Add([]byte(`{"number":2,"changes":[{"kind":"key","name":"k","delete":true}]}`), []byte(`{"ticket":1,"objects":{"accounts":[null]}}`))
+	f.Add([]byte(`{"number":1,"changes":[{"kind":"pool","name":"p"}]}`), []byte(`{"ticket":1}`))
+	f.Add([]byte(`null`), []byte(`null`))
+	f.Fuzz(func(t *testing.T, data, snapshot []byte) {
+		a := NewApplier(Options{})
+		before := uint64(0)
+		for _, u := range []update{
+			{tail: Tail{Tickets: [][]byte{data}}},
+			{tail: Tail{Snapshot: snapshot, Tickets: [][]byte{data}}},
+			{tail: Tail{Tickets: [][]byte{data, data}}},
+		} {
+			a.apply(u)
+			assert.Assert(t, a.Applied() >= before)
+			assert.Equal(t, a.Applied(), a.set.ticket)
+			before = a.Applied()
+		}
+		_, err := a.Snapshot()
+		assert.NilError(t, err)
+	})
+}
