--- a/internal/load/report/report.go
+++ b/internal/load/report/report.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"html/template"
 	"io"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -66,6 +67,7 @@
 // Render writes the page.
 func Render(w io.Writer, runs []*experiment.Report) error {
 	var p page
+	runs = join(runs)
 	for _, r := range runs {
 		v, err := view(r)
 		if err != nil {
@@ -80,6 +82,29 @@
 	return errors.Wrap(pageTemplate.Execute(w, p), "report")
 }
 
+// join shows runs that differ in nothing but their policies as one.
+func join(runs []*experiment.Report) []*experiment.Report {
+	var joined []*experiment.Report
+	byTitle := map[string]*experiment.Report{}
+	for _, r := range runs {
+		first := byTitle[title(r)]
+		if first == nil {
+			c := *r
+			c.Order, c.Policies = slices.Clone(r.Order), maps.Clone(r.Policies)
+			byTitle[title(r)] = &c
+			joined = append(joined, &c)
+			continue
+		}
+		for _, name := range r.Order {
+			if first.Policies[name] == nil {
+				first.Order = append(first.Order, name)
+				first.Policies[name] = r.Policies[name]
+			}
+		}
+	}
+	return joined
+}
+
 func title(r *experiment.Report) string {
 	t := fmt.Sprintf("%s, load %g, %g s, seed %d", r.Deployment, r.Load, r.Duration, r.Seed)
 	if r.Faults != "" {
--- a/internal/load/report/report_test.go
+++ b/internal/load/report/report_test.go
@@ -26,9 +26,11 @@
 		}
 	}
 	var b bytes.Buffer
-	assert.NilError(t, Render(&b, []*experiment.Report{run(0.7), run(1.3)}))
+	other := run(1.3) // the same run with another policy
+	other.Order, other.Policies = []string{"least-loaded"}, map[string]*observe.Result{"least-loaded": result(0.25)}
+	assert.NilError(t, Render(&b, []*experiment.Report{run(0.7), run(1.3), other}))
 	html := b.String()
-	for _, want := range []string{"dohoku over the load", "dohoku, load 1.3", "0.875", "round-robin", "doto-press", "late &lt;work&gt;"} {
+	for _, want := range []string{"dohoku over the load", "dohoku, load 1.3", "0.875", "round-robin", "<th>least-loaded</th>", "doto-press", "late &lt;work&gt;"} {
 		assert.Assert(t, strings.Contains(html, want), "%s is missing", want)
 	}
 	assert.Equal(t, strings.Count(html, "<svg"), 4+2*2)
