--- /dev/null
+++ b/internal/peer/rpc/garbage_test.go
@@ -0,0 +1,50 @@
+package rpc
+
+import (
+	"io"
+	"math/rand/v2"
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+)
+
+// garbage returns seeded byte strings: pure noise, and noise behind the start of a
+// valid message.
+func garbage() [][]byte {
+	r := rand.New(rand.NewPCG(1, 2))
+	list := [][]byte{nil, []byte("GET / HTTP/1.1\r\n\r\n"), {0x03, 0xff, 0xff, 0xff}}
+	for n := range 60 {
+		b := make([]byte, 1+r.IntN(4096))
+		for i := range b {
+			b[i] = byte(r.Uint32())
+		}
+		if n%2 == 0 {
+			b = append([]byte{0xfe, byte(len(b) >> 8), byte(len(b))}, b...) // a length in gob's form
+		}
+		list = append(list, b)
+	}
+	return list
+}
+
+// TestGarbageHurtsNoOtherConnection sends garbage on connections of its own while
+// a good connection has calls under way.
+func TestGarbageHurtsNoOtherConnection(t *testing.T) {
+	_, _, client, addr := start(t, Options{MaxMessage: 1 << 16}, Options{})
+	for _, b := range garbage() {
+		conn, err := net.Dial("tcp", addr)
+		assert.NilError(t, err)
+		_, _ = conn.Write(b)
+		out, err := call(client, addr, "Echo.Say", "still here", true)
+		assert.NilError(t, err)
+		assert.Equal(t, out, "still here")
+		_ = conn.(*net.TCPConn).CloseWrite()
+		_ = conn.SetReadDeadline(time.Now().Add(time.Minute))
+		_, err = io.Copy(io.Discard, conn)
+		assert.Assert(t, !errors.Is(err, os.ErrDeadlineExceeded), "the server kept the connection open")
+		assert.NilError(t, conn.Close())
+	}
+}
