Hand rights over with shards that move between live instances; meet before refusing

An instance that had not met another data centre yet refused with no_endpoint. A caller's idle connection got an unasked 400 when its idle time ended. Change: rights are frozen before such a shard is released and passed on to its new home; a new process waits for other data centres for up to 10 s; idle connections are closed silently; peers.seeds names peers to try while the store is down.

--- a/internal/entry/parts.go
+++ b/internal/entry/parts.go
@@ -168,6 +168,7 @@
 		Clock:     d.deps.Clock,
 		Rand:      d.random(seedMember),
 		Applied:   func() uint64 { return p.applied() },
+		Seeds:     s.Peers.Seeds,
 		Logger:    d.deps.Log.WithName("member"),
 		Events:    d.events,
 	})
@@ -281,6 +282,7 @@
 	if err != nil {
 		return err
 	}
+	p.shards.OnRelease(limiter.Release)
 	p.limiter = limiter
 	p.controllers = append(p.controllers, limiter.Run)
 	p.handOver = func(ctx context.Context) {
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -52,10 +52,11 @@
 
 // PeerSettings secure the connections between instances.
 type PeerSettings struct {
-	Plain bool   `ini:"plain" default:"false" doc:"no TLS between instances; loopback addresses only"`
-	Cert  string `ini:"cert" default:"" doc:"PEM file of the instance's certificate"`
-	Key   string `ini:"key" default:"" doc:"PEM file of the certificate's private key"`
-	CA    string `ini:"ca" default:"" doc:"PEM file of the fleet's certificate authority"`
+	Seeds []string `ini:"seeds" default:"" doc:"peers' addresses of the data centre to try while no peer is known, IP:port, comma separated"`
+	Plain bool     `ini:"plain" default:"false" doc:"no TLS between instances; loopback addresses only"`
+	Cert  string   `ini:"cert" default:"" doc:"PEM file of the instance's certificate"`
+	Key   string   `ini:"key" default:"" doc:"PEM file of the certificate's private key"`
+	CA    string   `ini:"ca" default:"" doc:"PEM file of the fleet's certificate authority"`
 }
 
 // OperatorSettings say who may use the operator port.
--- a/internal/entry/validate.go
+++ b/internal/entry/validate.go
@@ -29,6 +29,11 @@
 			return fault(name, "must be IP:port, for example 127.0.0.1:7000")
 		}
 	}
+	for _, addr := range s.Peers.Seeds {
+		if !isIPPort(addr) {
+			return fault("peers.seeds", "must be IP:port, comma separated")
+		}
+	}
 	if s.Peers.Plain {
 		if !isLoopback(s.Listen.Peers) {
 			return fault("peers.plain", "is allowed with a loopback listen.peers only")
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -34,6 +34,7 @@
 	net.Conn
 	writeTimeout time.Duration
 	linger       atomic.Bool // the caller is still sending a request that was refused
+	begun        atomic.Bool // bytes of a request were read that is not handled yet
 }
 
 // Bounds of reading the rest of a refused request, so that the caller can read the
@@ -56,6 +57,15 @@
 	return c.Conn.Close()
 }
 
+// Read implements net.Conn.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.begun.Store(true)
+	}
+	return n, err
+}
+
 // Write implements net.Conn.
 func (c *conn) Write(b []byte) (int, error) {
 	if err := c.SetWriteDeadline(time.Now().Add(c.writeTimeout)); err != nil {
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -120,6 +120,12 @@
 
 // protocolError answers requests that could not be read.
 func (s *Server) protocolError(ctx *fasthttp.RequestCtx, err error) {
+	if c, ok := ctx.Conn().(*conn); ok && !c.begun.Load() {
+		// An idle connection ends without a word; an answer now could be taken for
+		// that to a request which the caller is just sending.
+		_ = c.Close()
+		return
+	}
 	e := errkind.New(errkind.BadRequest, "the request could not be read")
 	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
 		e = errkind.New(errkind.BodyTooLarge, "the request body is too large")
@@ -133,6 +139,9 @@
 }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	if c, ok := ctx.Conn().(*conn); ok {
+		c.begun.Store(false)
+	}
 	path := string(ctx.Path())
 	switch {
 	case path == healthPath:
--- a/internal/limit/escrow/escrow.go
+++ b/internal/limit/escrow/escrow.go
@@ -67,6 +67,7 @@
 
 	freezeOnce sync.Once
 	frozen     []handover
+	released   chan []handover // of shards handed over to live instances
 }
 
 var _ limit.Limiter = (*Limiter)(nil)
@@ -82,7 +83,7 @@
 	setDefault(&o.LoanLife, defaultLoanLife)
 	setDefault(&o.CallTime, defaultCallTime)
 	setDefault(&o.StoreTime, defaultStoreTime)
-	l := &Limiter{o: o}
+	l := &Limiter{o: o, released: make(chan []handover, passOnQueue)}
 	l.home = newHome(&l.o)
 	l.client = newClient(&l.o, l.home)
 	if err := o.Registrar.Register(ServiceName, &service{l.home}); err != nil {
@@ -118,6 +119,7 @@
 	g.Go(func() error { return move.run(ctx) })
 	g.Go(func() error { return l.client.out.run(ctx) })
 	g.Go(func() error { return l.sweep(ctx) })
+	g.Go(func() error { return l.passOn(ctx) })
 	return g.Wait()
 }
 
--- a/internal/limit/escrow/handover.go
+++ b/internal/limit/escrow/handover.go
@@ -9,10 +9,14 @@
 	"carawayrouter.example/router/internal/event"
 	"carawayrouter.example/router/internal/limit/bucket"
 	"carawayrouter.example/router/internal/platform"
+	"carawayrouter.example/router/internal/shard"
 )
 
-// handoverPoll is the time between two looks for the next homes.
-const handoverPoll = 20 * time.Millisecond
+const (
+	handoverPoll = 20 * time.Millisecond // between two looks for the next homes
+	passOnTime   = 3 * time.Second       // for handing over one shard to a live instance
+	passOnQueue  = 64                    // shards that wait for it; the rights of more are lost
+)
 
 // handover is what this process held of one account when it stopped granting.
 type handover struct {
@@ -37,13 +41,56 @@
 	}
 }
 
+// Release stops granting for the accounts of a shard that is about to be handed over
+// to another live instance, and passes their rights on once that instance is home. It
+// is a shard.Hook and must be called while the shard is still held.
+func (l *Limiter) Release(k shard.Key, _ uint64) {
+	var frozen []handover
+	for _, a := range l.home.list() {
+		if a.key != k {
+			continue
+		}
+		if h, ok := l.home.freeze(a); ok {
+			frozen = append(frozen, h)
+		}
+	}
+	if len(frozen) == 0 {
+		return
+	}
+	select {
+	case l.released <- frozen:
+	default:
+		l.o.Logger.Info("hand-over of rights is lost", "accounts", len(frozen), "error", "too many at once")
+	}
+}
+
+// passOn hands over the rights of released shards until ctx ends.
+func (l *Limiter) passOn(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case frozen := <-l.released:
+			limited, cancel := context.WithTimeout(ctx, passOnTime)
+			if err := l.handOverAll(limited, frozen); err != nil {
+				l.o.Logger.Info("hand-over of rights is lost", "error", err.Error())
+			}
+			cancel()
+		}
+	}
+}
+
 // Close hands the rights of this process to the next homes, which it waits for
 // until ctx ends, and returns unspent tokens. Where Freeze was not called before,
 // it is called first. What cannot be handed over is lost, and accrues anew.
 func (l *Limiter) Close(ctx context.Context) error {
 	l.Freeze()
 	l.client.out.flush(ctx)
-	left := l.frozen
+	return l.handOverAll(ctx, l.frozen)
+}
+
+// handOverAll waits for the next homes and hands over to them until ctx ends.
+func (l *Limiter) handOverAll(ctx context.Context, left []handover) error {
 	for len(left) > 0 {
 		left = l.handOver(ctx, left)
 		if len(left) == 0 {
--- a/internal/sched/dispatch/client.go
+++ b/internal/sched/dispatch/client.go
@@ -18,6 +18,7 @@
 const (
 	maxPlaces  = 4                     // data centres tried
 	maxMoves   = 5                     // dispatchers tried in one data centre
+	meetTime   = 10 * time.Second      // in which a new process meets the other data centres
 	movePause  = 20 * time.Millisecond // before the next one, times the number tried
 	spillWait  = 200 * time.Millisecond
 	spillPause = 10 * time.Millisecond // between two of them
@@ -97,9 +98,15 @@
 func (n *Node) acquireAt(ctx context.Context, p Place, d sched.Demand) (*sched.Grant, error) {
 	for moves := 1; ; moves++ {
 		addr, ok := n.home(p)
-		if !ok {
+		if !ok && n.metAll(d) {
 			return nil, unreachable(p)
 		}
+		if !ok {
+			if err := n.pause(ctx, moves); err != nil {
+				return nil, err
+			}
+			continue
+		}
 		g, err := n.await(ctx, n.issue(d, p, addr))
 		if !errors.Is(err, errMoved) {
 			return g, err
@@ -110,14 +117,29 @@
 		if moves == maxMoves || p.DataCentre != n.self().DataCentre {
 			return nil, unreachable(p)
 		}
-		select {
-		case <-ctx.Done():
-			return nil, endedWait(ctx.Err())
-		case <-n.opts.Clock.After(time.Duration(moves) * movePause):
+		if err := n.pause(ctx, moves); err != nil {
+			return nil, err
 		}
 	}
 }
 
+// pause waits before the next look for a dispatcher.
+func (n *Node) pause(ctx context.Context, moves int) error {
+	select {
+	case <-ctx.Done():
+		return endedWait(ctx.Err())
+	case <-n.opts.Clock.After(time.Duration(min(moves, maxMoves)) * movePause):
+		return nil
+	}
+}
+
+// metAll reports whether an instance that is not in the view is missing rather than
+// not met yet: this process has run for long enough, or the demand cannot wait.
+func (n *Node) metAll(d sched.Demand) bool {
+	now := n.opts.Clock.Now()
+	return now.Sub(n.started) >= meetTime || !now.Before(d.Arrived.Add(d.MaxWait))
+}
+
 func unreachable(p Place) error {
 	return errkind.New(errkind.NoEndpoint, "no dispatcher of the pool can be reached in "+p.DataCentre).WithRetryAfter(time.Second)
 }
--- a/internal/sched/dispatch/node.go
+++ b/internal/sched/dispatch/node.go
@@ -72,6 +72,7 @@
 	mu       sync.Mutex
 	rand     *rand.Rand
 	ctx      context.Context // of Run
+	started  time.Time       // of the process
 	running  bool
 	last     uint64 // last try issued
 	tickets  map[uint64]*ticket
@@ -118,6 +119,7 @@
 	}
 	n := &Node{
 		opts:     o,
+		started:  o.Clock.Now(),
 		tuning:   t,
 		rand:     o.Rand,
 		ctx:      context.Background(),
--- a/internal/shard/controller.go
+++ b/internal/shard/controller.go
@@ -133,6 +133,7 @@
 	leaving   bool
 	onGain    []Hook
 	onLose    []Hook
+	onRelease []Hook
 
 	wanted  chan Key
 	offered chan struct{}
@@ -185,6 +186,10 @@
 // Run and must not block.
 func (c *Controller) OnGain(h Hook) { c.onGain = append(c.onGain, h) }
 
+// OnRelease adds a hook that is called before a shard that this process holds is
+// handed over to a live member, while it is still held. Hooks are added before Run.
+func (c *Controller) OnRelease(h Hook) { c.onRelease = append(c.onRelease, h) }
+
 // OnLose adds a hook that is called when a shard was lost, or before its release is
 // written; Held is false by then.
 func (c *Controller) OnLose(h Hook) { c.onLose = append(c.onLose, h) }
--- a/internal/shard/round.go
+++ b/internal/shard/round.go
@@ -265,11 +265,25 @@
 		c.notReady[to.Name] = c.opts.Clock.Now()
 		return
 	}
+	c.beforeRelease(give)
 	if c.release(ctx, give) == nil {
 		c.offer(ctx, give, intended, members)
 	}
 }
 
+// beforeRelease calls the hooks for shards that are about to be given up.
+func (c *Controller) beforeRelease(keys []Key) {
+	for _, k := range keys {
+		epoch, held := c.Held(k)
+		if !held {
+			continue
+		}
+		for _, hook := range c.onRelease {
+			hook(k, epoch)
+		}
+	}
+}
+
 // nextHandOver picks shards of one member. One that was not ready lately is passed by.
 func (c *Controller) nextHandOver(
 	self member.Session, members []member.Session, intended placement,
