--- a/internal/limit/escrow/fault_test.go
+++ b/internal/limit/escrow/fault_test.go
@@ -326,6 +326,28 @@
 	}
 }
 
+// A shard that moves between live instances takes its rights along; without the hook
+// the new home starts with nothing.
+func TestShardMovesBetweenLiveInstances(t *testing.T) {
+	for _, hooked := range []bool{false, true} {
+		run(t, func(t *testing.T) {
+			w := newWorld(oneDC, 2, acct("acme", 10, 1000))
+			defer w.stop()
+			home := w.home("a", "acme")
+			next := w.other(home)
+			_, _, err := next.reserve("acme", 300, time.Second)
+			assert.NilError(t, err)
+			if hooked {
+				home.limiter.Release(keyOf("a", "acme"), 0)
+			}
+			w.moveShards(home, next)
+			_, _, err = home.reserve("acme", 700, time.Second)
+			assert.Equal(t, err == nil, hooked, "%v", err)
+			w.checkNoExcess(t, "acme", 10, 1000)
+		})
+	}
+}
+
 func TestRateChange(t *testing.T) {
 	run(t, func(t *testing.T) {
 		w := newWorld(threeDCs, 3, acct("acme", 600, 1200))
