Wait for a home as long as the route allows, behind other requests for half the time

Cause: the bound on waiting for tokens also cut short the wait for a home that cannot be asked yet, as after a start: TestAnswersAreWholeAndOwn was refused with over_rate. Change: limit.Wait bounds the wait in a home's queue apart from the whole wait. Service calls give up a silent connection after service_idle_timeout, 10 s by default, instead of the route's deadline.

--- a/internal/entry/parts.go
+++ b/internal/entry/parts.go
@@ -89,7 +89,7 @@
 
 // newDialer returns the clients for endpoints.
 func newDialer(s RequestSettings, g *netgate.Gate) endpoint.Dialer {
-	return httpendpoint.NewDialer(httpendpoint.Options{Idle: s.EndpointIdle, DialContext: g.DialContext})
+	return httpendpoint.NewDialer(httpendpoint.Options{Idle: s.EndpointIdle, ServiceIdle: s.ServiceIdle, DialContext: g.DialContext})
 }
 
 // assemble builds the controllers, the filter chain and the front.
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -45,6 +45,7 @@
 	MaxAttempts  int           `ini:"max_attempts" default:"3" min:"1" max:"10" doc:"attempts for one request, the first included"`
 	RetryBudget  float64       `ini:"retry_budget" default:"0.1" min:"0" max:"1" doc:"retries as a fraction of requests"`
 	EndpointIdle time.Duration `ini:"endpoint_idle_timeout" default:"3s" min:"100ms" max:"10m" doc:"silence of an endpoint after which its connection is given up"`
+	ServiceIdle  time.Duration `ini:"service_idle_timeout" default:"10s" min:"100ms" max:"1h" doc:"silence of a plain service after which its connection is given up"`
 	LeaveGrace   time.Duration `ini:"leave_grace" default:"3s" min:"0s" max:"5m" doc:"time for which new requests are served after the instance left the platform's list, which lags"`
 	Drain        time.Duration `ini:"drain_timeout" default:"0s" min:"0s" max:"24h" doc:"longest wait for running requests at shutdown; 0s means the longest route deadline"`
 	OperationTTL time.Duration `ini:"operation_retention" default:"24h" min:"1m" max:"720h" doc:"how long recorded operations are kept"`
--- a/internal/filters/ratelimit.go
+++ b/internal/filters/ratelimit.go
@@ -23,7 +23,10 @@
 	if r.Account == nil {
 		return next(ctx, r)
 	}
-	res, err := f.Limiter.Reserve(ctx, r.Account.Name, r.Tokens, r.Arrived.Add(longestWait(r.Route)))
+	res, err := f.Limiter.Reserve(ctx, r.Account.Name, r.Tokens, limit.Wait{
+		Deadline: r.Arrived.Add(r.Route.MaxWait),
+		InQueue:  longestQueue(r.Route),
+	})
 	if err != nil {
 		return err
 	}
@@ -32,12 +35,12 @@
 	return next(ctx, r)
 }
 
-// longestWait bounds the wait for the account's tokens. An interactive request that
-// has waited for half of its time to the first token leaves the other half to queue
-// and prefill; one that needs longer is told at once when to come back.
-func longestWait(r *config.Route) time.Duration {
+// longestQueue bounds the wait behind other requests of the account. An interactive
+// request that has waited for half of its time to the first token leaves the other
+// half to queue and prefill; one that needs longer is told at once when to come back.
+func longestQueue(r *config.Route) time.Duration {
 	if r.Class == config.Interactive && r.FirstToken > 0 {
-		return min(r.MaxWait, r.FirstToken/2)
+		return r.FirstToken / 2
 	}
-	return r.MaxWait
+	return 0
 }
--- a/internal/limit/baseline/baseline.go
+++ b/internal/limit/baseline/baseline.go
@@ -18,7 +18,7 @@
 var _ limit.Limiter = Unlimited{}
 
 // Reserve implements limit.Limiter.
-func (Unlimited) Reserve(context.Context, string, int, time.Time) (limit.Reservation, error) {
+func (Unlimited) Reserve(context.Context, string, int, limit.Wait) (limit.Reservation, error) {
 	return reservation{}, nil
 }
 
--- a/internal/limit/baseline/instance.go
+++ b/internal/limit/baseline/instance.go
@@ -40,7 +40,8 @@
 }
 
 // Reserve implements limit.Limiter.
-func (p *PerInstance) Reserve(ctx context.Context, account string, tokens int, deadline time.Time) (limit.Reservation, error) {
+func (p *PerInstance) Reserve(ctx context.Context, account string, tokens int, w limit.Wait) (limit.Reservation, error) {
+	deadline := w.End(p.clock.Now())
 	a, err := lookup(p.config, account, tokens)
 	if err != nil {
 		return nil, err
--- a/internal/limit/baseline/table.go
+++ b/internal/limit/baseline/table.go
@@ -43,7 +43,8 @@
 }
 
 // Reserve implements limit.Limiter.
-func (p *TablePerRequest) Reserve(ctx context.Context, account string, tokens int, deadline time.Time) (limit.Reservation, error) {
+func (p *TablePerRequest) Reserve(ctx context.Context, account string, tokens int, w limit.Wait) (limit.Reservation, error) {
+	deadline := w.End(p.clock.Now())
 	a, err := lookup(p.config, account, tokens)
 	if err != nil {
 		return nil, err
--- a/internal/limit/escrow/client.go
+++ b/internal/limit/escrow/client.go
@@ -59,7 +59,7 @@
 }
 
 // reserve implements limit.Limiter.
-func (c *client) reserve(ctx context.Context, account string, tokens int, deadline time.Time) (limit.Reservation, error) {
+func (c *client) reserve(ctx context.Context, account string, tokens int, w limit.Wait) (limit.Reservation, error) {
 	cfg := c.o.Config.Current().Accounts[account]
 	if cfg == nil {
 		return nil, errkind.New(errkind.KeyRefused, "client account is not configured")
@@ -76,10 +76,10 @@
 		c.news(account, p, ReturnItem{Spent: need})
 		return c.reservation(account, need, []Part{p}), nil
 	}
-	if least := now.Add(minWait); deadline.Before(least) {
-		deadline = least
+	if least := now.Add(minWait); w.Deadline.Before(least) {
+		w.Deadline = least
 	}
-	t := &taking{client: c, account: account, need: need, begun: now, deadline: deadline, loan: c.nextLoan()}
+	t := &taking{client: c, account: account, need: need, begun: now, wait: w, loan: c.nextLoan()}
 	parts, err := t.run(ctx)
 	if err != nil {
 		return nil, err
@@ -127,7 +127,8 @@
 	account  string
 	need     int64
 	begun    time.Time
-	deadline time.Time
+	wait     limit.Wait
+	queued   time.Time // when a home first answered; zero before
 	loan     bucket.LoanID
 	addr     string // home that has the request in its queue
 	failures int
@@ -140,7 +141,7 @@
 			t.withdraw()
 			return nil, errkind.Wrap(err, errkind.ClientGone, errkind.NotRun, "request was given up while it waited for tokens")
 		}
-		if !t.client.o.Clock.Now().Before(t.deadline) {
+		if !t.client.o.Clock.Now().Before(t.wait.Deadline) {
 			t.withdraw()
 			return nil, errkind.New(errkind.OverRate, "tokens of the client account cannot be had in time").WithRetryAfter(unreachableRetry)
 		}
@@ -167,6 +168,9 @@
 			return nil, errkind.New(errkind.OverRate, "client account is above its rate").WithRetryAfter(reply.RetryAfter)
 		case Queued:
 			t.failures = 0
+			if t.queued.IsZero() {
+				t.queued = sent
+			}
 			t.pause(ctx, reply.Again)
 		default:
 			t.failures++
@@ -206,7 +210,7 @@
 		Account: t.account,
 		Loan:    t.loan,
 		Need:    t.need,
-		Wait:    t.deadline.Sub(sent),
+		Wait:    t.end(sent).Sub(sent),
 		Waited:  sent.Sub(t.begun),
 	}
 	if addr == c.o.Self.Addr {
@@ -217,6 +221,14 @@
 	return reply, sent, err
 }
 
+// end returns when the wait in the queue of a home ends.
+func (t *taking) end(now time.Time) time.Time {
+	if t.queued.IsZero() {
+		return t.wait.End(now)
+	}
+	return t.wait.End(t.queued)
+}
+
 // accept admits the request on a grant whose life has not passed.
 func (t *taking) accept(reply TakeReply, sent time.Time) ([]Part, bool) {
 	c := t.client
@@ -288,7 +300,7 @@
 }
 
 func (t *taking) pause(ctx context.Context, d time.Duration) {
-	d = min(d, t.deadline.Sub(t.client.o.Clock.Now()))
+	d = min(d, t.wait.Deadline.Sub(t.client.o.Clock.Now()))
 	if d <= 0 {
 		return
 	}
--- a/internal/limit/escrow/escrow.go
+++ b/internal/limit/escrow/escrow.go
@@ -99,8 +99,8 @@
 }
 
 // Reserve implements limit.Limiter.
-func (l *Limiter) Reserve(ctx context.Context, account string, tokens int, deadline time.Time) (limit.Reservation, error) {
-	return l.client.reserve(ctx, account, tokens, deadline)
+func (l *Limiter) Reserve(ctx context.Context, account string, tokens int, w limit.Wait) (limit.Reservation, error) {
+	return l.client.reserve(ctx, account, tokens, w)
 }
 
 // Status describes an account at its home in this data centre.
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -13,9 +13,29 @@
 	Settle(used int)
 }
 
+// Wait bounds how long a request waits for tokens.
+type Wait struct {
+	// Deadline is the longest wait, also where the account's home cannot be asked.
+	Deadline time.Time
+	// InQueue is the longest time behind other requests of the account, from the
+	// first word of its home. Zero means until Deadline.
+	InQueue time.Duration
+}
+
+// Until returns a Wait that only a deadline bounds.
+func Until(deadline time.Time) Wait { return Wait{Deadline: deadline} }
+
+// End returns the time at which a wait that starts now in a queue ends.
+func (w Wait) End(now time.Time) time.Time {
+	if w.InQueue <= 0 || now.Add(w.InQueue).After(w.Deadline) {
+		return w.Deadline
+	}
+	return now.Add(w.InQueue)
+}
+
 // Limiter reserves tokens of client accounts.
 type Limiter interface {
-	// Reserve waits until deadline for tokens. It returns an *errkind.Error of
+	// Reserve waits for tokens within the bounds of w. It returns an *errkind.Error of
 	// kind OverRate, or TooLarge where tokens exceed the account's burst.
-	Reserve(ctx context.Context, account string, tokens int, deadline time.Time) (Reservation, error)
+	Reserve(ctx context.Context, account string, tokens int, w Wait) (Reservation, error)
 }
