--- a/cmd/caraway-load/slopes.go
+++ b/cmd/caraway-load/slopes.go
@@ -15,16 +15,17 @@
 )
 
 type slopesArgs struct {
-	Vary     string        `arg:"--vary" default:"instances,accounts,endpoints,tickets" placeholder:"NAME[,NAME...]" help:"what the series vary"`
-	Duration time.Duration `arg:"--duration" default:"8s" help:"measured time of each point"`
-	Settle   time.Duration `arg:"--settle" default:"4s" help:"time before each point"`
-	Seed     uint64        `arg:"--seed" default:"1"`
-	JSON     string        `arg:"--json" placeholder:"FILE" help:"write the result here"`
+	Vary      string        `arg:"--vary" default:"instances,accounts,endpoints,tickets" placeholder:"NAME[,NAME...]" help:"what the series vary"`
+	Instances int           `arg:"--instances" default:"8" help:"entry instances where they are not what varies; even"`
+	Duration  time.Duration `arg:"--duration" default:"8s" help:"measured time of each point"`
+	Settle    time.Duration `arg:"--settle" default:"4s" help:"time before each point"`
+	Seed      uint64        `arg:"--seed" default:"1"`
+	JSON      string        `arg:"--json" placeholder:"FILE" help:"write the result here"`
 }
 
 // runSlopes measures the series and prints their tables.
 func runSlopes(ctx context.Context, a *slopesArgs) error {
-	o := slopes.Options{Duration: a.Duration, Settle: a.Settle, Seed: a.Seed, Progress: terminal()}
+	o := slopes.Options{Instances: a.Instances, Duration: a.Duration, Settle: a.Settle, Seed: a.Seed, Progress: terminal()}
 	for _, name := range strings.Split(a.Vary, ",") {
 		q := slopes.Quantity(name)
 		if !slopes.Known(q) {
--- a/internal/load/slopes/slopes.go
+++ b/internal/load/slopes/slopes.go
@@ -45,7 +45,6 @@
 
 // Sizes of what a series does not vary.
 const (
-	baseInstances = 8
 	baseEndpoints = 6
 	dataCentres   = 2
 )
@@ -53,6 +52,7 @@
 // Options describe a measurement.
 type Options struct {
 	Quantities []Quantity
+	Instances  int           // where they are not what varies
 	Duration   time.Duration // of each point
 	Settle     time.Duration // before each point
 	Seed       uint64
@@ -113,12 +113,12 @@
 }
 
 // deployment returns a fleet of the given size.
-func deployment(q Quantity, size float64) (fleet.Deployment, error) {
+func deployment(q Quantity, size float64, base int) (fleet.Deployment, error) {
 	d, err := fleet.Find("dohoku")
 	if err != nil {
 		return d, err
 	}
-	instances, endpoints := baseInstances, baseEndpoints
+	instances, endpoints := base, baseEndpoints
 	switch q {
 	case Instances:
 		instances = int(size)
@@ -140,7 +140,7 @@
 
 // measure measures a fleet of one size without callers, and its stand-ins alone.
 func measure(ctx context.Context, o Options, q Quantity, size float64) (Point, error) {
-	d, err := deployment(q, size)
+	d, err := deployment(q, size, o.Instances)
 	if err != nil {
 		return Point{}, err
 	}
--- a/internal/load/slopes/slopes_test.go
+++ b/internal/load/slopes/slopes_test.go
@@ -30,7 +30,7 @@
 	for _, q := range Quantities {
 		assert.Assert(t, len(sizes[q]) >= 4)
 		for _, size := range sizes[q] {
-			d, err := deployment(q, size)
+			d, err := deployment(q, size, 8)
 			assert.NilError(t, err)
 			endpoints := 0
 			for _, dc := range d.DataCentres {
