Start while the store is down: peers to try, a true kind, spare homes

Cause: no setting named peers to try, so a process started while the store is down never got a configuration and answered unknown_model, which is not worth a retry; a request whose homes cannot be asked was refused as over_rate; the homes of other data centres were looked up only when already needed. Change: peers.seeds; stale_configuration until there is a configuration, and /healthz says so; store_unavailable where no home answered; a spare home is kept known. Before: TestInstanceStartsWithoutTheStore failed for 60 s. After: it passes in 10 s.

--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -17,7 +17,7 @@
 	BodyTooLarge        Kind = "body_too_large"        // request body above the configured size
 	NoKey               Kind = "no_key"                // route needs a key and none came
 	KeyRefused          Kind = "key_refused"           // key unknown or withdrawn
-	StaleConfiguration  Kind = "stale_configuration"   // configuration too old to trust the key
+	StaleConfiguration  Kind = "stale_configuration"   // no configuration yet, or too old to trust the key
 	UnknownRoute        Kind = "unknown_route"         // no route for method and path
 	UnknownModel        Kind = "unknown_model"         // no pool serves the model
 	TooLarge            Kind = "too_large"             // cost above the account's burst or an engine's memory
--- a/internal/filters/route.go
+++ b/internal/filters/route.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"strings"
+	"time"
 
 	"carawayrouter.example/router/internal/config"
 	"carawayrouter.example/router/internal/endpoint"
@@ -22,6 +23,9 @@
 // Handle implements filter.Filter.
 func (f *Route) Handle(ctx context.Context, r *filter.Request, next filter.Handler) error {
 	r.State = f.Config.Current()
+	if r.State.Ticket == 0 {
+		return errkind.New(errkind.StaleConfiguration, "this instance has no configuration yet").WithRetryAfter(time.Second)
+	}
 	model := ""
 	if r.Completion != nil {
 		model = r.Completion.Model
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -49,6 +49,7 @@
 		}
 	}
 	for _, e := range f.Entries {
+		e.settings.Peers.Seeds = f.peersOf(e)
 		if err := e.Start(); err != nil {
 			return err
 		}
@@ -56,6 +57,17 @@
 	return nil
 }
 
+// peersOf lists the peer addresses of the other instances of e's data centre.
+func (f *Fleet) peersOf(e *Entry) []string {
+	var addrs []string
+	for _, o := range f.Entries {
+		if o != e && o.DataCentre() == e.DataCentre() {
+			addrs = append(addrs, o.settings.Listen.Peers)
+		}
+	}
+	return addrs
+}
+
 // newEntry prepares the settings of an instance, with ports that are free now.
 func (f *Fleet) newEntry(dc, name string) (*Entry, error) {
 	var s entry.Settings
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -162,6 +162,11 @@
 		ctx.SetBodyString("draining\n")
 		return
 	}
+	if s.o.Config.Current().Ticket == 0 {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		ctx.SetBodyString("no configuration yet\n")
+		return
+	}
 	ctx.SetBodyString("ok\n")
 }
 
--- a/internal/limit/escrow/client.go
+++ b/internal/limit/escrow/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -143,7 +144,7 @@
 		}
 		if !t.client.o.Clock.Now().Before(t.wait.Deadline) {
 			t.withdraw()
-			return nil, errkind.New(errkind.OverRate, "tokens of the client account cannot be had in time").WithRetryAfter(unreachableRetry)
+			return nil, t.late()
 		}
 		addr, ok := t.target()
 		if !ok {
@@ -179,16 +180,29 @@
 	}
 }
 
+// late returns the refusal of a request whose wait is over.
+func (t *taking) late() error {
+	if t.queued.IsZero() {
+		return errkind.New(errkind.StoreUnavailable, "the client account's rate cannot be checked at the moment").WithRetryAfter(unreachableRetry)
+	}
+	return errkind.New(errkind.OverRate, "tokens of the client account cannot be had in time").WithRetryAfter(unreachableRetry)
+}
+
 // target returns the home to ask: that of the own data centre, or after failures
 // one of another.
 func (t *taking) target() (addr string, ok bool) {
 	o := t.client.o
-	dc := o.Self.DataCentre
+	// Looked up also while it is not needed, so that it is known when the store is
+	// down and the own home does not grant.
+	spare, spareOK := o.Directory.Home(keyOf(nextDataCentre(o), t.account))
+	as, ok := o.Directory.Home(keyOf(o.Self.DataCentre, t.account))
 	if t.failures >= failuresAtHome {
 		i := int(t.client.jitter(time.Duration(len(o.DataCentres) - 1)))
-		dc = o.DataCentres[i]
+		as, ok = o.Directory.Home(keyOf(o.DataCentres[i], t.account))
+		if !ok {
+			as, ok = spare, spareOK
+		}
 	}
-	as, ok := o.Directory.Home(keyOf(dc, t.account))
 	if !ok {
 		t.failures++
 		return "", false
@@ -202,6 +216,12 @@
 	return t.addr, true
 }
 
+// nextDataCentre returns the data centre after the own one in their common order.
+func nextDataCentre(o *Options) string {
+	i := slices.Index(o.DataCentres, o.Self.DataCentre)
+	return o.DataCentres[(i+1)%len(o.DataCentres)]
+}
+
 // ask makes one call. Life counts from the time returned.
 func (t *taking) ask(ctx context.Context, addr string) (reply TakeReply, sent time.Time, err error) {
 	c := t.client
