--- a/cmd/caraway-load/main.go
+++ b/cmd/caraway-load/main.go
@@ -4,10 +4,11 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"os"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"carawayrouter.example/router/internal/cli"
 	"carawayrouter.example/router/internal/load/overhead"
 )
--- a/cmd/caraway-standin/main.go
+++ b/cmd/caraway-standin/main.go
@@ -3,10 +3,11 @@
 package main
 
 import (
-	"errors"
 	"fmt"
 	"net"
 
+	"github.com/cockroachdb/errors"
+
 	"carawayrouter.example/router/internal/cli"
 	"carawayrouter.example/router/internal/standin/process"
 )
--- a/cmd/caraway-timeline/main.go
+++ b/cmd/caraway-timeline/main.go
@@ -4,11 +4,12 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"os"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"carawayrouter.example/router/internal/cli"
 	"carawayrouter.example/router/internal/ctl"
 	"carawayrouter.example/router/internal/member"
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -26,7 +26,7 @@
 	Seq      uint64 `json:"seq"` // counts up by one in each ring; a gap shows loss
 	At       Stamp  `json:"at"`
 	Process  string `json:"process"`
-	Kind     string `json:"kind"` // "component.what", for example "sched.grant"
+	Kind     string `json:"kind"` // "component.what", for example "sched.eject"
 	Request  string `json:"request,omitempty"`
 	Account  string `json:"account,omitempty"`
 	Endpoint string `json:"endpoint,omitempty"`
--- a/internal/filters/identify.go
+++ b/internal/filters/identify.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
+	"time"
 
 	"carawayrouter.example/router/internal/config"
+	"carawayrouter.example/router/internal/endpoint"
 	"carawayrouter.example/router/internal/errkind"
 	"carawayrouter.example/router/internal/filter"
 )
@@ -22,7 +25,7 @@
 func (f *Identify) Handle(ctx context.Context, r *filter.Request, next filter.Handler) error {
 	key := r.Key
 	r.Key = ""
-	r.Headers = withoutCredentials(r)
+	r.Headers = withoutCredentials(r, key)
 	if key == "" {
 		if r.Route.Open {
 			return next(ctx, r)
@@ -58,7 +61,7 @@
 }
 
 // authorize returns the account of a key that is valid now.
-func authorize(s *config.State, age ageFunc, hash config.KeyHash) (*config.Account, error) {
+func authorize(s *config.State, age func() time.Duration, hash config.KeyHash) (*config.Account, error) {
 	key := s.Keys[hash]
 	if key == nil || key.Withdrawn {
 		return nil, errkind.New(errkind.KeyRefused, "the key is not valid")
@@ -79,16 +82,15 @@
 // hopHeaders belong to one connection and are not passed on.
 var hopHeaders = []string{"connection", "keep-alive", "te", "trailer", "transfer-encoding", "upgrade", "proxy-connection", "host", "content-length", "expect"}
 
-// withoutCredentials returns the headers that may reach an endpoint. Cookies pass
-// on open routes only, where they cannot carry an account's key.
-func withoutCredentials(r *filter.Request) []headerLine {
-	kept := make([]headerLine, 0, len(r.Headers))
+// withoutCredentials returns the headers that may reach an endpoint.
+func withoutCredentials(r *filter.Request, key string) []endpoint.Header {
+	kept := make([]endpoint.Header, 0, len(r.Headers))
 	for _, h := range r.Headers {
 		name := strings.ToLower(h.Name)
-		if contains(hopHeaders, name) || contains(credentialHeaders, name) {
+		if slices.Contains(hopHeaders, name) || slices.Contains(credentialHeaders, name) {
 			continue
 		}
-		if r.Key != "" && strings.Contains(h.Value, r.Key) {
+		if key != "" && strings.Contains(h.Value, key) {
 			continue
 		}
 		kept = append(kept, h)
--- a/internal/filters/schedule.go
+++ b/internal/filters/schedule.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -112,5 +111,3 @@
 	}
 	return r.Account.Name
 }
-
-const settleTimeout = 3 * time.Second
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -46,9 +46,12 @@
 
 func (f *Fleet) writeRoutes(b *strings.Builder) {
 	d := f.Deployment
-	for name, path := range map[string]string{completionRoute: "/v1/completions", chatRoute: "/v1/chat/completions"} {
+	for _, route := range []struct{ name, path string }{
+		{completionRoute, "/v1/completions"},
+		{chatRoute, "/v1/chat/completions"},
+	} {
 		fmt.Fprintf(b, "[route %q]\nmethod = POST\npath = %s\nmodel = %s\npool = %s\nclass = %s\nmax_wait = %s\nfirst_token = %s\ndeadline = %s\nidempotent = true\n\n",
-			name, path, d.Model.Model, d.Model.Name, d.Model.Class, d.Model.MaxWait, d.Model.FirstToken, d.Model.Deadline)
+			route.name, route.path, d.Model.Model, d.Model.Name, d.Model.Class, d.Model.MaxWait, d.Model.FirstToken, d.Model.Deadline)
 	}
 	service := func(name, path string, idempotent, open bool) {
 		fmt.Fprintf(b, "[route %q]\npath = %s\npool = %s\nclass = interactive\nmax_wait = 5s\nfirst_token = 2s\ndeadline = 30s\nidempotent = %t\nopen = %t\n\n",
