--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -17,6 +17,7 @@
 
 	"carawayrouter.example/router/internal/caller"
 	"carawayrouter.example/router/internal/errkind"
+	"carawayrouter.example/router/internal/platform"
 	"carawayrouter.example/router/internal/standin/engine"
 	"carawayrouter.example/router/internal/standin/host"
 )
@@ -293,6 +294,35 @@
 	assert.Assert(t, !f.Entries[0].Running())
 }
 
+func TestDrainServesCallersThatTheLaggingListSends(t *testing.T) {
+	f := start(t, small())
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	defer cancel()
+	c := f.client(0, 0)
+	_, err := c.Complete(ctx, f.completion("before", 5))
+	assert.NilError(t, err)
+	drained := make(chan struct{})
+	go func() {
+		f.Entries[0].Drain()
+		close(drained)
+	}()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		list, err := f.Platform().Instances.List(ctx)
+		if err != nil {
+			return poll.Error(err)
+		}
+		for _, i := range list {
+			if i.Name == f.Entries[0].Name() && i.State == platform.Leaving {
+				return poll.Success()
+			}
+		}
+		return poll.Continue("not leaving yet")
+	}, poll.WithTimeout(waitLimit), poll.WithDelay(5*time.Millisecond))
+	_, err = c.Complete(ctx, f.completion("sent by the lagging list", 5))
+	assert.NilError(t, err)
+	<-drained
+}
+
 func TestChatAndPlainAnswers(t *testing.T) {
 	f := start(t, small())
 	key := f.Key(f.Deployment.Accounts[0].Name)
