--- a/cmd/caraway-entry/main.go
+++ b/cmd/caraway-entry/main.go
@@ -11,6 +11,7 @@
 	"carawayrouter.example/router/internal/logging"
 	"carawayrouter.example/router/internal/platform/httpplatform"
 	"carawayrouter.example/router/internal/settings"
+	"carawayrouter.example/router/platform"
 )
 
 const program = "caraway-entry"
@@ -25,6 +26,10 @@
 func main() {
 	var a args
 	cli.Parse(program, &a)
+	if file := os.Getenv(platform.SettingsVariable); a.Settings == "" && file != "" {
+		runOnPlatform(file, a.Check)
+		return
+	}
 	if a.Settings == "" {
 		cli.Exit(program, cli.ExitUsage, fmt.Errorf("--settings FILE is required"))
 	}
@@ -58,3 +63,18 @@
 		cli.Exit(program, cli.ExitFailed, err)
 	}
 }
+
+// runOnPlatform serves on the users' platform, which passes its own settings file.
+func runOnPlatform(file string, check bool) {
+	if _, _, err := platform.LoadSettings(file); err != nil {
+		cli.Exit(program, cli.ExitUsage, err)
+	}
+	if check {
+		fmt.Printf("%s: settings are valid\n", file)
+		return
+	}
+	drain, _ := cli.Signals()
+	if err := platform.Run(file, logging.New(os.Stdout, program, 0), drain); err != nil {
+		cli.Exit(program, cli.ExitFailed, err)
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -39,7 +39,9 @@
 	Burst      float64       `json:"burst"`  // tokens
 	Weight     float64       `json:"weight"` // multiplies the share in fair queues that the rate gives
 	StaleKeys  StalePolicy   `json:"stale_keys"`
-	StaleAfter time.Duration `json:"stale_after"` // age at which configuration counts as stale
+	StaleAfter time.Duration `json:"stale_after"`           // age at which configuration counts as stale
+	Priority   int           `json:"priority,omitempty"`    // 0 is the most urgent
+	FlatTokens int           `json:"flat_tokens,omitempty"` // charge of a request that declares no tokens
 }
 
 // KeyHash is the SHA-256 of a caller's key.
@@ -81,6 +83,18 @@
 	Model    string   `json:"model,omitempty"`
 	Version  string   `json:"version,omitempty"`
 	Adapters []string `json:"adapters,omitempty"`
+
+	HealthPath  string      `json:"health_path,omitempty"`
+	Connections int         `json:"connections,omitempty"` // open connections each endpoint accepts
+	Engine      *EngineSpec `json:"engine,omitempty"`      // nil for plain services
+}
+
+// EngineSpec holds what the engines of a pool have in common.
+type EngineSpec struct {
+	Slots     int           `json:"slots"`      // requests decoded at once
+	KVTokens  int           `json:"kv_tokens"`  // tokens that fit in KV memory
+	Stride    int           `json:"stride"`     // output tokens in one event of a stream
+	HandleTTL time.Duration `json:"handle_ttl"` // life of a prefill result that nobody fetches
 }
 
 // Role is the job of an endpoint within its pool.
@@ -104,6 +118,10 @@
 	Pieces     int    `json:"pieces"`  // KV pieces
 	Fencing    bool   `json:"fencing"` // refuses orders with a stale epoch
 	Leaving    bool   `json:"leaving"`
+
+	Incarnation int64         `json:"incarnation,omitempty"` // start of the process, Unix ms
+	Revision    uint64        `json:"revision,omitempty"`    // counts the reports of one incarnation
+	Cold        time.Duration `json:"cold,omitempty"`        // how much longer it stays slow after its start
 }
 
 // Class orders requests of different urgency.
@@ -128,6 +146,38 @@
 	FirstToken time.Duration `json:"first_token"` // latency target
 	Deadline   time.Duration `json:"deadline"`    // longest whole request
 	Idempotent bool          `json:"idempotent"`
+
+	// Routes of pass-through deployments.
+	Host        string        `json:"host,omitempty"` // empty matches every host
+	Split       []Share       `json:"split,omitempty"`
+	Streaming   bool          `json:"streaming,omitempty"`
+	Resumable   bool          `json:"resumable,omitempty"`
+	MaxAttempts int           `json:"max_attempts,omitempty"`
+	MaxGap      time.Duration `json:"max_gap,omitempty"` // longest pause between events that is on time
+	Priority    int           `json:"priority,omitempty"`
+}
+
+// Share is one pool's part of a route's requests.
+type Share struct {
+	Pool   string `json:"pool"`
+	Weight int    `json:"weight"`
+}
+
+// PoolFor returns the pool that a request goes to; point in [0, 1) picks among the
+// pools of a split.
+func (r *Route) PoolFor(point float64) string {
+	total := 0
+	for _, s := range r.Split {
+		total += s.Weight
+	}
+	left := point * float64(total)
+	for _, s := range r.Split {
+		left -= float64(s.Weight)
+		if left < 0 {
+			return s.Pool
+		}
+	}
+	return r.Pool
 }
 
 // Matches reports whether the route takes a request.
@@ -153,7 +203,16 @@
 	Endpoints map[string]*Endpoint
 	Routes    []*Route // exact paths before patterns, longer patterns first
 
+	Limits Limits
+
 	byPool map[string][]*Endpoint
+	byHost map[string][]*Route // longest path first
+}
+
+// Limits bound what a caller may send and how long it may take. Zero: no bound.
+type Limits struct {
+	HeaderBytes, BodyBytes     int
+	HeaderTimeout, IdleTimeout time.Duration
 }
 
 // Empty returns the configuration before the first ticket.
@@ -166,6 +225,7 @@
 	Pools     []*Pool     `json:"pools"`
 	Endpoints []*Endpoint `json:"endpoints"`
 	Routes    []*Route    `json:"routes"`
+	Limits    Limits      `json:"limits"`
 }
 
 // Build makes the State of the given objects at a ticket number.
@@ -179,6 +239,7 @@
 	s.setPools(o.Pools)
 	s.setEndpoints(o.Endpoints)
 	s.setRoutes(o.Routes)
+	s.Limits = o.Limits
 	return s
 }
 
@@ -241,6 +302,20 @@
 func (s *State) setRoutes(list []*Route) {
 	s.Routes = slices.Clone(list)
 	slices.SortStableFunc(s.Routes, compareRoutes)
+	s.byHost = map[string][]*Route{}
+	for _, r := range s.Routes {
+		s.byHost[r.Host] = append(s.byHost[r.Host], r)
+	}
+}
+
+// HostRoute returns the route of a host with the longest path that matches, or nil.
+func (s *State) HostRoute(host, method, path string) *Route {
+	for _, r := range s.byHost[host] {
+		if r.Matches(method, path, "") {
+			return r
+		}
+	}
+	return nil
 }
 
 // Pool returns the endpoints of a pool, sorted by name. The slice is shared.
--- /dev/null
+++ b/internal/gateway/directory.go
@@ -0,0 +1,124 @@
+package gateway
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"carawayrouter.example/router/internal/config"
+)
+
+// returnTime is how long an endpoint whose entry vanished while the store was away may
+// take to enter itself again once the store is back.
+const returnTime = 1800 * time.Millisecond
+
+// directory is what the instance believes of the endpoints. It is not safe for
+// concurrent use.
+//
+// Invariant: an incarnation of an endpoint that was seen leaving stays so.
+type directory struct {
+	known     map[string]*record
+	retired   map[string]int64 // newest incarnation seen leaving or gone, by name
+	uncertain time.Time        // entries that vanish before this time may come back
+}
+
+type record struct {
+	ep      *config.Endpoint
+	pending bool      // its entry vanished while the store was away
+	dropAt  time.Time // of a pending one
+}
+
+func newDirectory() *directory {
+	return &directory{known: map[string]*record{}, retired: map[string]int64{}}
+}
+
+// storeLost notes that the store could not be used; entries may lapse without their
+// endpoints having left, until shortly after its return.
+func (d *directory) storeLost(now time.Time) { d.uncertain = now.Add(returnTime) }
+
+// put takes an entry and reports whether it changed anything. Entries of an older
+// incarnation, or older ones of the same, are left out.
+func (d *directory) put(ep *config.Endpoint) bool {
+	old := d.known[ep.Name]
+	if old != nil {
+		switch {
+		case ep.Incarnation < old.ep.Incarnation:
+			return false
+		case ep.Incarnation == old.ep.Incarnation && ep.Revision < old.ep.Revision:
+			return false
+		}
+	}
+	e := *ep
+	if born, ok := d.retired[e.Name]; ok && e.Incarnation <= born {
+		e.Leaving = true
+	}
+	if e.Leaving {
+		d.retired[e.Name] = max(d.retired[e.Name], e.Incarnation)
+	}
+	d.known[e.Name] = &record{ep: &e}
+	return old == nil || old.pending || !same(old.ep, &e)
+}
+
+func same(a, b *config.Endpoint) bool {
+	x, y := *a, *b
+	x.Revision, y.Revision = 0, 0
+	return x == y
+}
+
+// remove takes out an entry that has vanished from the store.
+func (d *directory) remove(now time.Time, name string) bool {
+	r := d.known[name]
+	if r == nil || r.pending {
+		return false
+	}
+	if now.Before(d.uncertain) {
+		r.pending, r.dropAt = true, d.uncertain
+		return false
+	}
+	d.drop(name)
+	return true
+}
+
+func (d *directory) drop(name string) {
+	d.retired[name] = max(d.retired[name], d.known[name].ep.Incarnation)
+	delete(d.known, name)
+}
+
+// replace takes the whole table: entries that are not in it have vanished.
+func (d *directory) replace(now time.Time, eps []*config.Endpoint) bool {
+	present := map[string]bool{}
+	changed := false
+	for _, ep := range eps {
+		present[ep.Name] = true
+		changed = d.put(ep) || changed
+	}
+	for name := range d.known {
+		if !present[name] {
+			changed = d.remove(now, name) || changed
+		}
+	}
+	return changed
+}
+
+// expire drops the entries that did not come back.
+func (d *directory) expire(now time.Time) bool {
+	changed := false
+	for name, r := range d.known {
+		if r.pending && !now.Before(r.dropAt) {
+			d.drop(name)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// list returns the endpoints by name.
+func (d *directory) list() []*config.Endpoint {
+	out := make([]*config.Endpoint, 0, len(d.known))
+	for r := range maps.Values(d.known) {
+		out = append(out, r.ep)
+	}
+	slices.SortFunc(out, func(a, b *config.Endpoint) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
--- /dev/null
+++ b/internal/gateway/generation.go
@@ -0,0 +1,280 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"carawayrouter.example/router/internal/config"
+	"carawayrouter.example/router/internal/endpoint"
+	"carawayrouter.example/router/internal/errkind"
+	"carawayrouter.example/router/internal/placement"
+)
+
+const (
+	// Callers leave a stream after this long without an event, also before the first.
+	callerPatience = 2 * time.Second // at the least
+	patienceGoals  = 4               // times the latency target
+	patienceGaps   = 8               // times the longest pause on time
+	// startMargin is what remains of a caller's patience when its request is placed last.
+	startMargin = 900 * time.Millisecond
+
+	prefillTimes  = 4                      // times the predicted time of a prefill until it is given up
+	prefillLeast  = 400 * time.Millisecond // and at least this long
+	maxEvent      = 1 << 20                // bytes of one event
+	eventBuffer   = 4 << 10
+	freeTimeout   = time.Second            // to give a prefill result back
+	expectedStart = 150 * time.Millisecond // from the place to the first event, on engines that are not slow
+)
+
+// generation runs a request at a model pool: place, prefill, decode, and once more where
+// that is allowed.
+func (x *exchange) generation(ctx context.Context) error {
+	var last error
+	for x.sends < 2*maxSends {
+		if x.sends > 0 && !x.mayRepeat(time.Now()) {
+			x.decision("no_repeat", "reason", "budget")
+			return last
+		}
+		began := time.Now()
+		lease, err := x.s.room.engine(ctx, x.waiter())
+		x.waited += time.Since(began)
+		if err != nil {
+			if last != nil {
+				return last
+			}
+			return err
+		}
+		x.decision("place", "prefill", endpointName(lease.Prefill), "decode", lease.Target.Name, "waited_ms", x.waited.Milliseconds(), "prompt", x.call.Prompt, "output", x.call.Output)
+		done, err := x.attempt(ctx, lease)
+		if done || err == nil {
+			return err
+		}
+		if ctx.Err() != nil {
+			return context.Cause(ctx)
+		}
+		last = err
+		x.decision("repeat", "endpoint", x.target, "sends", x.sends, "runs", x.runs, "cause", err.Error())
+	}
+	return last
+}
+
+// callerLeaves returns how long a caller waits for the next event.
+func (x *exchange) callerLeaves() time.Duration {
+	r := x.call.Route
+	return max(callerPatience, patienceGoals*r.FirstToken, patienceGaps*r.MaxGap)
+}
+
+func (x *exchange) waiter() *placement.Waiter {
+	c := x.call
+	latest := c.Arrived.Add(x.callerLeaves() - startMargin)
+	if latest.After(x.deadline) {
+		latest = x.deadline
+	}
+	return &placement.Waiter{
+		Demand:  placement.Demand{Pool: c.Pool.Name, Prompt: c.Prompt, Output: c.Output, Exclude: x.exclude},
+		Arrived: c.Arrived,
+		Due:     c.Arrived.Add(c.Route.FirstToken - expectedStart - time.Duration(c.Prompt)*prefillToken),
+		Latest:  latest,
+		Urgency: x.urgency(),
+	}
+}
+
+// prefillToken is the usual time to read one prompt token.
+const prefillToken = 18 * time.Microsecond
+
+// attempt runs prefill and decode once. Done is false where another attempt may follow.
+func (x *exchange) attempt(ctx context.Context, l *placement.Lease) (done bool, err error) {
+	outcome := placement.Abandoned
+	defer func() { x.s.room.release(l, outcome) }()
+	if err := x.identify(x.s.state.Current()); err != nil {
+		return true, err
+	}
+	source := ""
+	if p := l.Prefill; p != nil {
+		handle, err := x.prefill(ctx, l)
+		if err != nil {
+			x.exclude = append(x.exclude, p.Name)
+			return errors.Is(err, errCallerGone), err
+		}
+		source = p.Addr + "/" + handle
+		defer func() {
+			if x.runs == 0 {
+				x.s.free(p.Addr, p.Name, handle)
+			}
+		}()
+		if err := x.identify(x.s.state.Current()); err != nil {
+			return true, err
+		}
+	}
+	x.target = l.Target.Name
+	done, outcome, err = x.decode(ctx, l, source)
+	if outcome == placement.Failed || outcome == placement.Full {
+		x.exclude = append(x.exclude, l.Target.Name)
+	}
+	return done, err
+}
+
+// prefill has the prompt read and returns the handle of the result.
+func (x *exchange) prefill(ctx context.Context, l *placement.Lease) (string, error) {
+	outcome := placement.Failed
+	p := l.Prefill
+	defer func() { x.s.room.prefillDone(l, outcome) }()
+	limit := max(prefillLeast, prefillTimes*x.s.room.prefillTime(l))
+	pctx, cancel := context.WithTimeoutCause(ctx, limit, errSilent)
+	defer cancel()
+	before := x.sends
+	in, err := x.send(pctx, p.Addr, SendOptions{Endpoint: p.Name, PrefillOnly: true, Urgency: -1})
+	if err != nil {
+		if ctx.Err() != nil {
+			outcome = placement.Abandoned
+			return "", context.Cause(ctx)
+		}
+		return "", err
+	}
+	defer in.close()
+	body, err := in.readAll()
+	if err != nil {
+		return "", err
+	}
+	if in.Status != http.StatusOK {
+		outcome = placement.Full
+		if !in.NotRun {
+			outcome = placement.Failed
+		}
+		return "", errors.Newf("the prefill was refused with %d", in.Status)
+	}
+	handle, err := x.s.wire.PrefillResult(body)
+	if err != nil {
+		return "", errors.Mark(err, endpoint.ErrBroken)
+	}
+	outcome = placement.Succeeded
+	if before == 0 {
+		x.sends = 0 // the first prefill that succeeds is not an arrival
+	}
+	return handle, nil
+}
+
+// decode streams the output to the caller.
+func (x *exchange) decode(ctx context.Context, l *placement.Lease, source string) (done bool, o placement.Outcome, err error) {
+	sctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silence := time.AfterFunc(x.callerLeaves(), func() { cancel(errSilent) })
+	defer silence.Stop()
+	in, err := x.send(sctx, l.Target.Addr, SendOptions{Endpoint: l.Target.Name, Source: source, LastEvent: x.lastEvent, Urgency: -1})
+	if err != nil {
+		if errors.Is(err, endpoint.ErrNotSent) {
+			return false, placement.Failed, err
+		}
+		x.runs++
+		return x.cannotResume(ctx), outcomeOf(ctx), err
+	}
+	defer in.close()
+	if in.NotRun {
+		_, _ = in.readAll()
+		o := placement.Full
+		if in.Other {
+			o = placement.Failed
+		}
+		return false, o, refusal(errkind.QueueFull, "the engine refused the request", endpointWait)
+	}
+	x.runs++
+	if err := trusted(in); err != nil {
+		return x.cannotResume(ctx), placement.Failed, err
+	}
+	if in.Status != http.StatusOK {
+		body, err := in.readAll()
+		if err != nil {
+			return x.cannotResume(ctx), placement.Failed, err
+		}
+		if x.reply.started || !x.cannotResume(ctx) {
+			x.fallback = &whole{status: in.Status, header: in.Headers, body: body}
+			return x.cannotResume(ctx), placement.Failed, errors.Newf("the engine answered %d", in.Status)
+		}
+		x.reply.whole(in.Status, in.Headers, body)
+		return true, placement.Succeeded, x.reply.err
+	}
+	err = x.relay(in, l, func() { silence.Reset(x.callerLeaves()) })
+	switch {
+	case err == nil:
+		in.whole = true
+		if !x.reply.started {
+			x.reply.stream(in.Status, in.Headers)
+		}
+		x.reply.end()
+		return true, placement.Succeeded, x.reply.err
+	case x.reply.err != nil:
+		return true, placement.Abandoned, errors.Mark(x.reply.err, errCallerGone)
+	}
+	return x.cannotResume(ctx), outcomeOf(ctx), err
+}
+
+// outcomeOf says whether a failure was the endpoint's.
+func outcomeOf(ctx context.Context) placement.Outcome {
+	if ctx.Err() != nil {
+		return placement.Abandoned
+	}
+	return placement.Failed
+}
+
+// cannotResume reports whether the stream ends here: the request may have run, and the
+// route does not allow to go on elsewhere.
+func (x *exchange) cannotResume(ctx context.Context) bool {
+	return ctx.Err() != nil || !x.call.Route.Resumable || x.runs >= x.call.Route.MaxAttempts
+}
+
+// relay passes whole events on as they arrive.
+func (x *exchange) relay(in *incoming, l *placement.Lease, alive func()) error {
+	br := bufio.NewReaderSize(in.body, eventBuffer)
+	stride := max(1, x.call.Pool.Engine.Stride)
+	events := 0
+	for {
+		e, err := readEvent(br)
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return errors.Mark(err, endpoint.ErrBroken)
+		}
+		alive()
+		if !x.reply.started {
+			x.reply.stream(in.Status, in.Headers)
+		}
+		if err := x.reply.event(e.raw); err != nil {
+			return err
+		}
+		if e.id != "" {
+			x.lastEvent = e.id
+		}
+		events++
+		x.tokens += stride
+		x.s.room.with(func(now time.Time, s *placement.Scheduler) { s.Progress(now, l, events*stride) })
+	}
+}
+
+// free gives back a prefill result that will not be fetched.
+func (s *Server) free(addr, name, handle string) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
+		defer cancel()
+		in, err := s.up.do(ctx, outgoing{addr: addr, method: http.MethodDelete, uri: s.wire.FreePath(handle), host: addr})
+		if err != nil {
+			s.log.Info("prefill.not_freed", "endpoint", name, "cause", err.Error())
+			return
+		}
+		defer in.close()
+		_, _ = in.readAll()
+	}()
+}
+
+// endpointName returns the endpoint's name, empty for none.
+func endpointName(e *config.Endpoint) string {
+	if e == nil {
+		return ""
+	}
+	return e.Name
+}
--- /dev/null
+++ b/internal/gateway/handle.go
@@ -0,0 +1,224 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"carawayrouter.example/router/internal/config"
+	"carawayrouter.example/router/internal/errkind"
+)
+
+const (
+	answerMargin = 30 * time.Millisecond // for the answer's way back to the caller
+	noConfigWait = 500 * time.Millisecond
+	endpointWait = 400 * time.Millisecond // a service without usable endpoint is looked at again after this time
+)
+
+// handle runs one request through the stages and answers it.
+func (s *Server) handle(ctx context.Context, c *Call, r *reply) {
+	x := &exchange{s: s, call: c, reply: r, lastEvent: c.LastEvent}
+	s.metrics.Requests.Add(1)
+	err := x.run(ctx)
+	switch {
+	case err == nil || r.started:
+	case errors.Is(err, errCallerGone):
+		r.err = err
+	case x.fallback != nil:
+		r.whole(x.fallback.status, x.fallback.header, x.fallback.body)
+	default:
+		r.fail(x.classify(ctx, err))
+	}
+	x.report(err)
+}
+
+// exchange is one caller's request on its way through the stages.
+type exchange struct {
+	s     *Server
+	call  *Call
+	reply *reply
+
+	deadline  time.Time
+	sends     int      // arrivals at endpoints that count as such
+	runs      int      // endpoints that may have run the request
+	exclude   []string // endpoints that failed the request
+	target    string   // endpoint that answered last
+	waited    time.Duration
+	tokens    int    // output tokens relayed
+	lastEvent string // id of the last event relayed, or the caller's own
+	fallback  *whole // an endpoint's own failure, for want of a better answer
+}
+
+// run is the chain of stages: route, identify, limit, dispatch.
+func (x *exchange) run(ctx context.Context) error {
+	if err := x.route(); err != nil {
+		return err
+	}
+	if err := x.identify(x.s.state.Current()); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithDeadlineCause(ctx, x.deadline, errDeadline)
+	defer cancel()
+	if err := x.limit(); err != nil {
+		return err
+	}
+	x.s.budget.request(time.Now(), x.call.Pool.Name)
+	var err error
+	if x.call.Pool.Engine != nil {
+		err = x.generation(ctx)
+	} else {
+		err = x.service(ctx)
+	}
+	if x.runs == 0 && x.call.Account != nil {
+		x.s.quotaReturn(x.call.Account.Name, x.call.Tokens)
+	}
+	return err
+}
+
+var errDeadline = errors.New("the deadline passed")
+
+// route finds the route and the pool, and the deadline that follows.
+func (x *exchange) route() error {
+	st := x.s.state.Current()
+	if st.Ticket == 0 {
+		return refusal(errkind.StaleConfiguration, "this instance has no configuration yet", noConfigWait)
+	}
+	c := x.call
+	host := c.Host
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	c.Route = st.HostRoute(host, c.Method, c.Path)
+	if c.Route == nil {
+		return errkind.New(errkind.UnknownRoute, "no route for this host and path")
+	}
+	c.Pool = st.Pools[c.Route.PoolFor(rand.Float64())]
+	if c.Pool == nil {
+		return refusal(errkind.NoEndpoint, "the route's pool is not configured", endpointWait)
+	}
+	x.deadline = c.Arrived.Add(c.Route.Deadline)
+	if c.Route.Deadline <= 0 {
+		x.deadline = c.Arrived.Add(bodyTimeout)
+	}
+	if d := c.Deadline.Add(-answerMargin); !c.Deadline.IsZero() && d.Before(x.deadline) {
+		x.deadline = d
+	}
+	return nil
+}
+
+// identify finds the account of the caller's key. It runs again before each send, with
+// the newest configuration.
+func (x *exchange) identify(st *config.State) error {
+	c := x.call
+	if c.Route.Open {
+		return nil
+	}
+	if c.Key == "" {
+		return errkind.New(errkind.NoKey, "this route needs a key")
+	}
+	k := st.Keys[config.HashKey(c.Key)]
+	if k == nil || k.Withdrawn {
+		return errkind.New(errkind.KeyRefused, "the key is not valid")
+	}
+	c.Account = st.Accounts[k.Account]
+	if c.Account == nil {
+		return errkind.New(errkind.KeyRefused, "the key is not valid")
+	}
+	return nil
+}
+
+// limit charges the request's tokens to the account.
+func (x *exchange) limit() error {
+	c := x.call
+	if c.Account == nil {
+		return nil
+	}
+	c.Tokens = c.Account.FlatTokens
+	if c.Sized {
+		c.Tokens = c.Prompt + c.Output
+	}
+	if ok, wait := x.s.quotaReserve(c.Account, c.Tokens); !ok {
+		return refusal(errkind.OverRate, "the account is above its rate", wait)
+	}
+	return nil
+}
+
+// account returns the account's name, empty on open routes.
+func (x *exchange) account() string {
+	if x.call.Account == nil {
+		return ""
+	}
+	return x.call.Account.Name
+}
+
+// mayRepeat reports whether the request may be sent once more, and takes it from the
+// fleet's budget. The first arrival is free.
+func (x *exchange) mayRepeat(now time.Time) bool {
+	if x.sends == 0 {
+		return true
+	}
+	return x.s.budget.spend(now, x.call.Pool.Name)
+}
+
+// urgency is the rank of the request: the account's goes before the route's.
+func (x *exchange) urgency() int {
+	rank := x.call.Route.Priority
+	if x.call.Account != nil {
+		rank += 10 * x.call.Account.Priority
+	}
+	return rank
+}
+
+// classify turns any error into one of the closed list.
+func (x *exchange) classify(ctx context.Context, err error) error {
+	var known *errkind.Error
+	if errors.As(err, &known) {
+		if known.Execution == errkind.NotRun && x.runs > 0 {
+			return known.WithExecution(errkind.Unknown)
+		}
+		return known
+	}
+	execution := errkind.NotRun
+	if x.runs > 0 {
+		execution = errkind.Unknown
+	}
+	if errors.Is(err, errDeadline) || errors.Is(err, context.DeadlineExceeded) {
+		if execution == errkind.NotRun {
+			return errkind.Wrap(err, errkind.DeadlineUnreachable, execution, "the deadline passed").WithRetryAfter(endpointWait)
+		}
+		return errkind.Wrap(err, errkind.EndpointTimeout, execution, "the deadline passed")
+	}
+	e := errkind.Wrap(err, errkind.EndpointFailed, execution, "the endpoint failed")
+	if execution == errkind.NotRun {
+		return e.WithRetryAfter(endpointWait)
+	}
+	return e
+}
+
+// report logs how the request ended.
+func (x *exchange) report(err error) {
+	c, r := x.call, x.reply
+	fields := []any{
+		"request", c.ID, "status", r.status, "whole", r.finished && r.err == nil,
+		"ms", time.Since(c.Arrived).Milliseconds(), "waited_ms", x.waited.Milliseconds(),
+		"sends", x.sends, "runs", x.runs, "endpoint", x.target, "account", x.account(),
+	}
+	if c.Route != nil {
+		fields = append(fields, "route", c.Route.Name)
+	}
+	if x.tokens > 0 {
+		fields = append(fields, "output_tokens", x.tokens)
+	}
+	if err != nil {
+		fields = append(fields, "cause", err.Error())
+	}
+	x.s.log.Info("request.end", fields...)
+}
+
+// decision logs one decision about the request.
+func (x *exchange) decision(what string, fields ...any) {
+	x.s.log.Info("request."+what, append([]any{"request", x.call.ID}, fields...)...)
+}
--- /dev/null
+++ b/internal/gateway/server.go
@@ -0,0 +1,237 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+
+	"math/rand/v2"
+
+	"carawayrouter.example/router/internal/config"
+	"carawayrouter.example/router/internal/limit/window"
+	"carawayrouter.example/router/internal/metrics"
+	"carawayrouter.example/router/internal/placement"
+)
+
+const (
+	sweepEvery = time.Second // of idle connections
+	// leaveTime is how long the balancer may go on sending callers after the instance
+	// has said that it is not ready: two questions, one a second, and their answers.
+	leaveTime   = 3200 * time.Millisecond
+	exitMargin  = 400 * time.Millisecond // before the platform kills the process
+	drainPoll   = 20 * time.Millisecond
+	peerTimeout = time.Second
+)
+
+// Deps are what a gateway needs besides its settings.
+type Deps struct {
+	Wire    Wire
+	Formats Formats
+	Store   Store
+	Log     logr.Logger
+	Reload  <-chan os.Signal
+}
+
+// Server is the gateway of one instance.
+type Server struct {
+	settings Settings
+	wire     Wire
+	store    Store
+	log      logr.Logger
+	metrics  *metrics.Set
+	state    *state
+	room     *room
+	up       *upstream
+	budget   *repeatBudget
+	reload   <-chan os.Signal
+
+	quotaMu sync.Mutex
+	quota   *window.Limiter
+
+	active   atomic.Int64 // requests being read or answered
+	draining atomic.Bool
+
+	connMu sync.Mutex
+	conns  map[net.Conn]struct{}
+}
+
+// New returns a Server that has no configuration yet.
+func New(s Settings, d Deps) *Server {
+	g := &Server{
+		settings: s,
+		wire:     d.Wire,
+		store:    d.Store,
+		log:      d.Log,
+		metrics:  metrics.New(),
+		up:       newUpstream(d.Wire),
+		budget:   newRepeatBudget(s.RetryShare, s.RetryExtra, s.RetryWindow),
+		quota:    window.New(s.QuotaWindow),
+		conns:    map[net.Conn]struct{}{},
+		reload:   d.Reload,
+	}
+	seed := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	g.room = newRoom(placement.New(s.DataCentre, seed), func(ep *config.Endpoint) {
+		g.log.Info("endpoint.ejected", "endpoint", ep.Name, "addr", ep.Addr)
+	})
+	g.state = newState(d.Formats, g.room, d.Log)
+	return g
+}
+
+// Run serves until drain ends, then finishes what is running within the grace period.
+func (s *Server) Run(drain context.Context) error {
+	callers, err := net.Listen("tcp", s.settings.Callers)
+	if err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+	readiness, err := net.Listen("tcp", s.settings.Readiness)
+	if err != nil {
+		return errors.Wrap(err, "listen for the balancer")
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	g, ctx := errgroup.WithContext(ctx)
+	for _, w := range s.watchers() {
+		g.Go(func() error { return w.run(ctx) })
+	}
+	g.Go(func() error { return s.serveReadiness(readiness) })
+	g.Go(func() error { return s.accept(ctx, callers) })
+	g.Go(func() error { return s.housekeeping(ctx) })
+	s.log.Info("process.start", "callers", s.settings.Callers, "data_centre", s.settings.DataCentre)
+	select {
+	case <-drain.Done():
+		s.shutDown(callers)
+		return nil
+	case <-ctx.Done():
+		return g.Wait()
+	}
+}
+
+func (s *Server) watchers() []*watcher {
+	return []*watcher{
+		{store: s.store, table: Configuration, wait: feedWait, log: s.log, apply: func(rows []Row, _ bool) {
+			for _, r := range rows {
+				if !r.Deleted {
+					s.state.applyConfiguration(r.Value, "store")
+				}
+			}
+		}},
+		{store: s.store, table: Endpoints, wait: feedWait, log: s.log,
+			apply: func(rows []Row, whole bool) { s.state.applyEndpoints(time.Now(), rows, whole) },
+			lost:  func() { s.state.storeLost(time.Now()) },
+		},
+	}
+}
+
+// accept serves callers' connections until the listener is closed.
+func (s *Server) accept(ctx context.Context, ln net.Listener) error {
+	for {
+		nc, err := ln.Accept()
+		if err != nil {
+			if s.draining.Load() || ctx.Err() != nil {
+				return nil
+			}
+			s.log.Error(err, "accept")
+			pause(ctx, retryLeast)
+			continue
+		}
+		setUserTimeout(nc, userTimeout)
+		s.connMu.Lock()
+		s.conns[nc] = struct{}{}
+		s.connMu.Unlock()
+		go func() {
+			s.newConn(nc).serve(ctx)
+			s.connMu.Lock()
+			delete(s.conns, nc)
+			s.connMu.Unlock()
+		}()
+	}
+}
+
+// serveReadiness answers the balancer's question whether callers may come.
+func (s *Server) serveReadiness(ln net.Listener) error {
+	server := &fasthttp.Server{
+		NoDefaultServerHeader: true,
+		NoDefaultDate:         true,
+		Logger:                quiet{},
+		Handler: func(ctx *fasthttp.RequestCtx) {
+			if !s.ready() {
+				ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+			}
+		},
+	}
+	return server.Serve(ln)
+}
+
+// quiet drops the HTTP library's messages, which can quote foreign bytes.
+type quiet struct{}
+
+// Printf implements fasthttp.Logger.
+func (quiet) Printf(string, ...any) {}
+
+// ready reports whether the instance can serve callers.
+func (s *Server) ready() bool {
+	st := s.state.Current()
+	return !s.draining.Load() && st.Ticket > 0 && len(st.Endpoints) > 0
+}
+
+// housekeeping closes idle connections and drops endpoints that did not come back.
+func (s *Server) housekeeping(ctx context.Context) error {
+	expire := time.NewTicker(expirePoll)
+	defer expire.Stop()
+	sweep := time.NewTicker(sweepEvery)
+	defer sweep.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-expire.C:
+			s.state.expire(time.Now())
+		case <-sweep.C:
+			inUse := map[string]bool{}
+			for _, e := range s.state.Current().Endpoints {
+				inUse[e.Addr] = true
+			}
+			s.up.sweep(inUse)
+		case <-s.reload:
+			s.log.Info("process.reload")
+		}
+	}
+}
+
+// shutDown leaves the balancer's list, serves what still arrives meanwhile, and waits
+// for what is running.
+func (s *Server) shutDown(ln net.Listener) {
+	began := time.Now()
+	s.draining.Store(true)
+	s.log.Info("process.drain", "active", s.active.Load())
+	last := began.Add(s.settings.GracePeriod - exitMargin)
+	for time.Now().Before(last) {
+		left := time.Since(began) >= leaveTime
+		if left && s.active.Load() == 0 {
+			break
+		}
+		time.Sleep(drainPoll)
+	}
+	_ = ln.Close()
+	s.log.Info("process.stop", "cut", s.active.Load(), "ms", time.Since(began).Milliseconds())
+}
+
+func (s *Server) quotaReserve(a *config.Account, tokens int) (bool, time.Duration) {
+	s.quotaMu.Lock()
+	defer s.quotaMu.Unlock()
+	return s.quota.Reserve(time.Now(), a, tokens)
+}
+
+func (s *Server) quotaReturn(account string, tokens int) {
+	s.quotaMu.Lock()
+	defer s.quotaMu.Unlock()
+	s.quota.Return(time.Now(), account, tokens)
+}
--- /dev/null
+++ b/internal/gateway/service.go
@@ -0,0 +1,161 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"carawayrouter.example/router/internal/endpoint"
+	"carawayrouter.example/router/internal/errkind"
+	"carawayrouter.example/router/internal/placement"
+)
+
+const (
+	// Bounds of the time that an endpoint gets to answer a call that can go to another
+	// one: shorter ones repeat calls that are merely slow.
+	patienceTimes = 6   // of the pool's usual latency
+	patiencePart  = 0.6 // of the latency target, at least
+	maxSends      = 4   // arrivals of one request, refused ones included
+)
+
+// service runs a plain call. It is repeated only where the route allows, or where the
+// endpoint states that the call did not run.
+func (x *exchange) service(ctx context.Context) error {
+	var last error
+	for x.sends < maxSends {
+		now := time.Now()
+		if err := x.identify(x.s.state.Current()); err != nil {
+			return err
+		}
+		if !x.mayRepeat(now) {
+			x.decision("no_repeat", "reason", "budget")
+			return last
+		}
+		var lease *placement.Lease
+		x.s.room.with(func(now time.Time, s *placement.Scheduler) {
+			lease = s.Service(now, placement.Demand{Pool: x.call.Pool.Name, Exclude: x.exclude})
+		})
+		if lease == nil {
+			if last != nil {
+				return last
+			}
+			return refusal(errkind.NoEndpoint, "no endpoint can be used", endpointWait)
+		}
+		done, err := x.call1(ctx, lease)
+		if done {
+			return err
+		}
+		last = err
+		x.exclude = append(x.exclude, lease.Target.Name)
+		if ctx.Err() != nil {
+			return context.Cause(ctx)
+		}
+		x.decision("repeat", "endpoint", lease.Target.Name, "sends", x.sends, "runs", x.runs, "cause", err.Error())
+	}
+	return last
+}
+
+// repeatable reports whether the request may run once more although it may have run.
+func (x *exchange) repeatable() bool {
+	return x.call.Route.Idempotent && x.runs < x.call.Route.MaxAttempts
+}
+
+// call1 makes one attempt. Done is false where another endpoint may be tried.
+func (x *exchange) call1(ctx context.Context, l *placement.Lease) (done bool, err error) {
+	outcome := placement.Failed
+	defer func() { x.s.room.release(l, outcome) }()
+	if x.call.Route.Idempotent && x.runs+1 < x.call.Route.MaxAttempts {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeoutCause(ctx, x.patience(l), errSilent)
+		defer cancel()
+	}
+	x.target = l.Target.Name
+	in, err := x.send(ctx, l.Target.Addr, SendOptions{Endpoint: l.Target.Name, Urgency: -1})
+	if err != nil {
+		if errors.Is(err, errCallerGone) {
+			outcome = placement.Abandoned
+		}
+		return x.failed(err), err
+	}
+	defer in.close()
+	if in.HasLoad {
+		x.s.room.with(func(now time.Time, s *placement.Scheduler) { s.Reported(now, l, in.Running, in.Waiting) })
+	}
+	body, err := in.readAll()
+	if err != nil {
+		x.runs++
+		return !x.repeatable(), err
+	}
+	if in.NotRun {
+		outcome = placement.Full
+		if in.Other {
+			outcome = placement.Failed
+		}
+		return false, refusal(errkind.NoEndpoint, "the endpoint refused the request", endpointWait)
+	}
+	x.runs++
+	if err := trusted(in); err != nil {
+		return !x.repeatable(), err
+	}
+	outcome = placement.Succeeded
+	if in.Status >= 500 && x.repeatable() && time.Until(x.deadline) > x.s.room.usual(l) {
+		// The failure is the endpoint's own word; another one may do better.
+		x.fallback = &whole{status: in.Status, header: in.Headers, body: body}
+		return false, errors.Newf("the endpoint answered %d", in.Status)
+	}
+	x.reply.whole(in.Status, in.Headers, body)
+	return true, x.reply.err
+}
+
+var (
+	errSilent   = errors.New("the endpoint did not answer in time")
+	errUnsigned = errors.New("the answer is not the endpoint's own")
+)
+
+// trusted returns an error for an answer that must not reach a caller.
+func trusted(in *incoming) error {
+	if in.Encoded || (in.Status < 300 && !in.Signed) {
+		return errors.Mark(errUnsigned, endpoint.ErrBroken)
+	}
+	return nil
+}
+
+// send sends the request once and counts it.
+func (x *exchange) send(ctx context.Context, addr string, o SendOptions) (*incoming, error) {
+	o.Account, o.Deadline = x.account(), x.deadline
+	x.sends++
+	return x.s.up.do(ctx, outgoing{
+		addr:   addr,
+		method: x.call.Method,
+		uri:    x.call.URI,
+		host:   x.call.Host,
+		header: x.s.wire.Send(x.call, o),
+		body:   x.call.Body,
+		id:     x.call.ID,
+		once:   !x.call.Route.Idempotent && !o.PrefillOnly,
+	})
+}
+
+// failed takes note of an attempt without an answer and reports whether it was the last.
+func (x *exchange) failed(err error) (done bool) {
+	if errors.Is(err, endpoint.ErrNotSent) {
+		return false
+	}
+	x.runs++
+	return !x.repeatable() || errors.Is(err, errCallerGone)
+}
+
+// patience is how long the endpoint may take before the call goes to another one.
+func (x *exchange) patience(l *placement.Lease) time.Duration {
+	target := time.Duration(patiencePart * float64(x.call.Route.FirstToken))
+	return max(target, patienceTimes*x.s.room.usual(l))
+}
+
+// whole is an answer that is sent if nothing better comes.
+type whole struct {
+	status int
+	header http.Header
+	body   []byte
+}
--- /dev/null
+++ b/internal/gateway/state.go
@@ -0,0 +1,128 @@
+package gateway
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"carawayrouter.example/router/internal/config"
+	"carawayrouter.example/router/internal/placement"
+)
+
+// Formats decodes the values of the store's rows.
+type Formats interface {
+	Configuration(value []byte) (*config.Objects, uint64, error)
+	Endpoint(name string, value []byte) (*config.Endpoint, error)
+}
+
+// state is the configuration and the endpoints in force on this instance.
+//
+// Invariant: the version of the configuration never goes back.
+type state struct {
+	formats Formats
+	room    *room
+	log     logr.Logger
+
+	current atomic.Pointer[config.State]
+
+	mu        sync.Mutex
+	directory *directory
+	raw       []byte // the configuration in force as it lies in the store
+}
+
+func newState(f Formats, r *room, log logr.Logger) *state {
+	s := &state{formats: f, room: r, log: log, directory: newDirectory()}
+	s.current.Store(config.Empty())
+	return s
+}
+
+// Current returns the snapshot in force.
+func (s *state) Current() *config.State { return s.current.Load() }
+
+// applyConfiguration puts a configuration in force unless a newer one is.
+func (s *state) applyConfiguration(value []byte, source string) {
+	objects, version, err := s.formats.Configuration(value)
+	if err != nil {
+		s.log.Error(err, "configuration.unreadable", "source", source)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old := s.current.Load()
+	if version <= old.Ticket {
+		return
+	}
+	objects.Endpoints = s.directory.list()
+	s.raw = value
+	s.swap(config.Build(version, objects))
+	s.log.Info("configuration.applied", "version", version, "before", old.Ticket, "routes", len(objects.Routes), "source", source)
+}
+
+// swap puts a state in force and tells the scheduler. The caller holds the lock.
+func (s *state) swap(next *config.State) {
+	s.current.Store(next)
+	s.room.with(func(_ time.Time, p *placement.Scheduler) { p.SetEndpoints(next) })
+}
+
+// applyEndpoints takes rows of the endpoints' table; whole tells that they are all.
+func (s *state) applyEndpoints(now time.Time, rows []Row, whole bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	changed := s.directory.expire(now)
+	var eps []*config.Endpoint
+	for _, r := range rows {
+		if r.Deleted {
+			if s.directory.remove(now, r.Key) {
+				s.log.Info("endpoint.gone", "endpoint", r.Key, "version", r.Version)
+				changed = true
+			}
+			continue
+		}
+		ep, err := s.formats.Endpoint(r.Key, r.Value)
+		if err != nil {
+			s.log.Info("endpoint.unreadable", "endpoint", r.Key, "version", r.Version, "cause", err.Error())
+			changed = s.directory.remove(now, r.Key) || changed
+			continue
+		}
+		if whole {
+			eps = append(eps, ep)
+			continue
+		}
+		if s.directory.put(ep) {
+			s.log.Info("endpoint.seen", "endpoint", ep.Name, "addr", ep.Addr, "pool", ep.Pool, "role", ep.Role, "leaving", ep.Leaving, "incarnation", ep.Incarnation)
+			changed = true
+		}
+	}
+	if whole {
+		changed = s.directory.replace(now, eps) || changed
+		s.log.Info("endpoint.table", "endpoints", len(eps), "changed", changed)
+	}
+	if changed {
+		s.publish()
+	}
+}
+
+// publish puts the directory's endpoints in force. The caller holds the lock.
+func (s *state) publish() {
+	old := s.current.Load()
+	s.swap(old.Replace(old.Ticket, &config.Objects{Endpoints: s.directory.list()}))
+}
+
+// expire drops the endpoints whose entries did not come back after an outage.
+func (s *state) expire(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.directory.expire(now) {
+		s.log.Info("endpoint.not_back")
+		s.publish()
+	}
+}
+
+// storeLost notes that the endpoints' table could not be read.
+func (s *state) storeLost(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.directory.storeLost(now)
+}
--- /dev/null
+++ b/internal/gateway/watch.go
@@ -0,0 +1,84 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+)
+
+const (
+	// feedWait is how long one call waits for changes. A connection that went silent is
+	// found after it, within the time that a new configuration may take.
+	feedWait    = 2 * time.Second
+	retryLeast  = 80 * time.Millisecond
+	retryMost   = 700 * time.Millisecond // a store that returns is in use well within its entries' return
+	expirePoll  = 250 * time.Millisecond
+	failsToLost = 1
+)
+
+// watcher follows one table of the store. Each change is passed to apply, in order.
+type watcher struct {
+	store Store
+	table Table
+	wait  time.Duration
+	log   logr.Logger
+	apply func(rows []Row, whole bool)
+	lost  func() // told of every failed call; may be nil
+}
+
+// run follows the table until ctx ends.
+func (w *watcher) run(ctx context.Context) error {
+	var after uint64
+	known := false
+	failures := 0
+	for ctx.Err() == nil {
+		var rows []Row
+		var version uint64
+		var err error
+		whole := !known
+		if whole {
+			rows, version, err = w.store.Rows(ctx, w.table)
+		} else {
+			rows, version, err = w.store.Changes(ctx, w.table, after, w.wait)
+		}
+		if err == nil {
+			if failures >= failsToLost {
+				w.log.Info("store.regained", "table", w.table.String(), "failures", failures)
+			}
+			failures, known, after = 0, true, version
+			if whole || len(rows) > 0 {
+				w.apply(rows, whole)
+			}
+			continue
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		if errors.Is(err, ErrHistoryGone) {
+			w.log.Info("store.history_gone", "table", w.table.String(), "after", after)
+			known = false
+			continue
+		}
+		if failures++; failures == failsToLost {
+			w.log.Info("store.lost", "table", w.table.String(), "cause", err.Error())
+		}
+		if w.lost != nil {
+			w.lost()
+		}
+		pause(ctx, min(retryMost, retryLeast<<min(failures, 5)))
+	}
+	return ctx.Err()
+}
+
+// pause waits for a time between half of d and d.
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d/2 + rand.N(d/2+1))
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/placement/line.go
@@ -0,0 +1,114 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"carawayrouter.example/router/internal/config"
+)
+
+// patience is how long a waiter may be passed by smaller ones behind it that fit.
+const patience = 300 * time.Millisecond
+
+// Waiter is a generation that waits for a place.
+type Waiter struct {
+	Demand  Demand
+	Arrived time.Time
+	Due     time.Time // latest start for an answer on time
+	Latest  time.Time // latest start at all
+	Urgency int       // 0 goes first
+}
+
+// Grant is a place given to a waiter.
+type Grant struct {
+	Waiter *Waiter
+	Lease  *Lease
+}
+
+// Line is the order of those that wait. It answers bursts above what the engines can
+// serve: first come, first served would make every answer late once the line is longer
+// than the latency target, so whoever can still be on time goes before whoever cannot.
+// It is not safe for concurrent use.
+type Line struct {
+	waiting []*Waiter
+}
+
+// Len returns the number of waiters.
+func (l *Line) Len() int { return len(l.waiting) }
+
+// Push adds a waiter.
+func (l *Line) Push(w *Waiter) { l.waiting = append(l.waiting, w) }
+
+// Remove takes a waiter out.
+func (l *Line) Remove(w *Waiter) {
+	if i := slices.Index(l.waiting, w); i >= 0 {
+		l.waiting = slices.Delete(l.waiting, i, i+1)
+	}
+}
+
+// before reports whether a goes before b: those that can be on time first, then by
+// urgency, then by arrival.
+func before(now time.Time, a, b *Waiter) int {
+	lateA, lateB := now.After(a.Due), now.After(b.Due)
+	switch {
+	case lateA != lateB && lateB:
+		return -1
+	case lateA != lateB:
+		return 1
+	case a.Urgency != b.Urgency:
+		return a.Urgency - b.Urgency
+	}
+	return a.Arrived.Compare(b.Arrived)
+}
+
+// Serve places those that fit, in order.
+func (l *Line) Serve(now time.Time, s *Scheduler) []Grant {
+	if len(l.waiting) == 0 {
+		return nil
+	}
+	slices.SortStableFunc(l.waiting, func(a, b *Waiter) int { return before(now, a, b) })
+	var out []Grant
+	kept := l.waiting[:0]
+	blocked := map[string]bool{}
+	for _, w := range l.waiting {
+		if !blocked[w.Demand.Pool] {
+			if lease := s.Engine(now, w.Demand); lease != nil {
+				out = append(out, Grant{Waiter: w, Lease: lease})
+				continue
+			}
+			blocked[w.Demand.Pool] = now.Sub(w.Arrived) > patience
+		}
+		kept = append(kept, w)
+	}
+	clear(l.waiting[len(kept):])
+	l.waiting = kept
+	return out
+}
+
+// Predict estimates how long w would wait: the memory and time of those before it over
+// the memory of the usable engines.
+func (l *Line) Predict(now time.Time, s *Scheduler, w *Waiter) time.Duration {
+	work, capacity := 0.0, 0.0
+	step := defaultStep
+	for _, x := range s.pools[w.Demand.Pool] {
+		if x.ep.Role == config.Decode && x.spec != nil && x.open(now) {
+			capacity += memoryHeadroom * float64(x.spec.KVTokens)
+			step = x.step
+		}
+	}
+	if capacity == 0 {
+		return time.Second
+	}
+	for _, o := range l.waiting {
+		if o != w && o.Demand.Pool == w.Demand.Pool && before(now, o, w) <= 0 {
+			work += area(o.Demand, step)
+		}
+	}
+	work += area(w.Demand, step)
+	return time.Duration(work / capacity * float64(time.Second))
+}
+
+// area returns the memory of a run over its time, in tokens times seconds.
+func area(d Demand, step time.Duration) float64 {
+	return (float64(d.Prompt) + float64(d.Output)/2) * float64(d.Output) * step.Seconds()
+}
--- /dev/null
+++ b/internal/placement/scheduler.go
@@ -0,0 +1,272 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"carawayrouter.example/router/internal/config"
+)
+
+const (
+	memoryHeadroom = 0.97                   // of KV memory; the rest covers prompts counted in whole blocks and late news
+	longestBacklog = 350 * time.Millisecond // of prefills at one engine, within the shortest latency target
+	farPenalty     = 0.03                   // of an engine's memory, for transfers between data centres
+)
+
+// Demand is a request that needs endpoints.
+type Demand struct {
+	Pool    string
+	Prompt  int // tokens
+	Output  int // tokens at the most
+	Exclude []string
+}
+
+// Lease is the right to use endpoints for one request. Its methods belong to the
+// Scheduler that granted it.
+type Lease struct {
+	Prefill *config.Endpoint // nil where the decode engine reads the prompt itself
+	Target  *config.Endpoint // decode engine or plain service
+
+	prefill, target *target
+	run             Run
+	granted         time.Time
+	reading         int // prompt tokens still to be read
+	queued          int // prompt tokens that the prefill engine had to read at the grant, own ones included
+	released        bool
+}
+
+// Scheduler places requests on endpoints. It is not safe for concurrent use.
+//
+// Invariant: a target's runs, calls and reading equal the sum over the leases that
+// name it and were not released.
+type Scheduler struct {
+	dataCentre string
+	rand       *rand.Rand
+	targets    map[string]*target
+	pools      map[string][]*target
+}
+
+// New returns a Scheduler without endpoints for an instance in the data centre.
+func New(dataCentre string, r *rand.Rand) *Scheduler {
+	return &Scheduler{dataCentre: dataCentre, rand: r, targets: map[string]*target{}, pools: map[string][]*target{}}
+}
+
+// SetEndpoints replaces the endpoints. What was learned of an endpoint is kept while
+// its name, address and incarnation stay the same.
+func (s *Scheduler) SetEndpoints(state *config.State) {
+	old := s.targets
+	s.targets = make(map[string]*target, len(state.Endpoints))
+	s.pools = map[string][]*target{}
+	for name, ep := range state.Endpoints {
+		pool := state.Pools[ep.Pool]
+		if pool == nil {
+			continue
+		}
+		x := old[name]
+		if x == nil || x.ep.Addr != ep.Addr || x.ep.Incarnation != ep.Incarnation || x.ep.Role != ep.Role {
+			x = newTarget(ep, pool.Engine)
+		}
+		x.ep, x.spec = ep, pool.Engine
+		s.targets[name] = x
+		s.pools[ep.Pool] = append(s.pools[ep.Pool], x)
+	}
+	for _, list := range s.pools {
+		slices.SortFunc(list, func(a, b *target) int {
+			if a.ep.Name < b.ep.Name {
+				return -1
+			}
+			return 1
+		})
+	}
+}
+
+// Engine places a generation: memory at a decode engine first, then a prefill engine.
+// It returns nil where the request has to wait. With direct, the decode engine reads
+// the prompt itself.
+func (s *Scheduler) Engine(now time.Time, d Demand) *Lease {
+	p, direct := s.choosePrefill(now, d)
+	if p == nil && !direct {
+		return nil
+	}
+	start := now
+	if p != nil {
+		start = now.Add(p.backlog() + time.Duration(d.Prompt)*p.perRead)
+	}
+	run := Run{Prompt: d.Prompt, Output: d.Output, At: start}
+	t := s.chooseDecode(now, d, run)
+	if t == nil {
+		return nil
+	}
+	l := &Lease{Target: t.ep, target: t, run: run, granted: now}
+	t.runs[l] = struct{}{}
+	if p != nil {
+		l.Prefill, l.prefill, l.reading = p.ep, p, d.Prompt
+		p.reading += d.Prompt
+		l.queued = p.reading + p.remote.reading
+	}
+	return l
+}
+
+// choosePrefill returns the prefill engine with the shortest backlog. Direct is true
+// where the pool has no prefill engine that can be used.
+func (s *Scheduler) choosePrefill(now time.Time, d Demand) (best *target, direct bool) {
+	usable := false
+	least := longestBacklog
+	for _, x := range s.shuffled(d.Pool) {
+		if x.ep.Role != config.Prefill || !x.open(now) || slices.Contains(d.Exclude, x.ep.Name) {
+			continue
+		}
+		usable = true
+		if now.Before(x.fullUntil) {
+			continue
+		}
+		wait := x.backlog() + s.far(x, 5*time.Millisecond)
+		if wait < least {
+			best, least = x, wait
+		}
+	}
+	return best, !usable
+}
+
+// chooseDecode returns the engine that has room for the run and the lightest load.
+func (s *Scheduler) chooseDecode(now time.Time, d Demand, run Run) *target {
+	var best *target
+	least := 0.0
+	for _, x := range s.shuffled(d.Pool) {
+		if x.ep.Role != config.Decode || x.spec == nil || !x.open(now) || slices.Contains(d.Exclude, x.ep.Name) {
+			continue
+		}
+		if !x.fits(now, run, memoryHeadroom) {
+			continue
+		}
+		load := x.load() * float64(x.step) / float64(defaultStep)
+		if x.ep.DataCentre != s.dataCentre {
+			load += farPenalty
+		}
+		if best == nil || load < least {
+			best, least = x, load
+		}
+	}
+	return best
+}
+
+// Service places a plain call at the endpoint that will answer first, or returns nil.
+// An endpoint whose slots are all taken is used only if all are.
+func (s *Scheduler) Service(now time.Time, d Demand) *Lease {
+	var best *target
+	var least time.Duration
+	for _, x := range s.shuffled(d.Pool) {
+		if !x.open(now) || slices.Contains(d.Exclude, x.ep.Name) {
+			continue
+		}
+		slots := max(1, x.ep.Slots)
+		busy := x.busy(now)
+		wait := x.latency * time.Duration(slots+busy) / time.Duration(slots)
+		if busy >= slots {
+			wait += x.latency * time.Duration(busy-slots+1) / time.Duration(slots)
+		}
+		if now.Before(x.fullUntil) {
+			wait += x.latency
+		}
+		wait += s.far(x, 2*time.Millisecond)
+		if best == nil || wait < least {
+			best, least = x, wait
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	best.calls++
+	return &Lease{Target: best.ep, target: best, granted: now}
+}
+
+// far returns the extra cost of an endpoint outside the instance's data centre.
+func (s *Scheduler) far(x *target, cost time.Duration) time.Duration {
+	if x.ep.DataCentre == s.dataCentre {
+		return 0
+	}
+	return cost
+}
+
+// shuffled returns the pool's targets from a random start on, so that equals are
+// chosen evenly.
+func (s *Scheduler) shuffled(pool string) []*target {
+	list := s.pools[pool]
+	if len(list) < 2 {
+		return list
+	}
+	at := s.rand.IntN(len(list))
+	return append(append(make([]*target, 0, len(list)), list[at:]...), list[:at]...)
+}
+
+// PrefillDone ends the lease's use of its prefill engine.
+func (s *Scheduler) PrefillDone(now time.Time, l *Lease, o Outcome) (ejected bool) {
+	x := l.prefill
+	if x == nil {
+		return false
+	}
+	if o == Succeeded && l.reading > 0 {
+		x.perRead = average(x.perRead, max(time.Microsecond, now.Sub(l.granted)/time.Duration(l.queued)))
+	}
+	x.reading -= l.reading
+	l.prefill, l.reading = nil, 0
+	l.run.At = now
+	return x.judge(now, o)
+}
+
+// Progress records that the run has made the given number of tokens.
+func (s *Scheduler) Progress(now time.Time, l *Lease, tokens int) {
+	x := l.target
+	if l.run.Done > 0 && tokens > l.run.Done {
+		x.step = average(x.step, now.Sub(l.run.At)/time.Duration(tokens-l.run.Done))
+	}
+	l.run.Done, l.run.At = tokens, now
+}
+
+// Release gives back what the lease still holds.
+func (s *Scheduler) Release(now time.Time, l *Lease, o Outcome) (ejected bool) {
+	if l.released {
+		return false
+	}
+	l.released = true
+	if l.prefill != nil {
+		s.PrefillDone(now, l, Abandoned)
+	}
+	x := l.target
+	if _, ok := x.runs[l]; ok {
+		delete(x.runs, l)
+	} else {
+		x.calls--
+		if o == Succeeded {
+			x.latency = average(x.latency, now.Sub(l.granted))
+		}
+	}
+	return x.judge(now, o)
+}
+
+// Reported records the load that an endpoint states in an answer.
+func (s *Scheduler) Reported(now time.Time, l *Lease, running, waiting int) {
+	l.target.reportedBusy, l.target.reportedAt = max(0, running+waiting-1), now
+}
+
+// Usable reports whether any endpoint of the pool may get work.
+func (s *Scheduler) Usable(now time.Time, pool string) bool {
+	for _, x := range s.pools[pool] {
+		if x.open(now) && x.ep.Role != config.Prefill {
+			return true
+		}
+	}
+	return false
+}
+
+// Usual returns the moving average of the latency of plain calls at the lease's endpoint.
+func (s *Scheduler) Usual(l *Lease) time.Duration { return l.target.latency }
+
+// PrefillTime returns how long the lease's prefill is expected to take, its queue included.
+func (s *Scheduler) PrefillTime(l *Lease) time.Duration {
+	if l.prefill == nil {
+		return 0
+	}
+	return time.Duration(l.queued) * l.prefill.perRead
+}
--- /dev/null
+++ b/internal/placement/target.go
@@ -0,0 +1,145 @@
+package placement
+
+import (
+	"time"
+
+	"carawayrouter.example/router/internal/config"
+)
+
+// Outcome tells how an endpoint dealt with its part of a request.
+type Outcome int
+
+// The outcomes.
+const (
+	Succeeded Outcome = iota
+	Failed            // error, broken connection or silence
+	Full              // refused for want of a slot or memory
+	Abandoned         // caller gone or request given up; says nothing of the endpoint
+)
+
+const (
+	firstEjection   = 400 * time.Millisecond // longer than a restart of a connection, shorter than the latency targets
+	longestEjection = 4 * time.Second        // a crashed endpoint is back after a few seconds
+	fullPause       = 60 * time.Millisecond  // about one event of a stream, after which memory has moved
+	failuresToEject = 2                      // single failures are spread over all endpoints
+
+	defaultStep      = 700 * time.Microsecond // a token, before one was measured
+	slotStep         = 1500 * time.Nanosecond // each further request in the batch
+	defaultPerPrompt = 18 * time.Microsecond  // a prompt token, before one was measured
+	measureWeight    = 0.2                    // of a new measurement in the moving averages
+	defaultService   = 20 * time.Millisecond  // a plain call, before one was measured
+)
+
+// target is the state of one endpoint.
+type target struct {
+	ep   *config.Endpoint
+	spec *config.EngineSpec // nil for plain services
+
+	runs    map[*Lease]struct{}
+	calls   int           // plain calls under way
+	reading int           // prompt tokens of prefills under way
+	step    time.Duration // moving average of the time for a token
+	perRead time.Duration // moving average of the time for a prompt token
+	latency time.Duration // moving average of plain calls
+
+	failures     int
+	ejections    int
+	ejectedUntil time.Time
+	fullUntil    time.Time
+
+	remote remoteLoad
+
+	reportedBusy int // running and waiting calls of other instances, by the endpoint's word
+	reportedAt   time.Time
+}
+
+// remoteLoad is what the other instances hold at an endpoint.
+type remoteLoad struct {
+	runs    []Run
+	reading int
+	calls   int
+}
+
+func newTarget(ep *config.Endpoint, spec *config.EngineSpec) *target {
+	return &target{
+		ep: ep, spec: spec,
+		runs:    map[*Lease]struct{}{},
+		step:    defaultStep,
+		perRead: defaultPerPrompt,
+		latency: defaultService,
+	}
+}
+
+// open reports whether the endpoint may get new work.
+func (x *target) open(now time.Time) bool {
+	return !x.ep.Leaving && !now.Before(x.ejectedUntil)
+}
+
+// all returns the runs of this and the other instances, with room for one more.
+func (x *target) all() []Run {
+	runs := make([]Run, 0, len(x.runs)+len(x.remote.runs)+1)
+	for l := range x.runs {
+		runs = append(runs, l.run)
+	}
+	return append(runs, x.remote.runs...)
+}
+
+// fits reports whether the engine has a slot, and memory until the run ends.
+func (x *target) fits(now time.Time, run Run, headroom float64) bool {
+	if now.Before(x.fullUntil) {
+		return false
+	}
+	runs := x.all()
+	if len(runs) >= x.spec.Slots {
+		return false
+	}
+	runs = append(runs, run)
+	perToken := x.step + time.Duration(len(runs))*slotStep
+	return float64(peak(now, runs, perToken)) <= headroom*float64(x.spec.KVTokens)
+}
+
+// load returns the share of memory that the engine's runs will need in all.
+func (x *target) load() float64 {
+	sum := 0
+	for _, r := range x.all() {
+		sum += r.Prompt + r.Output
+	}
+	return float64(sum) / float64(max(1, x.spec.KVTokens))
+}
+
+// backlog returns how long a prefill added now waits for the ones before it.
+func (x *target) backlog() time.Duration {
+	return time.Duration(x.reading+x.remote.reading) * x.perRead
+}
+
+// busy returns the plain calls under way at the endpoint.
+func (x *target) busy(now time.Time) int {
+	n := x.calls + x.remote.calls
+	if now.Sub(x.reportedAt) < x.latency {
+		n = max(n, x.reportedBusy)
+	}
+	return n
+}
+
+// judge takes note of an outcome and reports whether it ejected the endpoint.
+func (x *target) judge(now time.Time, o Outcome) bool {
+	switch o {
+	case Succeeded:
+		x.failures, x.ejections = 0, 0
+	case Full:
+		x.fullUntil = now.Add(fullPause)
+	case Failed:
+		x.failures++
+		if x.failures < failuresToEject || now.Before(x.ejectedUntil) {
+			return false
+		}
+		x.ejectedUntil = now.Add(min(longestEjection, firstEjection<<min(x.ejections, 8)))
+		x.ejections++
+		return true
+	}
+	return false
+}
+
+func average(old, sample time.Duration) time.Duration {
+	return old + time.Duration(measureWeight*float64(sample-old))
+}
