Instances tell each other what they hold

Ruled out: the engines' own limits, since none was above its memory by our own runs alone. Change: whole-state datagrams signed with a fleet secret; placement counts the others' runs, prefills and waiters, the quota window their spending.

--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -85,6 +85,21 @@
 	delete(d.known, name)
 }
 
+// retire notes that another instance saw an incarnation leaving or gone.
+func (d *directory) retire(name string, born int64) bool {
+	if old, ok := d.retired[name]; ok && old >= born {
+		return false
+	}
+	d.retired[name] = born
+	if r := d.known[name]; r != nil && r.ep.Incarnation <= born && !r.ep.Leaving {
+		e := *r.ep
+		e.Leaving = true
+		r.ep = &e
+		return true
+	}
+	return false
+}
+
 // replace takes the whole table: entries that are not in it have vanished.
 func (d *directory) replace(now time.Time, eps []*config.Endpoint) bool {
 	present := map[string]bool{}
--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -24,10 +24,11 @@
 	granted map[*placement.Waiter]chan *placement.Lease
 	ticking bool
 	ejected func(ep *config.Endpoint)
+	changed func() // told of every place taken or given back; must not block
 }
 
 func newRoom(s *placement.Scheduler, ejected func(*config.Endpoint)) *room {
-	return &room{now: time.Now, sched: s, granted: map[*placement.Waiter]chan *placement.Lease{}, ejected: ejected}
+	return &room{now: time.Now, sched: s, granted: map[*placement.Waiter]chan *placement.Lease{}, ejected: ejected, changed: func() {}}
 }
 
 // engine waits for a place. The error is a refusal with the time to come back.
@@ -37,6 +38,7 @@
 	if r.line.Len() == 0 {
 		if l := r.sched.Engine(now, w.Demand); l != nil {
 			r.mu.Unlock()
+			r.changed()
 			return l, nil
 		}
 	}
@@ -54,6 +56,7 @@
 	r.serve(now)
 	r.tick()
 	r.mu.Unlock()
+	r.changed()
 
 	timer := time.NewTimer(time.Until(w.Latest))
 	defer timer.Stop()
@@ -86,6 +89,7 @@
 	for _, g := range r.line.Serve(now, r.sched) {
 		r.granted[g.Waiter] <- g.Lease
 		delete(r.granted, g.Waiter)
+		r.changed()
 	}
 }
 
@@ -113,12 +117,20 @@
 	r.serve(now)
 }
 
+// peek shows f the scheduler and the line.
+func (r *room) peek(f func(now time.Time, s *placement.Scheduler, l *placement.Line)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f(r.now(), r.sched, &r.line)
+}
+
 func (r *room) release(l *placement.Lease, o placement.Outcome) {
 	r.with(func(now time.Time, s *placement.Scheduler) {
 		if s.Release(now, l, o) {
 			r.ejected(l.Target)
 		}
 	})
+	r.changed()
 }
 
 func (r *room) prefillDone(l *placement.Lease, o placement.Outcome) {
@@ -128,6 +140,7 @@
 			r.ejected(ep)
 		}
 	})
+	r.changed()
 }
 
 // usual returns the usual latency of a plain call at the lease's endpoint.
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -25,10 +25,10 @@
 	sweepEvery = time.Second // of idle connections
 	// leaveTime is how long the balancer may go on sending callers after the instance
 	// has said that it is not ready: two questions, one a second, and their answers.
-	leaveTime   = 3200 * time.Millisecond
-	exitMargin  = 400 * time.Millisecond // before the platform kills the process
-	drainPoll   = 20 * time.Millisecond
-	peerTimeout = time.Second
+	leaveTime    = 3200 * time.Millisecond
+	exitMargin   = 400 * time.Millisecond // before the platform kills the process
+	drainPoll    = 20 * time.Millisecond
+	internalIdle = 10 * time.Second
 )
 
 // Deps are what a gateway needs besides its settings.
@@ -52,6 +52,7 @@
 	up       *upstream
 	budget   *repeatBudget
 	reload   <-chan os.Signal
+	peers    *peers
 
 	quotaMu sync.Mutex
 	quota   *window.Limiter
@@ -82,6 +83,8 @@
 		g.log.Info("endpoint.ejected", "endpoint", ep.Name, "addr", ep.Addr)
 	})
 	g.state = newState(d.Formats, g.room, d.Log)
+	g.peers = newPeers(g)
+	g.room.changed = g.peers.changed
 	return g
 }
 
@@ -95,6 +98,13 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for the balancer")
 	}
+	state, err := net.Listen("tcp", s.settings.Peers)
+	if err != nil {
+		return errors.Wrap(err, "listen for other instances")
+	}
+	if err := s.peers.listen(); err != nil {
+		return err
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	g, ctx := errgroup.WithContext(ctx)
@@ -102,6 +112,10 @@
 		g.Go(func() error { return w.run(ctx) })
 	}
 	g.Go(func() error { return s.serveReadiness(readiness) })
+	g.Go(func() error { return newInternalServer(s.peers.serveState).Serve(state) })
+	for _, duty := range []func(context.Context) error{s.peers.send, s.peers.receive, s.peers.enter, s.peers.catchUp} {
+		g.Go(func() error { return duty(ctx) })
+	}
 	g.Go(func() error { return s.accept(ctx, callers) })
 	g.Go(func() error { return s.housekeeping(ctx) })
 	s.log.Info("process.start", "callers", s.settings.Callers, "data_centre", s.settings.DataCentre)
@@ -157,17 +171,16 @@
 
 // serveReadiness answers the balancer's question whether callers may come.
 func (s *Server) serveReadiness(ln net.Listener) error {
-	server := &fasthttp.Server{
-		NoDefaultServerHeader: true,
-		NoDefaultDate:         true,
-		Logger:                quiet{},
-		Handler: func(ctx *fasthttp.RequestCtx) {
-			if !s.ready() {
-				ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
-			}
-		},
-	}
-	return server.Serve(ln)
+	return newInternalServer(func(ctx *fasthttp.RequestCtx) {
+		if !s.ready() {
+			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		}
+	}).Serve(ln)
+}
+
+// newInternalServer returns a server for other processes than callers'.
+func newInternalServer(h fasthttp.RequestHandler) *fasthttp.Server {
+	return &fasthttp.Server{Handler: h, NoDefaultServerHeader: true, NoDefaultDate: true, Logger: quiet{}, IdleTimeout: internalIdle}
 }
 
 // quiet drops the HTTP library's messages, which can quote foreign bytes.
@@ -221,6 +234,7 @@
 		time.Sleep(drainPoll)
 	}
 	_ = ln.Close()
+	s.peers.leave()
 	s.log.Info("process.stop", "cut", s.active.Load(), "ms", time.Since(began).Milliseconds())
 }
 
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,7 +30,9 @@
 
 	mu        sync.Mutex
 	directory *directory
-	raw       []byte // the configuration in force as it lies in the store
+	raw       []byte    // the configuration in force as it lies in the store
+	version   uint64    // of the endpoints' table as read last
+	lostAt    time.Time // last time that the endpoints' table could not be read
 }
 
 func newState(f Formats, r *room, log logr.Logger) *state {
@@ -70,6 +73,9 @@
 func (s *state) applyEndpoints(now time.Time, rows []Row, whole bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for _, r := range rows {
+		s.version = max(s.version, r.Version)
+	}
 	changed := s.directory.expire(now)
 	var eps []*config.Endpoint
 	for _, r := range rows {
@@ -124,5 +130,61 @@
 func (s *state) storeLost(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.lostAt = now
 	s.directory.storeLost(now)
 }
+
+// awayTime is how long after a failed read the store counts as away; failed reads are
+// repeated more often.
+const awayTime = time.Second
+
+// storeAway reports whether the endpoints' table cannot be read at present.
+func (s *state) storeAway() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Since(s.lostAt) < awayTime
+}
+
+// directoryVersion returns the version of the newest entry known.
+func (s *state) directoryVersion() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version
+}
+
+// export returns the state for another instance.
+func (s *state) export() *peerState {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &peerState{
+		Version:       s.current.Load().Ticket,
+		Configuration: s.raw,
+		Directory:     s.version,
+		Endpoints:     s.directory.list(),
+		Retired:       maps.Clone(s.directory.retired),
+	}
+}
+
+// merge takes the state of another instance where it is newer.
+func (s *state) merge(now time.Time, p *peerState, source string) {
+	if p.Version > s.Current().Ticket && len(p.Configuration) > 0 {
+		s.applyConfiguration(p.Configuration, source)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p.Directory <= s.version {
+		return
+	}
+	s.version = p.Directory
+	changed := false
+	for _, ep := range p.Endpoints {
+		changed = s.directory.put(ep) || changed
+	}
+	for name, born := range p.Retired {
+		changed = s.directory.retire(name, born) || changed
+	}
+	if changed {
+		s.log.Info("endpoint.table", "endpoints", len(p.Endpoints), "source", source, "version", p.Directory)
+		s.publish()
+	}
+}
--- /dev/null
+++ b/internal/gossip/gossip.go
@@ -0,0 +1,124 @@
+// Package gossip is the format in which the instances of a pass-through deployment tell
+// each other what they hold: whole state in one authenticated datagram, so that a lost
+// one is mended by the next.
+package gossip
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+)
+
+// MaxBytes is the largest datagram that is sent; UDP over IPv4 carries no more.
+const MaxBytes = 60 << 10
+
+const macBytes = 16 // of the truncated signature
+
+// News is what one instance tells the others.
+type News struct {
+	_ struct{} `cbor:",toarray"`
+
+	Instance    string
+	Incarnation int64 // start of the process, Unix ns
+	Sequence    uint64
+	Address     string // IP:port for state, of the other instances
+	Leaving     bool
+
+	Configuration uint64 // version in force
+	Directory     uint64 // version of the endpoints' table that was read last
+
+	Holds   []Hold
+	Spent   []Spending
+	Waiting []Waiting
+}
+
+// Hold is what an instance holds at one endpoint.
+type Hold struct {
+	_ struct{} `cbor:",toarray"`
+
+	Endpoint string
+	Reading  int // prompt tokens of prefills under way
+	Runs     []Run
+}
+
+// Run is one generation at a decode engine.
+type Run struct {
+	_ struct{} `cbor:",toarray"`
+
+	Prompt, Output, Done int   // tokens
+	Age                  int64 // ms since Done was true; negative before the expected start
+}
+
+// Spending is what an instance spent of one account in the present window.
+type Spending struct {
+	_ struct{} `cbor:",toarray"`
+
+	Account string
+	Tokens  int
+}
+
+// Waiting is a generation that waits for a place.
+type Waiting struct {
+	_ struct{} `cbor:",toarray"`
+
+	Pool           string
+	Prompt, Output int   // tokens
+	Age            int64 // ms since arrival
+	Due            int64 // ms until the latest start on time; negative if passed
+	Urgency        int
+}
+
+// Before reports whether n is older than o, of the same instance.
+func (n *News) Before(o *News) bool {
+	if n.Incarnation != o.Incarnation {
+		return n.Incarnation < o.Incarnation
+	}
+	return n.Sequence < o.Sequence
+}
+
+// Encode returns the datagram of n, signed with the fleet's secret.
+func Encode(n *News, secret []byte) ([]byte, error) {
+	b, err := cbor.Marshal(n)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode news")
+	}
+	if len(b)+macBytes > MaxBytes {
+		return nil, errors.Newf("news of %d bytes is too large", len(b))
+	}
+	return append(b, Sign(b, secret)...), nil
+}
+
+// ErrForged means that a datagram was not signed with the fleet's secret.
+var ErrForged = errors.New("datagram is not of this fleet")
+
+// Decode checks and reads a datagram.
+func Decode(b, secret []byte) (*News, error) {
+	if len(b) < macBytes {
+		return nil, ErrForged
+	}
+	body, mac := b[:len(b)-macBytes], b[len(b)-macBytes:]
+	if !hmac.Equal(mac, Sign(body, secret)) {
+		return nil, ErrForged
+	}
+	var n News
+	if err := cbor.Unmarshal(body, &n); err != nil {
+		return nil, errors.Wrap(err, "decode news")
+	}
+	if n.Instance == "" {
+		return nil, errors.New("news without an instance")
+	}
+	return &n, nil
+}
+
+// Sign returns the truncated HMAC-SHA256 of b.
+func Sign(b, secret []byte) []byte {
+	m := hmac.New(sha256.New, secret)
+	m.Write(b)
+	return m.Sum(nil)[:macBytes]
+}
+
+// Ago returns the age of t in ms, for the fields that carry ages.
+func Ago(now, t time.Time) int64 { return now.Sub(t).Milliseconds() }
--- a/internal/placement/line.go
+++ b/internal/placement/line.go
@@ -10,6 +10,10 @@
 // patience is how long a waiter may be passed by smaller ones behind it that fit.
 const patience = 300 * time.Millisecond
 
+// waitingLife is how long the word of another instance that somebody waits there is
+// believed; while somebody waits, it is repeated more often.
+const waitingLife = 150 * time.Millisecond
+
 // Waiter is a generation that waits for a place.
 type Waiter struct {
 	Demand  Demand
@@ -61,30 +65,59 @@
 	return a.Arrived.Compare(b.Arrived)
 }
 
-// Serve places those that fit, in order.
+// Serve places those that fit, in order. Those that wait at other instances have their
+// turn too: what they would take is kept free for them.
 func (l *Line) Serve(now time.Time, s *Scheduler) []Grant {
 	if len(l.waiting) == 0 {
 		return nil
 	}
-	slices.SortStableFunc(l.waiting, func(a, b *Waiter) int { return before(now, a, b) })
 	var out []Grant
-	kept := l.waiting[:0]
+	var kept []*Waiter
+	var keptFree []*Lease
 	blocked := map[string]bool{}
+	own := map[*Waiter]bool{}
 	for _, w := range l.waiting {
+		own[w] = true
+	}
+	for _, w := range l.turns(now, s) {
 		if !blocked[w.Demand.Pool] {
-			if lease := s.Engine(now, w.Demand); lease != nil {
+			lease := s.Engine(now, w.Demand)
+			switch {
+			case lease != nil && own[w]:
 				out = append(out, Grant{Waiter: w, Lease: lease})
 				continue
+			case lease != nil:
+				keptFree = append(keptFree, lease)
+				continue
 			}
 			blocked[w.Demand.Pool] = now.Sub(w.Arrived) > patience
 		}
-		kept = append(kept, w)
+		if own[w] {
+			kept = append(kept, w)
+		}
+	}
+	for _, lease := range keptFree {
+		s.Release(now, lease, Abandoned)
 	}
-	clear(l.waiting[len(kept):])
 	l.waiting = kept
 	return out
 }
 
+// turns returns all that wait here and at other instances, in order.
+func (l *Line) turns(now time.Time, s *Scheduler) []*Waiter {
+	all := slices.Clone(l.waiting)
+	for _, r := range s.remotes {
+		if now.Sub(r.Heard) <= waitingLife {
+			all = append(all, r.Waiting...)
+		}
+	}
+	slices.SortStableFunc(all, func(a, b *Waiter) int { return before(now, a, b) })
+	return all
+}
+
+// Waiting returns those that wait here.
+func (l *Line) Waiting() []*Waiter { return l.waiting }
+
 // Predict estimates how long w would wait: the memory and time of those before it over
 // the memory of the usable engines.
 func (l *Line) Predict(now time.Time, s *Scheduler, w *Waiter) time.Duration {
@@ -99,7 +132,7 @@
 	if capacity == 0 {
 		return time.Second
 	}
-	for _, o := range l.waiting {
+	for _, o := range l.turns(now, s) {
 		if o != w && o.Demand.Pool == w.Demand.Pool && before(now, o, w) <= 0 {
 			work += area(o.Demand, step)
 		}
--- /dev/null
+++ b/internal/placement/peers.go
@@ -0,0 +1,90 @@
+package placement
+
+import (
+	"slices"
+	"time"
+)
+
+// Remote is what another instance holds and waits for.
+type Remote struct {
+	Heard   time.Time
+	Runs    map[string][]Run // by endpoint
+	Reading map[string]int   // prompt tokens, by endpoint
+	Waiting []*Waiter
+}
+
+// silence is how old the news of another instance may be for its prefills to count.
+// Its runs count on to their expected end: engines go on with them when the instance
+// is cut off from the others.
+const silence = time.Second
+
+// SetRemote replaces what is known of another instance.
+func (s *Scheduler) SetRemote(name string, r *Remote) {
+	if old := s.remotes[name]; old != nil {
+		for _, x := range s.targets {
+			delete(x.remote, name)
+		}
+	}
+	if r == nil {
+		delete(s.remotes, name)
+		return
+	}
+	s.remotes[name] = r
+	for endpoint, runs := range r.Runs {
+		s.attach(name, endpoint, remoteLoad{heard: r.Heard, runs: runs, reading: r.Reading[endpoint]})
+	}
+	for endpoint, reading := range r.Reading {
+		if r.Runs[endpoint] == nil {
+			s.attach(name, endpoint, remoteLoad{heard: r.Heard, reading: reading})
+		}
+	}
+}
+
+func (s *Scheduler) attach(name, endpoint string, l remoteLoad) {
+	if x := s.targets[endpoint]; x != nil {
+		x.remote[name] = l
+	}
+}
+
+// remoteRuns appends the runs of other instances that are expected to hold memory.
+func (x *target) remoteRuns(now time.Time, runs []Run) []Run {
+	for _, l := range x.remote {
+		silent := now.Sub(l.heard) > silence
+		for _, r := range l.runs {
+			if !silent || r.end(x.step).After(now) {
+				runs = append(runs, r)
+			}
+		}
+	}
+	return runs
+}
+
+// remoteReading returns the prompt tokens that other instances have read.
+func (x *target) remoteReading(now time.Time) int {
+	sum := 0
+	for _, l := range x.remote {
+		if now.Sub(l.heard) <= silence {
+			sum += l.reading
+		}
+	}
+	return sum
+}
+
+// Holds returns the runs and prefills of this instance, by endpoint, sorted by name.
+func (s *Scheduler) Holds(visit func(endpoint string, reading int, runs []Run)) {
+	names := make([]string, 0, len(s.targets))
+	for name, x := range s.targets {
+		if x.reading > 0 || len(x.runs) > 0 {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		x := s.targets[name]
+		runs := make([]Run, 0, len(x.runs))
+		for l := range x.runs {
+			runs = append(runs, l.run)
+		}
+		visit(name, x.reading, runs)
+	}
+}
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -45,11 +45,12 @@
 	rand       *rand.Rand
 	targets    map[string]*target
 	pools      map[string][]*target
+	remotes    map[string]*Remote
 }
 
 // New returns a Scheduler without endpoints for an instance in the data centre.
 func New(dataCentre string, r *rand.Rand) *Scheduler {
-	return &Scheduler{dataCentre: dataCentre, rand: r, targets: map[string]*target{}, pools: map[string][]*target{}}
+	return &Scheduler{dataCentre: dataCentre, rand: r, targets: map[string]*target{}, pools: map[string][]*target{}, remotes: map[string]*Remote{}}
 }
 
 // SetEndpoints replaces the endpoints. What was learned of an endpoint is kept while
@@ -71,6 +72,9 @@
 		s.targets[name] = x
 		s.pools[ep.Pool] = append(s.pools[ep.Pool], x)
 	}
+	for name, r := range s.remotes {
+		s.SetRemote(name, r)
+	}
 	for _, list := range s.pools {
 		slices.SortFunc(list, func(a, b *target) int {
 			if a.ep.Name < b.ep.Name {
@@ -91,7 +95,7 @@
 	}
 	start := now
 	if p != nil {
-		start = now.Add(p.backlog() + time.Duration(d.Prompt)*p.perRead)
+		start = now.Add(p.backlog(now) + time.Duration(d.Prompt)*p.perRead)
 	}
 	run := Run{Prompt: d.Prompt, Output: d.Output, At: start}
 	t := s.chooseDecode(now, d, run)
@@ -103,7 +107,7 @@
 	if p != nil {
 		l.Prefill, l.prefill, l.reading = p.ep, p, d.Prompt
 		p.reading += d.Prompt
-		l.queued = p.reading + p.remote.reading
+		l.queued = p.reading + p.remoteReading(now)
 	}
 	return l
 }
@@ -121,7 +125,7 @@
 		if now.Before(x.fullUntil) {
 			continue
 		}
-		wait := x.backlog() + s.far(x, 5*time.Millisecond)
+		wait := x.backlog(now) + s.far(x, 5*time.Millisecond)
 		if wait < least {
 			best, least = x, wait
 		}
@@ -140,7 +144,7 @@
 		if !x.fits(now, run, memoryHeadroom) {
 			continue
 		}
-		load := x.load() * float64(x.step) / float64(defaultStep)
+		load := x.load(now) * float64(x.step) / float64(defaultStep)
 		if x.ep.DataCentre != s.dataCentre {
 			load += farPenalty
 		}
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -47,23 +47,24 @@
 	ejectedUntil time.Time
 	fullUntil    time.Time
 
-	remote remoteLoad
+	remote map[string]remoteLoad // by instance
 
 	reportedBusy int // running and waiting calls of other instances, by the endpoint's word
 	reportedAt   time.Time
 }
 
-// remoteLoad is what the other instances hold at an endpoint.
+// remoteLoad is what another instance holds at an endpoint.
 type remoteLoad struct {
+	heard   time.Time
 	runs    []Run
 	reading int
-	calls   int
 }
 
 func newTarget(ep *config.Endpoint, spec *config.EngineSpec) *target {
 	return &target{
 		ep: ep, spec: spec,
 		runs:    map[*Lease]struct{}{},
+		remote:  map[string]remoteLoad{},
 		step:    defaultStep,
 		perRead: defaultPerPrompt,
 		latency: defaultService,
@@ -76,20 +77,22 @@
 }
 
 // all returns the runs of this and the other instances, with room for one more.
-func (x *target) all() []Run {
-	runs := make([]Run, 0, len(x.runs)+len(x.remote.runs)+1)
+func (x *target) all(now time.Time) []Run {
+	runs := make([]Run, 0, len(x.runs)+runsGuess)
 	for l := range x.runs {
 		runs = append(runs, l.run)
 	}
-	return append(runs, x.remote.runs...)
+	return x.remoteRuns(now, runs)
 }
 
+const runsGuess = 16 // runs of other instances that are usual at an engine
+
 // fits reports whether the engine has a slot, and memory until the run ends.
 func (x *target) fits(now time.Time, run Run, headroom float64) bool {
 	if now.Before(x.fullUntil) {
 		return false
 	}
-	runs := x.all()
+	runs := x.all(now)
 	if len(runs) >= x.spec.Slots {
 		return false
 	}
@@ -99,22 +102,22 @@
 }
 
 // load returns the share of memory that the engine's runs will need in all.
-func (x *target) load() float64 {
+func (x *target) load(now time.Time) float64 {
 	sum := 0
-	for _, r := range x.all() {
+	for _, r := range x.all(now) {
 		sum += r.Prompt + r.Output
 	}
 	return float64(sum) / float64(max(1, x.spec.KVTokens))
 }
 
 // backlog returns how long a prefill added now waits for the ones before it.
-func (x *target) backlog() time.Duration {
-	return time.Duration(x.reading+x.remote.reading) * x.perRead
+func (x *target) backlog(now time.Time) time.Duration {
+	return time.Duration(x.reading+x.remoteReading(now)) * x.perRead
 }
 
 // busy returns the plain calls under way at the endpoint.
 func (x *target) busy(now time.Time) int {
-	n := x.calls + x.remote.calls
+	n := x.calls
 	if now.Sub(x.reportedAt) < x.latency {
 		n = max(n, x.reportedBusy)
 	}
