Quota over restarts; no streams begun late in a drain

Change: an instance assumes that it spent its share before its start, and the others assume it of each other; nothing of it is reported as spent. After a drain has lasted 2.9 s generations are refused with a time to come back.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,11 +26,15 @@
 	MemoryBytes int64
 	GracePeriod time.Duration // from SIGTERM to SIGKILL
 
-	RetryShare   float64       // repeats as a share of requests, over the fleet
-	RetryWindow  time.Duration // in which repeats are counted
-	RetryExtra   float64       // repeats beyond the share, over the fleet
-	QuotaWindow  time.Duration // in which tokens are counted
-	LongestRetry time.Duration // longest time that callers are told to wait
+	RetryShare  float64       // repeats as a share of requests, over the fleet
+	RetryWindow time.Duration // in which repeats are counted
+	RetryExtra  float64       // repeats beyond the share, over the fleet
+	QuotaWindow time.Duration // in which tokens are counted
+	// What the fleet's sum may lie above an account's limit.
+	QuotaSlackPart   float64 // of the limit
+	QuotaSlackTokens float64
+	NewFleet         bool          // the whole deployment starts for the first time
+	LongestRetry     time.Duration // longest time that callers are told to wait
 }
 
 // Call is a caller's request, its headers decoded.
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -25,6 +25,7 @@
 
 	prefillTimes  = 4                      // times the predicted time of a prefill until it is given up
 	prefillLeast  = 400 * time.Millisecond // and at least this long
+	leaveWait     = 50 * time.Millisecond  // a caller reaches another instance with its next connection
 	maxEvent      = 1 << 20                // bytes of one event
 	eventBuffer   = 4 << 10
 	freeTimeout   = time.Second            // to give a prefill result back
@@ -34,6 +35,9 @@
 // generation runs a request at a model pool: place, prefill, decode, and once more where
 // that is allowed.
 func (x *exchange) generation(ctx context.Context) error {
+	if x.s.closing() {
+		return refusal(errkind.ShuttingDown, "this instance is shutting down", leaveWait)
+	}
 	var last error
 	for x.sends < 2*maxSends {
 		if x.sends > 0 && !x.mayRepeat(time.Now()) {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -61,6 +61,7 @@
 	s        *Server
 	log      logr.Logger
 	self     instanceRow
+	started  time.Time
 	conn     *net.UDPConn
 	client   *fasthttp.Client
 	dirty    chan struct{}
@@ -105,6 +106,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for news")
 	}
+	p.started = time.Now()
 	p.self = instanceRow{Incarnation: time.Now().UnixNano(), State: p.s.settings.Peers, News: addr}
 	return nil
 }
@@ -166,6 +168,7 @@
 	n := &gossip.News{
 		Instance:      s.settings.Instance,
 		Incarnation:   p.self.Incarnation,
+		Up:            time.Since(p.started).Milliseconds(),
 		Address:       p.self.State,
 		Configuration: s.state.Current().Ticket,
 		Directory:     s.state.directoryVersion(),
@@ -249,7 +252,7 @@
 	for _, s := range n.Spent {
 		spent[s.Account] = s.Tokens
 	}
-	p.s.quota.Heard(now, n.Instance, spent)
+	p.s.quota.Heard(now, n.Instance, n.Incarnation, time.Duration(n.Up)*time.Millisecond, spent)
 	p.s.quotaMu.Unlock()
 	p.s.room.with(func(now time.Time, s *placement.Scheduler) { s.SetRemote(n.Instance, remoteOf(now, n)) })
 }
--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -181,3 +181,10 @@
 	defer r.mu.Unlock()
 	r.lengthsOf(c.Pool.Name).Observe(output, c.Hint)
 }
+
+// calm reports whether nobody waits, here or at another instance.
+func (r *room) calm() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.line.Calm(r.now(), r.sched)
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -25,7 +25,10 @@
 	sweepEvery = time.Second // of idle connections
 	// leaveTime is how long the balancer may go on sending callers after the instance
 	// has said that it is not ready: two questions, one a second, and their answers.
-	leaveTime    = 3200 * time.Millisecond
+	leaveTime = 3200 * time.Millisecond
+	// lastStream is how long after the start of a drain streams are still begun: they
+	// take some seconds, and the platform kills the process after the grace period.
+	lastStream   = 2900 * time.Millisecond
 	exitMargin   = 400 * time.Millisecond // before the platform kills the process
 	drainPoll    = 20 * time.Millisecond
 	internalIdle = 10 * time.Second
@@ -62,6 +65,8 @@
 
 	connMu sync.Mutex
 	conns  map[net.Conn]struct{}
+
+	drainedAt atomic.Int64 // start of the drain, Unix ns
 }
 
 // New returns a Server that has no configuration yet.
@@ -74,10 +79,14 @@
 		metrics:  metrics.New(),
 		up:       newUpstream(d.Wire),
 		budget:   newRepeatBudget(s.RetryShare, s.RetryExtra, s.RetryWindow),
-		quota:    window.New(s.QuotaWindow),
 		conns:    map[net.Conn]struct{}{},
 		reload:   d.Reload,
 	}
+	var start time.Time
+	if !s.NewFleet {
+		start = time.Now()
+	}
+	g.quota = window.New(s.QuotaWindow, window.Slack{Part: s.QuotaSlackPart, Tokens: s.QuotaSlackTokens}, start)
 	seed := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	g.room = newRoom(placement.New(s.DataCentre, seed), func(ep *config.Endpoint) {
 		g.log.Info("endpoint.ejected", "endpoint", ep.Name, "addr", ep.Addr)
@@ -223,6 +232,7 @@
 // for what is running.
 func (s *Server) shutDown(ln net.Listener) {
 	began := time.Now()
+	s.drainedAt.Store(began.UnixNano())
 	s.draining.Store(true)
 	s.log.Info("process.drain", "active", s.active.Load())
 	last := began.Add(s.settings.GracePeriod - exitMargin)
@@ -238,10 +248,16 @@
 	s.log.Info("process.stop", "cut", s.active.Load(), "ms", time.Since(began).Milliseconds())
 }
 
+// closing reports whether a stream that starts now may be cut by the end of the process.
+func (s *Server) closing() bool {
+	return s.draining.Load() && time.Since(time.Unix(0, s.drainedAt.Load())) > lastStream
+}
+
 func (s *Server) quotaReserve(a *config.Account, tokens int) window.Decision {
+	stretch := s.room.calm()
 	s.quotaMu.Lock()
 	defer s.quotaMu.Unlock()
-	return s.quota.Reserve(time.Now(), a, tokens)
+	return s.quota.Reserve(time.Now(), a, tokens, stretch)
 }
 
 func (s *Server) quotaReturn(account string, tokens int) {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -24,6 +24,7 @@
 	Instance    string
 	Incarnation int64 // start of the process, Unix ns
 	Sequence    uint64
+	Up          int64  // ms since the start
 	Address     string // IP:port for state, of the other instances
 	Leaving     bool
 
--- a/internal/limit/window/window.go
+++ b/internal/limit/window/window.go
@@ -22,6 +22,8 @@
 // Limiter keeps the spending of all accounts. It is not safe for concurrent use.
 type Limiter struct {
 	window   time.Duration
+	slack    Slack
+	start    time.Time // of this instance; before it, spending is not known
 	slot     time.Duration
 	accounts map[string]*spending
 	peers    map[string]*peer
@@ -38,15 +40,29 @@
 }
 
 type peer struct {
-	heard time.Time
-	spent map[string]int
+	heard       time.Time
+	incarnation int64
+	spent       map[string]int
+	started     time.Time
+	before      map[string]int // spent by the incarnation before, nil if it is not known
+	changed     time.Time      // when the incarnation before was replaced
 }
 
-// New returns a Limiter for a window of the given length.
-func New(window time.Duration) *Limiter {
+// Slack is what the sum over all instances may lie above the limit.
+type Slack struct {
+	Part   float64 // of the limit
+	Tokens float64
+}
+
+// New returns a Limiter for a window of the given length. A known start is that of an
+// instance that may have spent tokens before, in an incarnation that it knows nothing
+// of: it assumes to have spent its share. A zero start is that of a new fleet.
+func New(window time.Duration, slack Slack, start time.Time) *Limiter {
 	window += transitMargin
 	return &Limiter{
 		window:   window,
+		slack:    slack,
+		start:    start,
 		slot:     window / slotsPerWindow,
 		accounts: map[string]*spending{},
 		peers:    map[string]*peer{},
@@ -75,19 +91,33 @@
 	Silent     int           // other instances whose share is assumed
 }
 
-// Reserve charges tokens to the account if its limit allows.
-func (l *Limiter) Reserve(now time.Time, a *config.Account, tokens int) Decision {
+// Parts of the slack that are used. The rest covers news that are late.
+const (
+	slackPartUsed   = 0.7
+	slackTokensUsed = 0.4
+)
+
+// Reserve charges tokens to the account if its limit allows. Stretch allows the slack
+// too: a burst is better served than refused while nobody else waits.
+func (l *Limiter) Reserve(now time.Time, a *config.Account, tokens int, stretch bool) Decision {
 	if a.Rate <= 0 {
 		return Decision{Allowed: true}
 	}
+	limit := a.Rate*(l.window-transitMargin).Seconds() + a.Burst
 	s := l.accounts[a.Name]
 	if s == nil {
 		s = &spending{}
 		l.accounts[a.Name] = s
 	}
 	l.expire(now, s)
-	d := Decision{Limit: a.Rate*(l.window-transitMargin).Seconds() + a.Burst, Own: s.sum}
-	d.Others, d.Silent = l.others(now, a.Name, d.Limit)
+	d := Decision{Limit: limit, Own: s.sum}
+	share := limit / float64(len(l.peers)+1)
+	d.Others, d.Silent = l.others(now, a.Name, share)
+	d.Others += l.unknown(now, share)
+	if stretch {
+		heard := float64(len(l.peers)+1-d.Silent) / float64(len(l.peers)+1)
+		d.Limit += heard * (slackPartUsed*l.slack.Part*limit + slackTokensUsed*l.slack.Tokens)
+	}
 	missing := float64(tokens+d.Own) + d.Others - d.Limit
 	if missing <= 0 {
 		l.add(now, s, tokens)
@@ -98,6 +128,17 @@
 	return d
 }
 
+// unknown returns what this instance may have spent before its start, in an incarnation
+// that it knows nothing of: its share, as far as the window still covers it.
+func (l *Limiter) unknown(now time.Time, share float64) float64 {
+	return share * l.left(now, l.start)
+}
+
+// left returns the part of the window before at that a window ending now still covers.
+func (l *Limiter) left(now, at time.Time) float64 {
+	return max(0, 1-now.Sub(at).Seconds()/l.window.Seconds())
+}
+
 func (l *Limiter) add(now time.Time, s *spending, tokens int) {
 	at := l.index(now)
 	if n := len(s.slots); n > 0 && s.slots[n-1].start == at {
@@ -124,10 +165,16 @@
 }
 
 // others returns what the other instances may have spent.
-func (l *Limiter) others(now time.Time, account string, limit float64) (sum float64, silent int) {
-	share := limit / float64(len(l.peers)+1)
+func (l *Limiter) others(now time.Time, account string, share float64) (sum float64, silent int) {
 	for _, p := range l.peers {
 		spent := float64(p.spent[account])
+		switch {
+		case p.before != nil:
+			spent += float64(p.before[account]) * l.left(now, p.changed)
+		case l.left(now, l.start) > 0:
+			// Neither knows what the other spent before.
+			spent += share * l.left(now, p.started)
+		}
 		if now.Sub(p.heard) > peerSilence {
 			spent = max(spent, share)
 			silent++
@@ -149,9 +196,17 @@
 	return out
 }
 
-// Heard records the spending that another instance reports.
-func (l *Limiter) Heard(now time.Time, name string, spent map[string]int) {
-	l.peers[name] = &peer{heard: now, spent: spent}
+// Heard records the spending that another instance reports, and how long it has run.
+func (l *Limiter) Heard(now time.Time, name string, incarnation int64, up time.Duration, spent map[string]int) {
+	p := l.peers[name]
+	if p == nil {
+		p = &peer{}
+		l.peers[name] = p
+	}
+	if p.incarnation != incarnation {
+		p.before, p.changed = p.spent, now
+	}
+	p.heard, p.started, p.incarnation, p.spent = now, now.Add(-up), incarnation, spent
 }
 
 // SetPeers replaces the list of other instances. One that was never heard counts as silent.
--- a/internal/placement/line.go
+++ b/internal/placement/line.go
@@ -115,6 +115,16 @@
 	return all
 }
 
+// Calm reports whether nobody waits, here or at another instance.
+func (l *Line) Calm(now time.Time, s *Scheduler) bool {
+	for _, r := range s.remotes {
+		if len(r.Waiting) > 0 && now.Sub(r.Heard) <= waitingLife {
+			return false
+		}
+	}
+	return len(l.waiting) == 0
+}
+
 // Waiting returns those that wait here.
 func (l *Line) Waiting() []*Waiter { return l.waiting }
 
