--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -257,12 +257,23 @@
 		if e.id != "" {
 			x.lastEvent = e.id
 		}
+		x.timed(time.Now())
 		events++
 		x.tokens += stride
 		x.s.room.with(func(now time.Time, s *placement.Scheduler) { s.Progress(now, l, events*stride) })
 	}
 }
 
+// timed notes when an event was relayed.
+func (x *exchange) timed(now time.Time) {
+	if x.tokens == 0 {
+		x.first = now.Sub(x.call.Arrived)
+	} else {
+		x.pause = max(x.pause, now.Sub(x.lastAt))
+	}
+	x.lastAt = now
+}
+
 // free gives back a prefill result that will not be fetched.
 func (s *Server) free(addr, name, handle string) {
 	go func() {
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -47,9 +47,12 @@
 	exclude   []string // endpoints that failed the request
 	target    string   // endpoint that answered last
 	waited    time.Duration
-	tokens    int    // output tokens relayed
-	lastEvent string // id of the last event relayed, or the caller's own
-	fallback  *whole // an endpoint's own failure, for want of a better answer
+	tokens    int           // output tokens relayed
+	lastEvent string        // id of the last event relayed, or the caller's own
+	fallback  *whole        // an endpoint's own failure, for want of a better answer
+	first     time.Duration // from arrival to the first event
+	pause     time.Duration // longest between two events
+	lastAt    time.Time     // of the last event relayed
 }
 
 // run is the chain of stages: route, identify, limit, dispatch.
@@ -211,7 +214,7 @@
 		fields = append(fields, "route", c.Route.Name)
 	}
 	if x.tokens > 0 {
-		fields = append(fields, "output_tokens", x.tokens, "hint", c.Hint)
+		fields = append(fields, "output_tokens", x.tokens, "hint", c.Hint, "first_ms", x.first.Milliseconds(), "pause_ms", x.pause.Milliseconds())
 	}
 	if err != nil {
 		fields = append(fields, "cause", err.Error())
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	memoryHeadroom = 0.97                   // of KV memory; the rest covers prompts counted in whole blocks and late news
+	memoryHeadroom = 0.86                   // of KV memory; the rest is for outputs longer than expected
 	longestBacklog = 350 * time.Millisecond // of prefills at one engine, within the shortest latency target
 	farPenalty     = 0.03                   // of an engine's memory, for transfers between data centres
 )
