--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -18,9 +18,11 @@
 //
 // Invariant: an incarnation of an endpoint that was seen leaving stays so.
 type directory struct {
-	known     map[string]*record
-	retired   map[string]int64 // newest incarnation seen leaving or gone, by name
-	uncertain time.Time        // entries that vanish before this time may come back
+	known      map[string]*record
+	retired    map[string]int64 // newest incarnation seen leaving or gone, by name
+	vanished   int              // entries that vanished since vanishedAt
+	vanishedAt time.Time
+	uncertain  time.Time // entries that vanish before this time may come back
 }
 
 type record struct {
@@ -72,7 +74,10 @@
 	if r == nil || r.pending {
 		return false
 	}
-	if now.Before(d.uncertain) {
+	if now.Before(d.uncertain) || d.tooMany(now) {
+		if d.uncertain.Before(now) {
+			d.uncertain = now.Add(returnTime)
+		}
 		r.pending, r.dropAt = true, d.uncertain
 		return false
 	}
@@ -80,6 +85,22 @@
 	return true
 }
 
+// tooMany counts vanished entries and reports whether they are more than leave at once
+// on purpose: then the store was away, even if this instance has not noticed.
+func (d *directory) tooMany(now time.Time) bool {
+	if now.Sub(d.vanishedAt) > vanishTime {
+		d.vanishedAt, d.vanished = now, 0
+	}
+	d.vanished++
+	return d.vanished > max(vanishLeast, len(d.known)/vanishPart)
+}
+
+const (
+	vanishTime  = 500 * time.Millisecond // in which vanished entries are counted together
+	vanishPart  = 4                      // of all entries
+	vanishLeast = 2
+)
+
 func (d *directory) drop(name string) {
 	d.retired[name] = max(d.retired[name], d.known[name].ep.Incarnation)
 	delete(d.known, name)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,7 @@
 	NewsPort   string   // UDP port for news of other instances
 	Seeds      []string // addresses of some other instances
 
+	Rank        int // strength of the instance among others
 	MemoryBytes int64
 	GracePeriod time.Duration // from SIGTERM to SIGKILL
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"crypto/rand"
 	"encoding/hex"
@@ -24,7 +25,6 @@
 	newsEvery     = 400 * time.Millisecond // while nothing changes
 	newsWaiting   = 50 * time.Millisecond  // while somebody waits
 	newsGap       = 4 * time.Millisecond   // between two datagrams at the least
-	newsGapFleet  = 500 * time.Microsecond // and for each other instance, which bounds the work of large fleets
 	enterEvery    = 5 * time.Second        // of the instance's row
 	peerLife      = 15 * time.Second       // without row and news; longer than cuts usually last
 	catchUpEvery  = 150 * time.Millisecond
@@ -42,13 +42,16 @@
 	Incarnation int64  `json:"incarnation"`
 	State       string `json:"state"` // address for state
 	News        string `json:"news"`  // address for datagrams
+	DataCentre  string `json:"data_centre"`
+	Rank        int    `json:"rank"` // strength, for the choice of relays
 }
 
 // peer is another instance as this one knows it.
 type peer struct {
 	row        instanceRow
 	news       *gossip.News
-	heard      time.Time // last datagram
+	heard      time.Time // last news
+	direct     time.Time // last datagram that it sent itself
 	renewed    time.Time // last change of its row
 	addr       netip.AddrPort
 	aheadAt    time.Time // since when it has newer state than this instance
@@ -65,12 +68,13 @@
 	conn     *net.UDPConn
 	client   *fasthttp.Client
 	dirty    chan struct{}
+	relay    chan struct{} // news wait to be relayed
 	sequence uint64
 
-	mu        sync.Mutex
-	known     map[string]*peer
-	secret    []byte
-	lastFetch time.Time
+	mu     sync.Mutex
+	known  map[string]*peer
+	secret []byte
+	outbox map[string]relayed // by instance
 }
 
 func newPeers(s *Server) *peers {
@@ -79,6 +83,8 @@
 		log:    s.log,
 		client: &fasthttp.Client{MaxResponseBodySize: largestState, ReadTimeout: fetchTimeout, WriteTimeout: fetchTimeout, MaxIdleConnDuration: time.Second, NoDefaultUserAgentHeader: true},
 		dirty:  make(chan struct{}, 1),
+		relay:  make(chan struct{}, 1),
+		outbox: map[string]relayed{},
 		known:  map[string]*peer{},
 	}
 }
@@ -107,7 +113,7 @@
 		return errors.Wrap(err, "listen for news")
 	}
 	p.started = time.Now()
-	p.self = instanceRow{Incarnation: time.Now().UnixNano(), State: p.s.settings.Peers, News: addr}
+	p.self = instanceRow{Incarnation: time.Now().UnixNano(), State: p.s.settings.Peers, News: addr, DataCentre: p.s.settings.DataCentre, Rank: p.s.settings.Rank}
 	return nil
 }
 
@@ -128,11 +134,29 @@
 			next = newsWaiting
 		}
 		timer.Reset(next)
-		pause(ctx, newsGap+time.Duration(fleet)*newsGapFleet)
+		gap := newsGap
+		if fleet > directFleet {
+			gap = relayEvery
+		}
+		pause(ctx, gap)
 	}
 }
 
-// publish sends the instance's news to all others.
+// relays sends the batches of a relay.
+func (p *peers) relays(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-p.relay:
+		}
+		p.flush(time.Now())
+		pause(ctx, relayEvery)
+	}
+}
+
+// publish sends the instance's news: to all others, or in a large fleet to the relay of
+// the data centre.
 func (p *peers) publish(leaving bool) (waiting bool, fleet int) {
 	n := p.compose()
 	n.Leaving = leaving
@@ -140,26 +164,43 @@
 	secret := p.secret
 	p.sequence++
 	n.Sequence = p.sequence
-	var to []netip.AddrPort
-	for _, x := range p.known {
-		if x.addr.IsValid() && !x.leaving {
-			to = append(to, x.addr)
-		}
-	}
+	fleet = len(p.known) + 1
+	to, asRelay := p.receivers(time.Now(), fleet)
 	p.mu.Unlock()
 	if secret == nil {
-		return false, len(to)
+		return false, fleet
 	}
 	b, err := gossip.Encode(n, secret)
 	if err != nil {
 		p.log.Error(err, "news.not_sent")
-		return false, len(to)
+		return false, fleet
+	}
+	if asRelay {
+		p.pass(relayed{instance: n.Instance, datagram: b, onward: true})
 	}
 	for _, addr := range to {
 		// A datagram that is not sent counts as lost; the next one mends it.
 		_, _ = p.conn.WriteToUDPAddrPort(b, addr)
 	}
-	return len(n.Waiting) > 0, len(to)
+	return len(n.Waiting) > 0, fleet
+}
+
+// receivers returns where news go, and whether this instance is the relay itself. The
+// caller holds the lock.
+func (p *peers) receivers(now time.Time, fleet int) (to []netip.AddrPort, asRelay bool) {
+	if fleet > directFleet {
+		m, ok := chooseRelay(now, p.byDataCentre()[p.self.DataCentre])
+		if ok && !m.self && m.addr.IsValid() {
+			to = append(to, m.addr)
+		}
+		return to, m.self
+	}
+	for _, x := range p.known {
+		if x.addr.IsValid() && !x.leaving {
+			to = append(to, x.addr)
+		}
+	}
+	return to, false
 }
 
 // compose gathers what the instance holds.
@@ -214,47 +255,94 @@
 		if secret == nil {
 			continue
 		}
-		n, err := gossip.Decode(buf[:size], secret)
-		if err != nil {
+		if err := p.open(bytes.Clone(buf[:size]), secret, from); err != nil {
 			p.log.Info("news.refused", "from", from.String(), "cause", err.Error())
-			continue
 		}
-		p.take(time.Now(), n, from)
 	}
 }
 
-// take puts the news of another instance to use.
-func (p *peers) take(now time.Time, n *gossip.News, from netip.AddrPort) {
+// open takes one datagram.
+func (p *peers) open(b, secret []byte, from netip.AddrPort) error {
+	n, batch, err := gossip.Open(b, secret)
+	if err != nil {
+		return err
+	}
+	now := time.Now()
+	if n != nil {
+		if p.take(now, n, from, true) && p.large() {
+			p.pass(relayed{instance: n.Instance, datagram: b, onward: true})
+		}
+		return nil
+	}
+	p.heardRelay(now, batch.Relay)
+	for _, d := range batch.Datagrams {
+		n, _, err := gossip.Open(d, secret)
+		if err != nil || n == nil {
+			return errors.Wrap(err, "relayed news")
+		}
+		if p.take(now, n, netip.AddrPort{}, false) && batch.Onward {
+			p.pass(relayed{instance: n.Instance, datagram: d})
+		}
+	}
+	return nil
+}
+
+// large reports whether the fleet's news go through relays.
+func (p *peers) large() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.known)+1 > directFleet
+}
+
+func (p *peers) heardRelay(now time.Time, name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if x := p.known[name]; x != nil {
+		x.direct = now
+	}
+}
+
+// take puts the news of another instance to use and reports whether they were new.
+// Direct news came from the instance itself, at address from.
+func (p *peers) take(now time.Time, n *gossip.News, from netip.AddrPort, direct bool) bool {
 	if n.Instance == p.s.settings.Instance {
-		return
+		return false
 	}
 	p.mu.Lock()
 	x := p.known[n.Instance]
-	if x == nil {
+	joined := x == nil
+	if joined {
 		x = &peer{}
 		p.known[n.Instance] = x
 	}
-	if x.news != nil && n.Before(x.news) {
+	if x.news != nil && !x.news.Before(n) {
 		p.mu.Unlock()
-		return
+		return false
 	}
 	if x.news == nil || x.news.Incarnation != n.Incarnation {
-		p.log.Info("instance.heard", "instance", n.Instance, "incarnation", n.Incarnation, "addr", from.String())
+		p.log.Info("instance.heard", "instance", n.Instance, "incarnation", n.Incarnation)
+	}
+	joined = joined || x.leaving != n.Leaving
+	x.news, x.heard, x.leaving = n, now, n.Leaving
+	if direct {
+		x.direct, x.addr = now, from
 	}
-	x.news, x.heard, x.addr, x.leaving = n, now, from, n.Leaving
 	x.row.State = n.Address
 	names := p.names()
 	p.mu.Unlock()
 
-	p.s.quotaMu.Lock()
-	p.s.quota.SetPeers(names)
 	spent := make(map[string]int, len(n.Spent))
 	for _, s := range n.Spent {
 		spent[s.Account] = s.Tokens
 	}
+	p.s.quotaMu.Lock()
+	if joined {
+		p.s.quota.SetPeers(names)
+	}
 	p.s.quota.Heard(now, n.Instance, n.Incarnation, time.Duration(n.Up)*time.Millisecond, spent)
 	p.s.quotaMu.Unlock()
 	p.s.room.with(func(now time.Time, s *placement.Scheduler) { s.SetRemote(n.Instance, remoteOf(now, n)) })
+	return true
 }
 
 // remoteOf turns news into what the scheduler keeps of another instance.
@@ -302,7 +390,7 @@
 			continue
 		}
 		failures = 0
-		pause(ctx, enterEvery)
+		pause(ctx, p.s.scaled(enterEvery))
 	}
 	return nil
 }
@@ -480,7 +568,7 @@
 		if x.news == nil || now.Sub(x.heard) > peerLife {
 			continue
 		}
-		ahead := x.news.Configuration > have.Ticket || (lost && x.news.Directory > directory)
+		ahead := x.news.Configuration > have.Ticket || x.news.Directory > directory
 		if !ahead {
 			x.aheadAt = time.Time{}
 			continue
@@ -542,3 +630,10 @@
 		p.log.Info("instance.row_not_removed", "cause", err.Error())
 	}
 }
+
+// fleet returns the number of known instances, this one included.
+func (p *peers) fleet() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.known) + 1
+}
--- /dev/null
+++ b/internal/gateway/relay.go
@@ -0,0 +1,133 @@
+package gateway
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+
+	"carawayrouter.example/router/internal/gossip"
+)
+
+const (
+	// directFleet is the largest fleet whose instances send their news to each other
+	// directly. In larger ones the datagrams, which grow with the square of the fleet,
+	// would take more processor time than the requests.
+	directFleet = 16
+	relayEvery  = 25 * time.Millisecond // between two batches of a relay; a quarter of a prefill
+	relaySilent = time.Second           // a relay that was not heard for so long is passed over
+	relayRanks  = 3                     // relays tried before any other instance
+)
+
+// candidate is an instance that may relay news.
+type candidate struct {
+	name  string
+	rank  int // links and processors of the instance; larger is better
+	heard time.Time
+	addr  netip.AddrPort
+	self  bool
+}
+
+// chooseRelay returns the relay of a data centre: the strongest instance that was heard
+// lately. All choose alike while they hear alike; where they don't, news still reaches
+// everybody, since whoever is sent news passes them on.
+func chooseRelay(now time.Time, members []candidate) (candidate, bool) {
+	slices.SortFunc(members, func(a, b candidate) int {
+		if a.rank != b.rank {
+			return cmp.Compare(b.rank, a.rank)
+		}
+		return cmp.Compare(a.name, b.name)
+	})
+	for _, m := range members {
+		if m.self || now.Sub(m.heard) <= relaySilent {
+			return m, true
+		}
+	}
+	if len(members) == 0 {
+		return candidate{}, false
+	}
+	return members[int(now.UnixNano()/int64(relaySilent))%min(relayRanks, len(members))], true
+}
+
+// relayed is news that this instance has been asked to pass on.
+type relayed struct {
+	instance string
+	datagram []byte
+	onward   bool // to the relays of other data centres too
+}
+
+// pass keeps news for the next batch; newer news of an instance replace older ones.
+func (p *peers) pass(r relayed) {
+	p.mu.Lock()
+	p.outbox[r.instance] = r
+	p.mu.Unlock()
+	select {
+	case p.relay <- struct{}{}:
+	default:
+	}
+}
+
+// relays sends batches of the news that were passed to this instance.
+func (p *peers) flush(now time.Time) {
+	p.mu.Lock()
+	secret := p.secret
+	out := p.outbox
+	p.outbox = map[string]relayed{}
+	var near, far []netip.AddrPort
+	for dc, members := range p.byDataCentre() {
+		if dc == p.s.settings.DataCentre {
+			for _, m := range members {
+				if !m.self && m.addr.IsValid() {
+					near = append(near, m.addr)
+				}
+			}
+			continue
+		}
+		if m, ok := chooseRelay(now, members); ok && m.addr.IsValid() {
+			far = append(far, m.addr)
+		}
+	}
+	p.mu.Unlock()
+	if secret == nil || len(out) == 0 {
+		return
+	}
+	all := &gossip.Batch{Relay: p.s.settings.Instance}
+	onward := &gossip.Batch{Relay: p.s.settings.Instance, Onward: true}
+	for _, r := range out {
+		all.Datagrams = append(all.Datagrams, r.datagram)
+		if r.onward {
+			onward.Datagrams = append(onward.Datagrams, r.datagram)
+		}
+	}
+	p.sendBatch(all, near, secret)
+	p.sendBatch(onward, far, secret)
+}
+
+func (p *peers) sendBatch(b *gossip.Batch, to []netip.AddrPort, secret []byte) {
+	if len(b.Datagrams) == 0 {
+		return
+	}
+	d, err := gossip.EncodeBatch(b, secret)
+	if err != nil {
+		p.log.Error(err, "news.not_relayed")
+		return
+	}
+	for _, addr := range to {
+		// A datagram that is not sent counts as lost; the next one mends it.
+		_, _ = p.conn.WriteToUDPAddrPort(d, addr)
+	}
+}
+
+// byDataCentre groups the instances that may relay, this one included. The caller holds
+// the lock.
+func (p *peers) byDataCentre() map[string][]candidate {
+	out := map[string][]candidate{
+		p.self.DataCentre: {{name: p.s.settings.Instance, rank: p.self.Rank, self: true}},
+	}
+	for name, x := range p.known {
+		if !x.leaving {
+			out[x.row.DataCentre] = append(out[x.row.DataCentre], candidate{name: name, rank: x.row.Rank, heard: x.direct, addr: x.addr})
+		}
+	}
+	return out
+}
--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -12,7 +12,7 @@
 
 // roomTick is how often waiting requests are looked at when nothing else wakes them;
 // memory at the engines moves with every event of their streams.
-const roomTick = 20 * time.Millisecond
+const roomTick = 10 * time.Millisecond
 
 // room holds the scheduler and the generations that wait for a place.
 type room struct {
@@ -109,13 +109,21 @@
 	})
 }
 
-// with runs f with the scheduler, then serves those that wait.
+// with runs f with the scheduler.
 func (r *room) with(f func(now time.Time, s *placement.Scheduler)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	f(r.now(), r.sched)
+}
+
+// freed runs f, which gives something back, and serves those that wait.
+func (r *room) freed(f func(now time.Time, s *placement.Scheduler)) {
+	r.mu.Lock()
 	now := r.now()
 	f(now, r.sched)
 	r.serve(now)
+	r.mu.Unlock()
+	r.changed()
 }
 
 // peek shows f the scheduler and the line.
@@ -125,23 +133,32 @@
 	f(r.now(), r.sched, &r.line)
 }
 
+// release gives back the places of a generation.
 func (r *room) release(l *placement.Lease, o placement.Outcome) {
+	r.freed(func(now time.Time, s *placement.Scheduler) {
+		if s.Release(now, l, o) {
+			r.ejected(l.Target)
+		}
+	})
+}
+
+// answered gives back the place of a plain call. The other instances are not told: it
+// is over before they could use it.
+func (r *room) answered(l *placement.Lease, o placement.Outcome) {
 	r.with(func(now time.Time, s *placement.Scheduler) {
 		if s.Release(now, l, o) {
 			r.ejected(l.Target)
 		}
 	})
-	r.changed()
 }
 
 func (r *room) prefillDone(l *placement.Lease, o placement.Outcome) {
 	ep := l.Prefill
-	r.with(func(now time.Time, s *placement.Scheduler) {
+	r.freed(func(now time.Time, s *placement.Scheduler) {
 		if s.PrefillDone(now, l, o) {
 			r.ejected(ep)
 		}
 	})
-	r.changed()
 }
 
 // usual returns the usual latency of a plain call at the lease's endpoint.
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -28,10 +28,12 @@
 	leaveTime = 3200 * time.Millisecond
 	// lastStream is how long after the start of a drain streams are still begun: they
 	// take some seconds, and the platform kills the process after the grace period.
-	lastStream   = 2900 * time.Millisecond
-	exitMargin   = 400 * time.Millisecond // before the platform kills the process
-	drainPoll    = 20 * time.Millisecond
-	internalIdle = 10 * time.Second
+	lastStream    = 2900 * time.Millisecond
+	exitMargin    = 400 * time.Millisecond // before the platform kills the process
+	drainPoll     = 20 * time.Millisecond
+	callersAtOnce = 8                // instances that the intervals between store calls are made for
+	longestFeed   = 12 * time.Second // a silent connection to the store is found after it
+	internalIdle  = 10 * time.Second
 )
 
 // Deps are what a gateway needs besides its settings.
@@ -122,7 +124,7 @@
 	}
 	g.Go(func() error { return s.serveReadiness(readiness) })
 	g.Go(func() error { return newInternalServer(s.peers.serveState).Serve(state) })
-	for _, duty := range []func(context.Context) error{s.peers.send, s.peers.receive, s.peers.enter, s.peers.catchUp} {
+	for _, duty := range []func(context.Context) error{s.peers.send, s.peers.receive, s.peers.relays, s.peers.enter, s.peers.catchUp} {
 		g.Go(func() error { return duty(ctx) })
 	}
 	g.Go(func() error { return s.accept(ctx, callers) })
@@ -137,16 +139,24 @@
 	}
 }
 
+// scaled lengthens the time between two calls to the store with the size of the fleet,
+// so that the store gets about as many from a large one as from a small one. News of
+// changes still arrive at once by whichever instance has a call under way.
+func (s *Server) scaled(d time.Duration) time.Duration {
+	fleet := time.Duration(max(1, s.peers.fleet()))
+	return min(longestFeed, max(d, d*fleet/callersAtOnce))
+}
+
 func (s *Server) watchers() []*watcher {
 	return []*watcher{
-		{store: s.store, table: Configuration, wait: feedWait, log: s.log, apply: func(rows []Row, _ bool) {
+		{store: s.store, table: Configuration, wait: func() time.Duration { return s.scaled(feedWait) }, log: s.log, apply: func(rows []Row, _ bool) {
 			for _, r := range rows {
 				if !r.Deleted {
 					s.state.applyConfiguration(r.Value, "store")
 				}
 			}
 		}},
-		{store: s.store, table: Endpoints, wait: feedWait, log: s.log,
+		{store: s.store, table: Endpoints, wait: func() time.Duration { return s.scaled(feedWait) }, log: s.log,
 			apply: func(rows []Row, whole bool) { s.state.applyEndpoints(time.Now(), rows, whole) },
 			lost:  func() { s.state.storeLost(time.Now()) },
 		},
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -65,7 +65,7 @@
 // call1 makes one attempt. Done is false where another endpoint may be tried.
 func (x *exchange) call1(ctx context.Context, l *placement.Lease) (done bool, err error) {
 	outcome := placement.Failed
-	defer func() { x.s.room.release(l, outcome) }()
+	defer func() { x.s.room.answered(l, outcome) }()
 	if x.call.Route.Idempotent && x.runs+1 < x.call.Route.MaxAttempts {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeoutCause(ctx, x.patience(l), errSilent)
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -23,7 +23,7 @@
 type watcher struct {
 	store Store
 	table Table
-	wait  time.Duration
+	wait  func() time.Duration // for changes, in one call
 	log   logr.Logger
 	apply func(rows []Row, whole bool)
 	lost  func() // told of every failed call; may be nil
@@ -42,7 +42,7 @@
 		if whole {
 			rows, version, err = w.store.Rows(ctx, w.table)
 		} else {
-			rows, version, err = w.store.Changes(ctx, w.table, after, w.wait)
+			rows, version, err = w.store.Changes(ctx, w.table, after, w.wait())
 		}
 		if err == nil {
 			if failures >= failsToLost {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -72,48 +72,90 @@
 	Urgency        int
 }
 
-// Before reports whether n is older than o, of the same instance.
-func (n *News) Before(o *News) bool {
-	if n.Incarnation != o.Incarnation {
-		return n.Incarnation < o.Incarnation
-	}
-	return n.Sequence < o.Sequence
+// Batch carries the news of several instances as their datagrams came. A relay sends it
+// to the instances of its data centre, and, with Onward, to the relays of the others.
+type Batch struct {
+	_ struct{} `cbor:",toarray"`
+
+	Relay     string // name of the instance that sends the batch
+	Onward    bool   // the receiver passes the news on in its own data centre
+	Datagrams [][]byte
 }
 
-// Encode returns the datagram of n, signed with the fleet's secret.
-func Encode(n *News, secret []byte) ([]byte, error) {
-	b, err := cbor.Marshal(n)
+// Kinds of datagrams, in their first byte.
+const (
+	kindNews  = 'n'
+	kindBatch = 'b'
+)
+
+// EncodeBatch returns the datagram of b, signed with the fleet's secret.
+func EncodeBatch(b *Batch, secret []byte) ([]byte, error) { return seal(kindBatch, b, secret) }
+
+// Open checks a datagram and reads what it carries: news or a batch.
+func Open(b, secret []byte) (*News, *Batch, error) {
+	body, err := verify(b, secret)
 	if err != nil {
-		return nil, errors.Wrap(err, "encode news")
+		return nil, nil, err
 	}
-	if len(b)+macBytes > MaxBytes {
-		return nil, errors.Newf("news of %d bytes is too large", len(b))
+	switch body[0] {
+	case kindNews:
+		var n News
+		if err := cbor.Unmarshal(body[1:], &n); err != nil {
+			return nil, nil, errors.Wrap(err, "decode news")
+		}
+		if n.Instance == "" {
+			return nil, nil, errors.New("news without an instance")
+		}
+		return &n, nil, nil
+	case kindBatch:
+		var x Batch
+		if err := cbor.Unmarshal(body[1:], &x); err != nil {
+			return nil, nil, errors.Wrap(err, "decode batch")
+		}
+		return nil, &x, nil
 	}
-	return append(b, Sign(b, secret)...), nil
+	return nil, nil, errors.Newf("datagram of unknown kind %d", body[0])
 }
 
-// ErrForged means that a datagram was not signed with the fleet's secret.
-var ErrForged = errors.New("datagram is not of this fleet")
-
-// Decode checks and reads a datagram.
-func Decode(b, secret []byte) (*News, error) {
-	if len(b) < macBytes {
+// verify returns what the signature of a datagram covers.
+func verify(b, secret []byte) ([]byte, error) {
+	if len(b) <= macBytes {
 		return nil, ErrForged
 	}
 	body, mac := b[:len(b)-macBytes], b[len(b)-macBytes:]
 	if !hmac.Equal(mac, Sign(body, secret)) {
 		return nil, ErrForged
 	}
-	var n News
-	if err := cbor.Unmarshal(body, &n); err != nil {
-		return nil, errors.Wrap(err, "decode news")
+	return body, nil
+}
+
+func seal(kind byte, v any, secret []byte) ([]byte, error) {
+	payload, err := cbor.Marshal(v)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode datagram")
 	}
-	if n.Instance == "" {
-		return nil, errors.New("news without an instance")
+	b := append(make([]byte, 0, 1+len(payload)+macBytes), kind)
+	b = append(b, payload...)
+	if len(b)+macBytes > MaxBytes {
+		return nil, errors.Newf("datagram of %d bytes is too large", len(b))
 	}
-	return &n, nil
+	return append(b, Sign(b, secret)...), nil
 }
 
+// Before reports whether n is older than o, of the same instance.
+func (n *News) Before(o *News) bool {
+	if n.Incarnation != o.Incarnation {
+		return n.Incarnation < o.Incarnation
+	}
+	return n.Sequence < o.Sequence
+}
+
+// Encode returns the datagram of n, signed with the fleet's secret.
+func Encode(n *News, secret []byte) ([]byte, error) { return seal(kindNews, n, secret) }
+
+// ErrForged means that a datagram was not signed with the fleet's secret.
+var ErrForged = errors.New("datagram is not of this fleet")
+
 // Sign returns the truncated HMAC-SHA256 of b.
 func Sign(b, secret []byte) []byte {
 	m := hmac.New(sha256.New, secret)
--- a/internal/placement/line.go
+++ b/internal/placement/line.go
@@ -10,6 +10,10 @@
 // patience is how long a waiter may be passed by smaller ones behind it that fit.
 const patience = 300 * time.Millisecond
 
+// passOver is how many that do not fit are looked past for smaller ones that do; more
+// cost processor time and seldom bring a place.
+const passOver = 4
+
 // waitingLife is how long the word of another instance that somebody waits there is
 // believed; while somebody waits, it is repeated more often.
 const waitingLife = 150 * time.Millisecond
@@ -75,6 +79,7 @@
 	var kept []*Waiter
 	var keptFree []*Lease
 	blocked := map[string]bool{}
+	failed := 0
 	own := map[*Waiter]bool{}
 	for _, w := range l.waiting {
 		own[w] = true
@@ -90,7 +95,8 @@
 				keptFree = append(keptFree, lease)
 				continue
 			}
-			blocked[w.Demand.Pool] = now.Sub(w.Arrived) > patience
+			failed++
+			blocked[w.Demand.Pool] = now.Sub(w.Arrived) > patience || failed >= passOver
 		}
 		if own[w] {
 			kept = append(kept, w)
--- a/internal/placement/memory.go
+++ b/internal/placement/memory.go
@@ -17,16 +17,6 @@
 
 const kvBlock = 16 // tokens; engines hand out memory in blocks of this size
 
-// tokensAt returns the memory that the run holds at t, in tokens.
-func (r Run) tokensAt(t time.Time, perToken time.Duration) int {
-	made := r.Done
-	if d := t.Sub(r.At); d > 0 && perToken > 0 {
-		made += int(d / perToken)
-	}
-	tokens := r.Prompt + min(made, r.Output)
-	return (tokens + kvBlock - 1) / kvBlock * kvBlock
-}
-
 // end returns when the run is expected to be complete.
 func (r Run) end(perToken time.Duration) time.Time {
 	return r.At.Add(time.Duration(max(0, r.Output-r.Done)) * perToken)
@@ -36,19 +26,34 @@
 // Memory only grows until a run ends, so the moments just before each end suffice.
 // A run past its expected end still holds all its memory, and counts to the last.
 func peak(now time.Time, runs []Run, perToken time.Duration) int {
-	most := 0
+	type course struct{ start, end, base, output, done int64 } // times in ns from now
+	var few [runsGuess]course
+	courses := few[:0]
 	for i := range runs {
-		t := runs[i].end(perToken)
-		if t.Before(now) {
-			t = now
-		}
-		sum := 0
-		for j := range runs {
-			if e := runs[j].end(perToken); !e.Before(t) || e.Before(now) {
-				sum += runs[j].tokensAt(t, perToken)
+		r := &runs[i]
+		at := int64(r.At.Sub(now))
+		courses = append(courses, course{
+			start: at, end: at + int64(max(0, r.Output-r.Done))*int64(perToken),
+			base: int64(r.Prompt), output: int64(r.Output), done: int64(r.Done),
+		})
+	}
+	step := max(1, int64(perToken))
+	most := int64(0)
+	for i := range courses {
+		t := max(0, courses[i].end)
+		sum := int64(0)
+		for j := range courses {
+			c := &courses[j]
+			if c.end < t && c.end >= 0 {
+				continue
+			}
+			made := c.done
+			if d := t - c.start; d > 0 {
+				made += d / step
 			}
+			sum += (c.base + min(made, max(c.output, c.done)) + kvBlock - 1) / kvBlock * kvBlock
 		}
 		most = max(most, sum)
 	}
-	return most
+	return int(most)
 }
--- a/internal/placement/peers.go
+++ b/internal/placement/peers.go
@@ -21,9 +21,7 @@
 // SetRemote replaces what is known of another instance.
 func (s *Scheduler) SetRemote(name string, r *Remote) {
 	if old := s.remotes[name]; old != nil {
-		for _, x := range s.targets {
-			delete(x.remote, name)
-		}
+		s.detach(name, old)
 	}
 	if r == nil {
 		delete(s.remotes, name)
@@ -40,6 +38,19 @@
 	}
 }
 
+func (s *Scheduler) detach(name string, r *Remote) {
+	for endpoint := range r.Runs {
+		if x := s.targets[endpoint]; x != nil {
+			delete(x.remote, name)
+		}
+	}
+	for endpoint := range r.Reading {
+		if x := s.targets[endpoint]; x != nil {
+			delete(x.remote, name)
+		}
+	}
+}
+
 func (s *Scheduler) attach(name, endpoint string, l remoteLoad) {
 	if x := s.targets[endpoint]; x != nil {
 		x.remote[name] = l
