Keep a read prompt when its decode engine fails; find dead engines first

Change: the decode engine is connected to before the prefill; a result that was refused is offered to another engine; a refused connection ejects at once and is no arrival; the others hear of ejections and take such endpoints last.

--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -26,6 +26,7 @@
 	prefillTimes  = 4                      // times the predicted time of a prefill until it is given up
 	prefillLeast  = 400 * time.Millisecond // and at least this long
 	leaveWait     = 50 * time.Millisecond  // a caller reaches another instance with its next connection
+	handlePart    = 0.7                    // of its life, in which a prefill result is offered again
 	maxEvent      = 1 << 20                // bytes of one event
 	eventBuffer   = 4 << 10
 	freeTimeout   = time.Second            // to give a prefill result back
@@ -98,6 +99,12 @@
 	if err := x.identify(x.s.state.Current()); err != nil {
 		return true, err
 	}
+	x.target = l.Target.Name
+	if err := x.s.up.warm(ctx, l.Target.Addr); err != nil {
+		outcome = outcomeOf(ctx, err)
+		x.exclude = append(x.exclude, l.Target.Name)
+		return ctx.Err() != nil, err
+	}
 	source := ""
 	if p := l.Prefill; p != nil {
 		handle, err := x.prefill(ctx, l)
@@ -107,20 +114,44 @@
 		}
 		source = p.Addr + "/" + handle
 		defer func() {
-			if x.runs == 0 {
+			if !x.fetched {
 				x.s.free(p.Addr, p.Name, handle)
 			}
 		}()
+	}
+	read := time.Now()
+	for {
 		if err := x.identify(x.s.state.Current()); err != nil {
 			return true, err
 		}
+		x.target = l.Target.Name
+		refused := false
+		refused, done, outcome, err = x.decode(ctx, l, source)
+		if outcome != placement.Succeeded && outcome != placement.Abandoned {
+			x.exclude = append(x.exclude, l.Target.Name)
+		}
+		if !refused || source == "" || ctx.Err() != nil || time.Since(read) > x.handleLife() || !x.redirect(l, outcome, err) {
+			return done, err
+		}
 	}
-	x.target = l.Target.Name
-	done, outcome, err = x.decode(ctx, l, source)
-	if outcome == placement.Failed || outcome == placement.Full {
-		x.exclude = append(x.exclude, l.Target.Name)
+}
+
+// handleLife is how long after a prefill its result may still be offered to another
+// engine.
+func (x *exchange) handleLife() time.Duration {
+	return time.Duration(handlePart * float64(x.call.Pool.Engine.HandleTTL))
+}
+
+// redirect moves a generation whose prompt has been read to another decode engine: to
+// read it again would cost more than all else.
+func (x *exchange) redirect(l *placement.Lease, o placement.Outcome, cause error) bool {
+	if x.sends > 0 && !x.mayRepeat(time.Now()) {
+		return false
 	}
-	return done, err
+	from := l.Target
+	moved := x.s.room.redirect(l, x.waiter().Demand, o)
+	x.decision("redirect", "from", from.Name, "to", l.Target.Name, "moved", moved, "cause", cause.Error())
+	return moved
 }
 
 // prefill has the prompt read and returns the handle of the result.
@@ -163,8 +194,9 @@
 	return handle, nil
 }
 
-// decode streams the output to the caller.
-func (x *exchange) decode(ctx context.Context, l *placement.Lease, source string) (done bool, o placement.Outcome, err error) {
+// decode streams the output to the caller. Refused tells that the engine did not take the
+// request, so that a prefill result is still there.
+func (x *exchange) decode(ctx context.Context, l *placement.Lease, source string) (refused, done bool, o placement.Outcome, err error) {
 	sctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	silence := time.AfterFunc(x.callerLeaves(), func() { cancel(errSilent) })
@@ -172,10 +204,10 @@
 	in, err := x.send(sctx, l.Target.Addr, SendOptions{Endpoint: l.Target.Name, Source: source, LastEvent: x.lastEvent, Urgency: -1})
 	if err != nil {
 		if errors.Is(err, endpoint.ErrNotSent) {
-			return false, placement.Failed, err
+			return true, ctx.Err() != nil, outcomeOf(ctx, err), err
 		}
-		x.runs++
-		return x.cannotResume(ctx), outcomeOf(ctx), err
+		x.runs, x.fetched = x.runs+1, true
+		return false, x.cannotResume(ctx), outcomeOf(ctx, err), err
 	}
 	defer in.close()
 	if in.NotRun {
@@ -184,23 +216,23 @@
 		if in.Other {
 			o = placement.Failed
 		}
-		return false, o, refusal(errkind.QueueFull, "the engine refused the request", endpointWait)
+		return true, false, o, refusal(errkind.QueueFull, "the engine refused the request", endpointWait)
 	}
-	x.runs++
+	x.runs, x.fetched = x.runs+1, true
 	if err := trusted(in); err != nil {
-		return x.cannotResume(ctx), placement.Failed, err
+		return false, x.cannotResume(ctx), placement.Failed, err
 	}
 	if in.Status != http.StatusOK {
 		body, err := in.readAll()
 		if err != nil {
-			return x.cannotResume(ctx), placement.Failed, err
+			return false, x.cannotResume(ctx), placement.Failed, err
 		}
 		if x.reply.started || !x.cannotResume(ctx) {
 			x.fallback = &whole{status: in.Status, header: in.Headers, body: body}
-			return x.cannotResume(ctx), placement.Failed, errors.Newf("the engine answered %d", in.Status)
+			return false, x.cannotResume(ctx), placement.Failed, errors.Newf("the engine answered %d", in.Status)
 		}
 		x.reply.whole(in.Status, in.Headers, body)
-		return true, placement.Succeeded, x.reply.err
+		return false, true, placement.Succeeded, x.reply.err
 	}
 	err = x.relay(in, l, func() { silence.Reset(x.callerLeaves()) })
 	switch {
@@ -213,17 +245,21 @@
 			x.reply.stream(in.Status, in.Headers)
 		}
 		x.reply.end()
-		return true, placement.Succeeded, x.reply.err
+		return false, true, placement.Succeeded, x.reply.err
 	case x.reply.err != nil:
-		return true, placement.Abandoned, errors.Mark(x.reply.err, errCallerGone)
+		return false, true, placement.Abandoned, errors.Mark(x.reply.err, errCallerGone)
 	}
-	return x.cannotResume(ctx), outcomeOf(ctx), err
+	return false, x.cannotResume(ctx), outcomeOf(ctx, err), err
 }
 
 // outcomeOf says whether a failure was the endpoint's.
-func outcomeOf(ctx context.Context) placement.Outcome {
-	if ctx.Err() != nil {
+func outcomeOf(ctx context.Context, err error) placement.Outcome {
+	cause := context.Cause(ctx)
+	switch {
+	case cause != nil && !errors.Is(cause, errSilent):
 		return placement.Abandoned
+	case errors.Is(err, endpoint.ErrNotSent):
+		return placement.Unreachable
 	}
 	return placement.Failed
 }
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -44,6 +44,7 @@
 	deadline  time.Time
 	sends     int      // arrivals at endpoints that count as such
 	runs      int      // endpoints that may have run the request
+	fetched   bool     // an engine may have taken the prefill result
 	exclude   []string // endpoints that failed the request
 	target    string   // endpoint that answered last
 	waited    time.Duration
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -222,6 +222,9 @@
 			}
 			n.Holds = append(n.Holds, h)
 		})
+		sched.Ejected(now, func(endpoint string, left time.Duration) {
+			n.Ejected = append(n.Ejected, gossip.Ejection{Endpoint: endpoint, Left: left.Milliseconds()})
+		})
 		for _, w := range line.Waiting() {
 			n.Waiting = append(n.Waiting, gossip.Waiting{
 				Pool: w.Demand.Pool, Prompt: w.Demand.Prompt, Output: w.Demand.Expect,
@@ -357,6 +360,12 @@
 			r.Runs[h.Endpoint] = append(r.Runs[h.Endpoint], placement.Run{Prompt: run.Prompt, Output: run.Output, Done: run.Done, At: ago(run.Age)})
 		}
 	}
+	if len(n.Ejected) > 0 {
+		r.Avoid = map[string]time.Time{}
+	}
+	for _, e := range n.Ejected {
+		r.Avoid[e.Endpoint] = now.Add(time.Duration(e.Left) * time.Millisecond)
+	}
 	for _, w := range n.Waiting {
 		r.Waiting = append(r.Waiting, &placement.Waiter{
 			Demand:  placement.Demand{Pool: w.Pool, Prompt: w.Prompt, Output: w.Output},
--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -205,3 +205,15 @@
 	defer r.mu.Unlock()
 	return r.line.Calm(r.now(), r.sched)
 }
+
+// redirect moves a generation to another decode engine.
+func (r *room) redirect(l *placement.Lease, d placement.Demand, o placement.Outcome) (moved bool) {
+	from := l.Target
+	r.freed(func(now time.Time, s *placement.Scheduler) {
+		var ejected bool
+		if moved, ejected = s.Redirect(now, l, d, o); ejected {
+			r.ejected(from)
+		}
+	})
+	return moved
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -31,8 +31,10 @@
 	lastStream    = 2900 * time.Millisecond
 	exitMargin    = 400 * time.Millisecond // before the platform kills the process
 	drainPoll     = 20 * time.Millisecond
-	callersAtOnce = 8                // instances that the intervals between store calls are made for
-	longestFeed   = 12 * time.Second // a silent connection to the store is found after it
+	callersAtOnce = 8                      // instances that the intervals between store calls are made for
+	restEach      = 25 * time.Millisecond  // for each instance, so that a row of changes is read in few calls
+	longestRest   = 500 * time.Millisecond // well within the time that endpoints serve on after they said that they leave
+	longestFeed   = 12 * time.Second       // a silent connection to the store is found after it
 	internalIdle  = 10 * time.Second
 )
 
@@ -158,6 +160,7 @@
 		}},
 		{store: s.store, table: Endpoints, wait: func() time.Duration { return s.scaled(feedWait) }, log: s.log,
 			apply: func(rows []Row, whole bool) { s.state.applyEndpoints(time.Now(), rows, whole) },
+			rest:  func() time.Duration { return min(longestRest, time.Duration(s.peers.fleet())*restEach) },
 			lost:  func() { s.state.storeLost(time.Now()) },
 		},
 	}
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -74,9 +74,7 @@
 	x.target = l.Target.Name
 	in, err := x.send(ctx, l.Target.Addr, SendOptions{Endpoint: l.Target.Name, Urgency: -1})
 	if err != nil {
-		if errors.Is(err, errCallerGone) {
-			outcome = placement.Abandoned
-		}
+		outcome = outcomeOf(ctx, err)
 		return x.failed(err), err
 	}
 	defer in.close()
@@ -126,7 +124,7 @@
 func (x *exchange) send(ctx context.Context, addr string, o SendOptions) (*incoming, error) {
 	o.Account, o.Deadline = x.account(), x.deadline
 	x.sends++
-	return x.s.up.do(ctx, outgoing{
+	in, err := x.s.up.do(ctx, outgoing{
 		addr:   addr,
 		method: x.call.Method,
 		uri:    x.call.URI,
@@ -136,6 +134,10 @@
 		id:     x.call.ID,
 		once:   !x.call.Route.Idempotent && !o.PrefillOnly,
 	})
+	if errors.Is(err, endpoint.ErrNotSent) {
+		x.sends-- // nothing has arrived
+	}
+	return in, err
 }
 
 // failed takes note of an attempt without an answer and reports whether it was the last.
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -71,6 +71,17 @@
 	return &upConn{Conn: nc, addr: addr, br: bufio.NewReaderSize(nc, readBuffer), ttl: defaultIdle}, nil
 }
 
+// warm makes sure that a connection to addr is ready, so that an endpoint that cannot be
+// reached is found before work is done for it.
+func (u *upstream) warm(ctx context.Context, addr string) error {
+	c, err := u.get(ctx, addr, defaultIdle)
+	if err != nil {
+		return err
+	}
+	u.put(c)
+	return nil
+}
+
 func (u *upstream) pop(addr string) *upConn {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -185,6 +196,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if ctx.Err() != nil {
+		u.put(c)
+		return nil, errors.Mark(context.Cause(ctx), endpoint.ErrNotSent)
+	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	in, err := u.exchange(c, o)
 	if err != nil {
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -24,6 +24,7 @@
 	store Store
 	table Table
 	wait  func() time.Duration // for changes, in one call
+	rest  func() time.Duration // between a change and the next call; may be nil
 	log   logr.Logger
 	apply func(rows []Row, whole bool)
 	lost  func() // told of every failed call; may be nil
@@ -51,6 +52,9 @@
 			failures, known, after = 0, true, version
 			if whole || len(rows) > 0 {
 				w.apply(rows, whole)
+				if w.rest != nil {
+					pause(ctx, w.rest())
+				}
 			}
 			continue
 		}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -34,6 +34,15 @@
 	Holds   []Hold
 	Spent   []Spending
 	Waiting []Waiting
+	Ejected []Ejection
+}
+
+// Ejection is an endpoint that an instance has set aside after failures.
+type Ejection struct {
+	_ struct{} `cbor:",toarray"`
+
+	Endpoint string
+	Left     int64 // ms until it is tried again
 }
 
 // Hold is what an instance holds at one endpoint.
--- a/internal/placement/peers.go
+++ b/internal/placement/peers.go
@@ -11,6 +11,7 @@
 	Runs    map[string][]Run // by endpoint
 	Reading map[string]int   // prompt tokens, by endpoint
 	Waiting []*Waiter
+	Avoid   map[string]time.Time // until when it has set endpoints aside
 }
 
 // silence is how old the news of another instance may be for its prefills to count.
@@ -28,6 +29,11 @@
 		return
 	}
 	s.remotes[name] = r
+	for endpoint, until := range r.Avoid {
+		if x := s.targets[endpoint]; x != nil {
+			x.avoid[name] = until
+		}
+	}
 	for endpoint, runs := range r.Runs {
 		s.attach(name, endpoint, remoteLoad{heard: r.Heard, runs: runs, reading: r.Reading[endpoint]})
 	}
@@ -39,6 +45,11 @@
 }
 
 func (s *Scheduler) detach(name string, r *Remote) {
+	for endpoint := range r.Avoid {
+		if x := s.targets[endpoint]; x != nil {
+			delete(x.avoid, name)
+		}
+	}
 	for endpoint := range r.Runs {
 		if x := s.targets[endpoint]; x != nil {
 			delete(x.remote, name)
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -136,6 +136,9 @@
 			continue
 		}
 		wait := x.backlog(now) + s.far(x, 5*time.Millisecond)
+		if x.avoided(now) {
+			wait += longestBacklog / 2
+		}
 		if wait < least {
 			best, least = x, wait
 		}
@@ -158,6 +161,9 @@
 		if x.ep.DataCentre != s.dataCentre {
 			load += farPenalty
 		}
+		if x.avoided(now) {
+			load++
+		}
 		if best == nil || load < least {
 			best, least = x, load
 		}
@@ -183,6 +189,9 @@
 		if now.Before(x.fullUntil) {
 			wait += x.latency
 		}
+		if x.avoided(now) {
+			wait += 2 * x.latency
+		}
 		wait += s.far(x, 2*time.Millisecond)
 		if best == nil || wait < least {
 			best, least = x, wait
@@ -229,6 +238,32 @@
 	return x.judge(now, o)
 }
 
+// Redirect moves the lease, whose prompt has been read, to another decode engine and
+// reports whether there was one. Outcome is that of the engine before.
+func (s *Scheduler) Redirect(now time.Time, l *Lease, d Demand, o Outcome) (moved, ejected bool) {
+	old := l.target
+	delete(old.runs, l)
+	ejected = old.judge(now, o)
+	d.Exclude = append(slices.Clone(d.Exclude), old.ep.Name)
+	t := s.chooseDecode(now, d, l.run)
+	if t == nil {
+		old.runs[l] = struct{}{}
+		return false, ejected
+	}
+	l.target, l.Target = t, t.ep
+	t.runs[l] = struct{}{}
+	return true, ejected
+}
+
+// Ejected calls visit for every endpoint that this instance has set aside.
+func (s *Scheduler) Ejected(now time.Time, visit func(endpoint string, left time.Duration)) {
+	for name, x := range s.targets {
+		if left := x.ejectedUntil.Sub(now); left > 0 {
+			visit(name, left)
+		}
+	}
+}
+
 // Progress records that the run has made the given number of tokens.
 func (s *Scheduler) Progress(now time.Time, l *Lease, tokens int) {
 	x := l.target
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -11,10 +11,11 @@
 
 // The outcomes.
 const (
-	Succeeded Outcome = iota
-	Failed            // error, broken connection or silence
-	Full              // refused for want of a slot or memory
-	Abandoned         // caller gone or request given up; says nothing of the endpoint
+	Succeeded   Outcome = iota
+	Failed              // error, broken connection or silence
+	Full                // refused for want of a slot or memory
+	Unreachable         // no connection could be made
+	Abandoned           // caller gone or request given up; says nothing of the endpoint
 )
 
 const (
@@ -48,6 +49,7 @@
 	fullUntil    time.Time
 
 	remote map[string]remoteLoad // by instance
+	avoid  map[string]time.Time  // until when other instances have set it aside, by instance
 
 	reportedBusy int // running and waiting calls of other instances, by the endpoint's word
 	reportedAt   time.Time
@@ -65,6 +67,7 @@
 		ep: ep, spec: spec,
 		runs:    map[*Lease]struct{}{},
 		remote:  map[string]remoteLoad{},
+		avoid:   map[string]time.Time{},
 		step:    defaultStep,
 		perRead: defaultPerPrompt,
 		latency: defaultService,
@@ -76,6 +79,17 @@
 	return !x.ep.Leaving && !now.Before(x.ejectedUntil)
 }
 
+// avoided reports whether another instance could not use the endpoint lately. That may
+// be its own connection's fault, so the endpoint is merely taken last.
+func (x *target) avoided(now time.Time) bool {
+	for _, until := range x.avoid {
+		if now.Before(until) {
+			return true
+		}
+	}
+	return false
+}
+
 // all returns the runs of this and the other instances, with room for one more.
 func (x *target) all(now time.Time) []Run {
 	runs := make([]Run, 0, len(x.runs)+runsGuess)
@@ -131,8 +145,12 @@
 		x.failures, x.ejections = 0, 0
 	case Full:
 		x.fullUntil = now.Add(fullPause)
-	case Failed:
+	case Failed, Unreachable:
 		x.failures++
+		if o == Unreachable {
+			// A refused connection is no single failure: nothing listens there.
+			x.failures = max(x.failures, failuresToEject)
+		}
 		if x.failures < failuresToEject || now.Before(x.ejectedUntil) {
 			return false
 		}
