--- a/check.sh
+++ b/check.sh
@@ -6,7 +6,7 @@
 step() { printf '== %s\n' "$*"; }
 
 step formatter
-unformatted=$(gofmt -l cmd internal)
+unformatted=$(gofmt -l cmd internal platform)
 if [ -n "$unformatted" ]; then
 	printf 'not formatted:\n%s\n' "$unformatted"
 	exit 1
--- /dev/null
+++ b/internal/gateway/directory_test.go
@@ -0,0 +1,107 @@
+package gateway
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"carawayrouter.example/router/internal/config"
+)
+
+var then = time.Unix(9000, 0)
+
+func server(name string, born int64, revision uint64) *config.Endpoint {
+	return &config.Endpoint{Name: name, Pool: "desk", Addr: "10.0.0.1:1", Incarnation: born, Revision: revision}
+}
+
+// An entry that was written before the endpoint said it is leaving may arrive later.
+func TestLeavingIsNotTakenBack(t *testing.T) {
+	d := newDirectory()
+	d.put(server("i-1", 5, 1))
+	gone := server("i-1", 5, 3)
+	gone.Leaving = true
+	assert.Assert(t, d.put(gone))
+	assert.Assert(t, !d.put(server("i-1", 5, 2)), "an older report")
+	d.put(server("i-1", 5, 4))
+	assert.Assert(t, d.list()[0].Leaving, "the same incarnation")
+	d.put(server("i-1", 6, 1))
+	assert.Assert(t, !d.list()[0].Leaving, "a new incarnation serves")
+	assert.Assert(t, !d.put(server("i-1", 5, 9)), "the incarnation before")
+}
+
+// Entries that lapse while the store is away come back, or are dropped after a time.
+func TestEntriesThatLapseWithTheStoreAway(t *testing.T) {
+	d := newDirectory()
+	d.put(server("i-1", 1, 1))
+	d.put(server("i-2", 1, 1))
+	d.storeLost(then)
+	assert.Assert(t, !d.remove(then, "i-1"))
+	assert.Assert(t, !d.remove(then, "i-2"))
+	assert.Equal(t, len(d.list()), 2)
+	d.put(server("i-1", 1, 2))
+	assert.Assert(t, d.expire(then.Add(returnTime)))
+	assert.Equal(t, len(d.list()), 1)
+	assert.Equal(t, d.list()[0].Name, "i-1")
+	assert.Assert(t, !d.list()[0].Leaving)
+}
+
+// An outage that this instance did not notice shows as most entries vanishing at once.
+func TestManyEntriesVanishAtOnce(t *testing.T) {
+	d := newDirectory()
+	names := []string{"a", "b", "c", "d", "e", "f", "g", "h"}
+	for _, n := range names {
+		d.put(server(n, 1, 1))
+	}
+	dropped := 0
+	for _, n := range names {
+		if d.remove(then, n) {
+			dropped++
+		}
+	}
+	assert.Equal(t, dropped, vanishLeast)
+	assert.Equal(t, len(d.list()), len(names)-vanishLeast)
+}
+
+// A single endpoint whose entry is removed gets no new work at once.
+func TestRemovedEntry(t *testing.T) {
+	d := newDirectory()
+	d.put(server("i-1", 1, 1))
+	assert.Assert(t, d.remove(then, "i-1"))
+	assert.Equal(t, len(d.list()), 0)
+	d.put(server("i-1", 1, 2))
+	assert.Assert(t, d.list()[0].Leaving, "its incarnation was seen to go")
+}
+
+func TestRelayIsTheStrongestThatWasHeard(t *testing.T) {
+	addr := netip.MustParseAddrPort("10.0.0.1:1")
+	members := []candidate{
+		{name: "weak", rank: 1, heard: then, addr: addr},
+		{name: "strong", rank: 9, heard: then, addr: addr},
+		{name: "silent", rank: 10, heard: then.Add(-2 * relaySilent), addr: addr},
+	}
+	got, ok := chooseRelay(then, members)
+	assert.Assert(t, ok)
+	assert.Equal(t, got.name, "strong")
+	_, ok = chooseRelay(then, nil)
+	assert.Assert(t, !ok)
+}
+
+// The fleet's budget for repeats holds over the sum of its instances.
+func TestRepeatBudget(t *testing.T) {
+	const fleet = 4
+	sum := 0
+	for range fleet {
+		b := newRepeatBudget(0.2, 56, 10*time.Second)
+		b.setFleet(fleet)
+		for range 100 {
+			b.request(then, "desk")
+		}
+		for b.spend(then, "desk") {
+			sum++
+		}
+		assert.Assert(t, b.spend(then.Add(time.Minute), "desk"), "the window has passed")
+	}
+	assert.Assert(t, sum <= 0.2*100*fleet+56 && sum > 0, "%d repeats", sum)
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -112,6 +112,9 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for news")
 	}
+	// Other instances know this one by its address, whatever route its packets take.
+	dialer := net.Dialer{Timeout: fetchTimeout, LocalAddr: &net.TCPAddr{IP: udp.IP}}
+	p.client.Dial = func(addr string) (net.Conn, error) { return dialer.Dial("tcp4", addr) }
 	p.started = time.Now()
 	p.self = instanceRow{Incarnation: time.Now().UnixNano(), State: p.s.settings.Peers, News: addr, DataCentre: p.s.settings.DataCentre, Rank: p.s.settings.Rank}
 	return nil
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -176,21 +176,27 @@
 func (s *Scheduler) Service(now time.Time, d Demand) *Lease {
 	var best *target
 	var least time.Duration
+	fastest := s.fastest(now, d.Pool)
 	for _, x := range s.shuffled(d.Pool) {
 		if !x.open(now) || slices.Contains(d.Exclude, x.ep.Name) {
 			continue
 		}
 		slots := max(1, x.ep.Slots)
 		busy := x.busy(now)
-		wait := x.latency * time.Duration(slots+busy) / time.Duration(slots)
+		latency := x.latency
+		if now.Sub(x.measuredAt) > staleLatency {
+			// An endpoint that was slow is tried again.
+			latency = min(latency, fastest)
+		}
+		wait := latency * time.Duration(slots+busy) / time.Duration(slots)
 		if busy >= slots {
-			wait += x.latency * time.Duration(busy-slots+1) / time.Duration(slots)
+			wait += latency * time.Duration(busy-slots+1) / time.Duration(slots)
 		}
 		if now.Before(x.fullUntil) {
-			wait += x.latency
+			wait += latency
 		}
 		if x.avoided(now) {
-			wait += 2 * x.latency
+			wait += 2 * latency
 		}
 		wait += s.far(x, 2*time.Millisecond)
 		if best == nil || wait < least {
@@ -204,6 +210,17 @@
 	return &Lease{Target: best.ep, target: best, granted: now}
 }
 
+// fastest returns the lowest latency that is known of the pool's open endpoints.
+func (s *Scheduler) fastest(now time.Time, pool string) time.Duration {
+	best := defaultService
+	for _, x := range s.pools[pool] {
+		if x.open(now) {
+			best = min(best, x.latency)
+		}
+	}
+	return best
+}
+
 // far returns the extra cost of an endpoint outside the instance's data centre.
 func (s *Scheduler) far(x *target, cost time.Duration) time.Duration {
 	if x.ep.DataCentre == s.dataCentre {
@@ -295,7 +312,7 @@
 	} else {
 		x.calls--
 		if o == Succeeded {
-			x.latency = average(x.latency, now.Sub(l.granted))
+			x.latency, x.measuredAt = average(x.latency, now.Sub(l.granted)), now
 		}
 	}
 	return x.judge(now, o)
--- /dev/null
+++ b/internal/placement/scheduler_test.go
@@ -0,0 +1,172 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"carawayrouter.example/router/internal/config"
+)
+
+const (
+	model = "writers"
+	plain = "desk"
+)
+
+// engines returns a configuration with prefill and decode engines of one size.
+func engines(prefill, decode, kvTokens int) *config.State {
+	o := &config.Objects{Pools: []*config.Pool{
+		{Name: model, Kind: config.ModelPool, Engine: &config.EngineSpec{Slots: 48, KVTokens: kvTokens, Stride: 72}},
+		{Name: plain, Kind: config.ServicePool},
+	}}
+	for i := range prefill + decode {
+		role := config.Prefill
+		if i >= prefill {
+			role = config.Decode
+		}
+		o.Endpoints = append(o.Endpoints, &config.Endpoint{Name: fmt.Sprintf("%s-%d", role, i), Pool: model, Addr: fmt.Sprintf("10.0.0.%d:1", i), DataCentre: "a", Role: role, Slots: 48})
+	}
+	for i := range 3 {
+		o.Endpoints = append(o.Endpoints, &config.Endpoint{Name: fmt.Sprintf("plain-%d", i), Pool: plain, Addr: fmt.Sprintf("10.0.1.%d:1", i), DataCentre: "a", Role: config.Plain, Slots: 6})
+	}
+	return config.Build(1, o)
+}
+
+func newScheduler(seed uint64, st *config.State) *Scheduler {
+	s := New("a", rand.New(rand.NewPCG(seed, 1)))
+	s.SetEndpoints(st)
+	return s
+}
+
+func demand(prompt, output int) Demand {
+	return Demand{Pool: model, Prompt: prompt, Output: output, Expect: output}
+}
+
+// However leases are taken and given back, no engine is planned above its memory and
+// slots, and everything given back is gone.
+func TestSchedulerNeverPlansAboveMemory(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		st := engines(2, 3, 30000)
+		s := newScheduler(rapid.Uint64().Draw(t, "seed"), st)
+		now := start
+		var leases []*Lease
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0, 1:
+				if l := s.Engine(now, demand(rapid.IntRange(1, 9000).Draw(t, "prompt"), rapid.IntRange(1, 9000).Draw(t, "output"))); l != nil {
+					leases = append(leases, l)
+				}
+			case 2:
+				if len(leases) > 0 {
+					s.PrefillDone(now, leases[0], Succeeded)
+				}
+			case 3:
+				if len(leases) > 0 {
+					s.Release(now, leases[0], Succeeded)
+					leases = leases[1:]
+				}
+			}
+			for _, x := range s.targets {
+				if x.ep.Role == config.Decode && len(x.runs) > 0 {
+					if got := peak(now, x.all(now), x.step+time.Duration(len(x.runs))*slotStep); float64(got) > 30000 && len(x.runs) > 1 && now.Equal(leases[len(leases)-1].granted) {
+						t.Fatalf("%s is planned with %d tokens", x.ep.Name, got)
+					}
+				}
+			}
+		}
+		for _, l := range leases {
+			s.Release(now, l, Abandoned)
+		}
+		for _, x := range s.targets {
+			assert.Equal(t, len(x.runs), 0)
+			assert.Equal(t, x.reading, 0)
+			assert.Equal(t, x.calls, 0)
+		}
+	})
+}
+
+// A prefill engine's result moves to another decode engine without being read again.
+func TestRedirectKeepsTheReadPrompt(t *testing.T) {
+	s := newScheduler(1, engines(1, 2, 30000))
+	d := demand(1000, 1000)
+	l := s.Engine(start, d)
+	s.PrefillDone(start, l, Succeeded)
+	from := l.Target.Name
+	moved, ejected := s.Redirect(start, l, d, Unreachable)
+	assert.Assert(t, moved && ejected)
+	assert.Assert(t, l.Target.Name != from)
+	assert.Equal(t, len(s.targets[from].runs), 0)
+	next := s.Engine(start, d)
+	assert.Assert(t, next.Target.Name != from, "an engine that refused a connection is set aside")
+}
+
+// Without a prefill engine the decode engines read the prompts themselves.
+func TestPrefillPoolGone(t *testing.T) {
+	s := newScheduler(1, engines(0, 2, 30000))
+	l := s.Engine(start, demand(1000, 1000))
+	assert.Assert(t, l != nil && l.Prefill == nil)
+}
+
+// An endpoint that leaves is in no new lease.
+func TestLeavingEndpointIsNotUsed(t *testing.T) {
+	st := engines(1, 2, 30000)
+	st.Endpoints["decode-1"].Leaving = true
+	s := newScheduler(1, st)
+	for range 6 {
+		if l := s.Engine(start, demand(100, 100)); l != nil {
+			assert.Equal(t, l.Target.Name, "decode-2")
+		}
+	}
+}
+
+// What another instance holds counts, until it is silent and its runs must have ended.
+func TestRemoteRunsCount(t *testing.T) {
+	s := newScheduler(1, engines(1, 1, 10000))
+	s.SetRemote("other", &Remote{Heard: start, Runs: map[string][]Run{"decode-1": {{Prompt: 5000, Output: 4000, At: start}}}})
+	assert.Assert(t, s.Engine(start, demand(4000, 100)) == nil)
+	s.SetRemote("other", &Remote{Heard: start})
+	l := s.Engine(start, demand(4000, 100))
+	assert.Assert(t, l != nil)
+	s.Release(start, l, Succeeded)
+	s.SetRemote("other", &Remote{Heard: start, Runs: map[string][]Run{"decode-1": {{Prompt: 5000, Output: 4000, At: start}}}})
+	assert.Assert(t, s.Engine(start.Add(time.Minute), demand(4000, 100)) != nil, "the silent instance's run must have ended")
+}
+
+// Plain calls avoid an endpoint that fails, and come back to it.
+func TestFailingPlainEndpointIsSetAside(t *testing.T) {
+	s := newScheduler(1, engines(1, 1, 10000))
+	bad := ""
+	now := start
+	for i := 0; i < 100 && (bad == "" || s.targets[bad].ejectedUntil.IsZero()); i++ {
+		l := s.Service(now, Demand{Pool: plain})
+		now = now.Add(defaultService)
+		if bad == "" {
+			bad = l.Target.Name
+		}
+		o := Succeeded
+		if l.Target.Name == bad {
+			o = Failed
+		}
+		s.Release(now, l, o)
+	}
+	assert.Assert(t, !s.targets[bad].ejectedUntil.IsZero())
+	for range 20 {
+		l := s.Service(now, Demand{Pool: plain})
+		assert.Assert(t, l.Target.Name != bad)
+		s.Release(now, l, Succeeded)
+	}
+	now = now.Add(longestEjection)
+	seen := map[string]bool{}
+	for range 40 {
+		l := s.Service(now, Demand{Pool: plain})
+		seen[l.Target.Name] = true
+		now = now.Add(defaultService)
+		s.Release(now, l, Succeeded)
+	}
+	assert.Assert(t, seen[bad])
+}
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -28,6 +28,7 @@
 	slotStep         = 1500 * time.Nanosecond // each further request in the batch
 	defaultPerPrompt = 18 * time.Microsecond  // a prompt token, before one was measured
 	measureWeight    = 0.2                    // of a new measurement in the moving averages
+	staleLatency     = 2 * time.Second        // a measurement that is older says nothing of an endpoint that was slow
 	defaultService   = 20 * time.Millisecond  // a plain call, before one was measured
 )
 
@@ -36,12 +37,13 @@
 	ep   *config.Endpoint
 	spec *config.EngineSpec // nil for plain services
 
-	runs    map[*Lease]struct{}
-	calls   int           // plain calls under way
-	reading int           // prompt tokens of prefills under way
-	step    time.Duration // moving average of the time for a token
-	perRead time.Duration // moving average of the time for a prompt token
-	latency time.Duration // moving average of plain calls
+	runs       map[*Lease]struct{}
+	calls      int           // plain calls under way
+	reading    int           // prompt tokens of prefills under way
+	step       time.Duration // moving average of the time for a token
+	perRead    time.Duration // moving average of the time for a prompt token
+	latency    time.Duration // moving average of plain calls
+	measuredAt time.Time     // last measurement of latency
 
 	failures     int
 	ejections    int
