--- a/cmd/caraway-entry/main.go
+++ b/cmd/caraway-entry/main.go
@@ -18,6 +18,7 @@
 
 type args struct {
 	cli.Common
+	Metrics int `arg:"--metrics" placeholder:"PORT" help:"port for metrics on the users' platform; 0 for none"`
 }
 
 // Version implements go-arg's Versioned.
@@ -27,7 +28,7 @@
 	var a args
 	cli.Parse(program, &a)
 	if file := os.Getenv(platform.SettingsVariable); a.Settings == "" && file != "" {
-		runOnPlatform(file, a.Check)
+		runOnPlatform(file, a.Metrics, a.Check)
 		return
 	}
 	if a.Settings == "" {
@@ -65,7 +66,7 @@
 }
 
 // runOnPlatform serves on the users' platform, which passes its own settings file.
-func runOnPlatform(file string, check bool) {
+func runOnPlatform(file string, metricsPort int, check bool) {
 	if _, _, err := platform.LoadSettings(file); err != nil {
 		cli.Exit(program, cli.ExitUsage, err)
 	}
@@ -74,7 +75,10 @@
 		return
 	}
 	drain, _ := cli.Signals()
-	if err := platform.Run(file, logging.New(os.Stdout, program, 0), drain); err != nil {
+	lines := logging.NewAsync(os.Stdout)
+	err := platform.Run(file, metricsPort, logging.New(lines, program, 0), drain)
+	lines.Close()
+	if err != nil {
 		cli.Exit(program, cli.ExitFailed, err)
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	Callers    string   // address for callers
 	Readiness  string   // address for the platform's balancer
 	Peers      string   // address for other instances
+	Metrics    string   // address for metrics, empty for none
 	NewsPort   string   // UDP port for news of other instances
 	Seeds      []string // addresses of some other instances
 
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -42,6 +42,7 @@
 	var last error
 	for x.sends < 2*maxSends {
 		if x.sends > 0 && !x.mayRepeat(time.Now()) {
+			x.s.stats.noBudget.Inc()
 			x.decision("no_repeat", "reason", "budget")
 			return last
 		}
@@ -63,6 +64,10 @@
 			return context.Cause(ctx)
 		}
 		last = err
+		if x.tokens > 0 {
+			x.s.stats.resumes.Inc()
+		}
+		x.s.stats.repeats.Inc()
 		x.decision("repeat", "endpoint", x.target, "sends", x.sends, "runs", x.runs, "cause", err.Error())
 	}
 	return last
@@ -115,6 +120,7 @@
 		source = p.Addr + "/" + handle
 		defer func() {
 			if !x.fetched {
+				x.s.stats.unfetched.Inc()
 				x.s.free(p.Addr, p.Name, handle)
 			}
 		}()
@@ -150,6 +156,7 @@
 	}
 	from := l.Target
 	moved := x.s.room.redirect(l, x.waiter().Demand, o)
+	x.s.stats.redirects.Inc()
 	x.decision("redirect", "from", from.Name, "to", l.Target.Name, "moved", moved, "cause", cause.Error())
 	return moved
 }
@@ -188,6 +195,8 @@
 		return "", errors.Mark(err, endpoint.ErrBroken)
 	}
 	outcome = placement.Succeeded
+	x.s.stats.prefills.Inc()
+	x.decision("prefill", "endpoint", p.Name, "tokens", x.call.Prompt)
 	if before == 0 {
 		x.sends = 0 // the first prefill that succeeds is not an arrival
 	}
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -20,8 +20,7 @@
 
 // handle runs one request through the stages and answers it.
 func (s *Server) handle(ctx context.Context, c *Call, r *reply) {
-	x := &exchange{s: s, call: c, reply: r, lastEvent: c.LastEvent}
-	s.metrics.Requests.Add(1)
+	x := &exchange{s: s, call: c, reply: r, lastEvent: c.LastEvent, logged: s.logQuota.take(c.Arrived)}
 	err := x.run(ctx)
 	switch {
 	case err == nil || r.started:
@@ -30,7 +29,9 @@
 	case x.fallback != nil:
 		r.whole(x.fallback.status, x.fallback.header, x.fallback.body)
 	default:
-		r.fail(x.classify(ctx, err))
+		known := x.classify(ctx, err)
+		s.stats.refused[errkind.From(known).Kind].Inc()
+		r.fail(known)
 	}
 	x.report(err)
 }
@@ -50,6 +51,8 @@
 	waited    time.Duration
 	tokens    int           // output tokens relayed
 	lastEvent string        // id of the last event relayed, or the caller's own
+	logged    bool          // lines are written at once
+	kept      []logLine     // lines that wait for the end
 	fallback  *whole        // an endpoint's own failure, for want of a better answer
 	first     time.Duration // from arrival to the first event
 	pause     time.Duration // longest between two events
@@ -203,12 +206,31 @@
 	return e
 }
 
-// report logs how the request ended.
+// report counts and logs how the request ended.
 func (x *exchange) report(err error) {
 	c, r := x.call, x.reply
+	took := time.Since(c.Arrived)
+	outcome := x.outcome(err)
+	x.s.stats.ended[outcome].Inc()
+	switch {
+	case x.tokens > 0:
+		x.s.stats.first.Update(x.first.Seconds())
+		x.s.stats.pauses.Update(x.pause.Seconds())
+		x.s.stats.waits.Update(x.waited.Seconds())
+	case outcome == outcomeWhole:
+		x.s.stats.plain.Update(took.Seconds())
+	}
+	routine := outcome == outcomeWhole && r.status < 400 && x.sends <= 1 && !x.slow(took)
+	if !x.logged && routine {
+		x.s.stats.omitted.Inc()
+		return
+	}
+	for _, line := range x.kept {
+		x.s.log.Info(line.what, line.fields...)
+	}
+	x.logged = true
 	fields := []any{
-		"request", c.ID, "status", r.status, "whole", r.finished && r.err == nil,
-		"ms", time.Since(c.Arrived).Milliseconds(), "waited_ms", x.waited.Milliseconds(),
+		"outcome", outcome, "status", r.status, "ms", took.Milliseconds(), "waited_ms", x.waited.Milliseconds(),
 		"sends", x.sends, "runs", x.runs, "endpoint", x.target, "account", x.account(),
 	}
 	if c.Route != nil {
@@ -220,10 +242,49 @@
 	if err != nil {
 		fields = append(fields, "cause", err.Error())
 	}
-	x.s.log.Info("request.end", fields...)
+	x.decision("end", fields...)
+}
+
+// outcome sums the request up.
+func (x *exchange) outcome(err error) string {
+	r := x.reply
+	switch {
+	case errors.Is(err, errCallerGone) || r.err != nil:
+		return outcomeGone
+	case r.started && !r.finished:
+		return outcomeCut
+	case err == nil || x.fallback != nil:
+		return outcomeWhole
+	case x.runs == 0:
+		return outcomeRefused
+	}
+	return outcomeFailed
+}
+
+// slow reports whether the answer missed the route's latency target.
+func (x *exchange) slow(took time.Duration) bool {
+	r := x.call.Route
+	if r == nil || r.FirstToken <= 0 {
+		return false
+	}
+	if x.tokens > 0 {
+		return x.first > r.FirstToken || (r.MaxGap > 0 && x.pause > r.MaxGap)
+	}
+	return took > r.FirstToken
+}
+
+// logLine is a line that is written only if the request does not end as usual.
+type logLine struct {
+	what   string
+	fields []any
 }
 
 // decision logs one decision about the request.
 func (x *exchange) decision(what string, fields ...any) {
-	x.s.log.Info("request."+what, append([]any{"request", x.call.ID}, fields...)...)
+	line := logLine{"request." + what, append([]any{"request", x.call.ID}, fields...)}
+	if !x.logged {
+		x.kept = append(x.kept, line)
+		return
+	}
+	x.s.log.Info(line.what, line.fields...)
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -262,6 +262,7 @@
 			continue
 		}
 		if err := p.open(bytes.Clone(buf[:size]), secret, from); err != nil {
+			p.s.stats.newsBad.Inc()
 			p.log.Info("news.refused", "from", from.String(), "cause", err.Error())
 		}
 	}
--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -217,3 +217,10 @@
 	})
 	return moved
 }
+
+// waiting returns how many generations wait here.
+func (r *room) waiting() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.line.Len()
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -17,7 +17,6 @@
 
 	"carawayrouter.example/router/internal/config"
 	"carawayrouter.example/router/internal/limit/window"
-	"carawayrouter.example/router/internal/metrics"
 	"carawayrouter.example/router/internal/placement"
 )
 
@@ -53,7 +52,8 @@
 	wire     Wire
 	store    Store
 	log      logr.Logger
-	metrics  *metrics.Set
+	stats    *stats
+	logQuota logQuota
 	state    *state
 	room     *room
 	up       *upstream
@@ -80,7 +80,6 @@
 		wire:     d.Wire,
 		store:    d.Store,
 		log:      d.Log,
-		metrics:  metrics.New(),
 		up:       newUpstream(d.Wire),
 		budget:   newRepeatBudget(s.RetryShare, s.RetryExtra, s.RetryWindow),
 		conns:    map[net.Conn]struct{}{},
@@ -93,11 +92,13 @@
 	g.quota = window.New(s.QuotaWindow, window.Slack{Part: s.QuotaSlackPart, Tokens: s.QuotaSlackTokens}, start)
 	seed := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	g.room = newRoom(placement.New(s.DataCentre, seed), func(ep *config.Endpoint) {
+		g.stats.ejections.Inc()
 		g.log.Info("endpoint.ejected", "endpoint", ep.Name, "addr", ep.Addr)
 	})
 	g.state = newState(d.Formats, g.room, d.Log)
 	g.peers = newPeers(g)
 	g.room.changed = g.peers.changed
+	g.stats = newStats(g)
 	return g
 }
 
@@ -118,6 +119,10 @@
 	if err := s.peers.listen(); err != nil {
 		return err
 	}
+	metrics, err := s.listenMetrics()
+	if err != nil {
+		return err
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	g, ctx := errgroup.WithContext(ctx)
@@ -125,6 +130,9 @@
 		g.Go(func() error { return w.run(ctx) })
 	}
 	g.Go(func() error { return s.serveReadiness(readiness) })
+	if metrics != nil {
+		g.Go(func() error { return newInternalServer(s.serveMetrics).Serve(metrics) })
+	}
 	g.Go(func() error { return newInternalServer(s.peers.serveState).Serve(state) })
 	for _, duty := range []func(context.Context) error{s.peers.send, s.peers.receive, s.peers.relays, s.peers.enter, s.peers.catchUp} {
 		g.Go(func() error { return duty(ctx) })
@@ -161,7 +169,10 @@
 		{store: s.store, table: Endpoints, wait: func() time.Duration { return s.scaled(feedWait) }, log: s.log,
 			apply: func(rows []Row, whole bool) { s.state.applyEndpoints(time.Now(), rows, whole) },
 			rest:  func() time.Duration { return min(longestRest, time.Duration(s.peers.fleet())*restEach) },
-			lost:  func() { s.state.storeLost(time.Now()) },
+			lost: func() {
+				s.stats.storeFail.Inc()
+				s.state.storeLost(time.Now())
+			},
 		},
 	}
 }
@@ -200,6 +211,20 @@
 	}).Serve(ln)
 }
 
+// listenMetrics opens the address for metrics; without one there are none.
+func (s *Server) listenMetrics() (net.Listener, error) {
+	if s.settings.Metrics == "" {
+		return nil, nil
+	}
+	ln, err := net.Listen("tcp", s.settings.Metrics)
+	return ln, errors.Wrap(err, "listen for metrics")
+}
+
+func (s *Server) serveMetrics(ctx *fasthttp.RequestCtx) {
+	ctx.SetContentType("text/plain; version=0.0.4")
+	s.stats.write(ctx)
+}
+
 // newInternalServer returns a server for other processes than callers'.
 func newInternalServer(h fasthttp.RequestHandler) *fasthttp.Server {
 	return &fasthttp.Server{Handler: h, NoDefaultServerHeader: true, NoDefaultDate: true, Logger: quiet{}, IdleTimeout: internalIdle}
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -30,6 +30,7 @@
 			return err
 		}
 		if !x.mayRepeat(now) {
+			x.s.stats.noBudget.Inc()
 			x.decision("no_repeat", "reason", "budget")
 			return last
 		}
@@ -43,7 +44,8 @@
 			}
 			return refusal(errkind.NoEndpoint, "no endpoint can be used", endpointWait)
 		}
-		done, err := x.call1(ctx, lease)
+		x.decision("place", "endpoint", lease.Target.Name, "sends", x.sends)
+		done, err := x.callOnce(ctx, lease)
 		if done {
 			return err
 		}
@@ -52,6 +54,7 @@
 		if ctx.Err() != nil {
 			return context.Cause(ctx)
 		}
+		x.s.stats.repeats.Inc()
 		x.decision("repeat", "endpoint", lease.Target.Name, "sends", x.sends, "runs", x.runs, "cause", err.Error())
 	}
 	return last
@@ -62,8 +65,8 @@
 	return x.call.Route.Idempotent && x.runs < x.call.Route.MaxAttempts
 }
 
-// call1 makes one attempt. Done is false where another endpoint may be tried.
-func (x *exchange) call1(ctx context.Context, l *placement.Lease) (done bool, err error) {
+// callOnce makes one attempt. Done is false where another endpoint may be tried.
+func (x *exchange) callOnce(ctx context.Context, l *placement.Lease) (done bool, err error) {
 	outcome := placement.Failed
 	defer func() { x.s.room.answered(l, outcome) }()
 	if x.call.Route.Idempotent && x.runs+1 < x.call.Route.MaxAttempts {
@@ -124,6 +127,7 @@
 func (x *exchange) send(ctx context.Context, addr string, o SendOptions) (*incoming, error) {
 	o.Account, o.Deadline = x.account(), x.deadline
 	x.sends++
+	x.s.stats.sends.Inc()
 	in, err := x.s.up.do(ctx, outgoing{
 		addr:   addr,
 		method: x.call.Method,
