--- /dev/null
+++ b/cmd/caraway-soak/main.go
@@ -0,0 +1,89 @@
+// Command caraway-soak runs the daemon as separate processes against stand-ins, injects
+// seeded random faults from outside and checks the promises.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"carawayrouter.example/router/internal/cli"
+	"carawayrouter.example/router/platform/soak"
+)
+
+const program = "caraway-soak"
+
+type args struct {
+	Binary    string `arg:"--binary" default:"target/caraway-entry" placeholder:"FILE" help:"the daemon"`
+	Seed      uint64 `arg:"--seed" default:"1" help:"first seed"`
+	Seeds     int    `arg:"--seeds" default:"1" help:"how many seeds, one after the other"`
+	Instances int    `arg:"--instances" default:"4" help:"daemons"`
+	Rounds    int    `arg:"--rounds" default:"2" help:"storms, each with a calm time after it"`
+	Logs      string `arg:"--logs" placeholder:"DIR" help:"where settings and logs of failed seeds are kept"`
+	Verbose   bool   `arg:"-v,--verbose" help:"print every fault"`
+}
+
+// Version implements go-arg's Versioned.
+func (args) Version() string { return cli.Version(program) }
+
+func main() {
+	var a args
+	cli.Parse(program, &a)
+	stop, _ := cli.Signals()
+	failed := 0
+	for i := range a.Seeds {
+		broken, err := play(stop, a, a.Seed+uint64(i))
+		if err != nil {
+			cli.Exit(program, cli.ExitFailed, err)
+		}
+		if broken {
+			failed++
+		}
+	}
+	fmt.Printf("%d seeds, %d with a promise broken\n", a.Seeds, failed)
+	if failed > 0 {
+		os.Exit(cli.ExitFailed)
+	}
+}
+
+// play runs one seed and reports whether a promise was broken.
+func play(ctx context.Context, a args, seed uint64) (broken bool, err error) {
+	dir, err := os.MkdirTemp(a.Logs, fmt.Sprintf("soak-%d-", seed))
+	if err != nil {
+		return false, err
+	}
+	binary, err := filepath.Abs(a.Binary)
+	if err != nil {
+		return false, err
+	}
+	r, err := soak.Run(ctx, soak.Options{Binary: binary, Dir: dir, Seed: seed, Instances: a.Instances, Rounds: a.Rounds, Log: func(format string, args ...any) {
+		if a.Verbose {
+			fmt.Printf(format+"\n", args...)
+		}
+	}})
+	if err != nil {
+		return false, err
+	}
+	faults := 0
+	for _, n := range r.Faults {
+		faults += n
+	}
+	fmt.Printf("seed %d: %d faults, %d requests: %d whole, %d refused, %d failed; %d promises broken\n", seed, faults, r.Requests, r.Whole, r.Refused, r.Failed, len(r.Broken))
+	if len(r.Broken) == 0 {
+		return false, os.RemoveAll(dir)
+	}
+	for i, b := range r.Broken {
+		if i == 8 {
+			fmt.Printf("  and %d more\n", len(r.Broken)-i)
+			break
+		}
+		fmt.Println("  " + b)
+		if f := strings.Fields(b); len(f) > 1 && i < 2 {
+			fmt.Print(soak.Logs(dir, f[1]))
+		}
+	}
+	fmt.Println("  logs: " + dir)
+	return true, nil
+}
