--- a/cmd/caraway-soak/main.go
+++ b/cmd/caraway-soak/main.go
@@ -22,6 +22,7 @@
 	Instances int    `arg:"--instances" default:"4" help:"daemons"`
 	Rounds    int    `arg:"--rounds" default:"2" help:"storms, each with a calm time after it"`
 	Logs      string `arg:"--logs" placeholder:"DIR" help:"where settings and logs of failed seeds are kept"`
+	Untimed   bool   `arg:"--untimed" help:"leave out the promises with a time bound"`
 	Verbose   bool   `arg:"-v,--verbose" help:"print every fault"`
 }
 
@@ -58,7 +59,7 @@
 	if err != nil {
 		return false, err
 	}
-	r, err := soak.Run(ctx, soak.Options{Binary: binary, Dir: dir, Seed: seed, Instances: a.Instances, Rounds: a.Rounds, Log: func(format string, args ...any) {
+	r, err := soak.Run(ctx, soak.Options{Binary: binary, Dir: dir, Seed: seed, Instances: a.Instances, Rounds: a.Rounds, Timed: !a.Untimed, Log: func(format string, args ...any) {
 		if a.Verbose {
 			fmt.Printf(format+"\n", args...)
 		}
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -106,6 +106,19 @@
 	delete(d.known, name)
 }
 
+// learn takes an entry from another instance. It may be older than what this instance
+// has read itself: then it brings nothing back that has vanished since.
+func (d *directory) learn(ep *config.Endpoint) bool {
+	if old := d.known[ep.Name]; old != nil {
+		if ep.Incarnation < old.ep.Incarnation || ep.Incarnation == old.ep.Incarnation && ep.Revision <= old.ep.Revision {
+			return false
+		}
+	} else if born, ok := d.retired[ep.Name]; ok && ep.Incarnation <= born {
+		return false
+	}
+	return d.put(ep)
+}
+
 // retire notes that another instance saw an incarnation leaving or gone.
 func (d *directory) retire(name string, born int64) bool {
 	if old, ok := d.retired[name]; ok && old >= born {
--- a/internal/gateway/directory_test.go
+++ b/internal/gateway/directory_test.go
@@ -64,6 +64,20 @@
 	assert.Equal(t, len(d.list()), len(names)-vanishLeast)
 }
 
+// Soak seed 128: a crashed endpoint's entry vanished while the store was away; another
+// instance's older state brought it back for good, and calls went to a dead address.
+func TestOlderStateBringsNothingBack(t *testing.T) {
+	d := newDirectory()
+	d.put(server("i-1", 1, 1))
+	d.storeLost(then)
+	d.remove(then, "i-1")
+	assert.Assert(t, !d.learn(server("i-1", 1, 1)))
+	assert.Assert(t, d.expire(then.Add(returnTime)))
+	assert.Assert(t, !d.learn(server("i-1", 1, 1)))
+	assert.Equal(t, len(d.list()), 0)
+	assert.Assert(t, d.learn(server("i-1", 2, 1)), "a new incarnation is welcome")
+}
+
 // A single endpoint whose entry is removed gets no new work at once.
 func TestRemovedEntry(t *testing.T) {
 	d := newDirectory()
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -178,7 +178,7 @@
 	s.version = p.Directory
 	changed := false
 	for _, ep := range p.Endpoints {
-		changed = s.directory.put(ep) || changed
+		changed = s.directory.learn(ep) || changed
 	}
 	for name, born := range p.Retired {
 		changed = s.directory.retire(name, born) || changed
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -13,6 +13,7 @@
 	// feedWait is how long one call waits for changes. A connection that went silent is
 	// found after it, within the time that a new configuration may take.
 	feedWait    = 2 * time.Second
+	probeWait   = 200 * time.Millisecond // after a failure, so that a store that is back shows soon
 	retryLeast  = 80 * time.Millisecond
 	retryMost   = 700 * time.Millisecond // a store that returns is in use well within its entries' return
 	expirePoll  = 250 * time.Millisecond
@@ -43,7 +44,11 @@
 		if whole {
 			rows, version, err = w.store.Rows(ctx, w.table)
 		} else {
-			rows, version, err = w.store.Changes(ctx, w.table, after, w.wait())
+			wait := w.wait()
+			if failures > 0 {
+				wait = probeWait
+			}
+			rows, version, err = w.store.Changes(ctx, w.table, after, wait)
 		}
 		if err == nil {
 			if failures >= failsToLost {
