--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"carawayrouter.example/router/internal/tcp"
 )
 
 // listener gives every accepted connection a deadline on each write and a TCP user
@@ -24,7 +26,7 @@
 		return nil, err
 	}
 	if sc, ok := socket(c); ok {
-		_ = setUserTimeout(sc, l.writeTimeout)
+		_ = tcp.SetUserTimeout(sc, l.writeTimeout)
 	}
 	return &conn{Conn: c, writeTimeout: l.writeTimeout}, nil
 }
@@ -98,9 +100,6 @@
 	return closed || err != nil
 }
 
-// tcpUserTimeout is TCP_USER_TIMEOUT of Linux, which package syscall lacks.
-const tcpUserTimeout = 18
-
 // socket returns the socket below wrapped connections.
 func socket(c net.Conn) (syscall.Conn, bool) {
 	for {
@@ -114,18 +113,3 @@
 		c = w.NetConn()
 	}
 }
-
-func setUserTimeout(c syscall.Conn, d time.Duration) error {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return err
-	}
-	var inner error
-	err = raw.Control(func(fd uintptr) {
-		inner = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(d.Milliseconds()))
-	})
-	if err != nil {
-		return err
-	}
-	return inner
-}
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -15,6 +15,7 @@
 
 	"carawayrouter.example/router/internal/config"
 	"carawayrouter.example/router/internal/errkind"
+	"carawayrouter.example/router/internal/tcp"
 )
 
 const (
@@ -283,18 +284,13 @@
 	return status
 }
 
-// setUserTimeout lets the kernel end connections whose bytes are not acknowledged.
-func setUserTimeout(nc net.Conn, d time.Duration) {
-	const tcpUserTimeout = 18 // TCP_USER_TIMEOUT of Linux, which package syscall lacks
+// limitSilence ends the connection once its bytes are not acknowledged for a while.
+func (s *Server) limitSilence(nc net.Conn) {
 	sc, ok := nc.(syscall.Conn)
 	if !ok {
 		return
 	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return
+	if err := tcp.SetUserTimeout(sc, userTimeout); err != nil {
+		s.log.V(1).Info("connection.no_timeout", "cause", err.Error())
 	}
-	_ = raw.Control(func(fd uintptr) {
-		_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(d.Milliseconds()))
-	})
 }
--- a/internal/gateway/docs_test.go
+++ b/internal/gateway/docs_test.go
@@ -45,7 +45,7 @@
 	for _, l := range lines {
 		assert.Assert(t, strings.Contains(page, "`"+l+"`"), "log line %s", l)
 	}
-	metrics := names(t, `"(caraway_[a-z_]+)`)
+	metrics := names(t, "[\"`](caraway_[a-z_]+)")
 	for _, m := range metrics {
 		assert.Assert(t, strings.Contains(page, m), "metric %s", m)
 	}
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -13,6 +13,7 @@
 	"carawayrouter.example/router/internal/endpoint"
 	"carawayrouter.example/router/internal/errkind"
 	"carawayrouter.example/router/internal/placement"
+	"carawayrouter.example/router/internal/sched"
 )
 
 const (
@@ -99,7 +100,7 @@
 
 // attempt runs prefill and decode once. Done is false where another attempt may follow.
 func (x *exchange) attempt(ctx context.Context, l *placement.Lease) (done bool, err error) {
-	outcome := placement.Abandoned
+	outcome := sched.Abandoned
 	defer func() { x.s.room.release(l, outcome) }()
 	if err := x.identify(x.s.state.Current()); err != nil {
 		return true, err
@@ -133,7 +134,7 @@
 		x.target = l.Target.Name
 		refused := false
 		refused, done, outcome, err = x.decode(ctx, l, source)
-		if outcome != placement.Succeeded && outcome != placement.Abandoned {
+		if outcome != sched.Succeeded && outcome != sched.Abandoned {
 			x.exclude = append(x.exclude, l.Target.Name)
 		}
 		if !refused || source == "" || ctx.Err() != nil || time.Since(read) > x.handleLife() || !x.redirect(l, outcome, err) {
@@ -150,7 +151,7 @@
 
 // redirect moves a generation whose prompt has been read to another decode engine: to
 // read it again would cost more than all else.
-func (x *exchange) redirect(l *placement.Lease, o placement.Outcome, cause error) bool {
+func (x *exchange) redirect(l *placement.Lease, o sched.Outcome, cause error) bool {
 	if x.sends > 0 && !x.mayRepeat(time.Now()) {
 		return false
 	}
@@ -163,7 +164,7 @@
 
 // prefill has the prompt read and returns the handle of the result.
 func (x *exchange) prefill(ctx context.Context, l *placement.Lease) (string, error) {
-	outcome := placement.Failed
+	outcome := sched.Failed
 	p := l.Prefill
 	defer func() { x.s.room.prefillDone(l, outcome) }()
 	limit := max(prefillLeast, prefillTimes*x.s.room.prefillTime(l))
@@ -173,7 +174,7 @@
 	in, err := x.send(pctx, p.Addr, SendOptions{Endpoint: p.Name, PrefillOnly: true, Urgency: -1})
 	if err != nil {
 		if ctx.Err() != nil {
-			outcome = placement.Abandoned
+			outcome = sched.Abandoned
 			return "", context.Cause(ctx)
 		}
 		return "", err
@@ -184,9 +185,9 @@
 		return "", err
 	}
 	if in.Status != http.StatusOK {
-		outcome = placement.Full
+		outcome = sched.Full
 		if !in.NotRun {
-			outcome = placement.Failed
+			outcome = sched.Failed
 		}
 		return "", errors.Newf("the prefill was refused with %d", in.Status)
 	}
@@ -194,7 +195,7 @@
 	if err != nil {
 		return "", errors.Mark(err, endpoint.ErrBroken)
 	}
-	outcome = placement.Succeeded
+	outcome = sched.Succeeded
 	x.s.stats.prefills.Inc()
 	x.decision("prefill", "endpoint", p.Name, "tokens", x.call.Prompt)
 	if before == 0 {
@@ -205,7 +206,7 @@
 
 // decode streams the output to the caller. Refused tells that the engine did not take the
 // request, so that a prefill result is still there.
-func (x *exchange) decode(ctx context.Context, l *placement.Lease, source string) (refused, done bool, o placement.Outcome, err error) {
+func (x *exchange) decode(ctx context.Context, l *placement.Lease, source string) (refused, done bool, o sched.Outcome, err error) {
 	sctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	silence := time.AfterFunc(x.callerLeaves(), func() { cancel(errSilent) })
@@ -221,27 +222,27 @@
 	defer in.close()
 	if in.NotRun {
 		_, _ = in.readAll()
-		o := placement.Full
+		o := sched.Full
 		if in.Other {
-			o = placement.Failed
+			o = sched.Failed
 		}
 		return true, false, o, refusal(errkind.QueueFull, "the engine refused the request", endpointWait)
 	}
 	x.runs, x.fetched = x.runs+1, true
 	if err := trusted(in); err != nil {
-		return false, x.cannotResume(ctx), placement.Failed, err
+		return false, x.cannotResume(ctx), sched.Failed, err
 	}
 	if in.Status != http.StatusOK {
 		body, err := in.readAll()
 		if err != nil {
-			return false, x.cannotResume(ctx), placement.Failed, err
+			return false, x.cannotResume(ctx), sched.Failed, err
 		}
 		if x.reply.started || !x.cannotResume(ctx) {
 			x.fallback = &whole{status: in.Status, header: in.Headers, body: body}
-			return false, x.cannotResume(ctx), placement.Failed, errors.Newf("the engine answered %d", in.Status)
+			return false, x.cannotResume(ctx), sched.Failed, errors.Newf("the engine answered %d", in.Status)
 		}
 		x.reply.whole(in.Status, in.Headers, body)
-		return false, true, placement.Succeeded, x.reply.err
+		return false, true, sched.Succeeded, x.reply.err
 	}
 	err = x.relay(in, l, func() { silence.Reset(x.callerLeaves()) })
 	switch {
@@ -254,23 +255,23 @@
 			x.reply.stream(in.Status, in.Headers)
 		}
 		x.reply.end()
-		return false, true, placement.Succeeded, x.reply.err
+		return false, true, sched.Succeeded, x.reply.err
 	case x.reply.err != nil:
-		return false, true, placement.Abandoned, errors.Mark(x.reply.err, errCallerGone)
+		return false, true, sched.Abandoned, errors.Mark(x.reply.err, errCallerGone)
 	}
 	return false, x.cannotResume(ctx), outcomeOf(ctx, err), err
 }
 
 // outcomeOf says whether a failure was the endpoint's.
-func outcomeOf(ctx context.Context, err error) placement.Outcome {
+func outcomeOf(ctx context.Context, err error) sched.Outcome {
 	cause := context.Cause(ctx)
 	switch {
 	case cause != nil && !errors.Is(cause, errSilent):
-		return placement.Abandoned
+		return sched.Abandoned
 	case errors.Is(err, endpoint.ErrNotSent):
-		return placement.Unreachable
+		return sched.Unreachable
 	}
-	return placement.Failed
+	return sched.Failed
 }
 
 // cannotResume reports whether the stream ends here: the request may have run, and the
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -217,15 +217,15 @@
 		Configuration: s.state.Current().Ticket,
 		Directory:     s.state.directoryVersion(),
 	}
-	s.room.peek(func(now time.Time, sched *placement.Scheduler, line *placement.Line) {
-		sched.Holds(func(endpoint string, reading int, runs []placement.Run) {
+	s.room.peek(func(now time.Time, places *placement.Scheduler, line *placement.Line) {
+		places.Holds(func(endpoint string, reading int, runs []placement.Run) {
 			h := gossip.Hold{Endpoint: endpoint, Reading: reading}
 			for _, r := range runs {
 				h.Runs = append(h.Runs, gossip.Run{Prompt: r.Prompt, Output: r.Output, Done: r.Done, Age: gossip.Ago(now, r.At)})
 			}
 			n.Holds = append(n.Holds, h)
 		})
-		sched.Ejected(now, func(endpoint string, left time.Duration) {
+		places.Ejected(now, func(endpoint string, left time.Duration) {
 			n.Ejected = append(n.Ejected, gossip.Ejection{Endpoint: endpoint, Left: left.Milliseconds()})
 		})
 		for _, w := range line.Waiting() {
--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -8,6 +8,7 @@
 	"carawayrouter.example/router/internal/config"
 	"carawayrouter.example/router/internal/errkind"
 	"carawayrouter.example/router/internal/placement"
+	"carawayrouter.example/router/internal/sched"
 )
 
 // roomTick is how often waiting requests are looked at when nothing else wakes them;
@@ -74,7 +75,7 @@
 		if ctx.Err() == nil {
 			return l, nil
 		}
-		r.sched.Release(r.now(), l, placement.Abandoned)
+		r.sched.Release(r.now(), l, sched.Abandoned)
 	default:
 		r.line.Remove(w)
 		delete(r.granted, w)
@@ -134,7 +135,7 @@
 }
 
 // release gives back the places of a generation.
-func (r *room) release(l *placement.Lease, o placement.Outcome) {
+func (r *room) release(l *placement.Lease, o sched.Outcome) {
 	r.freed(func(now time.Time, s *placement.Scheduler) {
 		if s.Release(now, l, o) {
 			r.ejected(l.Target)
@@ -144,7 +145,7 @@
 
 // answered gives back the place of a plain call. The other instances are not told: it
 // is over before they could use it.
-func (r *room) answered(l *placement.Lease, o placement.Outcome) {
+func (r *room) answered(l *placement.Lease, o sched.Outcome) {
 	r.with(func(now time.Time, s *placement.Scheduler) {
 		if s.Release(now, l, o) {
 			r.ejected(l.Target)
@@ -152,7 +153,7 @@
 	})
 }
 
-func (r *room) prefillDone(l *placement.Lease, o placement.Outcome) {
+func (r *room) prefillDone(l *placement.Lease, o sched.Outcome) {
 	ep := l.Prefill
 	r.freed(func(now time.Time, s *placement.Scheduler) {
 		if s.PrefillDone(now, l, o) {
@@ -207,7 +208,7 @@
 }
 
 // redirect moves a generation to another decode engine.
-func (r *room) redirect(l *placement.Lease, d placement.Demand, o placement.Outcome) (moved bool) {
+func (r *room) redirect(l *placement.Lease, d placement.Demand, o sched.Outcome) (moved bool) {
 	from := l.Target
 	r.freed(func(now time.Time, s *placement.Scheduler) {
 		var ejected bool
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -82,10 +82,10 @@
 		wire:     d.Wire,
 		store:    d.Store,
 		log:      d.Log,
-		up:       newUpstream(d.Wire),
-		budget:   newRepeatBudget(s.RetryShare, s.RetryExtra, s.RetryWindow),
-		conns:    map[net.Conn]struct{}{},
-		reload:   d.Reload,
+
+		budget: newRepeatBudget(s.RetryShare, s.RetryExtra, s.RetryWindow),
+		conns:  map[net.Conn]struct{}{},
+		reload: d.Reload,
 	}
 	var start time.Time
 	if !s.NewFleet {
@@ -97,6 +97,7 @@
 		g.stats.ejections.Inc()
 		g.log.Info("endpoint.ejected", "endpoint", ep.Name, "addr", ep.Addr)
 	})
+	g.up = newUpstream(d.Wire, g.limitSilence)
 	g.state = newState(d.Formats, g.room, d.Log)
 	g.peers = newPeers(g)
 	g.room.changed = g.peers.changed
@@ -191,7 +192,7 @@
 			pause(ctx, retryLeast)
 			continue
 		}
-		setUserTimeout(nc, userTimeout)
+		s.limitSilence(nc)
 		s.connMu.Lock()
 		s.conns[nc] = struct{}{}
 		s.connMu.Unlock()
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -10,6 +10,7 @@
 	"carawayrouter.example/router/internal/endpoint"
 	"carawayrouter.example/router/internal/errkind"
 	"carawayrouter.example/router/internal/placement"
+	"carawayrouter.example/router/internal/sched"
 )
 
 const (
@@ -67,7 +68,7 @@
 
 // callOnce makes one attempt. Done is false where another endpoint may be tried.
 func (x *exchange) callOnce(ctx context.Context, l *placement.Lease) (done bool, err error) {
-	outcome := placement.Failed
+	outcome := sched.Failed
 	defer func() { x.s.room.answered(l, outcome) }()
 	if x.call.Route.Idempotent && x.runs+1 < x.call.Route.MaxAttempts {
 		var cancel context.CancelFunc
@@ -90,9 +91,9 @@
 		return !x.repeatable(), err
 	}
 	if in.NotRun {
-		outcome = placement.Full
+		outcome = sched.Full
 		if in.Other {
-			outcome = placement.Failed
+			outcome = sched.Failed
 		}
 		return false, refusal(errkind.NoEndpoint, "the endpoint refused the request", endpointWait)
 	}
@@ -100,7 +101,7 @@
 	if err := trusted(in); err != nil {
 		return !x.repeatable(), err
 	}
-	outcome = placement.Succeeded
+	outcome = sched.Succeeded
 	if in.Status >= 500 && x.repeatable() && time.Until(x.deadline) > x.s.room.usual(l) {
 		// The failure is the endpoint's own word; another one may do better.
 		x.fallback = &whole{status: in.Status, header: in.Headers, body: body}
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -31,7 +31,9 @@
 
 // upstream holds the connections to endpoints.
 type upstream struct {
-	wire Wire
+	wire   Wire
+	opened func(net.Conn) // prepares a new connection
+
 	mu   sync.Mutex
 	idle map[string][]*upConn // by address, newest last
 }
@@ -45,7 +47,9 @@
 	used  bool          // has carried a request before
 }
 
-func newUpstream(w Wire) *upstream { return &upstream{wire: w, idle: map[string][]*upConn{}} }
+func newUpstream(w Wire, opened func(net.Conn)) *upstream {
+	return &upstream{wire: w, opened: opened, idle: map[string][]*upConn{}}
+}
 
 // get returns a connection to addr, at most maxAge idle.
 func (u *upstream) get(ctx context.Context, addr string, maxAge time.Duration) (*upConn, error) {
@@ -67,7 +71,7 @@
 	if err != nil {
 		return nil, errors.Mark(err, endpoint.ErrNotSent)
 	}
-	setUserTimeout(nc, userTimeout)
+	u.opened(nc)
 	return &upConn{Conn: nc, addr: addr, br: bufio.NewReaderSize(nc, readBuffer), ttl: defaultIdle}, nil
 }
 
--- a/internal/placement/line.go
+++ b/internal/placement/line.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"carawayrouter.example/router/internal/config"
+	"carawayrouter.example/router/internal/sched"
 )
 
 // patience is how long a waiter may be passed by smaller ones behind it that fit.
@@ -103,7 +104,7 @@
 		}
 	}
 	for _, lease := range keptFree {
-		s.Release(now, lease, Abandoned)
+		s.Release(now, lease, sched.Abandoned)
 	}
 	l.waiting = kept
 	return out
--- a/internal/placement/line_test.go
+++ b/internal/placement/line_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"carawayrouter.example/router/internal/sched"
 )
 
 // burst is a recorded pattern of load: more generations than the engines hold arrive for
@@ -39,7 +41,7 @@
 	var line Line
 	ends := map[*Lease]time.Time{}
 	granted := func(now time.Time, w *Waiter, l *Lease) {
-		s.PrefillDone(now, l, Succeeded)
+		s.PrefillDone(now, l, sched.Succeeded)
 		ends[l] = now.Add(time.Duration(w.Demand.Output) * tokenT)
 		if now.Sub(w.Arrived) <= goal {
 			onTime++
@@ -51,7 +53,7 @@
 	for now := start; i < len(arrivals) || line.Len() > 0; now = now.Add(tickTime) {
 		for l, end := range ends {
 			if !now.Before(end) {
-				s.Release(now, l, Succeeded)
+				s.Release(now, l, sched.Succeeded)
 				delete(ends, l)
 			}
 		}
@@ -99,7 +101,7 @@
 func TestLargeWaiterIsNotStarved(t *testing.T) {
 	s := newScheduler(1, engines(1, 1, 12000))
 	held := s.Engine(start, demand(5000, 1000))
-	s.PrefillDone(start, held, Succeeded)
+	s.PrefillDone(start, held, sched.Succeeded)
 	var line Line
 	large := &Waiter{Demand: demand(9000, 1000), Arrived: start, Due: start.Add(goal), Latest: start.Add(patient)}
 	line.Push(large)
@@ -108,7 +110,7 @@
 		line.Push(&Waiter{Demand: demand(500, 100), Arrived: start.Add(time.Duration(i+1) * tickTime), Due: start.Add(goal), Latest: start.Add(patient)})
 	}
 	assert.Equal(t, len(line.Serve(now, s)), 0, "small ones wait behind the large one once its patience is over")
-	s.Release(now, held, Succeeded)
+	s.Release(now, held, sched.Succeeded)
 	granted := line.Serve(now, s)
 	assert.Assert(t, len(granted) > 0 && granted[0].Waiter == large)
 }
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"carawayrouter.example/router/internal/config"
+	"carawayrouter.example/router/internal/sched"
 )
 
 const (
@@ -241,12 +242,12 @@
 }
 
 // PrefillDone ends the lease's use of its prefill engine.
-func (s *Scheduler) PrefillDone(now time.Time, l *Lease, o Outcome) (ejected bool) {
+func (s *Scheduler) PrefillDone(now time.Time, l *Lease, o sched.Outcome) (ejected bool) {
 	x := l.prefill
 	if x == nil {
 		return false
 	}
-	if o == Succeeded && l.reading > 0 {
+	if o == sched.Succeeded && l.reading > 0 {
 		x.perRead = average(x.perRead, max(time.Microsecond, now.Sub(l.granted)/time.Duration(l.queued)))
 	}
 	x.reading -= l.reading
@@ -257,7 +258,7 @@
 
 // Redirect moves the lease, whose prompt has been read, to another decode engine and
 // reports whether there was one. Outcome is that of the engine before.
-func (s *Scheduler) Redirect(now time.Time, l *Lease, d Demand, o Outcome) (moved, ejected bool) {
+func (s *Scheduler) Redirect(now time.Time, l *Lease, d Demand, o sched.Outcome) (moved, ejected bool) {
 	old := l.target
 	delete(old.runs, l)
 	ejected = old.judge(now, o)
@@ -298,20 +299,20 @@
 const overrunPart = 4
 
 // Release gives back what the lease still holds.
-func (s *Scheduler) Release(now time.Time, l *Lease, o Outcome) (ejected bool) {
+func (s *Scheduler) Release(now time.Time, l *Lease, o sched.Outcome) (ejected bool) {
 	if l.released {
 		return false
 	}
 	l.released = true
 	if l.prefill != nil {
-		s.PrefillDone(now, l, Abandoned)
+		s.PrefillDone(now, l, sched.Abandoned)
 	}
 	x := l.target
 	if _, ok := x.runs[l]; ok {
 		delete(x.runs, l)
 	} else {
 		x.calls--
-		if o == Succeeded {
+		if o == sched.Succeeded {
 			x.latency, x.measuredAt = average(x.latency, now.Sub(l.granted)), now
 		}
 	}
--- a/internal/placement/scheduler_test.go
+++ b/internal/placement/scheduler_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"carawayrouter.example/router/internal/config"
+	"carawayrouter.example/router/internal/sched"
 )
 
 const (
@@ -63,11 +64,11 @@
 				}
 			case 2:
 				if len(leases) > 0 {
-					s.PrefillDone(now, leases[0], Succeeded)
+					s.PrefillDone(now, leases[0], sched.Succeeded)
 				}
 			case 3:
 				if len(leases) > 0 {
-					s.Release(now, leases[0], Succeeded)
+					s.Release(now, leases[0], sched.Succeeded)
 					leases = leases[1:]
 				}
 			}
@@ -80,7 +81,7 @@
 			}
 		}
 		for _, l := range leases {
-			s.Release(now, l, Abandoned)
+			s.Release(now, l, sched.Abandoned)
 		}
 		for _, x := range s.targets {
 			assert.Equal(t, len(x.runs), 0)
@@ -95,9 +96,9 @@
 	s := newScheduler(1, engines(1, 2, 30000))
 	d := demand(1000, 1000)
 	l := s.Engine(start, d)
-	s.PrefillDone(start, l, Succeeded)
+	s.PrefillDone(start, l, sched.Succeeded)
 	from := l.Target.Name
-	moved, ejected := s.Redirect(start, l, d, Unreachable)
+	moved, ejected := s.Redirect(start, l, d, sched.Unreachable)
 	assert.Assert(t, moved && ejected)
 	assert.Assert(t, l.Target.Name != from)
 	assert.Equal(t, len(s.targets[from].runs), 0)
@@ -132,7 +133,7 @@
 	s.SetRemote("other", &Remote{Heard: start})
 	l := s.Engine(start, demand(4000, 100))
 	assert.Assert(t, l != nil)
-	s.Release(start, l, Succeeded)
+	s.Release(start, l, sched.Succeeded)
 	s.SetRemote("other", &Remote{Heard: start, Runs: map[string][]Run{"decode-1": {{Prompt: 5000, Output: 4000, At: start}}}})
 	assert.Assert(t, s.Engine(start.Add(time.Minute), demand(4000, 100)) != nil, "the silent instance's run must have ended")
 }
@@ -148,9 +149,9 @@
 		if bad == "" {
 			bad = l.Target.Name
 		}
-		o := Succeeded
+		o := sched.Succeeded
 		if l.Target.Name == bad {
-			o = Failed
+			o = sched.Failed
 		}
 		s.Release(now, l, o)
 	}
@@ -158,7 +159,7 @@
 	for range 20 {
 		l := s.Service(now, Demand{Pool: plain})
 		assert.Assert(t, l.Target.Name != bad)
-		s.Release(now, l, Succeeded)
+		s.Release(now, l, sched.Succeeded)
 	}
 	now = now.Add(longestEjection)
 	seen := map[string]bool{}
@@ -166,7 +167,7 @@
 		l := s.Service(now, Demand{Pool: plain})
 		seen[l.Target.Name] = true
 		now = now.Add(defaultService)
-		s.Release(now, l, Succeeded)
+		s.Release(now, l, sched.Succeeded)
 	}
 	assert.Assert(t, seen[bad])
 }
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -4,18 +4,7 @@
 	"time"
 
 	"carawayrouter.example/router/internal/config"
-)
-
-// Outcome tells how an endpoint dealt with its part of a request.
-type Outcome int
-
-// The outcomes.
-const (
-	Succeeded   Outcome = iota
-	Failed              // error, broken connection or silence
-	Full                // refused for want of a slot or memory
-	Unreachable         // no connection could be made
-	Abandoned           // caller gone or request given up; says nothing of the endpoint
+	"carawayrouter.example/router/internal/sched"
 )
 
 const (
@@ -141,15 +130,15 @@
 }
 
 // judge takes note of an outcome and reports whether it ejected the endpoint.
-func (x *target) judge(now time.Time, o Outcome) bool {
+func (x *target) judge(now time.Time, o sched.Outcome) bool {
 	switch o {
-	case Succeeded:
+	case sched.Succeeded:
 		x.failures, x.ejections = 0, 0
-	case Full:
+	case sched.Full:
 		x.fullUntil = now.Add(fullPause)
-	case Failed, Unreachable:
+	case sched.Failed, sched.Unreachable:
 		x.failures++
-		if o == Unreachable {
+		if o == sched.Unreachable {
 			// A refused connection is no single failure: nothing listens there.
 			x.failures = max(x.failures, failuresToEject)
 		}
