--- /dev/null
+++ b/internal/gateway/peerstate.go
@@ -0,0 +1,141 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"carawayrouter.example/router/internal/config"
+)
+
+// peerState is the answer to an instance that asks for state.
+type peerState struct {
+	Version       uint64                 `json:"version"`
+	Configuration []byte                 `json:"configuration,omitempty"`
+	Directory     uint64                 `json:"directory"`
+	Endpoints     []*config.Endpoint     `json:"endpoints"`
+	Retired       map[string]int64       `json:"retired"`
+	Secret        []byte                 `json:"secret"`
+	Instances     map[string]instanceRow `json:"instances"`
+}
+
+// serveState answers instances of the fleet. One that has just started while the store
+// is away has no secret yet; it is known by its address, which only the fleet can have
+// entered in the store.
+func (p *peers) serveState(ctx *fasthttp.RequestCtx) {
+	if string(ctx.Path()) != statePath {
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	p.mu.Lock()
+	secret := p.secret
+	member := false
+	for _, x := range p.known {
+		if host, _, err := net.SplitHostPort(x.row.State); err == nil && host == ctx.RemoteIP().String() {
+			member = true
+		}
+	}
+	rows := map[string]instanceRow{p.s.settings.Instance: p.self}
+	for name, x := range p.known {
+		if x.row.News != "" && !x.leaving {
+			rows[name] = x.row
+		}
+	}
+	p.mu.Unlock()
+	if secret == nil || !member {
+		ctx.SetStatusCode(fasthttp.StatusForbidden)
+		return
+	}
+	st := p.s.state.export()
+	st.Secret, st.Instances = secret, rows
+	b, err := json.Marshal(st)
+	if err != nil {
+		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(b)
+}
+
+// catchUp asks other instances for state that this one lacks: at a start without the
+// store, and when they are ahead for longer than the store's own news may take.
+func (p *peers) catchUp(ctx context.Context) error {
+	for ctx.Err() == nil {
+		pause(ctx, catchUpEvery)
+		if addr := p.source(time.Now()); addr != "" {
+			if err := p.fetch(addr); err != nil {
+				p.log.V(1).Info("state.not_fetched", "addr", addr, "cause", err.Error())
+			}
+		}
+	}
+	return nil
+}
+
+// source returns the address of an instance to ask, or "".
+func (p *peers) source(now time.Time) string {
+	have, directory := p.s.state.Current(), p.s.state.directoryVersion()
+	lost := p.s.state.storeAway()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	best := ""
+	for _, x := range p.known {
+		if x.news == nil || now.Sub(x.heard) > peerLife {
+			continue
+		}
+		ahead := x.news.Configuration > have.Ticket || x.news.Directory > directory
+		if !ahead {
+			x.aheadAt = time.Time{}
+			continue
+		}
+		if x.aheadAt.IsZero() {
+			x.aheadAt = now
+		}
+		if lost || now.Sub(x.aheadAt) >= catchUpDelay {
+			best = x.row.State
+		}
+	}
+	if best == "" && have.Ticket == 0 && len(p.s.settings.Seeds) > 0 {
+		best = p.s.settings.Seeds[int(now.UnixMilli()/int64(catchUpEvery/time.Millisecond))%len(p.s.settings.Seeds)]
+		if best == p.self.State {
+			return ""
+		}
+	}
+	return best
+}
+
+// fetch asks the instance at addr for its state and takes what is newer.
+func (p *peers) fetch(addr string) error {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + addr + statePath)
+	if err := p.client.DoTimeout(req, resp, fetchTimeout); err != nil {
+		return errors.Wrap(err, "fetch state")
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return errors.Newf("fetch state: answered %d", resp.StatusCode())
+	}
+	var st peerState
+	if err := json.Unmarshal(resp.Body(), &st); err != nil {
+		return errors.Wrap(err, "fetch state")
+	}
+	now := time.Now()
+	p.mu.Lock()
+	if p.secret == nil {
+		p.secret = st.Secret
+	}
+	for name, row := range st.Instances {
+		if news, err := netip.ParseAddrPort(row.News); err == nil && name != p.s.settings.Instance && p.known[name] == nil {
+			p.known[name] = &peer{row: row, addr: news, renewed: now}
+		}
+	}
+	p.mu.Unlock()
+	p.s.state.merge(now, &st, addr)
+	p.changed()
+	return nil
+}
