--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,7 +21,7 @@
 	Readiness  string   // address for the platform's balancer
 	Peers      string   // address for other instances
 	Metrics    string   // address for metrics, empty for none
-	NewsPort   string   // UDP port for news of other instances
+	UpdatePort string   // UDP port for updates of other instances
 	Seeds      []string // addresses of some other instances
 
 	Rank        int // strength of the instance among others
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -51,7 +51,7 @@
 			return last
 		}
 		began := time.Now()
-		lease, err := x.s.room.engine(ctx, x.waiter())
+		lease, err := x.s.admission.engine(ctx, x.waiter())
 		x.waited += time.Since(began)
 		if err != nil {
 			if last != nil {
@@ -95,7 +95,7 @@
 		latest = x.deadline
 	}
 	return &placement.Waiter{
-		Demand:  placement.Demand{Pool: c.Pool.Name, Prompt: c.Prompt, Output: c.Output, Expect: x.s.room.expect(c), Made: x.tokens, Exclude: x.exclude},
+		Demand:  placement.Demand{Pool: c.Pool.Name, Prompt: c.Prompt, Output: c.Output, Expect: x.s.admission.expect(c), Generated: x.tokens, Exclude: x.exclude},
 		Arrived: c.Arrived,
 		Due:     since.Add(c.Route.FirstToken - expectedStart - time.Duration(c.Prompt)*prefillToken),
 		Latest:  latest,
@@ -109,7 +109,7 @@
 // attempt runs prefill and decode once. Done is false where another attempt may follow.
 func (x *exchange) attempt(ctx context.Context, l *placement.Lease) (done bool, err error) {
 	outcome := sched.Abandoned
-	defer func() { x.s.room.release(l, outcome) }()
+	defer func() { x.s.admission.release(l, outcome) }()
 	if err := x.identify(x.s.state.Current()); err != nil {
 		return true, err
 	}
@@ -164,7 +164,7 @@
 		return false
 	}
 	from := l.Target
-	moved := x.s.room.redirect(l, x.waiter().Demand, o)
+	moved := x.s.admission.redirect(l, x.waiter().Demand, o)
 	x.s.stats.redirects.Inc()
 	x.decision("redirect", "from", from.Name, "to", l.Target.Name, "moved", moved, "cause", cause.Error())
 	return moved
@@ -174,8 +174,8 @@
 func (x *exchange) prefill(ctx context.Context, l *placement.Lease) (string, error) {
 	outcome := sched.Failed
 	p := l.Prefill
-	defer func() { x.s.room.prefillDone(l, outcome) }()
-	limit := max(prefillLeast, prefillTimes*x.s.room.prefillTime(l))
+	defer func() { x.s.admission.prefillDone(l, outcome) }()
+	limit := max(prefillLeast, prefillTimes*x.s.admission.prefillTime(l))
 	pctx, cancel := context.WithTimeoutCause(ctx, limit, errSilent)
 	defer cancel()
 	before := x.sends
@@ -257,7 +257,7 @@
 	case err == nil:
 		in.whole = true
 		if x.call.LastEvent == "" {
-			x.s.room.learn(x.call, x.tokens)
+			x.s.admission.learn(x.call, x.tokens)
 		}
 		if !x.reply.started {
 			x.reply.stream(in.Status, in.Headers)
@@ -314,7 +314,7 @@
 		x.timed(time.Now())
 		events++
 		x.tokens += stride
-		x.s.room.with(func(now time.Time, s *placement.Scheduler) { s.Progress(now, l, events*stride) })
+		x.s.admission.with(func(now time.Time, s *placement.Scheduler) { s.Progress(now, l, events*stride) })
 	}
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -20,13 +20,13 @@
 )
 
 const (
-	newsEvery     = 400 * time.Millisecond // while nothing changes
-	newsWaiting   = 50 * time.Millisecond  // while somebody waits
-	newsGap       = 4 * time.Millisecond   // between two datagrams at the least
+	updateEvery   = 400 * time.Millisecond // while nothing changes
+	updateWaiting = 50 * time.Millisecond  // while somebody waits
+	updateGap     = 4 * time.Millisecond   // between two datagrams at the least
 	enterEvery    = 5 * time.Second        // of the instance's row
-	peerLife      = 15 * time.Second       // without row and news; longer than cuts usually last
+	peerLife      = 15 * time.Second       // without row and update; longer than cuts usually last
 	catchUpEvery  = 150 * time.Millisecond
-	catchUpDelay  = 150 * time.Millisecond // that the store's own news may take
+	catchUpDelay  = 150 * time.Millisecond // that the store's feed may take
 	fetchTimeout  = 600 * time.Millisecond
 	secretBytes   = 32
 	secretKey     = "secret"
@@ -38,8 +38,8 @@
 // instanceRow is an instance's own row in the store.
 type instanceRow struct {
 	Incarnation int64  `json:"incarnation"`
-	State       string `json:"state"` // address for state
-	News        string `json:"news"`  // address for datagrams
+	State       string `json:"state"`   // address for state
+	Updates     string `json:"updates"` // address for datagrams
 	DataCentre  string `json:"data_centre"`
 	Rank        int    `json:"rank"` // strength, for the choice of relays
 }
@@ -47,8 +47,8 @@
 // peer is another instance as this one knows it.
 type peer struct {
 	row        instanceRow
-	news       *gossip.News
-	heard      time.Time // last news
+	update     *gossip.Update
+	heard      time.Time // last update
 	direct     time.Time // last datagram that it sent itself
 	renewed    time.Time // last change of its row
 	addr       netip.AddrPort
@@ -57,7 +57,7 @@
 	rowVersion uint64
 }
 
-// peers keeps the other instances and exchanges news with them.
+// peers keeps the other instances and exchanges updates with them.
 type peers struct {
 	s        *Server
 	log      logr.Logger
@@ -66,7 +66,7 @@
 	conn     *net.UDPConn
 	client   *fasthttp.Client
 	dirty    chan struct{}
-	relay    chan struct{} // news wait to be relayed
+	relay    chan struct{} // an update waits to be relayed
 	sequence uint64
 
 	mu     sync.Mutex
@@ -87,7 +87,7 @@
 	}
 }
 
-// changed asks for news to be sent soon.
+// changed asks for an update to be sent soon.
 func (p *peers) changed() {
 	select {
 	case p.dirty <- struct{}{}:
@@ -101,20 +101,20 @@
 	if err != nil {
 		return errors.Wrap(err, "address for other instances")
 	}
-	addr := net.JoinHostPort(host, p.s.settings.NewsPort)
+	addr := net.JoinHostPort(host, p.s.settings.UpdatePort)
 	udp, err := net.ResolveUDPAddr("udp4", addr)
 	if err != nil {
-		return errors.Wrap(err, "address for news")
+		return errors.Wrap(err, "address for updates")
 	}
 	p.conn, err = net.ListenUDP("udp4", udp)
 	if err != nil {
-		return errors.Wrap(err, "listen for news")
+		return errors.Wrap(err, "listen for updates")
 	}
 	// Other instances know this one by its address, whatever route its packets take.
 	dialer := net.Dialer{Timeout: fetchTimeout, LocalAddr: &net.TCPAddr{IP: udp.IP}}
 	p.client.Dial = func(addr string) (net.Conn, error) { return dialer.Dial("tcp4", addr) }
 	p.started = time.Now()
-	p.self = instanceRow{Incarnation: time.Now().UnixNano(), State: p.s.settings.Peers, News: addr, DataCentre: p.s.settings.DataCentre, Rank: p.s.settings.Rank}
+	p.self = instanceRow{Incarnation: time.Now().UnixNano(), State: p.s.settings.Peers, Updates: addr, DataCentre: p.s.settings.DataCentre, Rank: p.s.settings.Rank}
 	return nil
 }
 
@@ -190,7 +190,7 @@
 	return nil
 }
 
-// applyRows takes the instances' rows and forgets instances without row and news.
+// applyRows takes the instances' rows and forgets instances without row and update.
 func (p *peers) applyRows(now time.Time, rows []Row) {
 	p.mu.Lock()
 	present := map[string]bool{}
@@ -210,7 +210,7 @@
 	p.mu.Unlock()
 	for _, name := range gone {
 		p.log.Info("instance.forgotten", "instance", name)
-		p.s.room.with(func(_ time.Time, s *placement.Scheduler) { s.SetRemote(name, nil) })
+		p.s.admission.with(func(_ time.Time, s *placement.Scheduler) { s.SetRemote(name, nil) })
 	}
 	p.s.budget.setFleet(len(names) + 1)
 	p.s.quotaMu.Lock()
@@ -227,7 +227,7 @@
 		p.log.Info("instance.unreadable", "instance", r.Key, "cause", err.Error())
 		return
 	}
-	addr, err := netip.ParseAddrPort(row.News)
+	addr, err := netip.ParseAddrPort(row.Updates)
 	if err != nil {
 		p.log.Info("instance.unreadable", "instance", r.Key, "cause", err.Error())
 		return
@@ -236,7 +236,7 @@
 	if x == nil {
 		x = &peer{renewed: now}
 		p.known[r.Key] = x
-		p.log.Info("instance.seen", "instance", r.Key, "addr", row.News)
+		p.log.Info("instance.seen", "instance", r.Key, "addr", row.Updates)
 	}
 	if x.row.Incarnation != row.Incarnation || x.rowVersion != r.Version {
 		x.renewed, x.rowVersion = now, r.Version
--- a/internal/gateway/peerstate.go
+++ b/internal/gateway/peerstate.go
@@ -42,7 +42,7 @@
 	}
 	rows := map[string]instanceRow{p.s.settings.Instance: p.self}
 	for name, x := range p.known {
-		if x.row.News != "" && !x.leaving {
+		if x.row.Updates != "" && !x.leaving {
 			rows[name] = x.row
 		}
 	}
@@ -63,7 +63,7 @@
 }
 
 // catchUp asks other instances for state that this one lacks: at a start without the
-// store, and when they are ahead for longer than the store's own news may take.
+// store, and when they are ahead for longer than the store's feed may take.
 func (p *peers) catchUp(ctx context.Context) error {
 	for ctx.Err() == nil {
 		pause(ctx, catchUpEvery)
@@ -84,10 +84,10 @@
 	defer p.mu.Unlock()
 	best := ""
 	for _, x := range p.known {
-		if x.news == nil || now.Sub(x.heard) > peerLife {
+		if x.update == nil || now.Sub(x.heard) > peerLife {
 			continue
 		}
-		ahead := x.news.Configuration > have.Ticket || x.news.Directory > directory
+		ahead := x.update.Configuration > have.Ticket || x.update.Directory > directory
 		if !ahead {
 			x.aheadAt = time.Time{}
 			continue
@@ -130,8 +130,8 @@
 		p.secret = st.Secret
 	}
 	for name, row := range st.Instances {
-		if news, err := netip.ParseAddrPort(row.News); err == nil && name != p.s.settings.Instance && p.known[name] == nil {
-			p.known[name] = &peer{row: row, addr: news, renewed: now}
+		if updates, err := netip.ParseAddrPort(row.Updates); err == nil && name != p.s.settings.Instance && p.known[name] == nil {
+			p.known[name] = &peer{row: row, addr: updates, renewed: now}
 		}
 	}
 	p.mu.Unlock()
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// directFleet is the largest fleet whose instances send their news to each other
+	// directFleet is the largest fleet whose instances send their updates to each other
 	// directly. In larger ones the datagrams, which grow with the square of the fleet,
 	// would take more processor time than the requests.
 	directFleet = 16
@@ -19,7 +19,7 @@
 	relayRanks  = 3                     // relays tried before any other instance
 )
 
-// candidate is an instance that may relay news.
+// candidate is an instance that may relay updates.
 type candidate struct {
 	name  string
 	rank  int // links and processors of the instance; larger is better
@@ -29,8 +29,8 @@
 }
 
 // chooseRelay returns the relay of a data centre: the strongest instance that was heard
-// lately. All choose alike while they hear alike; where they don't, news still reaches
-// everybody, since whoever is sent news passes them on.
+// lately. All choose alike while they hear alike; where they don't, updates still reach
+// everybody, since whoever is sent one passes it on.
 func chooseRelay(now time.Time, members []candidate) (candidate, bool) {
 	slices.SortFunc(members, func(a, b candidate) int {
 		if a.rank != b.rank {
@@ -49,14 +49,14 @@
 	return members[int(now.UnixNano()/int64(relaySilent))%min(relayRanks, len(members))], true
 }
 
-// relayed is news that this instance has been asked to pass on.
+// relayed is an update that this instance has been asked to pass on.
 type relayed struct {
 	instance string
 	datagram []byte
 	onward   bool // to the relays of other data centres too
 }
 
-// pass keeps news for the next batch; newer news of an instance replace older ones.
+// pass keeps an update for the next batch; a newer one of the same instance replaces it.
 func (p *peers) pass(r relayed) {
 	p.mu.Lock()
 	p.outbox[r.instance] = r
@@ -67,7 +67,7 @@
 	}
 }
 
-// relays sends batches of the news that were passed to this instance.
+// relays sends batches of the updates that were passed to this instance.
 func (p *peers) flush(now time.Time) {
 	p.mu.Lock()
 	secret := p.secret
@@ -109,7 +109,7 @@
 	}
 	d, err := gossip.EncodeBatch(b, secret)
 	if err != nil {
-		p.log.Error(err, "news.not_relayed")
+		p.log.Error(err, "update.not_relayed")
 		return
 	}
 	for _, addr := range to {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -49,18 +49,18 @@
 
 // Server is the gateway of one instance.
 type Server struct {
-	settings Settings
-	wire     Wire
-	store    Store
-	log      logr.Logger
-	stats    *stats
-	logQuota logQuota
-	state    *state
-	room     *room
-	up       *upstream
-	budget   *repeatBudget
-	reload   <-chan os.Signal
-	peers    *peers
+	settings  Settings
+	wire      Wire
+	store     Store
+	log       logr.Logger
+	stats     *stats
+	logQuota  logQuota
+	state     *state
+	admission *admission
+	up        *upstream
+	budget    *repeatBudget
+	reload    <-chan os.Signal
+	peers     *peers
 
 	quotaMu sync.Mutex
 	quota   *window.Limiter
@@ -93,14 +93,14 @@
 	}
 	g.quota = window.New(s.QuotaWindow, window.Slack{Part: s.QuotaSlackPart, Tokens: s.QuotaSlackTokens}, start)
 	seed := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	g.room = newRoom(placement.New(s.DataCentre, seed), func(ep *config.Endpoint) {
+	g.admission = newAdmission(placement.New(s.DataCentre, seed), func(ep *config.Endpoint) {
 		g.stats.ejections.Inc()
 		g.log.Info("endpoint.ejected", "endpoint", ep.Name, "addr", ep.Addr)
 	})
 	g.up = newUpstream(d.Wire, g.limitSilence)
-	g.state = newState(d.Formats, g.room, d.Log)
+	g.state = newState(d.Formats, g.admission, d.Log)
 	g.peers = newPeers(g)
-	g.room.changed = g.peers.changed
+	g.admission.changed = g.peers.changed
 	g.stats = newStats(g)
 	return g
 }
@@ -153,7 +153,7 @@
 }
 
 // scaled lengthens the time between two calls to the store with the size of the fleet,
-// so that the store gets about as many from a large one as from a small one. News of
+// so that the store gets about as many from a large one as from a small one. Update of
 // changes still arrive at once by whichever instance has a call under way.
 func (s *Server) scaled(d time.Duration) time.Duration {
 	fleet := time.Duration(max(1, s.peers.fleet()))
@@ -300,7 +300,7 @@
 }
 
 func (s *Server) quotaReserve(a *config.Account, tokens int, size window.Size) window.Decision {
-	stretch := s.room.calm()
+	stretch := s.admission.idle()
 	s.quotaMu.Lock()
 	defer s.quotaMu.Unlock()
 	return s.quota.Reserve(time.Now(), a, tokens, size, stretch)
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -36,7 +36,7 @@
 			return last
 		}
 		var lease *placement.Lease
-		x.s.room.with(func(now time.Time, s *placement.Scheduler) {
+		x.s.admission.with(func(now time.Time, s *placement.Scheduler) {
 			lease = s.Service(now, placement.Demand{Pool: x.call.Pool.Name, Exclude: x.exclude})
 		})
 		if lease == nil {
@@ -69,7 +69,7 @@
 // callOnce makes one attempt. Done is false where another endpoint may be tried.
 func (x *exchange) callOnce(ctx context.Context, l *placement.Lease) (done bool, err error) {
 	outcome := sched.Failed
-	defer func() { x.s.room.answered(l, outcome) }()
+	defer func() { x.s.admission.answered(l, outcome) }()
 	if x.call.Route.Idempotent && x.runs+1 < x.call.Route.MaxAttempts {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeoutCause(ctx, x.patience(l), errSilent)
@@ -83,7 +83,7 @@
 	}
 	defer in.close()
 	if in.HasLoad {
-		x.s.room.with(func(now time.Time, s *placement.Scheduler) { s.Reported(now, l, in.Running, in.Waiting) })
+		x.s.admission.with(func(now time.Time, s *placement.Scheduler) { s.Reported(now, l, in.Running, in.Waiting) })
 	}
 	body, err := in.readAll()
 	if err != nil {
@@ -102,7 +102,7 @@
 		return !x.repeatable(), err
 	}
 	outcome = sched.Succeeded
-	if in.Status >= 500 && x.repeatable() && time.Until(x.deadline) > x.s.room.usual(l) {
+	if in.Status >= 500 && x.repeatable() && time.Until(x.deadline) > x.s.admission.usual(l) {
 		// The failure is the endpoint's own word; another one may do better.
 		x.fallback = &whole{status: in.Status, header: in.Headers, body: body}
 		return false, errors.Newf("the endpoint answered %d", in.Status)
@@ -157,7 +157,7 @@
 // patience is how long the endpoint may take before the call goes to another one.
 func (x *exchange) patience(l *placement.Lease) time.Duration {
 	target := time.Duration(patiencePart * float64(x.call.Route.FirstToken))
-	return max(target, patienceTimes*x.s.room.usual(l))
+	return max(target, patienceTimes*x.s.admission.usual(l))
 }
 
 // whole is an answer that is sent if nothing better comes.
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -22,9 +22,9 @@
 //
 // Invariant: the version of the configuration never goes back.
 type state struct {
-	formats Formats
-	room    *room
-	log     logr.Logger
+	formats   Formats
+	admission *admission
+	log       logr.Logger
 
 	current atomic.Pointer[config.State]
 
@@ -35,8 +35,8 @@
 	lostAt    time.Time // last time that the endpoints' table could not be read
 }
 
-func newState(f Formats, r *room, log logr.Logger) *state {
-	s := &state{formats: f, room: r, log: log, directory: newDirectory()}
+func newState(f Formats, r *admission, log logr.Logger) *state {
+	s := &state{formats: f, admission: r, log: log, directory: newDirectory()}
 	s.current.Store(config.Empty())
 	return s
 }
@@ -66,7 +66,7 @@
 // swap puts a state in force and tells the scheduler. The caller holds the lock.
 func (s *state) swap(next *config.State) {
 	s.current.Store(next)
-	s.room.with(func(_ time.Time, p *placement.Scheduler) { p.SetEndpoints(next) })
+	s.admission.with(func(_ time.Time, p *placement.Scheduler) { p.SetEndpoints(next) })
 }
 
 // applyEndpoints takes rows of the endpoints' table; whole tells that they are all.
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -19,19 +19,19 @@
 type stats struct {
 	set *metrics.Set
 
-	ended     map[string]*metrics.Counter // by outcome
-	refused   map[errkind.Kind]*metrics.Counter
-	sends     *metrics.Counter
-	repeats   *metrics.Counter
-	redirects *metrics.Counter
-	noBudget  *metrics.Counter
-	ejections *metrics.Counter
-	resumes   *metrics.Counter
-	prefills  *metrics.Counter
-	unfetched *metrics.Counter
-	storeFail *metrics.Counter
-	newsBad   *metrics.Counter
-	omitted   *metrics.Counter
+	ended          map[string]*metrics.Counter // by outcome
+	refused        map[errkind.Kind]*metrics.Counter
+	sends          *metrics.Counter
+	repeats        *metrics.Counter
+	redirects      *metrics.Counter
+	noBudget       *metrics.Counter
+	ejections      *metrics.Counter
+	resumes        *metrics.Counter
+	prefills       *metrics.Counter
+	unfetched      *metrics.Counter
+	storeFail      *metrics.Counter
+	updatesRefused *metrics.Counter
+	omitted        *metrics.Counter
 
 	plain  *metrics.PrometheusHistogram
 	first  *metrics.PrometheusHistogram
@@ -51,24 +51,24 @@
 func newStats(s *Server) *stats {
 	set := metrics.NewSet()
 	m := &stats{
-		set:       set,
-		ended:     map[string]*metrics.Counter{},
-		refused:   map[errkind.Kind]*metrics.Counter{},
-		sends:     set.NewCounter("caraway_endpoint_requests_total"),
-		repeats:   set.NewCounter("caraway_repeats_total"),
-		redirects: set.NewCounter("caraway_redirects_total"),
-		noBudget:  set.NewCounter("caraway_repeats_refused_total"),
-		ejections: set.NewCounter("caraway_endpoint_ejections_total"),
-		resumes:   set.NewCounter("caraway_stream_resumes_total"),
-		prefills:  set.NewCounter("caraway_prefills_total"),
-		unfetched: set.NewCounter("caraway_prefills_unfetched_total"),
-		storeFail: set.NewCounter("caraway_store_failures_total"),
-		newsBad:   set.NewCounter("caraway_news_refused_total"),
-		omitted:   set.NewCounter("caraway_log_requests_omitted_total"),
-		plain:     set.NewPrometheusHistogramExt("caraway_plain_request_seconds", latencyBounds),
-		first:     set.NewPrometheusHistogramExt("caraway_first_event_seconds", latencyBounds),
-		pauses:    set.NewPrometheusHistogramExt("caraway_longest_pause_seconds", latencyBounds),
-		waits:     set.NewPrometheusHistogramExt("caraway_place_wait_seconds", latencyBounds),
+		set:            set,
+		ended:          map[string]*metrics.Counter{},
+		refused:        map[errkind.Kind]*metrics.Counter{},
+		sends:          set.NewCounter("caraway_endpoint_requests_total"),
+		repeats:        set.NewCounter("caraway_repeats_total"),
+		redirects:      set.NewCounter("caraway_redirects_total"),
+		noBudget:       set.NewCounter("caraway_repeats_refused_total"),
+		ejections:      set.NewCounter("caraway_endpoint_ejections_total"),
+		resumes:        set.NewCounter("caraway_stream_resumes_total"),
+		prefills:       set.NewCounter("caraway_prefills_total"),
+		unfetched:      set.NewCounter("caraway_prefills_unfetched_total"),
+		storeFail:      set.NewCounter("caraway_store_failures_total"),
+		updatesRefused: set.NewCounter("caraway_updates_refused_total"),
+		omitted:        set.NewCounter("caraway_log_requests_omitted_total"),
+		plain:          set.NewPrometheusHistogramExt("caraway_plain_request_seconds", latencyBounds),
+		first:          set.NewPrometheusHistogramExt("caraway_first_event_seconds", latencyBounds),
+		pauses:         set.NewPrometheusHistogramExt("caraway_longest_pause_seconds", latencyBounds),
+		waits:          set.NewPrometheusHistogramExt("caraway_place_wait_seconds", latencyBounds),
 	}
 	for _, o := range []string{outcomeWhole, outcomeRefused, outcomeFailed, outcomeCut, outcomeGone} {
 		m.ended[o] = set.NewCounter(`caraway_requests_total{outcome="` + o + `"}`)
@@ -80,7 +80,7 @@
 	set.NewGauge("caraway_configuration_version", func() float64 { return float64(s.state.Current().Ticket) })
 	set.NewGauge("caraway_endpoints", func() float64 { return float64(len(s.state.Current().Endpoints)) })
 	set.NewGauge("caraway_instances", func() float64 { return float64(s.peers.fleet()) })
-	set.NewGauge("caraway_waiting", func() float64 { return float64(s.room.waiting()) })
+	set.NewGauge("caraway_waiting", func() float64 { return float64(s.admission.waiting()) })
 	set.NewGauge("caraway_store_away", func() float64 {
 		if s.state.storeAway() {
 			return 1
--- a/internal/gateway/news.go
+++ b/internal/gateway/updates.go
@@ -13,9 +13,9 @@
 	"carawayrouter.example/router/internal/placement"
 )
 
-// send sends news when something changed, and from time to time.
+// send sends an update when something changed, and from time to time.
 func (p *peers) send(ctx context.Context) error {
-	timer := time.NewTimer(newsEvery)
+	timer := time.NewTimer(updateEvery)
 	defer timer.Stop()
 	for {
 		select {
@@ -25,12 +25,12 @@
 		case <-timer.C:
 		}
 		waiting, fleet := p.publish(false)
-		next := newsEvery
+		next := updateEvery
 		if waiting {
-			next = newsWaiting
+			next = updateWaiting
 		}
 		timer.Reset(next)
-		gap := newsGap
+		gap := updateGap
 		if fleet > directFleet {
 			gap = relayEvery
 		}
@@ -51,7 +51,7 @@
 	}
 }
 
-// publish sends the instance's news: to all others, or in a large fleet to the relay of
+// publish sends the instance's update to all others, or in a large fleet to the relay of
 // the data centre.
 func (p *peers) publish(leaving bool) (waiting bool, fleet int) {
 	n := p.compose()
@@ -68,7 +68,7 @@
 	}
 	b, err := gossip.Encode(n, secret)
 	if err != nil {
-		p.log.Error(err, "news.not_sent")
+		p.log.Error(err, "update.not_sent")
 		return false, fleet
 	}
 	if asRelay {
@@ -81,7 +81,7 @@
 	return len(n.Waiting) > 0, fleet
 }
 
-// receivers returns where news go, and whether this instance is the relay itself. The
+// receivers returns where an update goes, and whether this instance is the relay itself. The
 // caller holds the lock.
 func (p *peers) receivers(now time.Time, fleet int) (to []netip.AddrPort, asRelay bool) {
 	if fleet > directFleet {
@@ -100,9 +100,9 @@
 }
 
 // compose gathers what the instance holds.
-func (p *peers) compose() *gossip.News {
+func (p *peers) compose() *gossip.Update {
 	s := p.s
-	n := &gossip.News{
+	n := &gossip.Update{
 		Instance:      s.settings.Instance,
 		Incarnation:   p.self.Incarnation,
 		Up:            time.Since(p.started).Milliseconds(),
@@ -110,7 +110,7 @@
 		Configuration: s.state.Current().Ticket,
 		Directory:     s.state.directoryVersion(),
 	}
-	s.room.peek(func(now time.Time, places *placement.Scheduler, line *placement.Line) {
+	s.admission.peek(func(now time.Time, places *placement.Scheduler, queue *placement.Queue) {
 		places.Holds(func(endpoint string, reading int, runs []placement.Run) {
 			h := gossip.Hold{Endpoint: endpoint, Reading: reading}
 			for _, r := range runs {
@@ -121,7 +121,7 @@
 		places.Ejected(now, func(endpoint string, left time.Duration) {
 			n.Ejected = append(n.Ejected, gossip.Ejection{Endpoint: endpoint, Left: left.Milliseconds()})
 		})
-		for _, w := range line.Waiting() {
+		for _, w := range queue.Waiting() {
 			n.Waiting = append(n.Waiting, gossip.Waiting{
 				Pool: w.Demand.Pool, Prompt: w.Demand.Prompt, Output: w.Demand.Expect,
 				Age: gossip.Ago(now, w.Arrived), Due: -gossip.Ago(now, w.Due), Urgency: w.Urgency,
@@ -136,7 +136,7 @@
 	return n
 }
 
-// receive takes the others' news.
+// receive takes the others' updates.
 func (p *peers) receive(ctx context.Context) error {
 	buf := make([]byte, datagramBytes)
 	for {
@@ -155,8 +155,8 @@
 			continue
 		}
 		if err := p.open(bytes.Clone(buf[:size]), secret, from); err != nil {
-			p.s.stats.newsBad.Inc()
-			p.log.Info("news.refused", "from", from.String(), "cause", err.Error())
+			p.s.stats.updatesRefused.Inc()
+			p.log.Info("update.refused", "from", from.String(), "cause", err.Error())
 		}
 	}
 }
@@ -178,7 +178,7 @@
 	for _, d := range batch.Datagrams {
 		n, _, err := gossip.Open(d, secret)
 		if err != nil || n == nil {
-			return errors.Wrap(err, "relayed news")
+			return errors.Wrap(err, "relayed updates")
 		}
 		if p.take(now, n, netip.AddrPort{}, false) && batch.Onward {
 			p.pass(relayed{instance: n.Instance, datagram: d})
@@ -187,7 +187,7 @@
 	return nil
 }
 
-// large reports whether the fleet's news go through relays.
+// large reports whether the fleet's updates go through relays.
 func (p *peers) large() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -202,9 +202,9 @@
 	}
 }
 
-// take puts the news of another instance to use and reports whether they were new.
-// Direct news came from the instance itself, at address from.
-func (p *peers) take(now time.Time, n *gossip.News, from netip.AddrPort, direct bool) bool {
+// take applies an update of another instance and reports whether it was new. A direct one
+// came from the instance itself, at address from.
+func (p *peers) take(now time.Time, n *gossip.Update, from netip.AddrPort, direct bool) bool {
 	if n.Instance == p.s.settings.Instance {
 		return false
 	}
@@ -215,15 +215,15 @@
 		x = &peer{}
 		p.known[n.Instance] = x
 	}
-	if x.news != nil && !x.news.Before(n) {
+	if x.update != nil && !x.update.Before(n) {
 		p.mu.Unlock()
 		return false
 	}
-	if x.news == nil || x.news.Incarnation != n.Incarnation {
+	if x.update == nil || x.update.Incarnation != n.Incarnation {
 		p.log.Info("instance.heard", "instance", n.Instance, "incarnation", n.Incarnation)
 	}
 	joined = joined || x.leaving != n.Leaving
-	x.news, x.heard, x.leaving = n, now, n.Leaving
+	x.update, x.heard, x.leaving = n, now, n.Leaving
 	if direct {
 		x.direct, x.addr = now, from
 	}
@@ -241,12 +241,12 @@
 	}
 	p.s.quota.Heard(now, n.Instance, n.Incarnation, time.Duration(n.Up)*time.Millisecond, spent)
 	p.s.quotaMu.Unlock()
-	p.s.room.with(func(now time.Time, s *placement.Scheduler) { s.SetRemote(n.Instance, remoteOf(now, n)) })
+	p.s.admission.with(func(now time.Time, s *placement.Scheduler) { s.SetRemote(n.Instance, remoteOf(now, n)) })
 	return true
 }
 
-// remoteOf turns news into what the scheduler keeps of another instance.
-func remoteOf(now time.Time, n *gossip.News) *placement.Remote {
+// remoteOf turns an update into what the scheduler keeps of another instance.
+func remoteOf(now time.Time, n *gossip.Update) *placement.Remote {
 	r := &placement.Remote{Heard: now, Runs: map[string][]placement.Run{}, Reading: map[string]int{}}
 	ago := func(ms int64) time.Time { return now.Add(-time.Duration(ms) * time.Millisecond) }
 	for _, h := range n.Holds {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -17,8 +17,8 @@
 
 const macBytes = 16 // of the truncated signature
 
-// News is what one instance tells the others.
-type News struct {
+// Update is what one instance tells the others.
+type Update struct {
 	_ struct{} `cbor:",toarray"`
 
 	Instance    string
@@ -81,39 +81,39 @@
 	Urgency        int
 }
 
-// Batch carries the news of several instances as their datagrams came. A relay sends it
+// Batch carries the updates of several instances as their datagrams came. A relay sends it
 // to the instances of its data centre, and, with Onward, to the relays of the others.
 type Batch struct {
 	_ struct{} `cbor:",toarray"`
 
 	Relay     string // name of the instance that sends the batch
-	Onward    bool   // the receiver passes the news on in its own data centre
+	Onward    bool   // the receiver passes the updates on in its own data centre
 	Datagrams [][]byte
 }
 
 // Kinds of datagrams, in their first byte.
 const (
-	kindNews  = 'n'
-	kindBatch = 'b'
+	kindUpdate = 'n'
+	kindBatch  = 'b'
 )
 
 // EncodeBatch returns the datagram of b, signed with the fleet's secret.
 func EncodeBatch(b *Batch, secret []byte) ([]byte, error) { return seal(kindBatch, b, secret) }
 
-// Open checks a datagram and reads what it carries: news or a batch.
-func Open(b, secret []byte) (*News, *Batch, error) {
+// Open checks a datagram and reads what it carries: an update or a batch.
+func Open(b, secret []byte) (*Update, *Batch, error) {
 	body, err := verify(b, secret)
 	if err != nil {
 		return nil, nil, err
 	}
 	switch body[0] {
-	case kindNews:
-		var n News
+	case kindUpdate:
+		var n Update
 		if err := cbor.Unmarshal(body[1:], &n); err != nil {
-			return nil, nil, errors.Wrap(err, "decode news")
+			return nil, nil, errors.Wrap(err, "decode update")
 		}
 		if n.Instance == "" {
-			return nil, nil, errors.New("news without an instance")
+			return nil, nil, errors.New("update without an instance")
 		}
 		return &n, nil, nil
 	case kindBatch:
@@ -152,7 +152,7 @@
 }
 
 // Before reports whether n is older than o, of the same instance.
-func (n *News) Before(o *News) bool {
+func (n *Update) Before(o *Update) bool {
 	if n.Incarnation != o.Incarnation {
 		return n.Incarnation < o.Incarnation
 	}
@@ -160,7 +160,7 @@
 }
 
 // Encode returns the datagram of n, signed with the fleet's secret.
-func Encode(n *News, secret []byte) ([]byte, error) { return seal(kindNews, n, secret) }
+func Encode(n *Update, secret []byte) ([]byte, error) { return seal(kindUpdate, n, secret) }
 
 // ErrForged means that a datagram was not signed with the fleet's secret.
 var ErrForged = errors.New("datagram is not of this fleet")
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -6,8 +6,8 @@
 	"gotest.tools/v3/assert"
 )
 
-func sample() *News {
-	return &News{
+func sample() *Update {
+	return &Update{
 		Instance: "north-1", Incarnation: 7, Sequence: 3, Up: 100, Address: "10.0.0.1:1",
 		Holds:   []Hold{{Endpoint: "i-1", Reading: 5000, Runs: []Run{{Prompt: 5000, Output: 4000, Done: 72, Age: -20}}}},
 		Spent:   []Spending{{Account: "paper", Tokens: 9}},
--- a/internal/limit/window/window.go
+++ b/internal/limit/window/window.go
@@ -1,6 +1,6 @@
 // Package window limits the tokens of client accounts over a sliding window and all
 // instances. Every instance decides alone: it knows its own spending exactly and that of
-// the others from their last news. It is free of sockets; the time is an argument.
+// the others from their last updates. It is free of sockets; the time is an argument.
 package window
 
 import (
@@ -12,7 +12,7 @@
 const (
 	slotsPerWindow = 32                     // resolution of the window
 	transitMargin  = 300 * time.Millisecond // between a decision here and the arrival at an endpoint
-	// peerSilence is how old the last news of another instance may be. Beyond it the
+	// peerSilence is how old the last updates of another instance may be. Beyond it the
 	// instance is taken to spend its equal share, so that the parts of a fleet that do
 	// not hear each other stay within the limit together.
 	peerSilence = 1500 * time.Millisecond
@@ -91,7 +91,7 @@
 	Silent     int           // other instances whose share is assumed
 }
 
-// Parts of the slack that are used. The rest covers news that are late.
+// Parts of the slack that are used. The rest covers updates that are late.
 const (
 	slackPartUsed   = 0.7
 	slackTokensUsed = 0.4
--- a/internal/placement/peers.go
+++ b/internal/placement/peers.go
@@ -14,7 +14,7 @@
 	Avoid   map[string]time.Time // until when it has set endpoints aside
 }
 
-// silence is how old the news of another instance may be for its prefills to count.
+// silence is how old the updates of another instance may be for its prefills to count.
 // Its runs count on to their expected end: engines go on with them when the instance
 // is cut off from the others.
 const silence = time.Second
--- a/internal/placement/line.go
+++ b/internal/placement/queue.go
@@ -34,24 +34,24 @@
 	Lease  *Lease
 }
 
-// Line is the order of those that wait. It answers bursts above what the engines can
-// serve: first come, first served would make every answer late once the line is longer
+// Queue is the order of those that wait. It answers bursts above what the engines can
+// serve: first come, first served would make every answer late once the queue is longer
 // than the latency target, so whoever can still be on time goes before whoever cannot.
 // It is not safe for concurrent use.
-type Line struct {
+type Queue struct {
 	waiting []*Waiter
 }
 
 // Len returns the number of waiters.
-func (l *Line) Len() int { return len(l.waiting) }
+func (q *Queue) Len() int { return len(q.waiting) }
 
 // Push adds a waiter.
-func (l *Line) Push(w *Waiter) { l.waiting = append(l.waiting, w) }
+func (q *Queue) Push(w *Waiter) { q.waiting = append(q.waiting, w) }
 
 // Remove takes a waiter out.
-func (l *Line) Remove(w *Waiter) {
-	if i := slices.Index(l.waiting, w); i >= 0 {
-		l.waiting = slices.Delete(l.waiting, i, i+1)
+func (q *Queue) Remove(w *Waiter) {
+	if i := slices.Index(q.waiting, w); i >= 0 {
+		q.waiting = slices.Delete(q.waiting, i, i+1)
 	}
 }
 
@@ -72,8 +72,8 @@
 
 // Serve places those that fit, in order. Those that wait at other instances have their
 // turn too: what they would take is kept free for them.
-func (l *Line) Serve(now time.Time, s *Scheduler) []Grant {
-	if len(l.waiting) == 0 {
+func (q *Queue) Serve(now time.Time, s *Scheduler) []Grant {
+	if len(q.waiting) == 0 {
 		return nil
 	}
 	var out []Grant
@@ -82,10 +82,10 @@
 	blocked := map[string]bool{}
 	failed := 0
 	own := map[*Waiter]bool{}
-	for _, w := range l.waiting {
+	for _, w := range q.waiting {
 		own[w] = true
 	}
-	for _, w := range l.turns(now, s) {
+	for _, w := range q.ordered(now, s) {
 		if !blocked[w.Demand.Pool] {
 			lease := s.Engine(now, w.Demand)
 			switch {
@@ -106,13 +106,13 @@
 	for _, lease := range keptFree {
 		s.Release(now, lease, sched.Abandoned)
 	}
-	l.waiting = kept
+	q.waiting = kept
 	return out
 }
 
-// turns returns all that wait here and at other instances, in order.
-func (l *Line) turns(now time.Time, s *Scheduler) []*Waiter {
-	all := slices.Clone(l.waiting)
+// ordered returns all that wait here and at other instances, in order.
+func (q *Queue) ordered(now time.Time, s *Scheduler) []*Waiter {
+	all := slices.Clone(q.waiting)
 	for _, r := range s.remotes {
 		if now.Sub(r.Heard) <= waitingLife {
 			all = append(all, r.Waiting...)
@@ -122,22 +122,22 @@
 	return all
 }
 
-// Calm reports whether nobody waits, here or at another instance.
-func (l *Line) Calm(now time.Time, s *Scheduler) bool {
+// Idle reports whether nobody waits, here or at another instance.
+func (q *Queue) Idle(now time.Time, s *Scheduler) bool {
 	for _, r := range s.remotes {
 		if len(r.Waiting) > 0 && now.Sub(r.Heard) <= waitingLife {
 			return false
 		}
 	}
-	return len(l.waiting) == 0
+	return len(q.waiting) == 0
 }
 
 // Waiting returns those that wait here.
-func (l *Line) Waiting() []*Waiter { return l.waiting }
+func (q *Queue) Waiting() []*Waiter { return q.waiting }
 
 // Predict estimates how long w would wait: the memory and time of those before it over
 // the memory of the usable engines.
-func (l *Line) Predict(now time.Time, s *Scheduler, w *Waiter) time.Duration {
+func (q *Queue) Predict(now time.Time, s *Scheduler, w *Waiter) time.Duration {
 	work, capacity := 0.0, 0.0
 	step := defaultStep
 	for _, x := range s.pools[w.Demand.Pool] {
@@ -149,7 +149,7 @@
 	if capacity == 0 {
 		return time.Second
 	}
-	for _, o := range l.turns(now, s) {
+	for _, o := range q.ordered(now, s) {
 		if o != w && o.Demand.Pool == w.Demand.Pool && before(now, o, w) <= 0 {
 			work += area(o.Demand, step)
 		}
@@ -161,5 +161,5 @@
 // area returns the memory of a run over its time, in tokens times seconds.
 func area(d Demand, step time.Duration) float64 {
 	output := float64(d.expected())
-	return (float64(d.Prompt+d.Made) + output/2) * output * step.Seconds()
+	return (float64(d.Prompt+d.Generated) + output/2) * output * step.Seconds()
 }
--- a/internal/placement/line_test.go
+++ b/internal/placement/queue_test.go
@@ -38,7 +38,7 @@
 // late, and not at all.
 func replay(t *testing.T, arrivals []burst, due func(arrived time.Time) time.Time) (onTime, late, refused int) {
 	s := newScheduler(7, engines(2, 2, 40000))
-	var line Line
+	var queue Queue
 	ends := map[*Lease]time.Time{}
 	granted := func(now time.Time, w *Waiter, l *Lease) {
 		s.PrefillDone(now, l, sched.Succeeded)
@@ -50,7 +50,7 @@
 		}
 	}
 	i := 0
-	for now := start; i < len(arrivals) || line.Len() > 0; now = now.Add(tickTime) {
+	for now := start; i < len(arrivals) || queue.Len() > 0; now = now.Add(tickTime) {
 		for l, end := range ends {
 			if !now.Before(end) {
 				s.Release(now, l, sched.Succeeded)
@@ -59,14 +59,14 @@
 		}
 		for ; i < len(arrivals) && !start.Add(arrivals[i].at).After(now); i++ {
 			a := arrivals[i]
-			line.Push(&Waiter{Demand: demand(a.prompt, a.output), Arrived: now, Due: due(now), Latest: now.Add(patient)})
+			queue.Push(&Waiter{Demand: demand(a.prompt, a.output), Arrived: now, Due: due(now), Latest: now.Add(patient)})
 		}
-		for _, g := range line.Serve(now, s) {
+		for _, g := range queue.Serve(now, s) {
 			granted(now, g.Waiter, g.Lease)
 		}
-		for _, w := range append([]*Waiter{}, line.Waiting()...) {
+		for _, w := range append([]*Waiter{}, queue.Waiting()...) {
 			if now.After(w.Latest) {
-				line.Remove(w)
+				queue.Remove(w)
 				refused++
 			}
 		}
@@ -91,10 +91,10 @@
 	s := newScheduler(1, engines(1, 1, 10000))
 	first := &Waiter{Demand: demand(5000, 2000), Arrived: start, Due: start.Add(goal)}
 	s.SetRemote("other", &Remote{Heard: start, Waiting: []*Waiter{first}})
-	var line Line
-	line.Push(&Waiter{Demand: demand(5000, 2000), Arrived: start.Add(tickTime), Due: start.Add(goal + tickTime), Latest: start.Add(patient)})
-	assert.Equal(t, len(line.Serve(start.Add(tickTime), s)), 0)
-	assert.Equal(t, len(line.Serve(start.Add(waitingLife+tickTime), s)), 1, "the word of the other instance has aged")
+	var queue Queue
+	queue.Push(&Waiter{Demand: demand(5000, 2000), Arrived: start.Add(tickTime), Due: start.Add(goal + tickTime), Latest: start.Add(patient)})
+	assert.Equal(t, len(queue.Serve(start.Add(tickTime), s)), 0)
+	assert.Equal(t, len(queue.Serve(start.Add(waitingLife+tickTime), s)), 1, "the word of the other instance has aged")
 }
 
 // A large request is not passed by small ones for ever.
@@ -102,29 +102,29 @@
 	s := newScheduler(1, engines(1, 1, 12000))
 	held := s.Engine(start, demand(5000, 1000))
 	s.PrefillDone(start, held, sched.Succeeded)
-	var line Line
+	var queue Queue
 	large := &Waiter{Demand: demand(9000, 1000), Arrived: start, Due: start.Add(goal), Latest: start.Add(patient)}
-	line.Push(large)
+	queue.Push(large)
 	now := start.Add(patience + tickTime)
 	for i := range 5 {
-		line.Push(&Waiter{Demand: demand(500, 100), Arrived: start.Add(time.Duration(i+1) * tickTime), Due: start.Add(goal), Latest: start.Add(patient)})
+		queue.Push(&Waiter{Demand: demand(500, 100), Arrived: start.Add(time.Duration(i+1) * tickTime), Due: start.Add(goal), Latest: start.Add(patient)})
 	}
-	assert.Equal(t, len(line.Serve(now, s)), 0, "small ones wait behind the large one once its patience is over")
+	assert.Equal(t, len(queue.Serve(now, s)), 0, "small ones wait behind the large one once its patience is over")
 	s.Release(now, held, sched.Succeeded)
-	granted := line.Serve(now, s)
+	granted := queue.Serve(now, s)
 	assert.Assert(t, len(granted) > 0 && granted[0].Waiter == large)
 }
 
 // The predicted wait grows with those before, and is what a refused caller is told.
-func TestPredictGrowsWithTheLine(t *testing.T) {
+func TestPredictGrowsWithTheQueue(t *testing.T) {
 	s := newScheduler(1, engines(1, 1, 40000))
-	var line Line
+	var queue Queue
 	last := time.Duration(0)
 	for range 5 {
 		w := &Waiter{Demand: demand(5000, 5000), Arrived: start, Due: start.Add(goal)}
-		d := line.Predict(start, s, w)
+		d := queue.Predict(start, s, w)
 		assert.Assert(t, d > last)
 		last = d
-		line.Push(w)
+		queue.Push(w)
 	}
 }
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -17,12 +17,12 @@
 
 // Demand is a request that needs endpoints.
 type Demand struct {
-	Pool    string
-	Prompt  int // tokens
-	Output  int // tokens at the most
-	Expect  int // tokens that are expected, 0 where nothing is known
-	Made    int // output tokens made before, by an engine that broke off
-	Exclude []string
+	Pool      string
+	Prompt    int // tokens
+	Output    int // tokens at the most
+	Expect    int // tokens that are expected, 0 where nothing is known
+	Generated int // output tokens made before, by an engine that broke off
+	Exclude   []string
 }
 
 // expected returns the output to plan with, without what was made before.
@@ -31,7 +31,7 @@
 	if d.Expect > 0 && d.Expect < d.Output {
 		output = d.Expect
 	}
-	return max(output-d.Made, d.Made/overrunPart, 1)
+	return max(output-d.Generated, d.Generated/overrunPart, 1)
 }
 
 // Lease is the right to use endpoints for one request. Its methods belong to the
@@ -43,7 +43,7 @@
 	prefill, target *target
 	run             Run
 	limit           int // output tokens at the most
-	catchUp         int // output tokens made before that the decode engine has yet to read
+	replay          int // output tokens made before that the decode engine has yet to read
 	granted         time.Time
 	reading         int // prompt tokens still to be read
 	queued          int // prompt tokens that the prefill engine had to read at the grant, own ones included
@@ -111,14 +111,14 @@
 	if p != nil {
 		start = now.Add(p.backlog(now) + time.Duration(d.Prompt)*p.perRead)
 	}
-	run := Run{Prompt: d.Prompt + d.Made, Output: d.expected(), At: start}
+	run := Run{Prompt: d.Prompt + d.Generated, Output: d.expected(), At: start}
 	t := s.chooseDecode(now, d, run)
 	if t == nil {
 		return nil
 	}
-	l := &Lease{Target: t.ep, target: t, run: run, limit: max(1, d.Output-d.Made), catchUp: d.Made, granted: now}
+	l := &Lease{Target: t.ep, target: t, run: run, limit: max(1, d.Output-d.Generated), replay: d.Generated, granted: now}
 	t.runs[l] = struct{}{}
-	t.reading += d.Made
+	t.reading += d.Generated
 	if p != nil {
 		l.Prefill, l.prefill, l.reading = p.ep, p, d.Prompt
 		p.reading += d.Prompt
@@ -159,7 +159,7 @@
 		if x.ep.Role != config.Decode || x.spec == nil || !x.open(now) || slices.Contains(d.Exclude, x.ep.Name) {
 			continue
 		}
-		if d.Made > 0 && x.reading+x.remoteReading(now) > 0 {
+		if d.Generated > 0 && x.reading+x.remoteReading(now) > 0 {
 			// What was made before is not in the prefill's result: the decode engine
 			// reads it between the tokens of its other streams. When an engine with many
 			// streams breaks off, all read at once would make every stream late.
@@ -278,8 +278,8 @@
 		old.runs[l] = struct{}{}
 		return false, ejected
 	}
-	old.reading -= l.catchUp
-	t.reading += l.catchUp
+	old.reading -= l.replay
+	t.reading += l.replay
 	l.target, l.Target = t, t.ep
 	t.runs[l] = struct{}{}
 	return true, ejected
@@ -297,8 +297,8 @@
 // Progress records that the run has made the given number of tokens.
 func (s *Scheduler) Progress(now time.Time, l *Lease, tokens int) {
 	x := l.target
-	x.reading -= l.catchUp
-	l.catchUp = 0
+	x.reading -= l.replay
+	l.replay = 0
 	if l.run.Done > 0 && tokens > l.run.Done {
 		x.step = average(x.step, now.Sub(l.run.At)/time.Duration(tokens-l.run.Done))
 	}
@@ -322,7 +322,7 @@
 		s.PrefillDone(now, l, sched.Abandoned)
 	}
 	x := l.target
-	x.reading -= l.catchUp
+	x.reading -= l.replay
 	if _, ok := x.runs[l]; ok {
 		delete(x.runs, l)
 	} else {
--- a/internal/placement/scheduler_test.go
+++ b/internal/placement/scheduler_test.go
@@ -112,7 +112,7 @@
 func TestBrokenStreamsAreTakenUpOneByOne(t *testing.T) {
 	s := newScheduler(1, engines(2, 2, 100000))
 	broken := demand(4000, 5000)
-	broken.Made = 3000
+	broken.Generated = 3000
 	first, second := s.Engine(start, broken), s.Engine(start, broken)
 	assert.Assert(t, first != nil && second != nil && first.Target != second.Target)
 	assert.Assert(t, s.Engine(start, broken) == nil)
