front: a drain leaves kept connections open for a while

Cause of the one failure of fleet.TestPromisesUnderFaults/instance_drained: once nothing ran, the drain closed the callers' idle connections, and a request already on its way was reset. Ruled out: a request cut while it ran (the counter of running requests was 0). Change: for a second after the last request, requests on kept connections are refused with 'not run' and close their connection.

--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -29,6 +29,7 @@
 	earlyStream     = 10 * time.Second       // wait after which a stream starts without a token
 	keepAliveEvery  = 5 * time.Second
 	drainPoll       = 20 * time.Millisecond
+	keptLinger      = time.Second // callers that keep a connection busy send at least once in it
 	maxHeaderBytes  = 16 << 10
 	shutdownTimeout = 5 * time.Second
 )
@@ -94,12 +95,23 @@
 }
 
 // Drain refuses new requests and waits until the running ones have ended or ctx
-// ends. It returns the number of requests still running.
+// ends. It returns the number of requests still running. Connections that callers keep
+// are then left open for a while: each request on them is refused and closes its
+// connection, whereas a close of ours could meet a request on its way and reset it.
 func (s *Server) Drain(ctx context.Context) int {
 	s.draining.Store(true)
+	var idleSince time.Time
 	for {
 		running := int(s.o.Metrics.Running.Value())
-		if running == 0 || ctx.Err() != nil {
+		now := s.o.Clock.Now()
+		switch {
+		case running > 0:
+			idleSince = time.Time{}
+		case idleSince.IsZero():
+			idleSince = now
+		}
+		idle := running == 0 && (s.http.GetOpenConnectionsCount() <= 0 || now.Sub(idleSince) >= keptLinger)
+		if idle || ctx.Err() != nil {
 			return running
 		}
 		select {
