--- a/check.sh
+++ b/check.sh
@@ -27,5 +27,17 @@
 	spec/check.sh
 fi
 
+# Each entry of KNOWN-RED.txt starts with a test's name and package; its other lines are
+# indented. These tests run by themselves, and their result decides nothing.
 step tests
-go test -race -timeout 10m ./...
+red=$(awk '/^Test/ { printf "%s^%s$", sep, $1; sep = "|" }' KNOWN-RED.txt)
+if [ -z "$red" ]; then
+	go test -race -timeout 10m ./...
+	exit
+fi
+go test -race -timeout 10m -skip "$red" ./...
+step "known to fail at times (KNOWN-RED.txt)"
+cat KNOWN-RED.txt
+awk '/^Test/ { print $1, $2 }' KNOWN-RED.txt | while read -r name package; do
+	go test -race -timeout 5m -run "^$name\$" "$package" || printf 'known red: %s\n' "$name"
+done
