gateway: remove dead state; share the look at a socket with front

A newcomer's reading of the diff found: a flag, a setting and a send option that nothing reads or sets (upConn.used, LongestRetry, Urgency, always -1); a threshold constant of 1; the outcome of a refused request worked out twice; the peek at a socket that front had already. Now tcp.Peek serves both. No test changed.

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -80,24 +80,7 @@
 // that wait to be read do not count.
 func (c *conn) gone() bool {
 	sc, ok := socket(c.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return true
-	}
-	closed := false
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		switch {
-		case err == syscall.EAGAIN || err == syscall.EINTR:
-		case err != nil || n == 0:
-			closed = true
-		}
-	})
-	return closed || err != nil
+	return ok && tcp.Peek(sc) == tcp.Closed
 }
 
 // socket returns the socket below wrapped connections.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -35,8 +35,7 @@
 	// What the fleet's sum may lie above an account's limit.
 	QuotaSlackPart   float64 // of the limit
 	QuotaSlackTokens float64
-	NewFleet         bool          // the whole deployment starts for the first time
-	LongestRetry     time.Duration // longest time that callers are told to wait
+	NewFleet         bool // the whole deployment starts for the first time
 }
 
 // Call is a caller's request, its headers decoded.
@@ -73,7 +72,6 @@
 	PrefillOnly bool
 	Source      string // address and handle of a prefill result
 	LastEvent   string // id of the event to go on after
-	Urgency     int    // 0 is served first; below 0 not sent
 }
 
 // AnswerInfo is what the headers of an endpoint's answer say.
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -179,7 +179,7 @@
 	pctx, cancel := context.WithTimeoutCause(ctx, limit, errSilent)
 	defer cancel()
 	before := x.sends
-	in, err := x.send(pctx, p.Addr, SendOptions{Endpoint: p.Name, PrefillOnly: true, Urgency: -1})
+	in, err := x.send(pctx, p.Addr, SendOptions{Endpoint: p.Name, PrefillOnly: true})
 	if err != nil {
 		if ctx.Err() != nil {
 			outcome = sched.Abandoned
@@ -219,7 +219,7 @@
 	defer cancel(nil)
 	silence := time.AfterFunc(x.callerLeaves(), func() { cancel(errSilent) })
 	defer silence.Stop()
-	in, err := x.send(sctx, l.Target.Addr, SendOptions{Endpoint: l.Target.Name, Source: source, LastEvent: x.lastEvent, Urgency: -1})
+	in, err := x.send(sctx, l.Target.Addr, SendOptions{Endpoint: l.Target.Name, Source: source, LastEvent: x.lastEvent})
 	if err != nil {
 		if errors.Is(err, endpoint.ErrNotSent) {
 			return true, ctx.Err() != nil, outcomeOf(ctx, err), err
@@ -230,11 +230,7 @@
 	defer in.close()
 	if in.NotRun {
 		_, _ = in.readAll()
-		o := sched.Full
-		if in.Other {
-			o = sched.Failed
-		}
-		return true, false, o, refusal(errkind.QueueFull, "the engine refused the request", endpointWait)
+		return true, false, refusedOutcome(in), refusal(errkind.QueueFull, "the engine refused the request", endpointWait)
 	}
 	x.runs, x.fetched = x.runs+1, true
 	if err := trusted(in); err != nil {
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -76,7 +76,7 @@
 		defer cancel()
 	}
 	x.target = l.Target.Name
-	in, err := x.send(ctx, l.Target.Addr, SendOptions{Endpoint: l.Target.Name, Urgency: -1})
+	in, err := x.send(ctx, l.Target.Addr, SendOptions{Endpoint: l.Target.Name})
 	if err != nil {
 		outcome = outcomeOf(ctx, err)
 		return x.failed(err), err
@@ -91,10 +91,7 @@
 		return !x.repeatable(), err
 	}
 	if in.NotRun {
-		outcome = sched.Full
-		if in.Other {
-			outcome = sched.Failed
-		}
+		outcome = refusedOutcome(in)
 		return false, refusal(errkind.NoEndpoint, "the endpoint refused the request", endpointWait)
 	}
 	x.runs++
@@ -124,6 +121,15 @@
 	return nil
 }
 
+// refusedOutcome says what a request that was not run tells of the endpoint: it has no
+// room, or another endpoint has its address.
+func refusedOutcome(in *incoming) sched.Outcome {
+	if in.Other {
+		return sched.Failed
+	}
+	return sched.Full
+}
+
 // send sends the request once and counts it.
 func (x *exchange) send(ctx context.Context, addr string, o SendOptions) (*incoming, error) {
 	o.Account, o.Deadline = x.account(), x.deadline
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"carawayrouter.example/router/internal/endpoint"
+	"carawayrouter.example/router/internal/tcp"
 )
 
 const (
@@ -44,7 +45,6 @@
 	br    *bufio.Reader
 	since time.Time     // idle since
 	ttl   time.Duration // life while idle
-	used  bool          // has carried a request before
 }
 
 func newUpstream(w Wire, opened func(net.Conn)) *upstream {
@@ -100,7 +100,7 @@
 
 // put keeps a connection whose last answer was read to its end.
 func (u *upstream) put(c *upConn) {
-	c.since, c.used = time.Now(), true
+	c.since = time.Now()
 	_ = c.SetDeadline(time.Time{})
 	u.mu.Lock()
 	list := u.idle[c.addr]
@@ -147,20 +147,7 @@
 		return true
 	}
 	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return true
-	}
-	quiet := false
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = err == syscall.EAGAIN || err == syscall.EINTR
-	})
-	return err != nil || !quiet
+	return ok && tcp.Peek(sc) != tcp.Quiet
 }
 
 // outgoing is one request to an endpoint.
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -12,12 +12,11 @@
 const (
 	// feedWait is how long one call waits for changes. A connection that went silent is
 	// found after it, within the time that a new configuration may take.
-	feedWait    = 2 * time.Second
-	probeWait   = 200 * time.Millisecond // after a failure, so that a store that is back shows soon
-	retryLeast  = 80 * time.Millisecond
-	retryMost   = 700 * time.Millisecond // a store that returns is in use well within its entries' return
-	expirePoll  = 250 * time.Millisecond
-	failsToLost = 1
+	feedWait   = 2 * time.Second
+	probeWait  = 200 * time.Millisecond // after a failure, so that a store that is back shows soon
+	retryLeast = 80 * time.Millisecond
+	retryMost  = 700 * time.Millisecond // a store that returns is in use well within its entries' return
+	expirePoll = 250 * time.Millisecond
 )
 
 // watcher follows one table of the store. Each change is passed to apply, in order.
@@ -51,7 +50,7 @@
 			rows, version, err = w.store.Changes(ctx, w.table, after, wait)
 		}
 		if err == nil {
-			if failures >= failsToLost {
+			if failures > 0 {
 				w.log.Info("store.regained", "table", w.table.String(), "failures", failures)
 			}
 			failures, known, after = 0, true, version
@@ -71,7 +70,7 @@
 			known = false
 			continue
 		}
-		if failures++; failures == failsToLost {
+		if failures++; failures == 1 {
 			w.log.Info("store.lost", "table", w.table.String(), "cause", err.Error())
 		}
 		if w.lost != nil {
--- a/internal/tcp/tcp.go
+++ b/internal/tcp/tcp.go
@@ -1,4 +1,4 @@
-// Package tcp sets options of TCP sockets that the standard library lacks.
+// Package tcp does with TCP sockets what the standard library lacks.
 package tcp
 
 import (
@@ -24,3 +24,36 @@
 	}
 	return inner
 }
+
+// State is what the other end of a connection has done since the last read.
+type State int
+
+// The states.
+const (
+	Quiet  State = iota // nothing
+	Sent                // bytes wait to be read
+	Closed              // its side is closed, or the connection is broken
+)
+
+// Peek looks at a connection without reading from it.
+func Peek(c syscall.Conn) State {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return Closed
+	}
+	state := Closed
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case err == syscall.EAGAIN || err == syscall.EINTR:
+			state = Quiet
+		case err == nil && n > 0:
+			state = Sent
+		}
+	})
+	if err != nil {
+		return Closed
+	}
+	return state
+}
