Quotas: the slack serves requests above an account's limit, after all others

The slack was used only while nobody waited, which a flood never leaves. Change: the slack is always used; a request within it waits behind every request within its account's limit, so that only room that others leave serves it.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -200,13 +200,6 @@
 	a.lengthsOf(c.Pool.Name).Observe(output, c.Hint)
 }
 
-// idle reports whether nobody waits, here or at another instance.
-func (a *admission) idle() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.queue.Idle(a.now(), a.sched)
-}
-
 // redirect moves a generation to another decode engine.
 func (a *admission) redirect(l *placement.Lease, d placement.Demand, o sched.Outcome) (moved bool) {
 	from := l.Target
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -61,7 +61,8 @@
 	Route   *config.Route
 	Account *config.Account
 	Pool    *config.Pool
-	Tokens  int // charged to the account
+	Tokens  int  // charged to the account
+	Beyond  bool // the account is above its limit, within the slack
 }
 
 // SendOptions are the parts of an endpoint's request that the router decides.
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -152,7 +152,9 @@
 	if c.Sized {
 		c.Tokens, size = c.Prompt+c.Output, window.Large
 	}
-	if d := x.s.quotaReserve(c.Account, c.Tokens, size); !d.Allowed {
+	d := x.s.quotaReserve(c.Account, c.Tokens, size)
+	c.Beyond = d.Beyond
+	if !d.Allowed {
 		x.decision("over_rate", "account", c.Account.Name, "tokens", c.Tokens, "limit", int(d.Limit), "own", d.Own, "others", int(d.Others), "silent", d.Silent, "retry_after_ms", d.RetryAfter.Milliseconds())
 		return refusal(errkind.OverRate, "the account is above its rate", d.RetryAfter)
 	}
@@ -176,12 +178,18 @@
 	return x.s.budget.spend(now, x.call.Pool.Name)
 }
 
+// beyondRank puts a request above its account's limit after all that are within theirs.
+const beyondRank = 1000
+
 // urgency is the rank of the request: the account's goes before the route's.
 func (x *exchange) urgency() int {
 	rank := x.call.Route.Priority
 	if x.call.Account != nil {
 		rank += 10 * x.call.Account.Priority
 	}
+	if x.call.Beyond {
+		rank += beyondRank
+	}
 	return rank
 }
 
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -300,10 +300,9 @@
 }
 
 func (s *Server) quotaReserve(a *config.Account, tokens int, size window.Size) window.Decision {
-	stretch := s.admission.idle()
 	s.quotaMu.Lock()
 	defer s.quotaMu.Unlock()
-	return s.quota.Reserve(time.Now(), a, tokens, size, stretch)
+	return s.quota.Reserve(time.Now(), a, tokens, size)
 }
 
 func (s *Server) quotaReturn(account string, tokens int) {
--- a/internal/limit/window/window.go
+++ b/internal/limit/window/window.go
@@ -84,6 +84,7 @@
 // Decision is the outcome of one reservation and what decided it, in tokens.
 type Decision struct {
 	Allowed    bool
+	Beyond     bool          // allowed above the limit, within the slack
 	RetryAfter time.Duration // when the request would fit, if it was not allowed
 	Limit      float64       // of the window
 	Own        int           // spent here
@@ -110,9 +111,12 @@
 // none of the account's lookups, which take a few hundredths of its tokens.
 const smallPart = 0.06
 
-// Reserve charges tokens to the account if its limit allows. Stretch allows the slack
-// too: a burst is better served than refused while nobody else waits.
-func (l *Limiter) Reserve(now time.Time, a *config.Account, tokens int, size Size, stretch bool) Decision {
+// Reserve charges tokens to the account if its limit and the slack allow.
+//
+// It answers an account that sends several times its usual: once the window is full, all
+// that it asks for is refused until its first burst leaves the window. What the slack
+// holds is served meanwhile, after the requests that are within their limits.
+func (l *Limiter) Reserve(now time.Time, a *config.Account, tokens int, size Size) Decision {
 	if a.Rate <= 0 {
 		return Decision{Allowed: true}
 	}
@@ -127,17 +131,15 @@
 	share := limit / float64(len(l.peers)+1)
 	d.Others, d.Silent = l.others(now, a.Name, share)
 	d.Others += l.unknown(now, share)
-	if stretch {
-		heard := float64(len(l.peers)+1-d.Silent) / float64(len(l.peers)+1)
-		d.Limit += heard * (slackPartUsed*l.slack.Part*limit + slackTokensUsed*l.slack.Tokens)
-	}
+	heard := float64(len(l.peers)+1-d.Silent) / float64(len(l.peers)+1)
+	d.Limit += heard * (slackPartUsed*l.slack.Part*limit + slackTokensUsed*l.slack.Tokens)
 	if size == Large {
 		d.Limit -= min(smallPart*limit, max(0, limit-float64(tokens)))
 	}
 	missing := float64(tokens+d.Own) + d.Others - d.Limit
 	if missing <= 0 {
+		d.Allowed, d.Beyond = true, float64(tokens+d.Own)+d.Others > limit
 		l.add(now, s, tokens)
-		d.Allowed = true
 		return d
 	}
 	d.RetryAfter = max(lowestWait, time.Duration(missing/a.Rate*float64(time.Second)))
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -122,16 +122,6 @@
 	return all
 }
 
-// Idle reports whether nobody waits, here or at another instance.
-func (q *Queue) Idle(now time.Time, s *Scheduler) bool {
-	for _, r := range s.remotes {
-		if len(r.Waiting) > 0 && now.Sub(r.Heard) <= waitingLife {
-			return false
-		}
-	}
-	return len(q.waiting) == 0
-}
-
 // Waiting returns those that wait here.
 func (q *Queue) Waiting() []*Waiter { return q.waiting }
 
