Endpoints out of reach wait for a connection; a cut-off instance leaves the rotation

Ruled out: shorter ejections (each costs a request a connection time-out); probes by requests (the same). Change: an endpoint that no connection could be made to is set aside until a connection of the instance's own succeeds, tried every 0.3 s. Where all endpoints of a service fail but can be reached, they are tried all the same. An instance that reaches no endpoint of a pool and hears less than half of the others is not ready, so that the balancer sends callers to instances that can serve them. Connection time-out 250 ms. Tests: TestUnreachableEndpointWaitsForAConnection, TestFailingEndpointsAreTried..., TestCutOff, TestProbeFindsEndpointsThatAreBack, TestInstanceStaysReadyWhenAServiceIsDown.

--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -214,7 +214,7 @@
 // begin buffers status line and headers.
 func (r *reply) begin(status int, h http.Header) {
 	r.started, r.status = true, status
-	if r.conn.s.draining.Load() {
+	if r.conn.s.draining.Load() || r.conn.s.cutOff.Load() {
 		r.keep = false
 	}
 	_ = r.conn.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -118,6 +118,23 @@
 	return nil
 }
 
+// silent returns how many of the other instances have not been heard lately, and how many
+// there are.
+func (p *peers) silent(now time.Time) (silent, known int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, x := range p.known {
+		if x.leaving {
+			continue
+		}
+		known++
+		if now.Sub(x.heard) > peersSilent {
+			silent++
+		}
+	}
+	return silent, known
+}
+
 // names returns the known instances that count. The caller holds the lock.
 func (p *peers) names() []string {
 	out := make([]string, 0, len(p.known))
--- /dev/null
+++ b/internal/gateway/probe.go
@@ -0,0 +1,67 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"carawayrouter.example/router/internal/config"
+	"carawayrouter.example/router/internal/placement"
+)
+
+const (
+	probeEvery = 300 * time.Millisecond // a cut that has healed is noticed well before its requests' next try
+	probeLimit = 16                     // connections tried at a time
+	// peersSilent is how long other instances may be silent until they count as out of
+	// reach: three of their idle updates.
+	peersSilent = 1200 * time.Millisecond
+)
+
+// probe tries to connect to the endpoints that no connection could be made to, so that
+// no request has to find out that they are back. It also notes whether the instance is
+// cut off.
+func (s *Server) probe(ctx context.Context) error {
+	for ctx.Err() == nil {
+		s.probeRound(ctx)
+		s.noteCut(time.Now())
+		pause(ctx, probeEvery)
+	}
+	return nil
+}
+
+func (s *Server) probeRound(ctx context.Context) {
+	var unreachable []*config.Endpoint
+	s.admission.with(func(now time.Time, p *placement.Scheduler) {
+		p.Unreachable(now, func(ep *config.Endpoint) { unreachable = append(unreachable, ep) })
+	})
+	var g errgroup.Group
+	g.SetLimit(probeLimit)
+	for _, ep := range unreachable {
+		g.Go(func() error {
+			c, err := s.up.dial(ctx, ep.Addr)
+			if err != nil {
+				return nil // still out of reach; tried again in the next round
+			}
+			s.up.put(c)
+			s.admission.freed(func(_ time.Time, p *placement.Scheduler) { p.Reached(ep) })
+			s.log.Info("endpoint.reached", "endpoint", ep.Name, "addr", ep.Addr)
+			return nil
+		})
+	}
+	_ = g.Wait()
+}
+
+// noteCut decides whether the instance is cut off: it reaches no endpoint of some pool,
+// and does not hear most of the other instances either. Such an instance leaves the
+// balancer's rotation, so that callers come to instances that can serve them. Where the
+// others are heard, the endpoints themselves are down, and to leave would help nobody.
+func (s *Server) noteCut(now time.Time) {
+	cut := false
+	s.admission.with(func(now time.Time, p *placement.Scheduler) { cut = p.CutOff(now) })
+	silent, known := s.peers.silent(now)
+	cut = cut && 2*silent > known
+	if s.cutOff.Swap(cut) != cut {
+		s.log.Info("process.cut_off", "cut_off", cut, "silent", silent, "instances", known)
+	}
+}
--- /dev/null
+++ b/internal/gateway/probe_test.go
@@ -0,0 +1,69 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+
+	"carawayrouter.example/router/internal/config"
+	"carawayrouter.example/router/internal/gossip"
+	"carawayrouter.example/router/internal/placement"
+	"carawayrouter.example/router/internal/sched"
+)
+
+// lonely returns an instance with one plain endpoint at addr and one other instance that
+// it heard at the given time.
+func lonely(addr string, heard time.Time) *Server {
+	s := New(Settings{Instance: "i0", DataCentre: "a", QuotaWindow: time.Second}, Deps{Log: logr.Discard()})
+	objects := &config.Objects{
+		Pools:     []*config.Pool{{Name: "desk", Kind: config.ServicePool}},
+		Endpoints: []*config.Endpoint{{Name: "e0", Pool: "desk", Addr: addr, DataCentre: "a", Role: config.Plain, Slots: 6}},
+	}
+	s.state.swap(config.Build(1, objects))
+	s.peers.known["i1"] = &peer{heard: heard, update: &gossip.Update{Instance: "i1"}}
+	return s
+}
+
+// lose makes the endpoint's connections fail.
+func (s *Server) lose() {
+	s.admission.with(func(now time.Time, p *placement.Scheduler) {
+		p.Release(now, p.Service(now, placement.Demand{Pool: "desk"}), sched.Unreachable)
+	})
+}
+
+// An endpoint that is back is found without a request, and the instance is ready again.
+func TestProbeFindsEndpointsThatAreBack(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	addr := ln.Addr().String()
+	assert.NilError(t, ln.Close())
+	s := lonely(addr, time.Now().Add(-time.Minute))
+	assert.Assert(t, s.ready())
+	s.lose()
+	s.probeRound(context.Background())
+	s.noteCut(time.Now())
+	assert.Assert(t, !s.ready(), "cut off from the endpoint and from the other instance")
+
+	ln, err = net.Listen("tcp", addr)
+	assert.NilError(t, err)
+	defer ln.Close()
+	s.probeRound(context.Background())
+	s.noteCut(time.Now())
+	assert.Assert(t, s.ready())
+	s.admission.with(func(now time.Time, p *placement.Scheduler) {
+		assert.Assert(t, p.Service(now, placement.Demand{Pool: "desk"}) != nil)
+	})
+}
+
+// Where the other instances are heard, the endpoints themselves are down: an instance that
+// left the rotation would only send callers to others that cannot serve them either.
+func TestInstanceStaysReadyWhenAServiceIsDown(t *testing.T) {
+	s := lonely("127.0.0.1:1", time.Now())
+	s.lose()
+	s.noteCut(time.Now())
+	assert.Assert(t, s.ready())
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -68,6 +68,7 @@
 	active   atomic.Int64 // requests being read or answered
 	draining atomic.Bool
 	stopping atomic.Bool // nothing is passed on to endpoints any more
+	cutOff   atomic.Bool // callers are better served elsewhere; see noteCut
 
 	connMu sync.Mutex
 	conns  map[net.Conn]struct{}
@@ -137,7 +138,7 @@
 		g.Go(func() error { return newInternalServer(s.serveMetrics).Serve(metrics) })
 	}
 	g.Go(func() error { return newInternalServer(s.peers.serveState).Serve(state) })
-	for _, duty := range []func(context.Context) error{s.peers.send, s.peers.receive, s.peers.relays, s.peers.enter, s.peers.catchUp} {
+	for _, duty := range []func(context.Context) error{s.peers.send, s.peers.receive, s.peers.relays, s.peers.enter, s.peers.catchUp, s.probe} {
 		g.Go(func() error { return duty(ctx) })
 	}
 	g.Go(func() error { return s.accept(ctx, callers) })
@@ -242,7 +243,7 @@
 // ready reports whether the instance can serve callers.
 func (s *Server) ready() bool {
 	st := s.state.Current()
-	return !s.draining.Load() && st.Ticket > 0 && len(st.Endpoints) > 0
+	return !s.draining.Load() && !s.cutOff.Load() && st.Ticket > 0 && len(st.Endpoints) > 0
 }
 
 // housekeeping closes idle connections and drops endpoints that did not come back.
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	dialTimeout = 500 * time.Millisecond // many times the round trip within a region
+	dialTimeout = 250 * time.Millisecond // many times the round trip within a region, and twice the longest pause of an instance that used up its processor share
 	defaultIdle = 4 * time.Second        // life of idle connections where the endpoint names none
 	idleMargin  = time.Second            // taken off the endpoint's own limit
 	// safeIdle is how long a connection may have been idle to carry a request that
@@ -64,6 +64,11 @@
 		}
 		_ = c.Close()
 	}
+	return u.dial(ctx, addr)
+}
+
+// dial opens a new connection to addr.
+func (u *upstream) dial(ctx context.Context, addr string) (*upConn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	var d net.Dialer
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -183,15 +183,13 @@
 }
 
 // Service places a plain call at the endpoint that will answer first, or returns nil.
-// An endpoint whose slots are all taken is used only if all are.
+// An endpoint whose slots are all taken is used only if all are, and so is one that
+// fails.
 func (s *Scheduler) Service(now time.Time, d Demand) *Lease {
 	var best *target
 	var least time.Duration
 	fastest := s.fastest(now, d.Pool)
-	for _, x := range s.shuffled(d.Pool) {
-		if !x.open(now) || slices.Contains(d.Exclude, x.ep.Name) {
-			continue
-		}
+	for _, x := range s.candidates(now, d) {
 		slots := max(1, x.ep.Slots)
 		busy := x.busy(now)
 		latency := x.latency
@@ -221,6 +219,26 @@
 	return &Lease{Target: best.ep, target: best, granted: now}
 }
 
+// candidates returns the endpoints that may get a plain call. Where all were set aside
+// for failures, they are tried all the same: answers get lost at some endpoints for
+// seconds, and most calls succeed there.
+func (s *Scheduler) candidates(now time.Time, d Demand) []*target {
+	var open, failing []*target
+	for _, x := range s.shuffled(d.Pool) {
+		switch {
+		case x.ep.Leaving || slices.Contains(d.Exclude, x.ep.Name):
+		case x.open(now):
+			open = append(open, x)
+		case !x.unreachable:
+			failing = append(failing, x)
+		}
+	}
+	if len(open) == 0 {
+		return failing
+	}
+	return open
+}
+
 // fastest returns the lowest latency that is known of the pool's open endpoints.
 func (s *Scheduler) fastest(now time.Time, pool string) time.Duration {
 	best := defaultService
@@ -294,6 +312,44 @@
 	}
 }
 
+// Unreachable calls visit for every endpoint that is set aside until a connection to it
+// succeeds.
+func (s *Scheduler) Unreachable(now time.Time, visit func(*config.Endpoint)) {
+	for _, x := range s.targets {
+		if x.unreachable && now.Before(x.ejectedUntil) {
+			visit(x.ep)
+		}
+	}
+}
+
+// Reached notes that a connection to the endpoint was made.
+func (s *Scheduler) Reached(ep *config.Endpoint) {
+	if x := s.targets[ep.Name]; x != nil && x.ep.Addr == ep.Addr {
+		x.reached()
+	}
+}
+
+// CutOff reports whether some pool has endpoints that answer callers, and no connection
+// can be made to any of them.
+func (s *Scheduler) CutOff(now time.Time) bool {
+	for _, pool := range s.pools {
+		answering, unreachable := 0, 0
+		for _, x := range pool {
+			if x.ep.Leaving || x.ep.Role == config.Prefill {
+				continue
+			}
+			answering++
+			if x.unreachable && now.Before(x.ejectedUntil) {
+				unreachable++
+			}
+		}
+		if answering > 0 && unreachable == answering {
+			return true
+		}
+	}
+	return false
+}
+
 // Progress records that the run has made the given number of tokens.
 func (s *Scheduler) Progress(now time.Time, l *Lease, tokens int) {
 	x := l.target
--- a/internal/placement/scheduler_test.go
+++ b/internal/placement/scheduler_test.go
@@ -193,3 +193,63 @@
 	}
 	assert.Assert(t, seen[bad])
 }
+
+// A data centre is cut off: each call that tried an endpoint out of reach lost the time of
+// a connection, again and again, and an endpoint within reach came back last. An endpoint
+// that no connection can be made to gets no call until one has been made.
+func TestUnreachableEndpointWaitsForAConnection(t *testing.T) {
+	s := newScheduler(1, engines(1, 1, 10000))
+	l := s.Service(start, Demand{Pool: plain})
+	far := l.Target
+	assert.Assert(t, s.Release(start, l, sched.Unreachable), "set aside at the first failure")
+	now := start.Add(longestEjection + time.Second)
+	for range 30 {
+		l := s.Service(now, Demand{Pool: plain})
+		assert.Assert(t, l.Target.Name != far.Name)
+		s.Release(now, l, sched.Succeeded)
+	}
+	var waiting []string
+	s.Unreachable(now, func(ep *config.Endpoint) { waiting = append(waiting, ep.Name) })
+	assert.DeepEqual(t, waiting, []string{far.Name})
+	s.Reached(far)
+	seen := map[string]bool{}
+	for range 30 {
+		l := s.Service(now, Demand{Pool: plain})
+		seen[l.Target.Name] = true
+		now = now.Add(defaultService)
+		s.Release(now, l, sched.Succeeded)
+	}
+	assert.Assert(t, seen[far.Name])
+}
+
+// Answers get lost at every endpoint of a pool (inc-a0f2): refusing all calls until one is
+// tried again serves fewer than trying those that fail.
+func TestFailingEndpointsAreTriedWhereThereIsNoOther(t *testing.T) {
+	s := newScheduler(1, engines(1, 1, 10000))
+	for range 20 * failuresToEject {
+		l := s.Service(start, Demand{Pool: plain})
+		assert.Assert(t, l != nil)
+		s.Release(start, l, sched.Failed)
+	}
+	for _, x := range s.pools[plain] {
+		assert.Assert(t, !x.open(start))
+		s.targets[x.ep.Name].judge(start, sched.Unreachable)
+	}
+	assert.Assert(t, s.Service(start, Demand{Pool: plain}) == nil, "no connection can be made")
+}
+
+// An instance is cut off once it reaches none of the endpoints of a pool that answer
+// callers; engines that only read prompts do not help it.
+func TestCutOff(t *testing.T) {
+	s := newScheduler(1, engines(1, 2, 10000))
+	for _, name := range []string{"decode-1", "plain-0", "plain-1", "plain-2"} {
+		assert.Assert(t, !s.CutOff(start))
+		s.targets[name].judge(start, sched.Unreachable)
+	}
+	assert.Assert(t, s.CutOff(start))
+	s.Reached(s.targets["plain-1"].ep)
+	assert.Assert(t, !s.CutOff(start))
+	s.targets["decode-2"].judge(start, sched.Unreachable)
+	assert.Assert(t, s.CutOff(start))
+	assert.Assert(t, !s.CutOff(start.Add(unreachableLife)), "what was not tried for long may be there again")
+}
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -10,6 +10,7 @@
 const (
 	firstEjection   = 400 * time.Millisecond // longer than a restart of a connection, shorter than the latency targets
 	longestEjection = 4 * time.Second        // a crashed endpoint is back after a few seconds
+	unreachableLife = 10 * time.Second       // without a connection in spite of attempts; longer than cuts usually last
 	fullPause       = 60 * time.Millisecond  // about one event of a stream, after which memory has moved
 	failuresToEject = 2                      // single failures are spread over all endpoints
 
@@ -37,6 +38,7 @@
 	failures     int
 	ejections    int
 	ejectedUntil time.Time
+	unreachable  bool // set aside because no connection could be made
 	fullUntil    time.Time
 
 	remote map[string]remoteLoad // by instance
@@ -134,14 +136,18 @@
 	switch o {
 	case sched.Succeeded:
 		x.failures, x.ejections = 0, 0
+		x.reached()
 	case sched.Full:
 		x.fullUntil = now.Add(fullPause)
-	case sched.Failed, sched.Unreachable:
+	case sched.Unreachable:
+		// No single failure: nothing listens there, or the way is cut. Requests that try
+		// would lose the time of a connection each, so it stays set aside until a
+		// connection of the instance's own succeeds; see Scheduler.Reached.
+		known := x.unreachable
+		x.unreachable, x.ejectedUntil = true, now.Add(unreachableLife)
+		return !known
+	case sched.Failed:
 		x.failures++
-		if o == sched.Unreachable {
-			// A refused connection is no single failure: nothing listens there.
-			x.failures = max(x.failures, failuresToEject)
-		}
 		if x.failures < failuresToEject || now.Before(x.ejectedUntil) {
 			return false
 		}
@@ -152,6 +158,13 @@
 	return false
 }
 
+// reached ends an ejection for want of a connection.
+func (x *target) reached() {
+	if x.unreachable {
+		x.unreachable, x.ejectedUntil = false, time.Time{}
+	}
+}
+
 func average(old, sample time.Duration) time.Duration {
 	return old + time.Duration(measureWeight*float64(sample-old))
 }
