The newer endpoint of an address wins; a replaced one is never used

Cause: engines that crash come back under another name at the same address while the old entry stays for some heartbeats. A refusal for another name counted as a failure and set the old one aside for 0.4 s only. Ruled out: engines fuller than accounted for (all refusals name the three old engines); instances that do not hear each other (the refusals came when all did). Change: of two entries with one address the one born later is used; an endpoint whose address answers under another name is not used again in that incarnation.

--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -55,6 +55,7 @@
 	if born, ok := d.retired[e.Name]; ok && e.Incarnation <= born {
 		e.Leaving = true
 	}
+	e.Leaving = d.supersede(&e) || e.Leaving
 	if e.Leaving {
 		d.retired[e.Name] = max(d.retired[e.Name], e.Incarnation)
 	}
@@ -62,6 +63,22 @@
 	return old == nil || old.pending || !same(old.ep, &e)
 }
 
+// supersede retires the older of two endpoints with one address: the newer one runs where
+// the older one ended, whose entry stays for some heartbeats. It reports whether e is the
+// older one.
+func (d *directory) supersede(e *config.Endpoint) (older bool) {
+	for name, r := range d.known {
+		switch {
+		case name == e.Name || r.ep.Addr != e.Addr:
+		case r.ep.Incarnation < e.Incarnation:
+			d.retire(name, r.ep.Incarnation)
+		case r.ep.Incarnation > e.Incarnation:
+			older = true
+		}
+	}
+	return older
+}
+
 func same(a, b *config.Endpoint) bool {
 	x, y := *a, *b
 	x.Revision, y.Revision = 0, 0
--- a/internal/gateway/directory_test.go
+++ b/internal/gateway/directory_test.go
@@ -119,3 +119,30 @@
 	}
 	assert.Assert(t, sum <= 0.2*100*fleet+56 && sum > 0, "%d repeats", sum)
 }
+
+// hric-submit scale-2: engines that had crashed came back under other names at the same
+// addresses, while their old entries stayed for some seconds. Prompts were read for the
+// old names, and the new processes refused them. The newer entry of an address wins, in
+// whichever order they are read, and its end brings the older one not back.
+func TestNewerEndpointTakesTheAddress(t *testing.T) {
+	for _, order := range [][]string{{"old", "new"}, {"new", "old"}} {
+		d := newDirectory()
+		for _, name := range order {
+			born := map[string]int64{"old": 100, "new": 200}[name]
+			d.put(&config.Endpoint{Name: name, Addr: "10.0.0.1:1", Incarnation: born, Revision: 1})
+		}
+		usable := func() (names []string) {
+			for _, e := range d.list() {
+				if !e.Leaving {
+					names = append(names, e.Name)
+				}
+			}
+			return names
+		}
+		assert.DeepEqual(t, usable(), []string{"new"})
+		d.put(&config.Endpoint{Name: "old", Addr: "10.0.0.1:1", Incarnation: 100, Revision: 2})
+		assert.DeepEqual(t, usable(), []string{"new"})
+		d.remove(time.Unix(1000, 0), "new")
+		assert.Equal(t, len(usable()), 0)
+	}
+}
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -193,9 +193,8 @@
 		return "", err
 	}
 	if in.Status != http.StatusOK {
-		outcome = sched.Full
-		if !in.NotRun {
-			outcome = sched.Failed
+		if in.NotRun {
+			outcome = refusedOutcome(in)
 		}
 		return "", errors.Newf("the prefill was refused with %d", in.Status)
 	}
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -125,7 +125,7 @@
 // room, or another endpoint has its address.
 func refusedOutcome(in *incoming) sched.Outcome {
 	if in.Other {
-		return sched.Failed
+		return sched.Replaced
 	}
 	return sched.Full
 }
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -226,7 +226,7 @@
 	var open, failing []*target
 	for _, x := range s.shuffled(d.Pool) {
 		switch {
-		case x.ep.Leaving || slices.Contains(d.Exclude, x.ep.Name):
+		case x.ep.Leaving || x.replaced || slices.Contains(d.Exclude, x.ep.Name):
 		case x.open(now):
 			open = append(open, x)
 		case !x.unreachable:
@@ -316,7 +316,7 @@
 // succeeds.
 func (s *Scheduler) Unreachable(now time.Time, visit func(*config.Endpoint)) {
 	for _, x := range s.targets {
-		if x.unreachable && now.Before(x.ejectedUntil) {
+		if x.unreachable && !x.replaced && now.Before(x.ejectedUntil) {
 			visit(x.ep)
 		}
 	}
@@ -335,7 +335,7 @@
 	for _, pool := range s.pools {
 		answering, unreachable := 0, 0
 		for _, x := range pool {
-			if x.ep.Leaving || x.ep.Role == config.Prefill {
+			if x.ep.Leaving || x.replaced || x.ep.Role == config.Prefill {
 				continue
 			}
 			answering++
--- a/internal/placement/scheduler_test.go
+++ b/internal/placement/scheduler_test.go
@@ -253,3 +253,23 @@
 	assert.Assert(t, s.CutOff(start))
 	assert.Assert(t, !s.CutOff(start.Add(unreachableLife)), "what was not tried for long may be there again")
 }
+
+// An endpoint whose address another one has is never used again, until it starts anew.
+func TestReplacedEndpointIsNotUsed(t *testing.T) {
+	st := engines(1, 1, 10000)
+	s := newScheduler(1, st)
+	l := s.Service(start, Demand{Pool: plain})
+	old := l.Target
+	s.Release(start, l, sched.Replaced)
+	for _, at := range []time.Duration{0, time.Second, time.Minute} {
+		for range 10 {
+			l := s.Service(start.Add(at), Demand{Pool: plain})
+			assert.Assert(t, l.Target.Name != old.Name)
+			s.Release(start.Add(at), l, sched.Succeeded)
+		}
+	}
+	again := *old
+	again.Incarnation++
+	s.SetEndpoints(st.Replace(2, &config.Objects{Endpoints: []*config.Endpoint{&again}}))
+	assert.Equal(t, s.Service(start, Demand{Pool: plain}).Target.Name, old.Name)
+}
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -39,6 +39,7 @@
 	ejections    int
 	ejectedUntil time.Time
 	unreachable  bool // set aside because no connection could be made
+	replaced     bool // another endpoint has its address, so that this incarnation has ended
 	fullUntil    time.Time
 
 	remote map[string]remoteLoad // by instance
@@ -69,7 +70,7 @@
 
 // open reports whether the endpoint may get new work.
 func (x *target) open(now time.Time) bool {
-	return !x.ep.Leaving && !now.Before(x.ejectedUntil)
+	return !x.ep.Leaving && !x.replaced && !now.Before(x.ejectedUntil)
 }
 
 // avoided reports whether another instance could not use the endpoint lately. That may
@@ -146,6 +147,10 @@
 		known := x.unreachable
 		x.unreachable, x.ejectedUntil = true, now.Add(unreachableLife)
 		return !known
+	case sched.Replaced:
+		known := x.replaced
+		x.replaced = true
+		return !known
 	case sched.Failed:
 		x.failures++
 		if x.failures < failuresToEject || now.Before(x.ejectedUntil) {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -38,6 +38,7 @@
 	Full                // refused for want of a slot or memory
 	Unreachable         // no connection could be made
 	Abandoned           // caller gone or request given up; says nothing of the endpoint
+	Replaced            // another endpoint answers at its address
 )
 
 // Grant is the right to use endpoints for one request. Each method may be called
