Quotas: no margin for transit, a finer window, more of the slack

Change: a request counts in a window if it was sent and has arrived there, and is decided on in between, so its transit needs no margin; 128 slots; 0.85 of the slack's part and 0.6 of its tokens. What is left covers updates on their way: about two large requests and the slots.

--- a/internal/limit/window/window.go
+++ b/internal/limit/window/window.go
@@ -10,8 +10,10 @@
 )
 
 const (
-	slotsPerWindow = 32                     // resolution of the window
-	transitMargin  = 300 * time.Millisecond // between a decision here and the arrival at an endpoint
+	slotsPerWindow = 128 // resolution of the window; a slot counts until its last request has left
+	// windowMargin is for updates on their way. A request's transit needs none: it counts in
+	// a window if it was sent and has arrived there, and it is decided on in between.
+	windowMargin = 50 * time.Millisecond
 	// peerSilence is how old the last updates of another instance may be. Beyond it the
 	// instance is taken to spend its equal share, so that the parts of a fleet that do
 	// not hear each other stay within the limit together.
@@ -58,7 +60,7 @@
 // instance that may have spent tokens before, in an incarnation that it knows nothing
 // of: it assumes to have spent its share. A zero start is that of a new fleet.
 func New(window time.Duration, slack Slack, start time.Time) *Limiter {
-	window += transitMargin
+	window += windowMargin
 	return &Limiter{
 		window:   window,
 		slack:    slack,
@@ -94,8 +96,8 @@
 
 // Parts of the slack that are used. The rest covers updates that are late.
 const (
-	slackPartUsed   = 0.7
-	slackTokensUsed = 0.4
+	slackPartUsed   = 0.85
+	slackTokensUsed = 0.6
 )
 
 // Size tells generations and plain calls apart.
@@ -120,7 +122,7 @@
 	if a.Rate <= 0 {
 		return Decision{Allowed: true}
 	}
-	limit := a.Rate*(l.window-transitMargin).Seconds() + a.Burst
+	limit := a.Rate*(l.window-windowMargin).Seconds() + a.Burst
 	s := l.accounts[a.Name]
 	if s == nil {
 		s = &spending{}
