Resumable streams leave a silent engine while their caller is still there

Cause: a cut without a reset leaves a stream silent. Change: where the stream may go on elsewhere, an engine may be silent for four times the longest pause (1.2 s), beyond what preempted streams pause (0.6 s).

--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -24,6 +24,7 @@
 	// startMargin is what remains of a caller's patience when its request is placed last.
 	startMargin = 900 * time.Millisecond
 
+	silentGaps   = 4                      // times the longest pause on time, beyond what preempted streams pause
 	prefillTimes = 4                      // times the predicted time of a prefill until it is given up
 	prefillLeast = 400 * time.Millisecond // and at least this long
 	// resumeSpread is about as long as an engine reads what one stream had made: streams
@@ -84,6 +85,17 @@
 	return max(callerPatience, patienceGoals*r.FirstToken, patienceGaps*r.MaxGap)
 }
 
+// longestSilence returns how long the next attempt's engine may be silent: until the caller
+// leaves, or, where the stream can go on elsewhere, until it is so late that the engine is
+// rather out of reach than slow. The caller must still be there when it goes on.
+func (x *exchange) longestSilence() time.Duration {
+	r := x.call.Route
+	if !r.Resumable || x.runs+1 >= r.MaxAttempts {
+		return x.callerLeaves()
+	}
+	return min(x.callerLeaves(), max(r.FirstToken, silentGaps*r.MaxGap))
+}
+
 func (x *exchange) waiter() *placement.Waiter {
 	c := x.call
 	since := c.Arrived
@@ -216,7 +228,8 @@
 func (x *exchange) decode(ctx context.Context, l *placement.Lease, source string) (refused, done bool, o sched.Outcome, err error) {
 	sctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	silence := time.AfterFunc(x.callerLeaves(), func() { cancel(errSilent) })
+	limit := x.longestSilence()
+	silence := time.AfterFunc(limit, func() { cancel(errSilent) })
 	defer silence.Stop()
 	in, err := x.send(sctx, l.Target.Addr, SendOptions{Endpoint: l.Target.Name, Source: source, LastEvent: x.lastEvent})
 	if err != nil {
@@ -247,7 +260,7 @@
 		x.reply.whole(in.Status, in.Headers, body)
 		return false, true, sched.Succeeded, x.reply.err
 	}
-	err = x.relay(in, l, func() { silence.Reset(x.callerLeaves()) })
+	err = x.relay(in, l, func() { silence.Reset(limit) })
 	switch {
 	case err == nil:
 		in.whole = true
