Streams that callers take up again count what was made before

Cause: after a power loss of all instances every stream of some seconds was late, at engines without preemption: all their streams paused for half a second at once. Callers come back with the position in their streams, and the decode engine reads what was made before, between the tokens of its others. The instance planned such a request as new, and instances did not tell each other of it while it waited, so that two placed theirs on one engine at the same moment (13,000 tokens). Change: the position, which counts events, becomes tokens made before; waiters tell them.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -44,6 +44,7 @@
 	Key       string
 	Headers   http.Header // those that are passed on
 	LastEvent string      // id of the last event that the caller has, empty at a first attempt
+	EventsHad int         // events up to that one
 	Arrived   time.Time
 	Deadline  time.Time // zero where the caller named none
 
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -107,7 +107,7 @@
 		latest = x.deadline
 	}
 	return &placement.Waiter{
-		Demand:  placement.Demand{Pool: c.Pool.Name, Prompt: c.Prompt, Output: c.Output, Expect: x.s.admission.expect(c), Generated: x.tokens, Exclude: x.exclude},
+		Demand:  placement.Demand{Pool: c.Pool.Name, Prompt: c.Prompt, Output: c.Output, Expect: x.s.admission.expect(c), Generated: x.before + x.tokens, Exclude: x.exclude},
 		Arrived: c.Arrived,
 		Due:     since.Add(c.Route.FirstToken - expectedStart - time.Duration(c.Prompt)*prefillToken),
 		Latest:  latest,
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -51,6 +51,7 @@
 	target    string   // endpoint that answered last
 	waited    time.Duration
 	tokens    int           // output tokens relayed
+	before    int           // output tokens that the caller had before, from an earlier attempt
 	lastEvent string        // id of the last event relayed, or the caller's own
 	logged    bool          // lines are written at once
 	kept      []logLine     // lines that wait for the end
@@ -110,6 +111,9 @@
 	if c.Pool == nil {
 		return refusal(errkind.NoEndpoint, "the route's pool is not configured", endpointWait)
 	}
+	if e := c.Pool.Engine; e != nil {
+		x.before = min(c.EventsHad*max(1, e.Stride), c.Output)
+	}
 	x.deadline = c.Arrived.Add(c.Route.Deadline)
 	if c.Route.Deadline <= 0 {
 		x.deadline = c.Arrived.Add(bodyTimeout)
@@ -250,7 +254,7 @@
 		fields = append(fields, "route", c.Route.Name)
 	}
 	if x.tokens > 0 {
-		fields = append(fields, "output_tokens", x.tokens, "hint", c.Hint, "first_ms", x.first.Milliseconds(), "pause_ms", x.pause.Milliseconds())
+		fields = append(fields, "output_tokens", x.tokens, "last_event", x.lastEvent, "hint", c.Hint, "first_ms", x.first.Milliseconds(), "pause_ms", x.pause.Milliseconds())
 	}
 	if err != nil {
 		fields = append(fields, "cause", err.Error())
--- a/internal/gateway/updates.go
+++ b/internal/gateway/updates.go
@@ -123,7 +123,7 @@
 		})
 		for _, w := range queue.Waiting() {
 			n.Waiting = append(n.Waiting, gossip.Waiting{
-				Pool: w.Demand.Pool, Prompt: w.Demand.Prompt, Output: w.Demand.Expect,
+				Pool: w.Demand.Pool, Prompt: w.Demand.Prompt, Output: w.Demand.Expect, Generated: w.Demand.Generated,
 				Age: gossip.Ago(now, w.Arrived), Due: -gossip.Ago(now, w.Due), Urgency: w.Urgency,
 			})
 		}
@@ -265,7 +265,7 @@
 	}
 	for _, w := range n.Waiting {
 		r.Waiting = append(r.Waiting, &placement.Waiter{
-			Demand:  placement.Demand{Pool: w.Pool, Prompt: w.Prompt, Output: w.Output},
+			Demand:  placement.Demand{Pool: w.Pool, Prompt: w.Prompt, Output: w.Output, Generated: w.Generated},
 			Arrived: ago(w.Age), Due: ago(-w.Due), Urgency: w.Urgency,
 		})
 	}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -76,6 +76,7 @@
 
 	Pool           string
 	Prompt, Output int   // tokens
+	Generated      int   // tokens of the output made before
 	Age            int64 // ms since arrival
 	Due            int64 // ms until the latest start on time; negative if passed
 	Urgency        int
--- a/internal/placement/queue_test.go
+++ b/internal/placement/queue_test.go
@@ -128,3 +128,26 @@
 		queue.Push(w)
 	}
 }
+
+// barniz-quito trouble-1, after the power loss: callers took up their streams at several
+// instances, which placed two of them on one engine at the same moment; reading 13,000
+// tokens held up its ten streams for 540 ms. Each instance keeps the engine of the other's
+// turn free, so that they choose different ones.
+func TestBrokenStreamsOfTwoInstancesChooseDifferentEngines(t *testing.T) {
+	demand := Demand{Pool: model, Prompt: 2000, Output: 9360, Expect: 9000, Generated: 6400}
+	first := &Waiter{Demand: demand, Arrived: start, Due: start.Add(goal), Latest: start.Add(patient)}
+	second := &Waiter{Demand: demand, Arrived: start.Add(time.Millisecond), Due: start.Add(goal), Latest: start.Add(patient)}
+	place := func(own, other *Waiter) string {
+		s := newScheduler(1, engines(2, 2, 100000))
+		s.SetRemote("other", &Remote{Heard: start, Waiting: []*Waiter{other},
+			// One engine is lighter, so that both would prefer it.
+			Runs: map[string][]Run{"decode-2": {{Prompt: 4000, Output: 4000, At: start}}}})
+		var q Queue
+		q.Push(own)
+		grants := q.Serve(start.Add(2*time.Millisecond), s)
+		assert.Equal(t, len(grants), 1)
+		return grants[0].Lease.Target.Name
+	}
+	assert.Equal(t, place(first, second), "decode-3")
+	assert.Equal(t, place(second, first), "decode-2")
+}
