--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -14,8 +14,8 @@
 	probeEvery = 300 * time.Millisecond // a cut that has healed is noticed well before its requests' next try
 	probeLimit = 16                     // connections tried at a time
 	// peersSilent is how long other instances may be silent until they count as out of
-	// reach: three of their idle updates.
-	peersSilent = 1200 * time.Millisecond
+	// reach: two of their idle updates and a margin.
+	peersSilent = 900 * time.Millisecond
 )
 
 // probe tries to connect to the endpoints that no connection could be made to, so that
