caraway-timeline reads logs; lines name their instance and the time of their decision

On-call engineers have only logs. A line did not say which instance wrote it, lines that were kept until a request's end had that end's time, and nothing said how many routine requests had none. Tests: TestLogsOfOneRequest, TestLogsOfOneEndpoint, FuzzLogs.

--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -296,9 +296,10 @@
 	fields []any
 }
 
-// decision logs one decision about the request.
+// decision logs one decision about the request, with the time since its arrival: a line
+// that is kept is written later than the decision was taken.
 func (x *exchange) decision(what string, fields ...any) {
-	line := logLine{"request." + what, append([]any{"request", x.call.ID}, fields...)}
+	line := logLine{"request." + what, append([]any{"request", x.call.ID, "at_ms", time.Since(x.call.Arrived).Milliseconds()}, fields...)}
 	if !x.logged {
 		x.kept = append(x.kept, line)
 		return
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -246,8 +246,10 @@
 	return !s.draining.Load() && !s.cutOff.Load() && st.Ticket > 0 && len(st.Endpoints) > 0
 }
 
-// housekeeping closes idle connections and drops endpoints that did not come back.
+// housekeeping closes idle connections, drops endpoints that did not come back, and says
+// of how many routine requests no lines were written.
 func (s *Server) housekeeping(ctx context.Context) error {
+	omitted := uint64(0)
 	expire := time.NewTicker(expirePoll)
 	defer expire.Stop()
 	sweep := time.NewTicker(sweepEvery)
@@ -264,6 +266,10 @@
 				inUse[e.Addr] = true
 			}
 			s.up.sweep(inUse)
+			if n := s.stats.omitted.Get(); n > omitted {
+				s.log.Info("log.omitted", "requests", n-omitted)
+				omitted = n
+			}
 		case <-s.reload:
 			s.log.Info("process.reload")
 		}
--- a/internal/timeline/timeline.go
+++ b/internal/timeline/timeline.go
@@ -53,7 +53,7 @@
 	switch {
 	case f.Request != "" && e.Request != f.Request:
 	case f.Account != "" && e.Account != f.Account:
-	case f.Endpoint != "" && e.Endpoint != f.Endpoint:
+	case f.Endpoint != "" && !f.about(e):
 	case f.Ticket != 0 && e.Ticket != f.Ticket:
 	case !strings.HasPrefix(e.Kind, f.Kind):
 	default:
@@ -140,8 +140,7 @@
 // Text writes one event a line.
 func (l *Line) Text(w io.Writer) error {
 	for _, e := range l.Events {
-		at := time.Unix(0, e.At.Wall).UTC().Format("15:04:05.000000")
-		if _, err := fmt.Fprintf(w, "%s %-14s %-22s %s\n", at, e.Process, e.Kind, fields(e)); err != nil {
+		if _, err := fmt.Fprintf(w, "%s %-14s %-22s %s\n", clockTime(e.At), e.Process, e.Kind, fields(e)); err != nil {
 			return err
 		}
 	}
