A restarted instance takes callers once it has heard most of the others

Change: not ready until most of the other instances were heard, at most 1.2 s. Test: TestRestartedInstanceIsReadyOnceItHasHeardTheOthers.

--- a/internal/gateway/probe_test.go
+++ b/internal/gateway/probe_test.go
@@ -67,3 +67,18 @@
 	s.noteCut(time.Now())
 	assert.Assert(t, s.ready())
 }
+
+// A restarted instance that has heard nobody refused callers for rates that it could not
+// check (hric-submit inc-ea65: others' shares assumed for all 8). It takes callers once it
+// has heard most of the others, or after a time without word.
+func TestRestartedInstanceIsReadyOnceItHasHeardTheOthers(t *testing.T) {
+	now := time.Now()
+	s := lonely("127.0.0.1:1", time.Time{})
+	s.peers.started = now
+	assert.Assert(t, !s.settled(now) && !s.ready())
+	assert.Assert(t, s.settled(now.Add(2*settleTime)))
+	s.peers.known["i1"].heard = now
+	assert.Assert(t, s.settled(now) && s.ready())
+	delete(s.peers.known, "i1")
+	assert.Assert(t, !s.settled(now), "no other instance is known yet")
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -243,7 +243,22 @@
 // ready reports whether the instance can serve callers.
 func (s *Server) ready() bool {
 	st := s.state.Current()
-	return !s.draining.Load() && !s.cutOff.Load() && st.Ticket > 0 && len(st.Endpoints) > 0
+	return !s.draining.Load() && !s.cutOff.Load() && st.Ticket > 0 && len(st.Endpoints) > 0 && s.settled(time.Now())
+}
+
+// settleTime is how long after its start an instance waits for word of the others: three
+// of their idle updates.
+const settleTime = 1200 * time.Millisecond
+
+// settled reports whether the instance knows what most of the others hold and have spent.
+// Before, it would refuse what it cannot tell to be within an account's rate, and take
+// engines for empty.
+func (s *Server) settled(now time.Time) bool {
+	if s.settings.NewFleet || now.Sub(s.peers.started) > settleTime {
+		return true
+	}
+	silent, known := s.peers.silent(now)
+	return known > 0 && 2*silent <= known
 }
 
 // housekeeping closes idle connections, drops endpoints that did not come back, and says
