Repeats are counted by arrival and taken once; probes ask who answers

An attempt without a connection took a repeat though nothing had arrived; an instance of 83 had two repeats in 10 s, as 0.7 of its 3.4 was rounded down; and a repeat that reads the prompt again took one although two arrivals count. Besides, an engine that came back under another name was in use again, by its connection, before its entry was read. Change: each arrival beyond the first is taken before it is sent, kept where no connection was made, and given back at the end; nine tenths of the budget are used, since the count is now the rule's; a restarted instance has four tenths at first. A probe of an endpoint that was out of reach asks the health path for the name there.

--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -8,8 +8,12 @@
 const (
 	budgetSlots = 20
 	// budgetPart of what the fleet may repeat is used; the rest covers requests that
-	// are counted in other windows than ours.
-	budgetPart = 0.7
+	// are counted in other windows than ours. An instance of 83 has three repeats so, which
+	// 0.7 rounded down to two.
+	budgetPart = 0.9
+	// restartPart of its budget is left to an instance that does not know what it spent
+	// before its restart; the rest comes back with the window.
+	restartPart = 0.4
 	// unknownFleet is the fleet's size until the other instances are known.
 	unknownFleet = 12
 )
@@ -20,6 +24,7 @@
 	share  float64
 	extra  float64 // of the whole fleet
 	window time.Duration
+	start  time.Time // of an instance that may have spent before; zero for a new fleet
 
 	mu    sync.Mutex
 	fleet int
@@ -31,11 +36,11 @@
 	requests, repeats int
 }
 
-func newRepeatBudget(share, extra float64, window time.Duration) *repeatBudget {
+func newRepeatBudget(share, extra float64, window time.Duration, start time.Time) *repeatBudget {
 	if window <= 0 {
 		window = 10 * time.Second
 	}
-	return &repeatBudget{share: share, extra: extra, window: window, fleet: unknownFleet, pools: map[string]*[budgetSlots]budgetSlot{}}
+	return &repeatBudget{share: share, extra: extra, window: window, start: start, fleet: unknownFleet, pools: map[string]*[budgetSlots]budgetSlot{}}
 }
 
 func (b *repeatBudget) setFleet(n int) {
@@ -73,14 +78,23 @@
 	s.requests++
 }
 
-// spend takes one repeat and reports whether there was one.
-func (b *repeatBudget) spend(now time.Time, pool string) bool {
+// spend takes n repeats and reports whether there were as many.
+func (b *repeatBudget) spend(now time.Time, pool string, n int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s, requests, repeats := b.at(now, pool)
-	if float64(repeats+1) > budgetPart*(b.share*float64(requests)+b.extra/float64(b.fleet)) {
+	part := budgetPart * min(1, max(restartPart, now.Sub(b.start).Seconds()/b.window.Seconds()))
+	if float64(repeats+n) > part*(b.share*float64(requests)+b.extra/float64(b.fleet)) {
 		return false
 	}
-	s.repeats++
+	s.repeats += n
 	return true
 }
+
+// giveBack returns repeats that were taken and not made.
+func (b *repeatBudget) giveBack(now time.Time, pool string, n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s, _, _ := b.at(now, pool)
+	s.repeats -= n
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -79,6 +79,7 @@
 // AnswerInfo is what the headers of an endpoint's answer say.
 type AnswerInfo struct {
 	ID      string // attempt that the answer belongs to; may be empty
+	Name    string // of the endpoint that answers; mostly empty
 	Signed  bool   // made by the endpoint itself
 	NotRun  bool   // the endpoint states that it did not run the request
 	Other   bool   // the endpoint is not the expected one
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -46,9 +46,7 @@
 	}
 	var last error
 	for x.sends < 2*maxSends {
-		if x.sends > 0 && !x.mayRepeat(time.Now()) {
-			x.s.stats.noBudget.Inc()
-			x.decision("no_repeat", "reason", "budget")
+		if !x.mayArrive(1) {
 			return last
 		}
 		began := time.Now()
@@ -62,6 +60,9 @@
 		}
 		x.decision("place", "prefill", endpointName(lease.Prefill), "decode", lease.Target.Name, "waited_ms", x.waited.Milliseconds(), "prompt", x.call.Prompt, "output", x.call.Output)
 		done, err := x.attempt(ctx, lease)
+		if errors.Is(err, errNoBudget) && last != nil {
+			return last
+		}
 		if done || err == nil {
 			return err
 		}
@@ -115,6 +116,9 @@
 	}
 }
 
+// errNoBudget ends a request that would be read and run once more without the budget for it.
+var errNoBudget = errors.New("the budget for repeats is used up")
+
 // prefillToken is the usual time to read one prompt token.
 const prefillToken = 18 * time.Microsecond
 
@@ -131,6 +135,9 @@
 		x.exclude = append(x.exclude, l.Target.Name)
 		return ctx.Err() != nil, err
 	}
+	if l.Prefill != nil && x.prefilled && !x.mayArrive(2) {
+		return true, errNoBudget
+	}
 	source := ""
 	if p := l.Prefill; p != nil {
 		handle, err := x.prefill(ctx, l)
@@ -172,7 +179,7 @@
 // redirect moves a generation whose prompt has been read to another decode engine: to
 // read it again would cost more than all else.
 func (x *exchange) redirect(l *placement.Lease, o sched.Outcome, cause error) bool {
-	if x.sends > 0 && !x.mayRepeat(time.Now()) {
+	if !x.mayArrive(1) {
 		return false
 	}
 	from := l.Target
@@ -190,7 +197,7 @@
 	limit := max(prefillLeast, prefillTimes*x.s.admission.prefillTime(l))
 	pctx, cancel := context.WithTimeoutCause(ctx, limit, errSilent)
 	defer cancel()
-	before := x.sends
+	before, paid := x.sends, x.paid
 	in, err := x.send(pctx, p.Addr, SendOptions{Endpoint: p.Name, PrefillOnly: true})
 	if err != nil {
 		if ctx.Err() != nil {
@@ -217,8 +224,8 @@
 	outcome = sched.Succeeded
 	x.s.stats.prefills.Inc()
 	x.decision("prefill", "endpoint", p.Name, "tokens", x.call.Prompt)
-	if before == 0 {
-		x.sends = 0 // the first prefill that succeeds is not an arrival
+	if !x.prefilled {
+		x.prefilled, x.sends, x.paid = true, before, paid
 	}
 	return handle, nil
 }
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -45,6 +45,8 @@
 
 	deadline  time.Time
 	sends     int      // arrivals at endpoints that count as such
+	paid      int      // further arrivals taken from the budget; negative for ones that were not
+	prefilled bool     // an engine has read the prompt; only the first time is no arrival
 	runs      int      // endpoints that may have run the request
 	fetched   bool     // an engine may have taken the prefill result
 	exclude   []string // endpoints that failed the request
@@ -84,6 +86,7 @@
 	} else {
 		err = x.service(ctx)
 	}
+	x.settle()
 	if x.runs == 0 && x.call.Account != nil {
 		x.s.quotaReturn(x.call.Account.Name, x.call.Tokens)
 	}
@@ -173,13 +176,31 @@
 	return x.call.Account.Name
 }
 
-// mayRepeat reports whether the request may be sent once more, and takes it from the
-// fleet's budget. The first arrival is free.
-func (x *exchange) mayRepeat(now time.Time) bool {
+// mayArrive reports whether the request may arrive n more times at endpoints, and takes
+// from the fleet's budget what that needs: the first arrival is free.
+func (x *exchange) mayArrive(n int) bool {
 	if x.sends == 0 {
+		n--
+	}
+	need := n - x.paid
+	if need <= 0 {
 		return true
 	}
-	return x.s.budget.spend(now, x.call.Pool.Name)
+	if !x.s.budget.spend(time.Now(), x.call.Pool.Name, need) {
+		x.s.stats.noBudget.Inc()
+		x.decision("no_repeat", "reason", "budget", "arrivals", need)
+		return false
+	}
+	x.paid += need
+	return true
+}
+
+// settle gives back what was taken for arrivals that were not made.
+func (x *exchange) settle() {
+	if x.paid > 0 {
+		x.s.budget.giveBack(time.Now(), x.call.Pool.Name, x.paid)
+		x.paid = 0
+	}
 }
 
 // beyondRank puts a request above its account's limit after all that are within theirs.
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -84,7 +84,6 @@
 		store:    d.Store,
 		log:      d.Log,
 
-		budget: newRepeatBudget(s.RetryShare, s.RetryExtra, s.RetryWindow),
 		conns:  map[net.Conn]struct{}{},
 		reload: d.Reload,
 	}
@@ -92,6 +91,7 @@
 	if !s.NewFleet {
 		start = time.Now()
 	}
+	g.budget = newRepeatBudget(s.RetryShare, s.RetryExtra, s.RetryWindow, start)
 	g.quota = window.New(s.QuotaWindow, window.Slack{Part: s.QuotaSlackPart, Tokens: s.QuotaSlackTokens}, start)
 	seed := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	g.admission = newAdmission(placement.New(s.DataCentre, seed), func(ep *config.Endpoint) {
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -26,13 +26,10 @@
 func (x *exchange) service(ctx context.Context) error {
 	var last error
 	for x.sends < maxSends {
-		now := time.Now()
 		if err := x.identify(x.s.state.Current()); err != nil {
 			return err
 		}
-		if !x.mayRepeat(now) {
-			x.s.stats.noBudget.Inc()
-			x.decision("no_repeat", "reason", "budget")
+		if !x.mayArrive(1) {
 			return last
 		}
 		var lease *placement.Lease
@@ -133,7 +130,10 @@
 // send sends the request once and counts it.
 func (x *exchange) send(ctx context.Context, addr string, o SendOptions) (*incoming, error) {
 	o.Account, o.Deadline = x.account(), x.deadline
-	x.sends++
+	before, paid := x.sends, x.paid
+	if x.sends++; x.sends > 1 {
+		x.paid--
+	}
 	x.s.stats.sends.Inc()
 	in, err := x.s.up.do(ctx, outgoing{
 		addr:   addr,
@@ -146,7 +146,7 @@
 		once:   !x.call.Route.Idempotent && !o.PrefillOnly,
 	})
 	if errors.Is(err, endpoint.ErrNotSent) {
-		x.sends-- // nothing has arrived
+		x.sends, x.paid = before, paid // nothing has arrived
 	}
 	return in, err
 }
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -329,6 +329,13 @@
 	}
 }
 
+// Replaced notes that another endpoint answers at the endpoint's address.
+func (s *Scheduler) Replaced(ep *config.Endpoint) {
+	if x := s.targets[ep.Name]; x != nil && x.ep.Addr == ep.Addr && x.ep.Incarnation == ep.Incarnation {
+		x.replaced = true
+	}
+}
+
 // CutOff reports whether some pool has endpoints that answer callers, and no connection
 // can be made to any of them.
 func (s *Scheduler) CutOff(now time.Time) bool {
