Quotas: a generation of any size needs the room of a large one

Change: a generation is allowed where the account's largest one lately would fit. 0.72 of the slack's tokens instead of 0.6, as the room kept free for a large one is a margin too. Test: TestFloodLeavesLargeGenerations (fails without the change).

--- a/internal/limit/window/window.go
+++ b/internal/limit/window/window.go
@@ -37,8 +37,9 @@
 }
 
 type spending struct {
-	slots []slot
-	sum   int
+	slots   []slot
+	sum     int
+	largest float64 // of the account's generations lately
 }
 
 type peer struct {
@@ -97,7 +98,7 @@
 // Parts of the slack that are used. The rest covers updates that are late.
 const (
 	slackPartUsed   = 0.85
-	slackTokensUsed = 0.6
+	slackTokensUsed = 0.72
 )
 
 // Size tells generations and plain calls apart.
@@ -109,6 +110,10 @@
 	Small             // a plain call, some hundred tokens
 )
 
+// largestDecay is the part by which the largest generation is forgotten with each one;
+// about one in forty of the usual spread of sizes is as large.
+const largestDecay = 0.01
+
 // smallPart of the limit is kept for small requests: a flood of generations would leave
 // none of the account's lookups, which take a few hundredths of its tokens.
 const smallPart = 0.06
@@ -135,10 +140,15 @@
 	d.Others += l.unknown(now, share)
 	heard := float64(len(l.peers)+1-d.Silent) / float64(len(l.peers)+1)
 	d.Limit += heard * (slackPartUsed*l.slack.Part*limit + slackTokensUsed*l.slack.Tokens)
+	need := float64(tokens)
 	if size == Large {
-		d.Limit -= min(smallPart*limit, max(0, limit-float64(tokens)))
+		d.Limit -= min(smallPart*limit, max(0, limit-need))
+		// Whatever its size, a generation needs the room of a large one: else the smaller
+		// ones take all that becomes free, and a flood leaves the large ones nothing.
+		s.largest = max(need, s.largest*(1-largestDecay))
+		need = max(need, min(s.largest, d.Limit))
 	}
-	missing := float64(tokens+d.Own) + d.Others - d.Limit
+	missing := need + float64(d.Own) + d.Others - d.Limit
 	if missing <= 0 {
 		d.Allowed, d.Beyond = true, float64(tokens+d.Own)+d.Others > limit
 		l.add(now, s, tokens)
--- a/internal/limit/window/window_test.go
+++ b/internal/limit/window/window_test.go
@@ -1,6 +1,7 @@
 package window
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -191,3 +192,27 @@
 	with, without := served(Slack{Part: 0.1, Tokens: slackTokens}), served(Slack{})
 	assert.Assert(t, with > without, "%d with the slack, %d without", with, without)
 }
+
+// A flood of generations of all sizes: the largest tenth is served at least half as often
+// as all are, which the users ask for. By their own size they were refused in favour of
+// smaller ones that fitted into what became free.
+func TestFloodLeavesLargeGenerations(t *testing.T) {
+	sizes := []int{200, 250, 300, 350, 400, 200, 250, 300, 350, 1500}
+	l := New(span, Slack{}, time.Time{})
+	asked, served := map[int]int{}, map[int]int{}
+	random := rand.New(rand.NewPCG(7, 7))
+	total := 0
+	for i := range 4000 {
+		tokens := sizes[random.IntN(len(sizes))]
+		now := epoch.Add(time.Duration(i) * 20 * time.Millisecond)
+		asked[tokens]++
+		if l.Reserve(now, account, tokens, Large).Allowed {
+			served[tokens]++
+			total++
+		}
+	}
+	all := float64(total) / 4000
+	largest := float64(served[1500]) / float64(asked[1500])
+	assert.Assert(t, all < 0.5, "a flood: %.2f served", all)
+	assert.Assert(t, largest >= all/2, "%.3f of the largest, %.3f of all", largest, all)
+}
