Endpoints' entries have their time from the return of the store

Cause: while the store is down entries lapse; they are back about two seconds after its return. The time was counted from an instance's last failed call, up to 0.7 s before the return, so it ended 1.3 to 1.7 s after it. What was missing then was dropped, told to the others, and stays dropped for its incarnation. Change: the time is 2.2 s from the first call that succeeds. Test: TestEntriesHaveTheirTimeFromTheStoresReturn (fails on the old code).

--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -10,8 +10,8 @@
 )
 
 // returnTime is how long an endpoint whose entry vanished while the store was away may
-// take to enter itself again once the store is back.
-const returnTime = 1800 * time.Millisecond
+// take to enter itself again once the store is back: about two seconds, by the platform.
+const returnTime = 2200 * time.Millisecond
 
 // directory is what the instance believes of the endpoints. It is not safe for
 // concurrent use.
@@ -39,6 +39,10 @@
 // endpoints having left, until shortly after its return.
 func (d *directory) storeLost(now time.Time) { d.uncertain = now.Add(returnTime) }
 
+// storeBack notes that the store answers again. It may have returned at any moment since
+// the last failed call, so entries have the whole time from now on.
+func (d *directory) storeBack(now time.Time) { d.uncertain = now.Add(returnTime) }
+
 // put takes an entry and reports whether it changed anything. Entries of an older
 // incarnation, or older ones of the same, are left out.
 func (d *directory) put(ep *config.Endpoint) bool {
--- a/internal/gateway/directory_test.go
+++ b/internal/gateway/directory_test.go
@@ -128,3 +128,31 @@
 		assert.Equal(t, len(usable()), 0)
 	}
 }
+
+// Hunt, hric-submit store-and-keys --seed 138560625877: the store came back between two
+// calls of an instance, which counted the time for entries to return from its last failed
+// call. It dropped plain endpoints that entered themselves 1.9 s after the return, told the
+// others that they were gone, and nobody used them for the rest of the day.
+func TestEntriesHaveTheirTimeFromTheStoresReturn(t *testing.T) {
+	d := newDirectory()
+	ep := &config.Endpoint{Name: "e", Addr: "10.0.0.1:1", Incarnation: 100, Revision: 7}
+	d.put(ep)
+	failed := time.Unix(1000, 0)
+	d.storeLost(failed)
+	returned := failed.Add(100 * time.Millisecond)
+	noticed := failed.Add(700 * time.Millisecond)
+	d.storeBack(noticed)
+	assert.Assert(t, !d.remove(noticed, "e"), "it lapsed while the store was away")
+	back := returned.Add(1900 * time.Millisecond)
+	assert.Assert(t, !d.expire(back))
+	again := *ep
+	again.Revision++
+	d.put(&again)
+	assert.Assert(t, !d.expire(back.Add(time.Minute)))
+	assert.Assert(t, !d.list()[0].Leaving)
+
+	d.storeLost(failed)
+	d.storeBack(noticed)
+	d.remove(noticed, "e")
+	assert.Assert(t, d.expire(noticed.Add(returnTime)), "one that is missing after that is gone")
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -177,6 +177,7 @@
 				s.stats.storeFail.Inc()
 				s.state.storeLost(time.Now())
 			},
+			back: func() { s.state.storeBack(time.Now()) },
 		},
 	}
 }
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -126,6 +126,13 @@
 	}
 }
 
+// storeBack notes that the endpoints' table can be read again.
+func (s *state) storeBack(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.directory.storeBack(now)
+}
+
 // storeLost notes that the endpoints' table could not be read.
 func (s *state) storeLost(now time.Time) {
 	s.mu.Lock()
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -28,6 +28,7 @@
 	log   logr.Logger
 	apply func(rows []Row, whole bool)
 	lost  func() // told of every failed call; may be nil
+	back  func() // told of the first call that succeeds after it, before its rows are applied; may be nil
 }
 
 // run follows the table until ctx ends.
@@ -52,6 +53,9 @@
 		if err == nil {
 			if failures > 0 {
 				w.log.Info("store.regained", "table", w.table.String(), "failures", failures)
+				if w.back != nil {
+					w.back()
+				}
 			}
 			failures, known, after = 0, true, version
 			if whole || len(rows) > 0 {
