Only an entry of the same pool displaces an older one at its address

An entry may come from another writer. One with a pool that is not configured, at the address of a live endpoint, would have retired that endpoint for its incarnation, at every instance. The test has such an entry.

--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -8,8 +8,7 @@
 const (
 	budgetSlots = 20
 	// budgetPart of what the fleet may repeat is used; the rest covers requests that
-	// are counted in other windows than ours. An instance of 83 has three repeats so, which
-	// 0.7 rounded down to two.
+	// are counted in other windows than ours.
 	budgetPart = 0.9
 	// restartPart of its budget is left to an instance that does not know what it spent
 	// before its restart; the rest comes back with the window.
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -67,13 +67,13 @@
 	return old == nil || old.pending || !same(old.ep, &e)
 }
 
-// supersede retires the older of two endpoints with one address: the newer one runs where
-// the older one ended, whose entry stays for some heartbeats. It reports whether e is the
-// older one.
+// supersede retires the older of two endpoints of a pool with one address: the newer one
+// runs where the older one ended, whose entry stays for some heartbeats. It reports whether
+// e is the older one. An entry of another pool proves nothing: it may not be an endpoint's.
 func (d *directory) supersede(e *config.Endpoint) (older bool) {
 	for name, r := range d.known {
 		switch {
-		case name == e.Name || r.ep.Addr != e.Addr:
+		case name == e.Name || r.ep.Addr != e.Addr || r.ep.Pool != e.Pool:
 		case r.ep.Incarnation < e.Incarnation:
 			d.retire(name, r.ep.Incarnation)
 		case r.ep.Incarnation > e.Incarnation:
--- a/internal/gateway/directory_test.go
+++ b/internal/gateway/directory_test.go
@@ -124,6 +124,9 @@
 		assert.DeepEqual(t, usable(), []string{"new"})
 		d.put(&config.Endpoint{Name: "old", Addr: "10.0.0.1:1", Incarnation: 100, Revision: 2})
 		assert.DeepEqual(t, usable(), []string{"new"})
+		d.put(&config.Endpoint{Name: "forged", Pool: "another", Addr: "10.0.0.1:1", Incarnation: 300, Revision: 1})
+		assert.DeepEqual(t, usable(), []string{"forged", "new"}) // an entry of another pool does not displace it
+		d.remove(time.Unix(1000, 0), "forged")
 		d.remove(time.Unix(1000, 0), "new")
 		assert.Equal(t, len(usable()), 0)
 	}
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	dialTimeout = 250 * time.Millisecond // many times the round trip within a region, and twice the longest pause of an instance that used up its processor share
+	dialTimeout = 250 * time.Millisecond // many times the round trip within a region; an instance without processor share pauses for 100 ms
 	defaultIdle = 4 * time.Second        // life of idle connections where the endpoint names none
 	idleMargin  = time.Second            // taken off the endpoint's own limit
 	// safeIdle is how long a connection may have been idle to carry a request that
