--- a/internal/gateway/budget_test.go
+++ b/internal/gateway/budget_test.go
@@ -89,7 +89,9 @@
 	assert.Equal(t, left(), 90)
 	assert.Assert(t, x.mayArrive(1), "the first arrival is free")
 	x.sends = 1
-	assert.Assert(t, x.mayArrive(1) && x.mayArrive(1), "taken once, whatever was tried without a connection")
+	for range 3 {
+		assert.Assert(t, x.mayArrive(1), "taken once, whatever was tried without a connection")
+	}
 	assert.Equal(t, left(), 89)
 	assert.Assert(t, x.mayArrive(2), "a prompt read once more, and a run")
 	assert.Equal(t, left(), 88)
