--- a/internal/sched/dispatch/dispatch_test.go
+++ b/internal/sched/dispatch/dispatch_test.go
@@ -488,6 +488,13 @@
 	assert.NilError(t, f.serve(context.Background(), t, fn, fn.demand(), time.Millisecond))
 }
 
+// crashWait is the longest wait in TestDispatcherCrashKeepsGrants. Its first ten requests take
+// all slots at once. An engine is then known to read a prompt in 3 s and is given the next
+// one as it ends, so the other twenty are read two at a time and the last is granted after
+// 30 s. The rest is for the crash: a call's time-out, the pause of the next dispatcher, and
+// the renewal of what waits.
+const crashWait = 36 * time.Second
+
 // TestDispatcherCrashKeepsGrants kills the dispatcher while grants are held that no
 // decode engine knows of yet. The next one learns of them before it grants, so that
 // no engine refuses.
@@ -509,8 +516,10 @@
 				var wg sync.WaitGroup
 				for i := range 30 {
 					fn := others[i%2]
+					d := fn.demand()
+					d.MaxWait = crashWait
 					wg.Go(func() {
-						assert.Check(t, f.serve(context.Background(), t, fn, fn.demand(), 5*time.Second))
+						assert.Check(t, f.serve(context.Background(), t, fn, d, 5*time.Second))
 					})
 				}
 				time.Sleep(time.Second)
