--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -162,9 +162,10 @@
 	d := x.s.quotaReserve(c.Account, c.ChargedTokens, size)
 	c.OverLimit = d.UsedSlack
 	if !d.Allowed {
-		x.decision("over_rate", "account", c.Account.Name, "tokens", c.ChargedTokens, "limit", int(d.Limit), "own", d.OwnUsage, "others", int(d.PeerUsage), "silent", d.SilentPeers, "retry_after_ms", d.RetryAfter.Milliseconds())
+		x.decision("over_rate", "account", c.Account.Name, "tokens", c.ChargedTokens, "limit", int(d.Limit), "own", d.OwnUsage, "others", int(d.PeerUsage), "assumed", int(d.Assumed), "silent", d.SilentPeers, "retry_after_ms", d.RetryAfter.Milliseconds())
 		return refusal(errkind.OverRate, "the account is above its rate", d.RetryAfter)
 	}
+	x.s.stats.tokensCharged.Add(c.ChargedTokens)
 	return nil
 }
 
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -32,6 +32,7 @@
 	storeFailures     *metrics.Counter
 	updatesRefused    *metrics.Counter
 	omitted           *metrics.Counter
+	tokensCharged     *metrics.Counter
 
 	callLatency *metrics.PrometheusHistogram
 	firstEvent  *metrics.PrometheusHistogram
@@ -65,6 +66,7 @@
 		storeFailures:     set.NewCounter("caraway_store_failures_total"),
 		updatesRefused:    set.NewCounter("caraway_updates_refused_total"),
 		omitted:           set.NewCounter("caraway_log_requests_omitted_total"),
+		tokensCharged:     set.NewCounter("caraway_tokens_charged_total"),
 		callLatency:       set.NewPrometheusHistogramExt("caraway_plain_request_seconds", latencyBounds),
 		firstEvent:        set.NewPrometheusHistogramExt("caraway_first_event_seconds", latencyBounds),
 		longestGap:        set.NewPrometheusHistogramExt("caraway_longest_pause_seconds", latencyBounds),
--- a/internal/limit/window/window.go
+++ b/internal/limit/window/window.go
@@ -95,6 +95,7 @@
 	Limit       float64       // of the window, with the usable slack and without reserves
 	OwnUsage    int           // of this instance
 	PeerUsage   float64       // known and assumed usage of the other instances, and of this one before its start
+	Assumed     float64       // part of PeerUsage that no instance has reported
 	SilentPeers int           // other instances whose updates are overdue
 }
 
@@ -142,8 +143,10 @@
 	l.expire(now, s)
 	d := Decision{Limit: limit, OwnUsage: s.total}
 	share := limit / float64(len(l.peers)+1)
-	d.PeerUsage, d.SilentPeers = l.peerUsage(now, a.Name, share)
+	var reported float64
+	d.PeerUsage, reported, d.SilentPeers = l.peerUsage(now, a.Name, share)
 	d.PeerUsage += l.assumedOwnUsage(now, share)
+	d.Assumed = d.PeerUsage - reported
 	reportingFraction := float64(len(l.peers)+1-d.SilentPeers) / float64(len(l.peers)+1)
 	d.Limit += reportingFraction * (slackFractionFactor*l.slack.Fraction*limit + slackTokensFactor*l.slack.Tokens)
 	need := float64(tokens)
@@ -202,11 +205,12 @@
 	}
 }
 
-// peerUsage returns the known and assumed usage of the other instances, and how many of them
-// have overdue updates.
-func (l *Limiter) peerUsage(now time.Time, account string, share float64) (sum float64, silentPeers int) {
+// peerUsage returns the known and assumed usage of the other instances, the reported part of
+// it, and how many of them have overdue updates.
+func (l *Limiter) peerUsage(now time.Time, account string, share float64) (sum, reported float64, silentPeers int) {
 	for _, p := range l.peers {
 		usage := float64(p.usage[account])
+		reported += usage
 		switch {
 		case p.previousUsage != nil:
 			usage += float64(p.previousUsage[account]) * l.overlap(now, p.restartedAt)
@@ -221,7 +225,7 @@
 		}
 		sum += usage
 	}
-	return sum, silentPeers
+	return sum, reported, silentPeers
 }
 
 // Usage returns this instance's own usage in the window, by account.
