--- /dev/null
+++ b/internal/limit/window/restart_test.go
@@ -0,0 +1,160 @@
+package window
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+var testSlack = Slack{Fraction: 0.1, Tokens: 4000}
+
+// allowedInWindow is the users' bound on the tokens of the account in any window.
+const allowedInWindow = windowLimit*11/10 + 4000
+
+// testFleet is a fleet whose instances hear each other at once.
+type testFleet struct {
+	limiters []*Limiter // nil for an instance that is down
+	births   []time.Time
+	charges  []charge
+}
+
+func newTestFleet(n int, now time.Time) *testFleet {
+	f := &testFleet{limiters: make([]*Limiter, n), births: make([]time.Time, n)}
+	for i := range f.limiters {
+		f.limiters[i], f.births[i] = New(windowLength, testSlack, time.Time{}), now.Add(-time.Hour)
+	}
+	f.exchange(now)
+	return f
+}
+
+func instanceName(i int) string { return fmt.Sprintf("i%d", i) }
+
+// exchange passes every instance's usage to all others.
+func (f *testFleet) exchange(now time.Time) {
+	for j, from := range f.limiters {
+		if from != nil {
+			f.send(now, j)
+		}
+	}
+}
+
+func (f *testFleet) send(now time.Time, j int) {
+	for i, to := range f.limiters {
+		if to != nil && i != j {
+			to.UpdatePeer(now, instanceName(j), f.births[j].UnixNano(), now.Sub(f.births[j]), f.limiters[j].Usage(now))
+		}
+	}
+}
+
+// kill ends an instance without notice.
+func (f *testFleet) kill(i int) { f.limiters[i] = nil }
+
+// start starts an instance that knows nothing of before.
+func (f *testFleet) start(now time.Time, i int) {
+	f.limiters[i], f.births[i] = New(windowLength, testSlack, now), now
+	f.exchange(now)
+}
+
+// leave ends an instance after it has said so to the others.
+func (f *testFleet) leave(now time.Time, i int) {
+	f.send(now, i)
+	f.limiters[i] = nil
+	for j, l := range f.limiters {
+		if l == nil {
+			continue
+		}
+		var names []string
+		for k, other := range f.limiters {
+			if other != nil && k != j {
+				names = append(names, instanceName(k))
+			}
+		}
+		l.SetPeers(names)
+	}
+}
+
+// request sends a generation to an instance and reports whether it was allowed.
+func (f *testFleet) request(now time.Time, i, tokens int) bool {
+	if f.limiters[i] == nil || !f.limiters[i].Reserve(now, account, tokens, Generation).Allowed {
+		return false
+	}
+	f.charges = append(f.charges, charge{now, tokens})
+	f.send(now, i)
+	return true
+}
+
+// flood sends a generation of 300 tokens every step to the instances in turn.
+func (f *testFleet) flood(from time.Time, length, step time.Duration) {
+	for at := time.Duration(0); at < length; at += step {
+		f.exchange(from.Add(at))
+		f.request(from.Add(at), int(at/step)%len(f.limiters), 300)
+	}
+}
+
+// An account that spends its tokens in the last second before all instances restart is still
+// held to its limit.
+func TestBurstBeforeRestartOfAllIsCounted(t *testing.T) {
+	now := epoch
+	f := newTestFleet(3, now)
+	f.flood(now, time.Second, 5*time.Millisecond)
+	now = now.Add(time.Second)
+	for i := range f.limiters {
+		f.kill(i)
+	}
+	now = now.Add(500 * time.Millisecond)
+	for i := range f.limiters {
+		f.start(now, i)
+	}
+	f.flood(now, 20*time.Second, 5*time.Millisecond)
+	got := maxWindowSum(f.charges)
+	assert.Assert(t, got <= allowedInWindow, "%d tokens in a window, %d are allowed", got, allowedInWindow)
+	late := 0
+	for _, c := range f.charges {
+		if c.at.Sub(now) >= windowLength {
+			late += c.tokens
+		}
+	}
+	assert.Assert(t, late >= 12*1000, "the rate is granted again: %d in 12 s", late)
+}
+
+// Instances that are killed, leave and start in any order and number keep the limit.
+func TestSeriesOfRestartsKeepsTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const n = 3
+		now := epoch
+		f := newTestFleet(n, now)
+		for range rapid.IntRange(1, 12).Draw(t, "events") {
+			f.flood(now, time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms"))*time.Millisecond, time.Duration(rapid.IntRange(5, 60).Draw(t, "step"))*time.Millisecond)
+			now = now.Add(3 * time.Second)
+			up := 0
+			for _, l := range f.limiters {
+				if l != nil {
+					up++
+				}
+			}
+			i := rapid.IntRange(0, n-1).Draw(t, "instance")
+			switch {
+			case rapid.IntRange(0, 3).Draw(t, "all") == 0:
+				for i := range f.limiters {
+					f.kill(i)
+				}
+				for i := range f.limiters {
+					f.start(now, i)
+				}
+			case f.limiters[i] == nil:
+				f.start(now, i)
+			case up > 1 && rapid.Bool().Draw(t, "leaves"):
+				f.leave(now, i)
+			default:
+				f.kill(i)
+			}
+		}
+		f.flood(now, 8*time.Second, 20*time.Millisecond)
+		if got := maxWindowSum(f.charges); got > allowedInWindow {
+			t.Fatalf("%d tokens in a window, %d are allowed", got, allowedInWindow)
+		}
+	})
+}
