gateway: send an update at once when another instance starts

Callers of a fleet that had just restarted were refused with 429 for longer than needed: an instance that starts sends its first update after the periodic interval, and until then every other one assumes that it uses its share of each account's limit.

An update is now sent when a new row or a new incarnation is seen.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -255,6 +255,7 @@
 	if x == nil {
 		x = &peer{rowChangedAt: now}
 		p.known[r.Key] = x
+		p.requestUpdate()
 		p.log.Info("instance.seen", "instance", r.Key, "addr", row.Updates)
 	}
 	if x.row.Incarnation != row.Incarnation || x.rowVersion != r.Version {
--- a/internal/gateway/updates.go
+++ b/internal/gateway/updates.go
@@ -221,6 +221,7 @@
 	}
 	if x.update == nil || x.update.Incarnation != u.Incarnation {
 		p.log.Info("instance.heard", "instance", u.Instance, "incarnation", u.Incarnation)
+		p.requestUpdate() // it may not have heard this instance yet
 	}
 	joined = joined || x.leaving != u.Leaving
 	x.update, x.lastUpdateAt, x.leaving = u, now, u.Leaving
