window: limit accounts by a leaky bucket that restarts do not empty

Cause: the limiter counted a sliding window and granted all its tokens as fast as they were asked for. After a restart of all instances none knows what was used; each assumed that the limit had been used up evenly over the window before. The account had used it in the last seconds, so that each second after the restart granted an eighth of the limit, and the slack, that was still in the window. The class: usage that was granted is forgotten, or let go faster than it leaves the window, when the process that granted it ends. The same cause stood in two more places: the usage of a single instance that restarts was let go evenly too, and that of an instance that leaves was dropped with its name.

Change: an account's limit is a leaky bucket of the whole fleet that drains at the account's rate; burst and usable slack are its depth. Any span of length t holds at most rate x t + depth, so an instance without knowledge is right to assume a full bucket, however often all restart, and rate x t is granted from then on. Usage of instances that end stays in the bucket until it has drained. A single instance that restarts takes the level over from another one. Silent instances count with their share of depth and rate, as before. A request larger than the depth needs idle time before it.

Tests: the bound of TestRestartOfAllKeepsTheLimit, one and a half times the limit with the incident's cause as its reason, is the limit now. TestRefund and TestSlack charged a whole window at once, which is above the burst; they check the same at the burst, and more. Refunds of drained tokens and requests above the burst have tests of their own.

A flooding account is refused earlier, and after a restart generations wait for the account's rate.

Updates between instances have a new format and type: in a rolling upgrade old and new instances count each other as silent.

--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -44,13 +44,14 @@
 	resp *response
 
 	deadline        time.Time
-	sends           int      // requests received by endpoints that count against the retry budget
-	reserved        int      // retries reserved in the budget and not yet used; negative for sends without a reservation
-	prefilled       bool     // a prefill has succeeded; only the first one does not count as a send
-	runs            int      // endpoints that may have run the request
-	handleFetched   bool     // an engine may have fetched the prefill result
-	excluded        []string // endpoints that failed the request
-	lastEndpoint    string   // endpoint of the last attempt
+	chargedAt       time.Time // when the tokens were charged to the account
+	sends           int       // requests received by endpoints that count against the retry budget
+	reserved        int       // retries reserved in the budget and not yet used; negative for sends without a reservation
+	prefilled       bool      // a prefill has succeeded; only the first one does not count as a send
+	runs            int       // endpoints that may have run the request
+	handleFetched   bool      // an engine may have fetched the prefill result
+	excluded        []string  // endpoints that failed the request
+	lastEndpoint    string    // endpoint of the last attempt
 	queueTime       time.Duration
 	relayedTokens   int               // output tokens relayed
 	priorTokens     int               // output tokens that the caller received in an earlier attempt
@@ -88,7 +89,7 @@
 	}
 	x.refundSends()
 	if x.runs == 0 && x.call.Account != nil {
-		x.s.quotaReturn(x.call.Account.Name, x.call.ChargedTokens)
+		x.s.quotaReturn(x.chargedAt, x.call.Account.Name, x.call.ChargedTokens)
 	}
 	return err
 }
@@ -162,9 +163,10 @@
 	d := x.s.quotaReserve(c.Account, c.ChargedTokens, size)
 	c.OverLimit = d.UsedSlack
 	if !d.Allowed {
-		x.decision("over_rate", "account", c.Account.Name, "tokens", c.ChargedTokens, "limit", int(d.Limit), "own", d.OwnUsage, "others", int(d.PeerUsage), "assumed", int(d.Assumed), "silent", d.SilentPeers, "retry_after_ms", d.RetryAfter.Milliseconds())
+		x.decision("over_rate", "account", c.Account.Name, "tokens", c.ChargedTokens, "needed", int(d.Needed), "limit", int(d.Limit), "own", int(d.OwnUsage), "others", int(d.PeerUsage), "assumed", int(d.Assumed), "silent", d.SilentPeers, "retry_after_ms", d.RetryAfter.Milliseconds())
 		return refusal(errkind.OverRate, "the account is above its rate", d.RetryAfter)
 	}
+	x.chargedAt = time.Now()
 	x.s.stats.tokensCharged.Add(c.ChargedTokens)
 	return nil
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -330,8 +330,8 @@
 	return s.quota.Reserve(time.Now(), a, tokens, size)
 }
 
-func (s *Server) quotaReturn(account string, tokens int) {
+func (s *Server) quotaReturn(chargedAt time.Time, account string, tokens int) {
 	s.quotaMu.Lock()
 	defer s.quotaMu.Unlock()
-	s.quota.Refund(time.Now(), account, tokens)
+	s.quota.Refund(time.Now(), chargedAt, account, tokens)
 }
--- a/internal/gateway/updates.go
+++ b/internal/gateway/updates.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"carawayrouter.example/router/internal/gossip"
+	"carawayrouter.example/router/internal/limit/window"
 	"carawayrouter.example/router/internal/placement"
 )
 
@@ -105,7 +106,6 @@
 	u := &gossip.Update{
 		Instance:             s.settings.Instance,
 		Incarnation:          p.self.Incarnation,
-		Uptime:               time.Since(p.started).Milliseconds(),
 		StateAddr:            p.self.State,
 		ConfigurationVersion: s.state.Current().Ticket,
 		EndpointsVersion:     s.state.endpointsVersion(),
@@ -128,9 +128,11 @@
 			})
 		}
 	})
+	now := time.Now()
 	s.quotaMu.Lock()
-	for account, tokens := range s.quota.Usage(time.Now()) {
-		u.Usage = append(u.Usage, gossip.AccountUsage{Account: account, Tokens: tokens})
+	u.KnownFor = s.quota.KnownFor(now).Milliseconds()
+	for account, usage := range s.quota.Usage(now) {
+		u.Usage = append(u.Usage, gossip.AccountUsage{Account: account, Tokens: usage.Own, Level: usage.Level})
 	}
 	s.quotaMu.Unlock()
 	return u
@@ -232,15 +234,15 @@
 	names := p.activeNames()
 	p.mu.Unlock()
 
-	usage := make(map[string]int, len(u.Usage))
+	report := window.Report{Instance: u.Instance, Incarnation: u.Incarnation, KnownFor: time.Duration(u.KnownFor) * time.Millisecond, Usage: make(map[string]window.Usage, len(u.Usage))}
 	for _, s := range u.Usage {
-		usage[s.Account] = s.Tokens
+		report.Usage[s.Account] = window.Usage{Own: s.Tokens, Level: s.Level}
 	}
 	p.s.quotaMu.Lock()
+	p.s.quota.UpdatePeer(now, report, p.s.state.Current().Accounts)
 	if joined {
 		p.s.quota.SetPeers(names)
 	}
-	p.s.quota.UpdatePeer(now, u.Instance, u.Incarnation, time.Duration(u.Uptime)*time.Millisecond, usage)
 	p.s.quotaMu.Unlock()
 	p.s.admission.withScheduler(func(now time.Time, s *placement.Scheduler) { s.SetPeer(u.Instance, remoteOf(now, u)) })
 	return true
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -24,7 +24,7 @@
 	Instance    string
 	Incarnation int64 // start of the process, Unix ns
 	Sequence    uint64
-	Uptime      int64  // ms since the start
+	KnownFor    int64  // ms for which the instance knows the usage of the fleet
 	StateAddr   string // IP:port for state requests of other instances
 	Leaving     bool
 
@@ -62,12 +62,13 @@
 	Age                       int64 // ms since Generated was determined; negative before the expected start
 }
 
-// AccountUsage is what an instance has used of one account's limit in the current window.
+// AccountUsage is an account's usage that has not drained from its limit yet.
 type AccountUsage struct {
 	_ struct{} `cbor:",toarray"`
 
 	Account string
-	Tokens  int
+	Tokens  int // of the instance
+	Level   int // of the whole fleet as the instance knows it, tokens
 }
 
 // QueuedRequest is a generation that waits for an engine.
@@ -94,7 +95,7 @@
 
 // Types of datagrams, in their first byte.
 const (
-	kindUpdate = 'n'
+	kindUpdate = 'u'
 	kindBatch  = 'b'
 )
 
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -8,7 +8,7 @@
 
 func sampleUpdate() *Update {
 	return &Update{
-		Instance: "north-1", Incarnation: 7, Sequence: 3, Uptime: 100, StateAddr: "10.0.0.1:1",
+		Instance: "north-1", Incarnation: 7, Sequence: 3, KnownFor: 100, StateAddr: "10.0.0.1:1",
 		Loads:   []EndpointLoad{{Endpoint: "i-1", PrefillTokens: 5000, Runs: []Run{{Prompt: 5000, Output: 4000, Generated: 72, Age: -20}}}},
 		Usage:   []AccountUsage{{Account: "paper", Tokens: 9}},
 		Queued:  []QueuedRequest{{Pool: "writers", Prompt: 1, Output: 2, Age: 3, StartBy: -4, Priority: 5}},
--- a/internal/limit/window/restart_test.go
+++ b/internal/limit/window/restart_test.go
@@ -44,7 +44,7 @@
 func (f *testFleet) send(now time.Time, j int) {
 	for i, to := range f.limiters {
 		if to != nil && i != j {
-			to.UpdatePeer(now, instanceName(j), f.births[j].UnixNano(), now.Sub(f.births[j]), f.limiters[j].Usage(now))
+			to.UpdatePeer(now, reportOf(now, instanceName(j), f.births[j].UnixNano(), f.limiters[j]), accounts)
 		}
 	}
 }
--- a/internal/limit/window/window.go
+++ b/internal/limit/window/window.go
@@ -1,7 +1,15 @@
 // Package window limits the tokens that client accounts use in a sliding window, summed over
-// all instances. Every instance decides on its own: it knows its own usage exactly and that
-// of the others from their last updates. The package opens no sockets; the current time is
-// an argument.
+// all instances. Every instance decides on its own, from its own usage and the last updates of
+// the others. The package opens no sockets; the current time is an argument.
+//
+// An account's limit is a leaky bucket that the whole fleet shares. Its level is the sum of the
+// instances' own levels and of what instances that have ended may have used. The bucket drains
+// at the account's rate, in proportion to the parts, so that every instance computes the same
+// level from its own part and the others' reports.
+//
+// Invariant: in every window, the tokens granted are at most the drain over the window plus the
+// depth of the bucket. It holds across restarts, because an instance that does not know the
+// usage before its start assumes that the bucket was full.
 package window
 
 import (
@@ -11,7 +19,6 @@
 )
 
 const (
-	slotsPerWindow = 128 // resolution of the window; a slot counts until its last request leaves the window
 	// updateMargin lengthens the window for the time that updates are in transit. The transit
 	// of requests needs no margin: a request counts in a window if it was both sent and
 	// received in it, and the decision is made between the two.
@@ -19,7 +26,13 @@
 	// peerTimeout is the greatest age of the last update of another instance. Beyond it the
 	// instance is assumed to use at least its equal share, so that the sides of a network
 	// partition stay within the limit together.
-	peerTimeout   = 1500 * time.Millisecond
+	peerTimeout = 1500 * time.Millisecond
+	// minDepth is the smallest depth of a bucket, as a time at the account's rate. A burst of
+	// zero would refuse everything.
+	minDepth = time.Second
+	// drainInterval is how often an update of another instance drains a bucket; the cost grows
+	// with the fleet.
+	drainInterval = 10 * time.Millisecond
 	minRetryAfter = 200 * time.Millisecond // in refusals
 )
 
@@ -27,30 +40,37 @@
 type Limiter struct {
 	window     time.Duration
 	slack      Slack
-	startedAt  time.Time // start of this instance, before which its usage is unknown; zero for a new fleet
-	slotLength time.Duration
-	accounts   map[string]*accountUsage
+	startedAt  time.Time
+	knownSince time.Time // usage before it is unknown; zero for a new fleet
+	accounts   map[string]*bucket
 	peers      map[string]*peer
 }
 
-type slot struct {
-	index  int64 // in slots since the Unix epoch
-	tokens int
+// bucket is an account's usage that has not drained yet, in tokens.
+type bucket struct {
+	own        float64            // of this instance; negative after refunds of drained tokens
+	peers      map[string]float64 // of the other instances, by name
+	ended      float64            // of instances that have ended
+	unknown    float64            // assumed usage of any instance before knownSince
+	limits     limits
+	updatedAt  time.Time
+	emptySince time.Time // valid while all but the usage of silent peers is zero
+	// Largest generation of the present period and of the one before it, in tokens. A period
+	// lasts a window.
+	largest, largestBefore float64
+	periodStart            time.Time
 }
 
-type accountUsage struct {
-	slots             []slot
-	total             int
-	largestGeneration float64 // decaying maximum of the tokens of a generation
+// limits are the parameters of a bucket.
+type limits struct {
+	rate   float64 // drain, tokens per second
+	window float64 // drain over a window, tokens
+	depth  float64 // tokens
 }
 
 type peer struct {
-	updatedAt     time.Time
-	incarnation   int64
-	usage         map[string]int
-	startedAt     time.Time
-	previousUsage map[string]int // of the previous incarnation, nil if unknown
-	restartedAt   time.Time      // when the current incarnation was first heard of
+	updatedAt   time.Time
+	incarnation int64
 }
 
 // Slack is how far the sum over all instances may exceed the limit.
@@ -59,42 +79,35 @@
 	Tokens   float64
 }
 
-// New returns a Limiter for a window of the given length. A non-zero startedAt means that
-// the instance may have used tokens in an earlier incarnation that it has no record of; it
-// assumes that it used its share. A zero startedAt means a new fleet.
+// Usage is what an instance reports of an account, in tokens that have not drained yet.
+type Usage struct {
+	Own   int
+	Level int // of the whole fleet, as this instance knows it
+}
+
+// New returns a Limiter for a window of the given length. A non-zero startedAt means that the
+// fleet may have used tokens before, of which this instance has no record; it assumes that all
+// buckets were full. A zero startedAt means a new fleet.
 func New(window time.Duration, slack Slack, startedAt time.Time) *Limiter {
-	window += updateMargin
 	return &Limiter{
 		window:     window,
 		slack:      slack,
 		startedAt:  startedAt,
-		slotLength: window / slotsPerWindow,
-		accounts:   map[string]*accountUsage{},
+		knownSince: startedAt,
+		accounts:   map[string]*bucket{},
 		peers:      map[string]*peer{},
 	}
 }
 
-func (l *Limiter) slotIndex(t time.Time) int64 { return t.UnixNano() / int64(l.slotLength) }
-
-// expire drops the slots that have left the window.
-func (l *Limiter) expire(now time.Time, s *accountUsage) {
-	oldest := l.slotIndex(now) - slotsPerWindow - 1
-	i := 0
-	for i < len(s.slots) && s.slots[i].index < oldest {
-		s.total -= s.slots[i].tokens
-		i++
-	}
-	s.slots = s.slots[i:]
-}
-
 // Decision is the outcome of one reservation, with the quantities behind it in tokens.
 type Decision struct {
 	Allowed     bool
-	UsedSlack   bool          // allowed above the limit, within the slack
+	UsedSlack   bool          // allowed above the account's burst, within the slack
 	RetryAfter  time.Duration // time until the request is expected to fit, if it was not allowed
-	Limit       float64       // of the window, with the usable slack and without reserves
-	OwnUsage    int           // of this instance
-	PeerUsage   float64       // known and assumed usage of the other instances, and of this one before its start
+	Limit       float64       // usable depth of the bucket
+	Needed      float64       // room that the request needs below Limit
+	OwnUsage    float64       // of this instance
+	PeerUsage   float64       // of the other instances, reported or assumed
 	Assumed     float64       // part of PeerUsage that no instance has reported
 	SilentPeers int           // other instances whose updates are overdue
 }
@@ -114,143 +127,279 @@
 	PlainCall                     // a plain call, some hundred tokens
 )
 
-// largestGenerationDecay is the fraction by which the recorded largest size decays with
-// every generation. With the usual distribution of sizes, about one generation in forty is
-// as large as the recorded size.
-const largestGenerationDecay = 0.01
+// plainCallReserve is the part of the bucket that is reserved for plain calls, as a fraction of
+// the window's limit. Without it a flood of generations starves the account's lookups, which
+// use a few per cent of its tokens.
+const plainCallReserve = 0.02
+
+// windowLimit returns the tokens that the account may use in a window, without the slack.
+func (l *Limiter) windowLimit(a *config.Account) float64 {
+	return a.Rate*l.window.Seconds() + a.Burst
+}
 
-// plainCallReserve is the fraction of the limit that is reserved for plain calls. Without it
-// a flood of generations starves the account's lookups, which use a few per cent of its
-// tokens.
-const plainCallReserve = 0.06
+// limitsOf returns the parameters of an account's bucket: the drain over a window and the depth
+// together are the window's limit and the usable slack.
+func (l *Limiter) limitsOf(a *config.Account) limits {
+	limit := l.windowLimit(a)
+	slack := slackFractionFactor*l.slack.Fraction*limit + slackTokensFactor*l.slack.Tokens
+	depth := max(a.Burst+slack, a.Rate*minDepth.Seconds())
+	drain := limit + slack - depth
+	return limits{rate: drain / (l.window + updateMargin).Seconds(), window: drain, depth: depth}
+}
 
 // Reserve charges tokens to the account if its limit and the slack allow.
 //
-// The slack serves an account that sends several times its usual load: once the window is
-// full, everything would be refused until the account's first burst leaves the window.
-// Requests within the slack are served meanwhile; the Decision marks them, so that they can
-// be queued behind requests that are within their limits.
+// The slack serves an account that sends several times its usual load. Requests within the
+// slack are marked in the Decision, so that they can be queued behind requests that are within
+// their limits.
 func (l *Limiter) Reserve(now time.Time, a *config.Account, tokens int, kind RequestKind) Decision {
 	if a.Rate <= 0 {
 		return Decision{Allowed: true}
 	}
-	limit := a.Rate*(l.window-updateMargin).Seconds() + a.Burst
-	s := l.accounts[a.Name]
-	if s == nil {
-		s = &accountUsage{}
-		l.accounts[a.Name] = s
+	b := l.bucketOf(now, a)
+	l.drain(now, b)
+	v := l.view(now, b)
+	d := Decision{OwnUsage: b.own, PeerUsage: v.level - b.own + v.silentUsage, Assumed: v.assumed, SilentPeers: v.silent}
+	credit := 0.0
+	if v.level <= 0 {
+		// A request larger than the bucket needs that much more idle time before it.
+		credit = v.reporting * min(b.limits.rate*now.Sub(b.emptySince).Seconds(), b.limits.window)
 	}
-	l.expire(now, s)
-	d := Decision{Limit: limit, OwnUsage: s.total}
-	share := limit / float64(len(l.peers)+1)
-	var reported float64
-	d.PeerUsage, reported, d.SilentPeers = l.peerUsage(now, a.Name, share)
-	d.PeerUsage += l.assumedOwnUsage(now, share)
-	d.Assumed = d.PeerUsage - reported
-	reportingFraction := float64(len(l.peers)+1-d.SilentPeers) / float64(len(l.peers)+1)
-	d.Limit += reportingFraction * (slackFractionFactor*l.slack.Fraction*limit + slackTokensFactor*l.slack.Tokens)
+	usable := b.limits.depth - v.silentUsage + credit
 	need := float64(tokens)
 	if kind == Generation {
-		d.Limit -= min(plainCallReserve*limit, max(0, limit-need))
 		// A generation of any size is admitted only if a large one would fit. Otherwise the
 		// small generations of a flood take all the capacity that becomes free, and the
 		// large ones are starved.
-		s.largestGeneration = max(need, s.largestGeneration*(1-largestGenerationDecay))
-		need = max(need, min(s.largestGeneration, d.Limit))
+		b.observeGeneration(now, l.window, need)
+		need = max(need, min(max(b.largest, b.largestBefore), b.limits.depth-v.silentUsage+v.reporting*b.limits.window))
+		usable -= min(plainCallReserve*v.reporting*l.windowLimit(a), max(0, usable-need))
 	}
-	missing := need + float64(d.OwnUsage) + d.PeerUsage - d.Limit
+	d.Limit, d.Needed = usable+v.silentUsage, need
+	level := max(0, v.level)
+	missing := need + level - usable
 	if missing <= 0 {
-		d.Allowed, d.UsedSlack = true, float64(tokens+d.OwnUsage)+d.PeerUsage > limit
-		l.record(now, s, tokens)
+		d.Allowed, d.UsedSlack = true, float64(tokens)+level+v.silentUsage > credit+max(a.Burst, a.Rate*minDepth.Seconds())
+		b.own += float64(tokens)
 		return d
 	}
-	d.RetryAfter = max(minRetryAfter, time.Duration(missing/a.Rate*float64(time.Second)))
+	d.RetryAfter = max(minRetryAfter, seconds(missing/(b.limits.rate*v.reporting)))
 	return d
 }
 
-// assumedOwnUsage returns the usage assumed for earlier incarnations of this instance: its
-// share, scaled by the part of the window that lies before the start.
-func (l *Limiter) assumedOwnUsage(now time.Time, share float64) float64 {
-	return share * l.overlap(now, l.startedAt)
+// observeGeneration records the size of a generation.
+func (b *bucket) observeGeneration(now time.Time, period time.Duration, tokens float64) {
+	if now.Sub(b.periodStart) > period {
+		b.largest, b.largestBefore, b.periodStart = 0, b.largest, now
+	}
+	b.largest = max(b.largest, tokens)
+}
+
+// bucketOf returns the account's bucket with its present limits.
+func (l *Limiter) bucketOf(now time.Time, a *config.Account) *bucket {
+	limits := l.limitsOf(a)
+	b := l.accounts[a.Name]
+	switch {
+	case b == nil:
+		b = &bucket{peers: map[string]float64{}, unknown: l.unknownUsage(now, limits), updatedAt: now, emptySince: l.knownSince.Add(seconds(limits.depth / limits.rate))}
+		l.accounts[a.Name] = b
+	case b.limits == limits:
+		return b
+	default:
+		l.drain(now, b)
+		if limits.depth < b.limits.depth {
+			// The usage under a higher limit must not exhaust the lower one for longer than
+			// it takes to drain a full bucket.
+			b.scale(limits.depth / b.limits.depth)
+		}
+	}
+	b.limits = limits
+	return b
 }
 
-// overlap returns the fraction of a window ending now that lies before at.
-func (l *Limiter) overlap(now, at time.Time) float64 {
-	return max(0, 1-now.Sub(at).Seconds()/l.window.Seconds())
+// unknownUsage returns the tokens that may remain of the usage before knownSince.
+func (l *Limiter) unknownUsage(now time.Time, limits limits) float64 {
+	if l.knownSince.IsZero() {
+		return 0
+	}
+	return max(0, limits.depth-limits.rate*now.Sub(l.knownSince).Seconds())
 }
 
-// record charges tokens to the current slot.
-func (l *Limiter) record(now time.Time, s *accountUsage, tokens int) {
-	index := l.slotIndex(now)
-	if n := len(s.slots); n > 0 && s.slots[n-1].index == index {
-		s.slots[n-1].tokens += tokens
-	} else {
-		s.slots = append(s.slots, slot{index: index, tokens: tokens})
+// scale multiplies all parts of the bucket by a factor.
+func (b *bucket) scale(factor float64) {
+	b.own *= factor
+	b.ended *= factor
+	b.unknown *= factor
+	for name := range b.peers {
+		b.peers[name] *= factor
 	}
-	s.total += tokens
 }
 
-// Refund returns the tokens of a request that did not run, newest slots first.
-func (l *Limiter) Refund(now time.Time, account string, tokens int) {
-	s := l.accounts[account]
-	if s == nil {
+// drain removes from the bucket what has drained since the last call. Silent peers drain their
+// equal share of the rate, and the others drain the rest.
+func (l *Limiter) drain(now time.Time, b *bucket) {
+	before := b.updatedAt
+	elapsed := now.Sub(before).Seconds()
+	if elapsed <= 0 {
 		return
 	}
-	l.expire(now, s)
-	for i := len(s.slots) - 1; i >= 0 && tokens > 0; i-- {
-		n := min(tokens, s.slots[i].tokens)
-		s.slots[i].tokens -= n
-		s.total -= n
-		tokens -= n
+	b.updatedAt = now
+	v := l.view(now, b)
+	share := b.limits.rate * elapsed / float64(len(l.peers)+1)
+	var silent map[string]float64
+	if v.silent > 0 {
+		silent = make(map[string]float64, v.silent)
+		for name, p := range l.peers {
+			if p.silent(now) {
+				silent[name] = max(0, b.peers[name]-share)
+			}
+		}
+	}
+	if rest := b.limits.rate * elapsed * v.reporting; v.level > rest {
+		b.scale(1 - rest/v.level)
+	} else {
+		if v.level > 0 {
+			b.emptySince = before.Add(seconds(elapsed * v.level / rest))
+		}
+		b.scale(0)
+	}
+	for name, tokens := range silent {
+		b.peers[name] = tokens
 	}
 }
 
-// peerUsage returns the known and assumed usage of the other instances, the reported part of
-// it, and how many of them have overdue updates.
-func (l *Limiter) peerUsage(now time.Time, account string, share float64) (sum, reported float64, silentPeers int) {
-	for _, p := range l.peers {
-		usage := float64(p.usage[account])
-		reported += usage
-		switch {
-		case p.previousUsage != nil:
-			usage += float64(p.previousUsage[account]) * l.overlap(now, p.restartedAt)
-		case l.overlap(now, l.startedAt) > 0:
-			// Neither this instance nor the peer knows the peer's usage before its start:
-			// assume its share.
-			usage += share * l.overlap(now, p.startedAt)
-		}
-		if now.Sub(p.updatedAt) > peerTimeout {
-			usage = max(usage, share)
-			silentPeers++
+// view is a bucket divided into the part that this instance knows and the part of the silent
+// peers, in tokens.
+type view struct {
+	level       float64 // all but the usage of silent peers
+	silentUsage float64 // of silent peers, each with at least its share, as far as it is not part of the unknown usage
+	assumed     float64 // usage that was never reported
+	silent      int     // silent peers
+	reporting   float64 // fraction of the instances that report, including this one
+}
+
+func (l *Limiter) view(now time.Time, b *bucket) view {
+	v := view{level: b.own + b.ended + b.unknown}
+	instances := float64(len(l.peers) + 1)
+	share := b.limits.depth / instances
+	for name, p := range l.peers {
+		tokens := b.peers[name]
+		if !p.silent(now) {
+			v.level += tokens
+			continue
 		}
-		sum += usage
+		v.silent++
+		v.silentUsage += max(share, tokens)
+		v.assumed += max(0, share-tokens)
 	}
-	return sum, reported, silentPeers
+	// The fleet as a whole kept the limit before knownSince, so silent peers have the rest of
+	// their shares only as the unknown usage drains.
+	v.silentUsage -= min(b.unknown, v.assumed)
+	v.assumed = max(b.unknown, v.assumed)
+	v.reporting = (instances - float64(v.silent)) / instances
+	return v
 }
 
-// Usage returns this instance's own usage in the window, by account.
-func (l *Limiter) Usage(now time.Time) map[string]int {
-	out := make(map[string]int, len(l.accounts))
-	for name, s := range l.accounts {
-		l.expire(now, s)
-		if s.total > 0 {
-			out[name] = s.total
+func (p *peer) silent(now time.Time) bool { return now.Sub(p.updatedAt) > peerTimeout }
+
+// Refund returns the tokens of a request that was charged at the given time and did not run.
+// Nothing is returned if the bucket has been empty since: the charge has drained.
+func (l *Limiter) Refund(now, chargedAt time.Time, account string, tokens int) {
+	b := l.accounts[account]
+	if b == nil {
+		return
+	}
+	l.drain(now, b)
+	if b.emptySince.After(chargedAt) {
+		return
+	}
+	b.own -= min(float64(tokens), max(0, l.view(now, b).level))
+}
+
+// Usage returns what this instance reports to the others, by account, and forgets the accounts
+// that have not been used for a window.
+func (l *Limiter) Usage(now time.Time) map[string]Usage {
+	out := make(map[string]Usage, len(l.accounts))
+	for name, b := range l.accounts {
+		l.drain(now, b)
+		level := b.own + b.ended + b.unknown
+		for _, tokens := range b.peers {
+			level += tokens
+		}
+		if u := (Usage{Own: int(b.own), Level: int(level)}); u != (Usage{}) {
+			out[name] = u
+		} else if now.Sub(b.emptySince) > l.window {
+			delete(l.accounts, name)
 		}
 	}
 	return out
 }
 
-// UpdatePeer records the usage and the uptime that another instance reports.
-func (l *Limiter) UpdatePeer(now time.Time, name string, incarnation int64, uptime time.Duration, usage map[string]int) {
-	p := l.peers[name]
+// KnownFor returns for how long this instance knows the usage of the fleet.
+func (l *Limiter) KnownFor(now time.Time) time.Duration { return now.Sub(l.knownSince) }
+
+// Report is the state that another instance sends.
+type Report struct {
+	Instance    string
+	Incarnation int64
+	KnownFor    time.Duration    // how long the instance knows the usage of the fleet
+	Usage       map[string]Usage // by account
+}
+
+// UpdatePeer applies the report of another instance. Usage of accounts that are not in accounts
+// is left out.
+func (l *Limiter) UpdatePeer(now time.Time, r Report, accounts map[string]*config.Account) {
+	p := l.peers[r.Instance]
 	if p == nil {
 		p = &peer{}
-		l.peers[name] = p
+		l.peers[r.Instance] = p
+	}
+	if p.silent(now) {
+		for _, b := range l.accounts {
+			l.drain(now, b)
+		}
 	}
-	if p.incarnation != incarnation {
-		p.previousUsage, p.restartedAt = p.usage, now
+	if p.incarnation != r.Incarnation {
+		l.retain(r.Instance)
+	}
+	p.updatedAt, p.incarnation = now, r.Incarnation
+	for account := range r.Usage {
+		if a := accounts[account]; a != nil && a.Rate > 0 {
+			l.bucketOf(now, a)
+		}
+	}
+	for account, b := range l.accounts {
+		if now.Sub(b.updatedAt) > drainInterval {
+			l.drain(now, b)
+		}
+		b.peers[r.Instance] = float64(r.Usage[account].Own)
+	}
+	if now.Sub(l.startedAt) < peerTimeout && r.KnownFor > now.Sub(l.startedAt) {
+		l.adopt(now, r)
+	}
+}
+
+// adopt replaces the assumptions about the usage before this instance's start by what an
+// instance with more knowledge reports.
+func (l *Limiter) adopt(now time.Time, r Report) {
+	if since := now.Add(-r.KnownFor); since.Before(l.knownSince) {
+		l.knownSince = since
+	}
+	for account, b := range l.accounts {
+		rest := float64(r.Usage[account].Level) - b.ended
+		for _, tokens := range b.peers {
+			rest -= tokens
+		}
+		b.unknown = min(b.unknown, max(rest, l.unknownUsage(now, b.limits)))
+	}
+}
+
+// retain keeps the usage of an instance that has ended.
+func (l *Limiter) retain(name string) {
+	for _, b := range l.accounts {
+		b.ended += max(0, b.peers[name])
+		delete(b.peers, name)
 	}
-	p.updatedAt, p.startedAt, p.incarnation, p.usage = now, now.Add(-uptime), incarnation, usage
 }
 
 // SetPeers replaces the list of other instances. An instance that has sent no update yet
@@ -264,5 +413,12 @@
 			peers[name] = &peer{}
 		}
 	}
+	for name := range l.peers {
+		if peers[name] == nil {
+			l.retain(name)
+		}
+	}
 	l.peers = peers
 }
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/limit/window/window_test.go
+++ b/internal/limit/window/window_test.go
@@ -14,6 +14,8 @@
 var (
 	epoch   = time.Unix(5000, 0)
 	account = &config.Account{Name: "paper", Rate: 1000, Burst: 1000}
+
+	accounts = map[string]*config.Account{account.Name: account}
 )
 
 const (
@@ -21,6 +23,11 @@
 	windowLimit  = 1000*8 + 1000
 )
 
+// reportOf returns what an instance with the limiter sends to the others.
+func reportOf(now time.Time, name string, incarnation int64, l *Limiter) Report {
+	return Report{Instance: name, Incarnation: incarnation, KnownFor: l.KnownFor(now), Usage: l.Usage(now)}
+}
+
 // charge is a request that was allowed.
 type charge struct {
 	at     time.Time
@@ -55,7 +62,7 @@
 			for i, l := range fleet {
 				for j, name := range names {
 					if i != j {
-						l.UpdatePeer(now, name, 1, time.Hour, fleet[j].Usage(now))
+						l.UpdatePeer(now, reportOf(now, name, 1, fleet[j]), accounts)
 					}
 				}
 			}
@@ -82,7 +89,7 @@
 	var fleet [2]*Limiter
 	for i := range fleet {
 		fleet[i] = New(windowLength, Slack{}, time.Time{})
-		fleet[i].UpdatePeer(epoch, []string{"i1", "i0"}[i], 1, time.Hour, nil)
+		fleet[i].UpdatePeer(epoch, Report{Instance: []string{"i1", "i0"}[i], Incarnation: 1, KnownFor: time.Hour}, accounts)
 	}
 	var all []charge
 	for ms := 2000; ms < 30000; ms += 20 {
@@ -115,7 +122,7 @@
 			for i := range fleet {
 				for j, name := range names {
 					if i != j {
-						fleet[i].UpdatePeer(now, name, int64(from), now.Sub(begin), fleet[j].Usage(now))
+						fleet[i].UpdatePeer(now, reportOf(now, name, int64(from)+1, fleet[j]), accounts)
 					}
 				}
 			}
@@ -126,9 +133,7 @@
 	}
 	run(0, 4000, false)
 	run(4500, 20000, true)
-	// Earlier usage is assumed to be spread evenly over the window. A burst just before the
-	// restart was not, so the limit may be exceeded by the part of the window before it.
-	assert.Assert(t, maxWindowSum(all) <= windowLimit+windowLimit/2, "%d", maxWindowSum(all))
+	assert.Assert(t, maxWindowSum(all) <= windowLimit, "%d", maxWindowSum(all))
 	late := 0
 	for _, s := range all {
 		if s.at.After(epoch.Add(12 * time.Second)) {
@@ -141,11 +146,34 @@
 // Tokens of requests that did not run are available again.
 func TestRefund(t *testing.T) {
 	l := New(windowLength, Slack{}, time.Time{})
-	assert.Assert(t, l.Reserve(epoch, account, windowLimit, PlainCall).Allowed)
+	assert.Assert(t, l.Reserve(epoch, account, 500, PlainCall).Allowed)
+	assert.Assert(t, l.Reserve(epoch, account, int(account.Burst)-500, PlainCall).Allowed)
 	d := l.Reserve(epoch, account, 1, PlainCall)
 	assert.Assert(t, !d.Allowed && d.RetryAfter > 0)
-	l.Refund(epoch, account.Name, 500)
+	l.Refund(epoch, epoch, account.Name, 500)
+	assert.Assert(t, l.Reserve(epoch, account, 500, PlainCall).Allowed)
+	assert.Assert(t, !l.Reserve(epoch, account, 1, PlainCall).Allowed)
+}
+
+// Tokens that have drained are not returned: others may have used them since.
+func TestDrainedTokensAreNotRefunded(t *testing.T) {
+	l := New(windowLength, Slack{}, time.Time{})
 	assert.Assert(t, l.Reserve(epoch, account, 500, PlainCall).Allowed)
+	now := epoch.Add(2 * time.Second)
+	assert.Assert(t, l.Reserve(now, account, int(account.Burst), PlainCall).Allowed)
+	l.Refund(now, epoch, account.Name, 500)
+	assert.Assert(t, !l.Reserve(now, account, 1, PlainCall).Allowed)
+}
+
+// A request larger than the burst is granted after enough idle time, and then nothing until the
+// excess has drained.
+func TestRequestLargerThanTheBurst(t *testing.T) {
+	l := New(windowLength, Slack{}, time.Time{})
+	assert.Assert(t, l.Reserve(epoch, account, 4*int(account.Burst), PlainCall).Allowed)
+	assert.Assert(t, !l.Reserve(epoch.Add(3*time.Second), account, 1, PlainCall).Allowed)
+	now := epoch.Add(4100 * time.Millisecond)
+	assert.Assert(t, !l.Reserve(now, account, 2*int(account.Burst), PlainCall).Allowed)
+	assert.Assert(t, l.Reserve(now.Add(time.Second), account, 2*int(account.Burst), PlainCall).Allowed)
 }
 
 // A flood of generations leaves the account enough tokens for its plain calls.
@@ -165,11 +193,14 @@
 // Requests above the limit are served from the slack and marked as such.
 func TestSlack(t *testing.T) {
 	l := New(windowLength, Slack{Fraction: 0.1, Tokens: 1000}, time.Time{})
-	d := l.Reserve(epoch, account, windowLimit, PlainCall)
+	d := l.Reserve(epoch, account, windowLimit-int(account.Burst), PlainCall)
+	assert.Assert(t, d.Allowed && !d.UsedSlack, "within the rate after a window without use")
+	now := epoch.Add(2 * windowLength)
+	d = l.Reserve(now, account, int(account.Burst), PlainCall)
 	assert.Assert(t, d.Allowed && !d.UsedSlack)
-	d = l.Reserve(epoch, account, 100, PlainCall)
+	d = l.Reserve(now, account, 100, PlainCall)
 	assert.Assert(t, d.Allowed && d.UsedSlack)
-	assert.Assert(t, !l.Reserve(epoch, account, windowLimit/10+1000, PlainCall).Allowed)
+	assert.Assert(t, !l.Reserve(now, account, windowLimit/10+1000, PlainCall).Allowed)
 }
 
 // An account sends seven times its usual load for two windows. More is served with
