gateway: quarantine prompt parts on which engines crash

Cause: a broken stream was a fault of the engine alone. Nothing related the crashes to what the requests on the engines had in common, so each new request with the part, at any instance, and its automatic retry were sent to a healthy engine. The class: a request that is the cause of a failure is treated as its victim.

Change: a stream that breaks before its second event is a suspect if its engine's process has ended (connection refused, or another endpoint answers). Instances share the parts of these prompts, per crash, and how many outputs have begun with them. A part with three more crashes than begun outputs is quarantined at all instances: its requests are refused before they are charged or sent (prompt_quarantined, 503), with the time that is left. Of several such parts only the strongest is taken, and crashes that it explains count for no other. After two crashes without an output that began, a request is not retried. Quarantined parts lie in the store, so that a restart of all instances does not lift them; they end after 24 hours.

Why it is safe for sound requests: parts that they share begin outputs all the time, and lost answers of an engine that goes on are no crash.

New lines and metrics: request.engine_crashed, request.quarantined, prompt.quarantined, caraway_engine_crashes_total, caraway_quarantined_parts.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -51,7 +51,8 @@
 	HasTokenCounts  bool // the caller declared PromptTokens and MaxOutputTokens
 	PromptTokens    int
 	MaxOutputTokens int
-	OutputHint      int // the caller's estimate of the output tokens, 0 if it gave none
+	OutputHint      int      // the caller's estimate of the output tokens, 0 if it gave none
+	PromptParts     []string // IDs of the prompt's shareable parts; the part of the request's own is left out
 
 	Method string
 	URI    string // with query
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -62,8 +62,9 @@
 			return err
 		}
 		x.decision("place", "prefill", endpointName(lease.Prefill), "decode", lease.Target.Name, "waited_ms", x.queueTime.Milliseconds(), "prompt", x.call.PromptTokens, "output", x.call.MaxOutputTokens)
+		x.crashed = false
 		done, err := x.attempt(ctx, lease)
-		if errors.Is(err, errNoRetryBudget) && last != nil {
+		if last != nil && errors.IsAny(err, errNoRetryBudget, errQuarantined) {
 			return last
 		}
 		if done || err == nil {
@@ -73,6 +74,9 @@
 			return context.Cause(ctx)
 		}
 		last = err
+		if x.suspected() {
+			return last
+		}
 		if x.relayedTokens > 0 {
 			x.s.stats.resumes.Inc()
 			sleepJitter(ctx, resumeJitter)
@@ -130,7 +134,7 @@
 func (x *exchange) attempt(ctx context.Context, l *placement.Lease) (done bool, err error) {
 	outcome := sched.Abandoned
 	defer func() { x.s.admission.release(l, outcome) }()
-	if err := x.identify(x.s.state.Current()); err != nil {
+	if err := x.admit(); err != nil {
 		return true, err
 	}
 	x.lastEndpoint = l.Target.Name
@@ -159,7 +163,7 @@
 	}
 	prefilledAt := time.Now()
 	for {
-		if err := x.identify(x.s.state.Current()); err != nil {
+		if err := x.admit(); err != nil {
 			return true, err
 		}
 		x.lastEndpoint = l.Target.Name
@@ -248,6 +252,7 @@
 			return true, ctx.Err() != nil, outcomeOf(ctx, err), err
 		}
 		x.runs, x.handleFetched = x.runs+1, true
+		x.recordBreak(sctx, l.Target, err)
 		return false, x.cannotResume(ctx), outcomeOf(ctx, err), err
 	}
 	defer resp.close()
@@ -271,7 +276,13 @@
 		x.resp.send(resp.Status, resp.Headers, body)
 		return false, true, sched.Succeeded, x.resp.writeErr
 	}
-	err = x.relayStream(resp, l, func() { idleTimer.Reset(limit) })
+	events, err := x.relayStream(resp, l, func() { idleTimer.Reset(limit) })
+	switch {
+	case err != nil && events < beginEvents:
+		x.recordBreak(sctx, l.Target, err)
+	case events < beginEvents:
+		x.recordBegun()
+	}
 	switch {
 	case err == nil:
 		resp.bodyRead = true
@@ -307,31 +318,32 @@
 	return ctx.Err() != nil || !x.call.Route.Resumable || x.runs >= x.call.Route.MaxAttempts
 }
 
-// relayStream forwards complete events as they arrive.
-func (x *exchange) relayStream(resp *endpointResponse, l *placement.Lease, onEvent func()) error {
+// relayStream forwards complete events as they arrive and returns how many there were.
+func (x *exchange) relayStream(resp *endpointResponse, l *placement.Lease, onEvent func()) (events int, err error) {
 	br := bufio.NewReaderSize(resp.body, eventBufferBytes)
 	stride := max(1, x.call.Pool.Engine.Stride)
-	events := 0
 	for {
 		e, err := readEvent(br)
 		if errors.Is(err, io.EOF) {
-			return nil
+			return events, nil
 		}
 		if err != nil {
-			return errors.Mark(err, endpoint.ErrCallFailed)
+			return events, errors.Mark(err, endpoint.ErrCallFailed)
 		}
 		onEvent()
 		if !x.resp.started {
 			x.resp.startStream(resp.Status, resp.Headers)
 		}
 		if err := x.resp.writeChunk(e.raw); err != nil {
-			return err
+			return events, err
 		}
 		if e.id != "" {
 			x.lastEventID = e.id
 		}
 		x.recordEventTime(time.Now())
-		events++
+		if events++; events == beginEvents {
+			x.recordBegun()
+		}
 		x.relayedTokens += stride
 		x.s.admission.withScheduler(func(now time.Time, s *placement.Scheduler) { s.RecordProgress(now, l, events*stride) })
 	}
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -50,6 +50,7 @@
 	prefilled       bool      // a prefill has succeeded; only the first one does not count as a send
 	runs            int       // endpoints that may have run the request
 	handleFetched   bool      // an engine may have fetched the prefill result
+	crashed         bool      // the engine of the last attempt crashed before its output began
 	excluded        []string  // endpoints that failed the request
 	lastEndpoint    string    // endpoint of the last attempt
 	queueTime       time.Duration
@@ -72,7 +73,7 @@
 	if err := x.route(); err != nil {
 		return err
 	}
-	if err := x.identify(x.s.state.Current()); err != nil {
+	if err := x.admit(); err != nil {
 		return err
 	}
 	ctx, cancel := context.WithDeadlineCause(ctx, x.deadline, errDeadline)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -230,6 +230,7 @@
 	for _, name := range gone {
 		p.log.Info("instance.forgotten", "instance", name)
 		p.s.admission.withScheduler(func(_ time.Time, s *placement.Scheduler) { s.SetPeer(name, nil) })
+		p.s.forgetQuarantinePeer(name)
 	}
 	p.s.budget.setFleetSize(len(names) + 1)
 	p.s.quotaMu.Lock()
--- /dev/null
+++ b/internal/gateway/quarantine.go
@@ -0,0 +1,278 @@
+package gateway
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"carawayrouter.example/router/internal/config"
+	"carawayrouter.example/router/internal/endpoint"
+	"carawayrouter.example/router/internal/errkind"
+	"carawayrouter.example/router/internal/gossip"
+	"carawayrouter.example/router/internal/quarantine"
+)
+
+const (
+	quarantineKeyPrefix    = "quarantine/"    // of the rows of quarantined parts, in the table Fleet
+	quarantineSyncInterval = 30 * time.Second // between comparisons with the store
+	quarantineRetryDelay   = time.Second      // after a failed comparison
+	crashCheckTimeout      = 100 * time.Millisecond
+	// beginEvents is how many events show that an engine has begun an output and not crashed
+	// on it. The first one may be lost in the crash or leave the engine just before it.
+	beginEvents = 2
+)
+
+// quarantineState is the instance's view of the prompt parts on which engines crash.
+type quarantineState struct {
+	mu      sync.Mutex
+	tracker *quarantine.Tracker
+	stored  map[string]bool // quarantined parts that have a row in the store
+	changed chan struct{}   // a part was quarantined by this instance
+}
+
+func newQuarantineState() *quarantineState {
+	return &quarantineState{tracker: quarantine.New(), stored: map[string]bool{}, changed: make(chan struct{}, 1)}
+}
+
+// count returns the number of quarantined parts.
+func (q *quarantineState) count() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.tracker.Len()
+}
+
+func (q *quarantineState) setStored(part string, stored bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if stored {
+		q.stored[part] = true
+	} else {
+		delete(q.stored, part)
+	}
+}
+
+var errQuarantined = errors.New("a part of the prompt is quarantined")
+
+// admit checks whether the request may be sent to an endpoint: the caller's key is valid, and no
+// part of the prompt is quarantined. It runs again before each send.
+func (x *exchange) admit() error {
+	if err := x.identify(x.s.state.Current()); err != nil {
+		return err
+	}
+	q := x.s.quarantine
+	q.mu.Lock()
+	part, left, refused := q.tracker.Refuses(time.Now(), x.call.PromptParts)
+	q.mu.Unlock()
+	if !refused {
+		return nil
+	}
+	x.decision("quarantined", "part", part, "left_ms", left.Milliseconds())
+	return errors.Mark(refusal(errkind.PromptQuarantined, "engines crash on a part of this prompt", left), errQuarantined)
+}
+
+// recordBegun records that an engine has begun the output of the request.
+func (x *exchange) recordBegun() {
+	q := x.s.quarantine
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.tracker.Begun(time.Now(), x.call.PromptParts)
+}
+
+// recordBreak records a stream that broke before its output had begun, if the engine crashed.
+func (x *exchange) recordBreak(ctx context.Context, ep *config.Endpoint, err error) {
+	if len(x.call.PromptParts) == 0 || ctx.Err() != nil || !errors.Is(err, endpoint.ErrCallFailed) || errors.Is(err, errEndpointTimeout) {
+		return
+	}
+	s := x.s
+	if !s.endpointCrashed(context.WithoutCancel(ctx), ep) {
+		return
+	}
+	s.stats.crashes.Inc()
+	x.crashed = true
+	x.decision("engine_crashed", "endpoint", ep.Name, "parts", strings.Join(x.call.PromptParts, ","))
+	q := s.quarantine
+	q.mu.Lock()
+	added := q.tracker.Crashed(time.Now(), ep.Name, x.call.PromptParts)
+	q.mu.Unlock()
+	s.logQuarantined(added, s.settings.Instance)
+	if len(added) > 0 {
+		select {
+		case q.changed <- struct{}{}:
+		default:
+		}
+	}
+	s.peers.requestUpdate()
+}
+
+// suspected reports whether the last engine crashed on the request and another one is likely to.
+func (x *exchange) suspected() bool {
+	if !x.crashed {
+		return false
+	}
+	q := x.s.quarantine
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.tracker.Suspected(time.Now(), x.call.PromptParts)
+}
+
+// endpointCrashed reports whether the endpoint's process has ended: nothing listens at its
+// address, or another endpoint does.
+func (s *Server) endpointCrashed(ctx context.Context, ep *config.Endpoint) bool {
+	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
+	defer cancel()
+	name, err := s.identifyEndpoint(ctx, ep)
+	return errors.Is(err, syscall.ECONNREFUSED) || (err == nil && name != "" && name != ep.Name)
+}
+
+func (s *Server) logQuarantined(parts []string, source string) {
+	for _, part := range parts {
+		s.log.Info("prompt.quarantined", "part", part, "source", source)
+	}
+}
+
+// addQuarantine adds the evidence and the quarantined parts to an update.
+func (s *Server) addQuarantine(now time.Time, u *gossip.Update) {
+	q := s.quarantine
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	r := q.tracker.Report(now)
+	for _, c := range r.Crashes {
+		u.Crashes = append(u.Crashes, gossip.Crash{Endpoint: c.Engine, Age: gossip.AgeMillis(now, c.At), Parts: c.Parts})
+	}
+	for part, n := range r.Begun {
+		u.Begun = append(u.Begun, gossip.BegunOutputs{Part: part, Count: n})
+	}
+	for part, until := range r.Quarantined {
+		u.Quarantined = append(u.Quarantined, gossip.QuarantinedPart{Part: part, Remaining: until.Sub(now).Milliseconds()})
+	}
+}
+
+// mergeQuarantine applies the evidence and the quarantined parts of another instance.
+func (s *Server) mergeQuarantine(now time.Time, u *gossip.Update) {
+	r := quarantine.Report{Begun: make(map[string]int, len(u.Begun)), Quarantined: make(map[string]time.Time, len(u.Quarantined))}
+	for _, c := range u.Crashes {
+		r.Crashes = append(r.Crashes, quarantine.Crash{Engine: c.Endpoint, At: now.Add(-time.Duration(c.Age) * time.Millisecond), Parts: c.Parts})
+	}
+	for _, b := range u.Begun {
+		r.Begun[b.Part] = b.Count
+	}
+	for _, p := range u.Quarantined {
+		r.Quarantined[p.Part] = now.Add(time.Duration(p.Remaining) * time.Millisecond)
+	}
+	q := s.quarantine
+	q.mu.Lock()
+	added := q.tracker.Merge(now, u.Instance, r)
+	q.mu.Unlock()
+	s.logQuarantined(added, u.Instance)
+}
+
+// forgetQuarantinePeer drops the evidence that an instance that is gone reports no longer.
+func (s *Server) forgetQuarantinePeer(instance string) {
+	s.quarantine.mu.Lock()
+	defer s.quarantine.mu.Unlock()
+	s.quarantine.tracker.Forget(instance)
+}
+
+// quarantineLoop restores the quarantined parts from the store at the start, and keeps the
+// store's rows equal to them, so that a restart of all instances does not lift a quarantine.
+func (s *Server) quarantineLoop(ctx context.Context) error {
+	restored, failures := false, 0
+	for ctx.Err() == nil {
+		wait := quarantineSyncInterval
+		if !restored {
+			restored = s.reportSync(&failures, s.restoreQuarantine(ctx))
+		}
+		if !s.reportSync(&failures, s.storeQuarantine(ctx)) || !restored {
+			wait = quarantineRetryDelay
+		}
+		timer := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+		case <-s.quarantine.changed:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+	return nil
+}
+
+// reportSync logs the first of a series of failures and reports whether there was none.
+func (s *Server) reportSync(failures *int, err error) bool {
+	if err == nil {
+		*failures = 0
+		return true
+	}
+	if *failures++; *failures == 1 {
+		s.log.Info("quarantine.store_lost", "cause", err.Error())
+	}
+	return false
+}
+
+func (s *Server) restoreQuarantine(ctx context.Context) error {
+	rows, _, err := s.store.Rows(ctx, Fleet)
+	if err != nil {
+		return err
+	}
+	now := time.Now()
+	q := s.quarantine
+	var parts []string
+	q.mu.Lock()
+	for _, r := range rows {
+		part, ok := strings.CutPrefix(r.Key, quarantineKeyPrefix)
+		if !ok {
+			continue
+		}
+		until, err := time.Parse(time.RFC3339, string(r.Value))
+		if err != nil {
+			s.log.Info("quarantine.unreadable", "part", part, "cause", err.Error())
+			continue
+		}
+		q.tracker.Restore(now, part, until)
+		q.stored[part] = true
+		parts = append(parts, part)
+	}
+	q.mu.Unlock()
+	s.logQuarantined(parts, "store")
+	return nil
+}
+
+// storeQuarantine writes the rows of newly quarantined parts and deletes those of parts whose
+// quarantine has ended.
+func (s *Server) storeQuarantine(ctx context.Context) error {
+	q := s.quarantine
+	q.mu.Lock()
+	now := time.Now()
+	for _, part := range q.tracker.Expired(now) {
+		s.log.Info("prompt.released", "part", part)
+	}
+	quarantined := q.tracker.Report(now).Quarantined
+	var missing, ended []string
+	for part := range quarantined {
+		if !q.stored[part] {
+			missing = append(missing, part)
+		}
+	}
+	for part := range q.stored {
+		if _, ok := quarantined[part]; !ok {
+			ended = append(ended, part)
+		}
+	}
+	q.mu.Unlock()
+	for _, part := range missing {
+		if _, err := s.store.Create(ctx, Fleet, quarantineKeyPrefix+part, []byte(quarantined[part].UTC().Format(time.RFC3339))); err != nil {
+			return err
+		}
+		q.setStored(part, true)
+	}
+	for _, part := range ended {
+		if err := s.store.Delete(ctx, Fleet, quarantineKeyPrefix+part); err != nil {
+			return err
+		}
+		q.setStored(part, false)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/gateway/quarantine_test.go
@@ -0,0 +1,118 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"carawayrouter.example/router/internal/config"
+	"carawayrouter.example/router/internal/endpoint"
+	"carawayrouter.example/router/internal/gossip"
+)
+
+// mapStore is a store of one table that can be unavailable.
+type mapStore struct {
+	Store
+	down bool
+	rows map[string][]byte
+}
+
+func (m *mapStore) failure() error {
+	if m.down {
+		return errors.New("the store is down")
+	}
+	return nil
+}
+
+func (m *mapStore) Rows(context.Context, Table) (rows []Row, version uint64, err error) {
+	for key, value := range m.rows {
+		rows = append(rows, Row{Key: key, Value: value})
+	}
+	return rows, 1, m.failure()
+}
+
+func (m *mapStore) Create(_ context.Context, _ Table, key string, value []byte) ([]byte, error) {
+	if err := m.failure(); err != nil {
+		return nil, err
+	}
+	m.rows[key] = value
+	return value, nil
+}
+
+func newQuarantineServer(store Store) *Server {
+	s := newTestServer("127.0.0.1:1", time.Now())
+	s.store = store
+	return s
+}
+
+// promptExchange returns an exchange of a prompt with the given parts.
+func promptExchange(s *Server, parts ...string) *exchange {
+	return &exchange{s: s, call: &Call{Route: &config.Route{Open: true}, PromptParts: parts, Arrived: time.Now()}}
+}
+
+// crash records three crashes of an endpoint at which nothing listens.
+func crash(t *testing.T, s *Server, parts ...string) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, ln.Close())
+	for _, name := range []string{"e1", "e2", "e3"} {
+		promptExchange(s, parts...).recordBreak(context.Background(), &config.Endpoint{Name: name, Addr: ln.Addr().String()}, errors.Mark(errors.New("EOF"), endpoint.ErrCallFailed))
+	}
+}
+
+// A quarantine that begins while the store is down is written when it is back, so that it
+// outlives all instances.
+func TestQuarantineOutlivesAllInstances(t *testing.T) {
+	ctx := context.Background()
+	store := &mapStore{down: true, rows: map[string][]byte{}}
+	s := newQuarantineServer(store)
+	crash(t, s, "first", "deadly")
+	assert.Assert(t, errors.Is(promptExchange(s, "first", "deadly").admit(), errQuarantined))
+	assert.NilError(t, promptExchange(s, "first").admit())
+	assert.ErrorContains(t, s.storeQuarantine(ctx), "down")
+	store.down = false
+	assert.NilError(t, s.storeQuarantine(ctx))
+
+	s = newQuarantineServer(store)
+	assert.NilError(t, promptExchange(s, "deadly").admit())
+	assert.NilError(t, s.restoreQuarantine(ctx))
+	assert.Assert(t, errors.Is(promptExchange(s, "deadly").admit(), errQuarantined))
+}
+
+// Another instance refuses the part as soon as it receives an update.
+func TestQuarantineReachesOtherInstances(t *testing.T) {
+	a, b := newQuarantineServer(nil), newQuarantineServer(nil)
+	crash(t, a, "deadly")
+	secret := []byte("secret")
+	datagram, err := gossip.Encode(a.peers.buildUpdate(), secret)
+	assert.NilError(t, err)
+	u, _, err := gossip.Decode(datagram, secret)
+	assert.NilError(t, err)
+	b.mergeQuarantine(time.Now(), u)
+	assert.Assert(t, errors.Is(promptExchange(b, "deadly").admit(), errQuarantined))
+}
+
+// An answer that is lost while its engine goes on is no crash.
+func TestLostAnswerIsNoCrash(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	serveHealth(t, "127.0.0.2:"+port(t, ln), "e1")
+	s := newQuarantineServer(nil)
+	broken := errors.Mark(errors.New("EOF"), endpoint.ErrCallFailed)
+	for range 5 {
+		promptExchange(s, "sound").recordBreak(context.Background(), &config.Endpoint{Name: "e1", Pool: "desk", Addr: "127.0.0.2:" + port(t, ln)}, broken)
+	}
+	assert.NilError(t, promptExchange(s, "sound").admit())
+}
+
+func port(t *testing.T, ln net.Listener) string {
+	t.Helper()
+	_, p, err := net.SplitHostPort(ln.Addr().String())
+	assert.NilError(t, err)
+	return p
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -65,6 +65,8 @@
 	quotaMu sync.Mutex
 	quota   *window.Limiter
 
+	quarantine *quarantineState
+
 	active   atomic.Int64 // requests being read or answered
 	draining atomic.Bool
 	stopping atomic.Bool // requests are no longer forwarded to endpoints
@@ -84,6 +86,8 @@
 		store:    d.Store,
 		log:      d.Log,
 
+		quarantine: newQuarantineState(),
+
 		conns:  map[net.Conn]struct{}{},
 		reload: d.Reload,
 	}
@@ -138,7 +142,7 @@
 		g.Go(func() error { return newInternalServer(s.serveMetrics).Serve(metrics) })
 	}
 	g.Go(func() error { return newInternalServer(s.peers.serveState).Serve(state) })
-	for _, loop := range []func(context.Context) error{s.peers.sendLoop, s.peers.receiveLoop, s.peers.relayLoop, s.peers.registerLoop, s.peers.catchUp, s.probeLoop} {
+	for _, loop := range []func(context.Context) error{s.peers.sendLoop, s.peers.receiveLoop, s.peers.relayLoop, s.peers.registerLoop, s.peers.catchUp, s.probeLoop, s.quarantineLoop} {
 		g.Go(func() error { return loop(ctx) })
 	}
 	g.Go(func() error { return s.accept(ctx, callers) })
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -33,6 +33,7 @@
 	updatesRefused    *metrics.Counter
 	omitted           *metrics.Counter
 	tokensCharged     *metrics.Counter
+	crashes           *metrics.Counter
 
 	callLatency *metrics.PrometheusHistogram
 	firstEvent  *metrics.PrometheusHistogram
@@ -67,6 +68,7 @@
 		updatesRefused:    set.NewCounter("caraway_updates_refused_total"),
 		omitted:           set.NewCounter("caraway_log_requests_omitted_total"),
 		tokensCharged:     set.NewCounter("caraway_tokens_charged_total"),
+		crashes:           set.NewCounter("caraway_engine_crashes_total"),
 		callLatency:       set.NewPrometheusHistogramExt("caraway_plain_request_seconds", latencyBounds),
 		firstEvent:        set.NewPrometheusHistogramExt("caraway_first_event_seconds", latencyBounds),
 		longestGap:        set.NewPrometheusHistogramExt("caraway_longest_pause_seconds", latencyBounds),
@@ -83,6 +85,7 @@
 	set.NewGauge("caraway_endpoints", func() float64 { return float64(len(s.state.Current().Endpoints)) })
 	set.NewGauge("caraway_instances", func() float64 { return float64(s.peers.fleetSize()) })
 	set.NewGauge("caraway_waiting", func() float64 { return float64(s.admission.queueLength()) })
+	set.NewGauge("caraway_quarantined_parts", func() float64 { return float64(s.quarantine.count()) })
 	set.NewGauge("caraway_store_away", func() float64 {
 		if s.state.storeUnavailable() {
 			return 1
--- a/internal/gateway/updates.go
+++ b/internal/gateway/updates.go
@@ -135,6 +135,7 @@
 		u.Usage = append(u.Usage, gossip.AccountUsage{Account: account, Tokens: usage.Own, Level: usage.Level})
 	}
 	s.quotaMu.Unlock()
+	s.addQuarantine(now, u)
 	return u
 }
 
@@ -244,6 +245,7 @@
 		p.s.quota.SetPeers(names)
 	}
 	p.s.quotaMu.Unlock()
+	p.s.mergeQuarantine(now, u)
 	p.s.admission.withScheduler(func(now time.Time, s *placement.Scheduler) { s.SetPeer(u.Instance, remoteOf(now, u)) })
 	return true
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -35,6 +35,36 @@
 	Usage   []AccountUsage
 	Queued  []QueuedRequest
 	Ejected []Ejection
+
+	Crashes     []Crash
+	Begun       []BegunOutputs
+	Quarantined []QuarantinedPart
+}
+
+// Crash is the crash of an engine that was about to begin the output of requests of the
+// instance.
+type Crash struct {
+	_ struct{} `cbor:",toarray"`
+
+	Endpoint string
+	Age      int64    // ms
+	Parts    []string // of the requests' prompts
+}
+
+// BegunOutputs counts the outputs that have begun lately of requests with a prompt part.
+type BegunOutputs struct {
+	_ struct{} `cbor:",toarray"`
+
+	Part  string
+	Count int
+}
+
+// QuarantinedPart is a prompt part whose requests are refused.
+type QuarantinedPart struct {
+	_ struct{} `cbor:",toarray"`
+
+	Part      string
+	Remaining int64 // ms until the quarantine ends
 }
 
 // Ejection is an endpoint that an instance has ejected after failures.
