gateway: bound the heads and bodies of endpoints' responses

A head was read for as long as bytes came, up to the deadline: a line or a field without end took the instance's memory, interim responses its processor time. Bodies were bounded by 16 MiB each, which a few concurrent calls turn into more than an instance has.

All heads that are read for one response are now bounded by 64 KiB, and the bodies in memory by 32 MiB over all calls.

Left: internal/front and internal/caller read bodies of the first design's endpoints whole.

--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -4,11 +4,13 @@
 	"bufio"
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -29,6 +31,17 @@
 	maxIdleConns     = 8 // per endpoint
 	maxSkipped       = 2 // responses to other requests skipped before the expected one
 	maxResponseBytes = 16 << 20
+	// maxHeadBytes bounds the heads that are read for one response, with interim responses and
+	// late responses to other requests.
+	maxHeadBytes = 64 << 10
+	// bufferedResponseBytes bounds the bodies that are buffered at a time, over all calls: a
+	// fraction of the memory of the smallest instances.
+	bufferedResponseBytes = 32 << 20
+)
+
+var (
+	errResponseTooLarge = errors.New("response body is too large")
+	errBuffersFull      = errors.New("the buffers for response bodies are full")
 )
 
 // upstream is the connection pool for endpoints.
@@ -36,6 +49,8 @@
 	wire   Wire
 	onOpen func(net.Conn) // configures a new connection
 
+	buffered atomic.Int64 // bytes of response bodies in memory
+
 	mu   sync.Mutex
 	idle map[string][]*endpointConn // by address, newest last
 }
@@ -43,6 +58,7 @@
 type endpointConn struct {
 	net.Conn
 	addr      string
+	limited   *io.LimitedReader // below br
 	br        *bufio.Reader
 	idleSince time.Time
 	idleTTL   time.Duration
@@ -78,7 +94,8 @@
 		return nil, errors.Mark(err, endpoint.ErrNotSent)
 	}
 	u.onOpen(nc)
-	return &endpointConn{Conn: nc, addr: addr, br: bufio.NewReaderSize(nc, readBuffer), idleTTL: defaultIdleTTL}, nil
+	limited := &io.LimitedReader{R: nc}
+	return &endpointConn{Conn: nc, addr: addr, limited: limited, br: bufio.NewReaderSize(limited, readBuffer), idleTTL: defaultIdleTTL}, nil
 }
 
 // ensureConn makes sure that a connection to addr is available, so that an unreachable endpoint
@@ -176,7 +193,8 @@
 	conn      *endpointConn
 	upstream  *upstream
 	stopWatch func() bool
-	bodyRead  bool // the body was read completely
+	buffered  int64 // bytes of the body in memory
+	bodyRead  bool  // the body was read completely
 	keepAlive bool
 }
 
@@ -214,6 +232,7 @@
 	if err := writeRequest(c, req); err != nil {
 		return nil, err
 	}
+	c.limited.N = maxHeadBytes
 	for skipped := 0; ; {
 		httpResp, err := http.ReadResponse(c.br, &http.Request{Method: req.method})
 		if err != nil {
@@ -228,11 +247,14 @@
 			if skipped++; skipped > maxSkipped {
 				return nil, endpoint.ErrMismatch
 			}
-			if _, err := io.Copy(io.Discard, io.LimitReader(httpResp.Body, maxResponseBytes)); err != nil {
+			c.limited.N = maxResponseBytes
+			if _, err := io.Copy(io.Discard, httpResp.Body); err != nil {
 				return nil, err
 			}
+			c.limited.N = maxHeadBytes
 			continue
 		}
+		c.limited.N = math.MaxInt64
 		resp := &endpointResponse{ResponseInfo: info, Status: httpResp.StatusCode, body: httpResp.Body, conn: c, upstream: u}
 		resp.keepAlive = !httpResp.Close && skipped == 0
 		if ttl, ok := keepAliveTTL(httpResp.Header); ok {
@@ -273,19 +295,35 @@
 
 // readAll reads a body of at most maxResponseBytes.
 func (r *endpointResponse) readAll() ([]byte, error) {
-	b, err := io.ReadAll(io.LimitReader(r.body, maxResponseBytes+1))
+	b, err := io.ReadAll(&bodyBuffer{r})
 	if err != nil {
 		return nil, errors.Mark(err, endpoint.ErrCallFailed)
 	}
-	if len(b) > maxResponseBytes {
-		return nil, errors.Mark(errors.New("response body is too large"), endpoint.ErrCallFailed)
-	}
 	r.bodyRead = true
 	return b, nil
 }
 
+// bodyBuffer reads a body into memory and fails when it, or the bodies of all calls, become too
+// large. Closing the response gives the memory back.
+type bodyBuffer struct{ r *endpointResponse }
+
+func (b *bodyBuffer) Read(p []byte) (int, error) {
+	n, err := b.r.body.Read(p)
+	b.r.buffered += int64(n)
+	total := b.r.upstream.buffered.Add(int64(n))
+	switch {
+	case b.r.buffered > maxResponseBytes:
+		return n, errResponseTooLarge
+	case total > bufferedResponseBytes && n > 0:
+		return n, errBuffersFull
+	}
+	return n, err
+}
+
 // close returns the connection to the pool if the response was read completely.
 func (r *endpointResponse) close() {
+	r.upstream.buffered.Add(-r.buffered)
+	r.buffered = 0
 	stopped := r.stopWatch()
 	if stopped && r.bodyRead && r.keepAlive && r.conn.br.Buffered() == 0 {
 		r.upstream.put(r.conn)
--- /dev/null
+++ b/internal/gateway/upstream_test.go
@@ -0,0 +1,126 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// endless serves one connection after the other: it sends start and then filler until the
+// connection is closed or limit bytes were sent. It returns its address, and a function that
+// waits until all connections have ended and returns the bytes that were taken.
+func endless(t *testing.T, start, filler string, limit int) (addr string, taken func() int) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	total := 0
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				defer c.Close()
+				_ = c.(*net.TCPConn).SetWriteBuffer(64 << 10)
+				go func() { _, _ = io.Copy(io.Discard, c) }()
+				n, err := io.WriteString(c, start)
+				block := strings.Repeat(filler, max(1, 16<<10/len(filler)))
+				for sent := n; err == nil && sent < limit; sent += n {
+					n, err = io.WriteString(c, block)
+					mu.Lock()
+					total += n
+					mu.Unlock()
+				}
+			}()
+		}
+	}()
+	return ln.Addr().String(), func() int {
+		wg.Wait()
+		mu.Lock()
+		defer mu.Unlock()
+		return total
+	}
+}
+
+func testUpstream() *upstream { return newUpstream(nameOnlyWire{}, func(net.Conn) {}) }
+
+// Endpoints that send bytes without end take neither the memory of the instance nor the time
+// of the request: the call ends when the response is larger than any proper one.
+func TestEndlessHeadEndsTheCall(t *testing.T) {
+	const limit = 64 << 20
+	for name, c := range map[string]struct{ start, filler string }{
+		"one line":             {"HTTP/1.1 200 OK\r\nX: ", "a"},
+		"lines":                {"HTTP/1.1 200 OK\r\n", "X: a\r\n"},
+		"no head":              {"", "\x00\xffgarbage"},
+		"interim responses":    {"", "HTTP/1.1 102 Processing\r\n\r\n"},
+		"late responses":       {"", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nId: other\r\n\r\n"},
+		"head of no known end": {"HTTP/1.1 200", " "},
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr, taken := endless(t, c.start, c.filler, limit)
+			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+			defer cancel()
+			u := newUpstream(idWire{}, func(net.Conn) {})
+			_, err := u.do(ctx, endpointRequest{addr: addr, method: http.MethodGet, uri: "/", host: "h", attemptID: "mine"})
+			assert.Assert(t, err != nil)
+			assert.NilError(t, ctx.Err(), "the call ended by itself")
+			assert.Assert(t, taken() < limit/8, "%d bytes were taken", taken())
+		})
+	}
+}
+
+// idWire decodes only the id of the attempt that a response belongs to.
+type idWire struct{ Wire }
+
+func (idWire) ParseResponse(_ int, h http.Header) ResponseInfo {
+	return ResponseInfo{AttemptID: h.Get("Id")}
+}
+
+// Bodies without end are not kept beyond a total over all calls.
+func TestEndlessBodiesShareABuffer(t *testing.T) {
+	const calls, limit = 8, 32 << 20
+	for name, start := range map[string]string{
+		"no length":      "HTTP/1.1 200 OK\r\n\r\n",
+		"a large length": "HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr, taken := endless(t, start, "a", limit)
+			u := testUpstream()
+			var wg sync.WaitGroup
+			for range calls {
+				wg.Add(1)
+				go func() {
+					defer wg.Done()
+					ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+					defer cancel()
+					resp, err := u.do(ctx, endpointRequest{addr: addr, method: http.MethodGet, uri: "/", host: "h"})
+					if err != nil {
+						t.Error(err)
+						return
+					}
+					defer resp.close()
+					if _, err := resp.readAll(); err == nil || ctx.Err() != nil {
+						t.Errorf("the body was read to its end: %v, %v", err, ctx.Err())
+					}
+				}()
+			}
+			wg.Wait()
+			// Each connection's socket buffers hold some more.
+			assert.Assert(t, taken() < bufferedResponseBytes+calls*(8<<20), "%d bytes were taken", taken())
+			assert.Equal(t, u.buffered.Load(), int64(0))
+		})
+	}
+}
