window: usage in transit must not speed up the drain of an account's bucket

Cause: every instance drains its own part of the bucket in proportion to the level that it knows. Grants whose updates are on the way, up to 100 ms through the relays of 83 instances, are missing from that level, so the parts together drained some per cent faster than the account's rate; in a flood the error added up over the window. The logs show a steady flood at the limit from 9 s to 12 s with no silent instance. For the same reason the sides of a partition both used what drained of the other side's usage, until they noticed after 1.5 s.

Change: the divisor of the drain has the tokens added that the rate grants in an update's transit (10 ms directly, 100 ms through relays). The usage of an instance whose last update is older than 500 ms does not drain at the others, and its assumed usage grows to its share by 1.5 s. Two hundredths of the rate move from the depth to the drain, so that the account's rate is granted in full.

TestLateUpdatesDuringAFloodKeepTheLimit failed with 10,604 tokens of 10,120, TestPartitionDuringAFloodKeepsTheLimit with 10,428.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -234,7 +234,7 @@
 	}
 	p.s.budget.setFleetSize(len(names) + 1)
 	p.s.quotaMu.Lock()
-	p.s.quota.SetPeers(names)
+	p.s.quota.SetPeers(names, updateTransit(len(names)+1))
 	p.s.quotaMu.Unlock()
 }
 
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -14,11 +14,21 @@
 	// directly. The number of datagrams grows with the square of the fleet; in larger fleets
 	// they would take more CPU time than the requests.
 	maxDirectFleet = 16
-	relayInterval  = 25 * time.Millisecond // between two batches of a relay; a quarter of a prefill
-	relayTimeout   = time.Second           // a relay that was not heard for this long is skipped
-	relayFallbacks = 3                     // highest-ranked candidates that are used in turn if none was heard recently
+	relayInterval  = 25 * time.Millisecond  // between two batches of a relay; a quarter of a prefill
+	directTransit  = 10 * time.Millisecond  // of updates that are sent directly
+	relayTransit   = 100 * time.Millisecond // of updates through the relays of two data centres, each with a batch interval
+	relayTimeout   = time.Second            // a relay that was not heard for this long is skipped
+	relayFallbacks = 3                      // highest-ranked candidates that are used in turn if none was heard recently
 )
 
+// updateTransit returns how long updates take in a fleet of the given size.
+func updateTransit(fleet int) time.Duration {
+	if fleet > maxDirectFleet {
+		return relayTransit
+	}
+	return directTransit
+}
+
 // relayCandidate is an instance that may relay updates.
 type relayCandidate struct {
 	name         string
--- a/internal/gateway/updates.go
+++ b/internal/gateway/updates.go
@@ -242,7 +242,7 @@
 	p.s.quotaMu.Lock()
 	p.s.quota.UpdatePeer(now, report, p.s.state.Current().Accounts)
 	if joined {
-		p.s.quota.SetPeers(names)
+		p.s.quota.SetPeers(names, updateTransit(len(names)+1))
 	}
 	p.s.quotaMu.Unlock()
 	p.s.mergeQuarantine(now, u)
--- a/internal/limit/window/restart_test.go
+++ b/internal/limit/window/restart_test.go
@@ -19,12 +19,24 @@
 	limiters []*Limiter // nil for an instance that is down
 	births   []time.Time
 	charges  []charge
+	side     []int // instances on different sides of a network partition do not hear each other
+	delay    time.Duration
+	transit  []delivery // in the order of their arrival
 }
 
-func newTestFleet(n int, now time.Time) *testFleet {
-	f := &testFleet{limiters: make([]*Limiter, n), births: make([]time.Time, n)}
+// delivery is a report on its way to the others.
+type delivery struct {
+	at     time.Time
+	from   int
+	report Report
+}
+
+func newTestFleet(n int, now time.Time) *testFleet { return newTestFleetWithSlack(n, now, testSlack) }
+
+func newTestFleetWithSlack(n int, now time.Time, slack Slack) *testFleet {
+	f := &testFleet{limiters: make([]*Limiter, n), births: make([]time.Time, n), side: make([]int, n)}
 	for i := range f.limiters {
-		f.limiters[i], f.births[i] = New(windowLength, testSlack, time.Time{}), now.Add(-time.Hour)
+		f.limiters[i], f.births[i] = New(windowLength, slack, time.Time{}), now.Add(-time.Hour)
 	}
 	f.exchange(now)
 	return f
@@ -34,6 +46,10 @@
 
 // exchange passes every instance's usage to all others.
 func (f *testFleet) exchange(now time.Time) {
+	for len(f.transit) > 0 && !f.transit[0].at.After(now) {
+		f.deliver(now, f.transit[0].from, f.transit[0].report)
+		f.transit = f.transit[1:]
+	}
 	for j, from := range f.limiters {
 		if from != nil {
 			f.send(now, j)
@@ -42,9 +58,18 @@
 }
 
 func (f *testFleet) send(now time.Time, j int) {
+	report := reportOf(now, instanceName(j), f.births[j].UnixNano(), f.limiters[j])
+	if f.delay > 0 {
+		f.transit = append(f.transit, delivery{now.Add(f.delay), j, report})
+		return
+	}
+	f.deliver(now, j, report)
+}
+
+func (f *testFleet) deliver(now time.Time, j int, report Report) {
 	for i, to := range f.limiters {
-		if to != nil && i != j {
-			to.UpdatePeer(now, reportOf(now, instanceName(j), f.births[j].UnixNano(), f.limiters[j]), accounts)
+		if to != nil && i != j && f.side[i] == f.side[j] {
+			to.UpdatePeer(now, report, accounts)
 		}
 	}
 }
@@ -72,7 +97,7 @@
 				names = append(names, instanceName(k))
 			}
 		}
-		l.SetPeers(names)
+		l.SetPeers(names, f.delay)
 	}
 }
 
@@ -88,12 +113,24 @@
 
 // flood sends a generation of 300 tokens every step to the instances in turn.
 func (f *testFleet) flood(from time.Time, length, step time.Duration) {
+	f.floodOf(300, from, length, step)
+}
+
+func (f *testFleet) floodOf(tokens int, from time.Time, length, step time.Duration) {
 	for at := time.Duration(0); at < length; at += step {
 		f.exchange(from.Add(at))
-		f.request(from.Add(at), int(at/step)%len(f.limiters), 300)
+		f.request(from.Add(at), int(at/step)%len(f.limiters), tokens)
 	}
 }
 
+// A deployment with small requests and little slack for its size.
+var (
+	largeSlack   = Slack{Fraction: 0.1, Tokens: 220}
+	largeAllowed = windowLimit*11/10 + 220
+)
+
+const smallGeneration = 44 // tokens
+
 // An account that spends its tokens in the last second before all instances restart is still
 // held to its limit.
 func TestBurstBeforeRestartOfAllIsCounted(t *testing.T) {
@@ -120,6 +157,41 @@
 	assert.Assert(t, late >= 12*1000, "the rate is granted again: %d in 12 s", late)
 }
 
+// A flood goes on while the fleet is partitioned. Until the sides notice, neither uses what
+// drains of the other side's usage.
+func TestPartitionDuringAFloodKeepsTheLimit(t *testing.T) {
+	for _, cut := range []int{1, 2, 3} {
+		now := epoch
+		f := newTestFleetWithSlack(4, now, largeSlack)
+		f.floodOf(smallGeneration, now, 5*time.Second, 5*time.Millisecond)
+		now = now.Add(5 * time.Second)
+		for i := range cut {
+			f.side[i] = 1
+		}
+		f.floodOf(smallGeneration, now, 6*time.Second, 5*time.Millisecond)
+		now = now.Add(6 * time.Second)
+		clear(f.side)
+		f.floodOf(smallGeneration, now, 8*time.Second, 5*time.Millisecond)
+		got := maxWindowSum(f.charges)
+		assert.Assert(t, got <= largeAllowed, "%d of 4 cut off: %d tokens in a window, %d are allowed", cut, got, largeAllowed)
+	}
+}
+
+// Usage that the updates do not show yet must not make the known usage drain faster: in a flood
+// the error would add up.
+func TestLateUpdatesDuringAFloodKeepTheLimit(t *testing.T) {
+	now := epoch
+	f := newTestFleetWithSlack(8, now, largeSlack)
+	f.delay = 100 * time.Millisecond
+	for _, l := range f.limiters {
+		l.transit = f.delay
+	}
+	f.floodOf(smallGeneration, now, 30*time.Second, 5*time.Millisecond)
+	got := maxWindowSum(f.charges)
+	assert.Assert(t, got <= largeAllowed, "%d tokens in a window, %d are allowed", got, largeAllowed)
+	assert.Assert(t, got >= windowLimit, "the account's rate is granted: %d", got)
+}
+
 // Instances that are killed, leave and start in any order and number keep the limit.
 func TestSeriesOfRestartsKeepsTheLimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/limit/window/window.go
+++ b/internal/limit/window/window.go
@@ -13,20 +13,24 @@
 package window
 
 import (
+	"math"
 	"time"
 
 	"carawayrouter.example/router/internal/config"
 )
 
 const (
-	// updateMargin lengthens the window for the time that updates are in transit. The transit
-	// of requests needs no margin: a request counts in a window if it was both sent and
-	// received in it, and the decision is made between the two.
-	updateMargin = 50 * time.Millisecond
+	// updateTimeout is the greatest age of an update of an instance that can be heard. From
+	// then on its usage no longer drains here, and until peerTimeout its assumed usage grows to
+	// its share.
+	updateTimeout = 500 * time.Millisecond
 	// peerTimeout is the greatest age of the last update of another instance. Beyond it the
 	// instance is assumed to use at least its equal share, so that the sides of a network
 	// partition stay within the limit together.
 	peerTimeout = 1500 * time.Millisecond
+	// rateHeadroom is by how much of its rate a bucket drains faster than that. It makes up for
+	// what drains slower because updates are in transit, and is taken from the depth.
+	rateHeadroom = 0.02
 	// minDepth is the smallest depth of a bucket, as a time at the account's rate. A burst of
 	// zero would refuse everything.
 	minDepth = time.Second
@@ -41,7 +45,8 @@
 	window     time.Duration
 	slack      Slack
 	startedAt  time.Time
-	knownSince time.Time // usage before it is unknown; zero for a new fleet
+	knownSince time.Time     // usage before it is unknown; zero for a new fleet
+	transit    time.Duration // of updates; what was granted meanwhile is missing from the known usage
 	accounts   map[string]*bucket
 	peers      map[string]*peer
 }
@@ -54,7 +59,8 @@
 	unknown    float64            // assumed usage of any instance before knownSince
 	limits     limits
 	updatedAt  time.Time
-	emptySince time.Time // valid while all but the usage of silent peers is zero
+	empty      bool      // nothing is left but the usage of silent peers
+	emptySince time.Time // the last time that it became empty
 	// Largest generation of the present period and of the one before it, in tokens. A period
 	// lasts a window.
 	largest, largestBefore float64
@@ -142,9 +148,9 @@
 func (l *Limiter) limitsOf(a *config.Account) limits {
 	limit := l.windowLimit(a)
 	slack := slackFractionFactor*l.slack.Fraction*limit + slackTokensFactor*l.slack.Tokens
-	depth := max(a.Burst+slack, a.Rate*minDepth.Seconds())
+	depth := max(a.Burst+slack-rateHeadroom*a.Rate*l.window.Seconds(), a.Rate*minDepth.Seconds())
 	drain := limit + slack - depth
-	return limits{rate: drain / (l.window + updateMargin).Seconds(), window: drain, depth: depth}
+	return limits{rate: drain / l.window.Seconds(), window: drain, depth: depth}
 }
 
 // Reserve charges tokens to the account if its limit and the slack allow.
@@ -161,7 +167,7 @@
 	v := l.view(now, b)
 	d := Decision{OwnUsage: b.own, PeerUsage: v.level - b.own + v.silentUsage, Assumed: v.assumed, SilentPeers: v.silent}
 	credit := 0.0
-	if v.level <= 0 {
+	if b.empty {
 		// A request larger than the bucket needs that much more idle time before it.
 		credit = v.reporting * min(b.limits.rate*now.Sub(b.emptySince).Seconds(), b.limits.window)
 	}
@@ -181,6 +187,7 @@
 	if missing <= 0 {
 		d.Allowed, d.UsedSlack = true, float64(tokens)+level+v.silentUsage > credit+max(a.Burst, a.Rate*minDepth.Seconds())
 		b.own += float64(tokens)
+		b.empty = false
 		return d
 	}
 	d.RetryAfter = max(minRetryAfter, seconds(missing/(b.limits.rate*v.reporting)))
@@ -202,6 +209,7 @@
 	switch {
 	case b == nil:
 		b = &bucket{peers: map[string]float64{}, unknown: l.unknownUsage(now, limits), updatedAt: now, emptySince: l.knownSince.Add(seconds(limits.depth / limits.rate))}
+		b.empty = b.unknown == 0
 		l.accounts[a.Name] = b
 	case b.limits == limits:
 		return b
@@ -210,7 +218,11 @@
 		if limits.depth < b.limits.depth {
 			// The usage under a higher limit must not exhaust the lower one for longer than
 			// it takes to drain a full bucket.
-			b.scale(limits.depth / b.limits.depth)
+			factor := limits.depth / b.limits.depth
+			b.own, b.ended, b.unknown = b.own*factor, b.ended*factor, b.unknown*factor
+			for name := range b.peers {
+				b.peers[name] *= factor
+			}
 		}
 	}
 	b.limits = limits
@@ -225,18 +237,8 @@
 	return max(0, limits.depth-limits.rate*now.Sub(l.knownSince).Seconds())
 }
 
-// scale multiplies all parts of the bucket by a factor.
-func (b *bucket) scale(factor float64) {
-	b.own *= factor
-	b.ended *= factor
-	b.unknown *= factor
-	for name := range b.peers {
-		b.peers[name] *= factor
-	}
-}
-
 // drain removes from the bucket what has drained since the last call. Silent peers drain their
-// equal share of the rate, and the others drain the rest.
+// equal share of the rate, and the others drain the rest in proportion to their usage.
 func (l *Limiter) drain(now time.Time, b *bucket) {
 	before := b.updatedAt
 	elapsed := now.Sub(before).Seconds()
@@ -244,28 +246,36 @@
 		return
 	}
 	b.updatedAt = now
+	// The usage in transit must not speed up the drain of the known one: in a flood the error
+	// would add up.
 	v := l.view(now, b)
 	share := b.limits.rate * elapsed / float64(len(l.peers)+1)
-	var silent map[string]float64
-	if v.silent > 0 {
-		silent = make(map[string]float64, v.silent)
-		for name, p := range l.peers {
-			if p.silent(now) {
-				silent[name] = max(0, b.peers[name]-share)
-			}
-		}
-	}
-	if rest := b.limits.rate * elapsed * v.reporting; v.level > rest {
-		b.scale(1 - rest/v.level)
-	} else {
-		if v.level > 0 {
-			b.emptySince = before.Add(seconds(elapsed * v.level / rest))
+	rate := b.limits.rate * v.reporting
+	factor := max(0, 1-rate*elapsed/(max(0, v.level)+rate*l.transit.Seconds()))
+	b.own *= factor
+	b.ended *= factor
+	b.unknown *= factor
+	for name, tokens := range b.peers {
+		switch p := l.peers[name]; {
+		case p.silent(now):
+			b.peers[name] = max(0, tokens-share)
+		case now.Sub(p.updatedAt) <= updateTimeout:
+			b.peers[name] = tokens * factor
 		}
-		b.scale(0)
 	}
-	for name, tokens := range silent {
-		b.peers[name] = tokens
+	b.noteLevel(now, l.view(now, b).level)
+}
+
+// negligible is a level in tokens that counts as empty: levels only approach zero.
+const negligible = 1
+
+// noteLevel records when the level becomes zero.
+func (b *bucket) noteLevel(now time.Time, level float64) {
+	empty := level < negligible
+	if empty && !b.empty {
+		b.emptySince = now
 	}
+	b.empty = empty
 }
 
 // view is a bucket divided into the part that this instance knows and the part of the silent
@@ -286,6 +296,9 @@
 		tokens := b.peers[name]
 		if !p.silent(now) {
 			v.level += tokens
+			late := max(0, now.Sub(p.updatedAt)-updateTimeout).Seconds() / (peerTimeout - updateTimeout).Seconds()
+			v.silentUsage += max(0, share*late-tokens)
+			v.assumed += max(0, share*late-tokens)
 			continue
 		}
 		v.silent++
@@ -326,9 +339,9 @@
 		for _, tokens := range b.peers {
 			level += tokens
 		}
-		if u := (Usage{Own: int(b.own), Level: int(level)}); u != (Usage{}) {
+		if u := (Usage{Own: int(math.Round(b.own)), Level: int(math.Round(level))}); u != (Usage{}) {
 			out[name] = u
-		} else if now.Sub(b.emptySince) > l.window {
+		} else if b.empty && now.Sub(b.emptySince) > l.window {
 			delete(l.accounts, name)
 		}
 	}
@@ -373,6 +386,7 @@
 			l.drain(now, b)
 		}
 		b.peers[r.Instance] = float64(r.Usage[account].Own)
+		b.noteLevel(now, l.view(now, b).level)
 	}
 	if now.Sub(l.startedAt) < peerTimeout && r.KnownFor > now.Sub(l.startedAt) {
 		l.adopt(now, r)
@@ -402,9 +416,10 @@
 	}
 }
 
-// SetPeers replaces the list of other instances. An instance that has sent no update yet
-// counts as silent.
-func (l *Limiter) SetPeers(names []string) {
+// SetPeers replaces the list of other instances and the time that their updates take. An
+// instance that has sent no update yet counts as silent.
+func (l *Limiter) SetPeers(names []string, transit time.Duration) {
+	l.transit = transit
 	peers := make(map[string]*peer, len(names))
 	for _, name := range names {
 		if p := l.peers[name]; p != nil {
