gateway: restarts of all instances keep the retry budget

An instance that restarted had four tenths of its part at once and the rest over a window, while what it had used before was still in the window. One of eight instances is covered by the tenth of the budget that is left unused; all of them are not: TestRestartsKeepTheRetryBudget counted 110 retries of 96 with three of eight instances restarted twice, and TestRepeatsAfterARestart expected 171 of 100. It is replaced.

Until a window has passed, all instances that restarted within it now have a twentieth of the fleet's budget together, and each at most four tenths of its part. The incarnations in the updates tell how many they are.

--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -10,9 +10,12 @@
 	// budgetUseRatio is the part of the fleet's retry budget that is used. The rest covers
 	// requests that others count in different windows.
 	budgetUseRatio = 0.9
-	// restartRatio is the part of its budget that an instance gets right after a restart, when
-	// it does not know what it used before. The rest becomes available over one window.
+	// restartRatio is the greatest part of its budget that an instance has for one window after
+	// a restart, when it does not know what it used before.
 	restartRatio = 0.4
+	// restartShare is the part of the fleet's budget that all instances which restart in a
+	// window have together. Twice this and budgetUseRatio are the whole budget.
+	restartShare = 0.05
 	// assumedFleetSize is used until the other instances are known.
 	assumedFleetSize = 12
 )
@@ -27,6 +30,7 @@
 
 	mu        sync.Mutex
 	fleetSize int
+	restarted int // instances that have restarted within the last window
 	pools     map[string]*[budgetBuckets]budgetBucket
 }
 
@@ -42,10 +46,12 @@
 	return &retryBudget{ratio: ratio, extra: extra, window: window, start: start, fleetSize: assumedFleetSize, pools: map[string]*[budgetBuckets]budgetBucket{}}
 }
 
-func (b *retryBudget) setFleetSize(n int) {
+// setFleet sets the number of instances, and how many of them have restarted within the last
+// window.
+func (b *retryBudget) setFleet(n, restarted int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.fleetSize = max(1, n)
+	b.fleetSize, b.restarted = max(1, n), restarted
 }
 
 // currentBucket returns the bucket for now and the totals over the window.
@@ -82,7 +88,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	bucket, requests, retries := b.currentBucket(now, pool)
-	ratio := budgetUseRatio * min(1, max(restartRatio, now.Sub(b.start).Seconds()/b.window.Seconds()))
+	ratio := budgetUseRatio
+	if now.Sub(b.start) < b.window {
+		ratio *= min(restartRatio, restartShare*float64(b.fleetSize)/float64(max(1, b.restarted)))
+	}
 	if float64(retries+n) > ratio*(b.ratio*float64(requests)+b.extra/float64(b.fleetSize)) {
 		return false
 	}
--- a/internal/gateway/budget_test.go
+++ b/internal/gateway/budget_test.go
@@ -22,7 +22,7 @@
 	total := 0
 	for range fleet {
 		b := newRetryBudget(0.2, 56, 10*time.Second, time.Time{})
-		b.setFleetSize(fleet)
+		b.setFleet(fleet, 0)
 		for range 100 {
 			b.recordRequest(baseTime, "desk")
 		}
@@ -49,7 +49,7 @@
 	total := 0
 	for range fleet {
 		b := newRetryBudget(ratio, extra, window, time.Time{})
-		b.setFleetSize(fleet)
+		b.setFleet(fleet, 0)
 		for range requests {
 			b.recordRequest(now, "writers")
 		}
@@ -61,15 +61,45 @@
 	assert.Assert(t, float64(total) >= 0.8*bound, "%d of %.0f retries", total, bound)
 }
 
-// After a restart an instance does not know how many retries it made, so its budget is reduced
-// for one window.
-func TestRepeatsAfterARestart(t *testing.T) {
+// An instance that restarts does not know how many retries it made. Whether one instance of a
+// fleet restarts, or all of them twice in one window, their retries before and after it stay
+// within the fleet's budget.
+func TestRestartsKeepTheRetryBudget(t *testing.T) {
+	const (
+		fleet  = 8
+		extra  = 96.0
+		window = 10 * time.Second
+	)
 	start := time.Unix(1000, 0)
-	b := newRetryBudget(0.2, 100, 10*time.Second, start)
-	b.setFleetSize(1)
-	assert.Equal(t, countRetries(b, start), 36)
-	assert.Equal(t, countRetries(b, start.Add(9*time.Second)), 45, "budget withheld after the restart")
-	assert.Equal(t, countRetries(b, start.Add(25*time.Second)), 90)
+	for _, restarted := range []int{1, 3, fleet} {
+		total := 0
+		var budgets [fleet]*retryBudget
+		for i := range budgets {
+			budgets[i] = newRetryBudget(0.2, extra, window, time.Time{})
+			budgets[i].setFleet(fleet, 0)
+			total += countRetries(budgets[i], start)
+		}
+		for _, at := range []time.Duration{2 * time.Second, 4 * time.Second} {
+			now := start.Add(at)
+			for i := range restarted {
+				budgets[i] = newRetryBudget(0.2, extra, window, now)
+				budgets[i].setFleet(fleet, restarted)
+				total += countRetries(budgets[i], now)
+				total += countRetries(budgets[i], now.Add(time.Second))
+			}
+		}
+		for i := range restarted {
+			total += countRetries(budgets[i], start.Add(window-time.Millisecond))
+		}
+		assert.Assert(t, total <= int(extra), "%d of %d restarted: %d retries in a window, %.0f are allowed", restarted, fleet, total, extra)
+		assert.Equal(t, countRetries(budgets[0], start.Add(4*window)), countRetries(newFleetBudget(fleet, extra, window), start), "all of the part is back later")
+	}
+}
+
+func newFleetBudget(fleet int, extra float64, window time.Duration) *retryBudget {
+	b := newRetryBudget(0.2, extra, window, time.Time{})
+	b.setFleet(fleet, 0)
+	return b
 }
 
 // Retries are reserved before they are sent. A connection that could not be opened costs
@@ -77,7 +107,7 @@
 func TestArrivalsArePaidOnce(t *testing.T) {
 	x := newStreamExchange()
 	b := newRetryBudget(0, 100, 10*time.Second, time.Time{})
-	b.setFleetSize(1)
+	b.setFleet(1, 0)
 	x.s.budget = b
 	left := func() int {
 		n := 0
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -136,6 +136,23 @@
 	return silent, known
 }
 
+// countRestarted returns how many instances, including this one, have started within the last
+// window of the retry budget. Those that were not heard yet count.
+func (p *peers) countRestarted(now time.Time) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	if now.Sub(p.started) < p.s.budget.window {
+		n++
+	}
+	for _, x := range p.known {
+		if x.update == nil || now.Sub(time.Unix(0, x.update.Incarnation)) < p.s.budget.window {
+			n++
+		}
+	}
+	return n
+}
+
 // activeNames returns the names of the known instances that are not leaving. The caller holds
 // the lock.
 func (p *peers) activeNames() []string {
@@ -232,7 +249,7 @@
 		p.s.admission.withScheduler(func(_ time.Time, s *placement.Scheduler) { s.SetPeer(name, nil) })
 		p.s.forgetQuarantinePeer(name)
 	}
-	p.s.budget.setFleetSize(len(names) + 1)
+	p.s.budget.setFleet(len(names)+1, p.countRestarted(now))
 	p.s.quotaMu.Lock()
 	p.s.quota.SetPeers(names, updateTransit(len(names)+1))
 	p.s.quotaMu.Unlock()
--- a/internal/gateway/updates.go
+++ b/internal/gateway/updates.go
@@ -222,7 +222,8 @@
 		p.mu.Unlock()
 		return false
 	}
-	if x.update == nil || x.update.Incarnation != u.Incarnation {
+	started := x.update == nil || x.update.Incarnation != u.Incarnation
+	if started {
 		p.log.Info("instance.heard", "instance", u.Instance, "incarnation", u.Incarnation)
 		p.requestUpdate() // it may not have heard this instance yet
 	}
@@ -234,6 +235,9 @@
 	x.row.State = u.StateAddr
 	names := p.activeNames()
 	p.mu.Unlock()
+	if started {
+		p.s.budget.setFleet(len(names)+1, p.countRestarted(now))
+	}
 
 	report := window.Report{Instance: u.Instance, Incarnation: u.Incarnation, KnownFor: time.Duration(u.KnownFor) * time.Millisecond, Usage: make(map[string]window.Usage, len(u.Usage))}
 	for _, s := range u.Usage {
