gateway: read small bodies although the buffers are full

An endpoint that fills the buffers with a body without end failed the calls of all other endpoints too, and had them ejected. Bodies of up to 64 KiB are read all the same. TestSmallBodyIsReadWhenTheBuffersAreFull failed before ("the buffers for response bodies are full").

--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -37,6 +37,9 @@
 	// bufferedResponseBytes bounds the bodies that are buffered at a time, over all calls: a
 	// fraction of the memory of the smallest instances.
 	bufferedResponseBytes = 32 << 20
+	// smallResponseBytes is the size up to which a body is read although the buffers are full,
+	// so that an endpoint that fills them does not fail the calls of the others.
+	smallResponseBytes = 64 << 10
 )
 
 var (
@@ -314,7 +317,7 @@
 	switch {
 	case b.r.buffered > maxResponseBytes:
 		return n, errResponseTooLarge
-	case total > bufferedResponseBytes && n > 0:
+	case total > bufferedResponseBytes && b.r.buffered > smallResponseBytes:
 		return n, errBuffersFull
 	}
 	return n, err
--- a/internal/gateway/upstream_test.go
+++ b/internal/gateway/upstream_test.go
@@ -124,3 +124,16 @@
 		})
 	}
 }
+
+// A proper response is read although endless ones have filled the buffers.
+func TestSmallBodyIsReadWhenTheBuffersAreFull(t *testing.T) {
+	addr, _ := endless(t, "HTTP/1.1 200 OK\r\nContent-Length: 800\r\n\r\n", "a", 800)
+	u := testUpstream()
+	u.buffered.Store(bufferedResponseBytes)
+	resp, err := u.do(context.Background(), endpointRequest{addr: addr, method: http.MethodGet, uri: "/", host: "h"})
+	assert.NilError(t, err)
+	defer resp.close()
+	b, err := resp.readAll()
+	assert.NilError(t, err)
+	assert.Equal(t, len(b), 800)
+}
