quarantine: bound the evidence so that it fits in a datagram

With prompts of many parts and many crashes a report would have been larger than a datagram, and the instance would have sent no update at all. TestEvidenceFitsInAnUpdate failed before (the datagram is too large).

--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"testing"
 	"time"
@@ -116,3 +117,21 @@
 	assert.NilError(t, err)
 	return p
 }
+
+// The evidence of many crashes of long prompts fits in an update.
+func TestEvidenceFitsInAnUpdate(t *testing.T) {
+	s := newQuarantineServer(nil)
+	id := func(i int) string { return fmt.Sprintf("%032x", i) }
+	now := time.Now()
+	for i := range 1000 {
+		parts := make([]string, 50)
+		for j := range parts {
+			parts[j] = id(50*i + j)
+		}
+		s.quarantine.tracker.Begun(now, parts)
+		s.quarantine.tracker.Crashed(now, fmt.Sprint("endpoint-", i/10), parts)
+		s.quarantine.tracker.Restore(now, id(i), now.Add(time.Hour))
+	}
+	_, err := gossip.Encode(s.peers.buildUpdate(), []byte("secret"))
+	assert.NilError(t, err)
+}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -25,10 +25,12 @@
 	// crashed engine takes some seconds to restart.
 	crashWindow = time.Second
 
-	maxCrashes     = 64   // kept; the oldest is dropped
-	maxQuarantined = 256  // kept; the one that expires first is dropped
+	// Bounds of the evidence; a report with all of it fits in a datagram.
+	maxCrashes     = 16   // the oldest is dropped
+	maxCrashParts  = 32   // of all requests that a crash affected
+	maxParts       = 12   // of a request
+	maxQuarantined = 64   // the one that expires first is dropped
 	maxBegun       = 4096 // parts whose begun outputs are counted in a period
-	maxParts       = 16   // of a request that are considered
 )
 
 // Crash is the crash of an engine, with the parts of the requests whose output it was about
@@ -123,7 +125,7 @@
 			continue
 		}
 		for _, part := range c.Parts {
-			if !slices.Contains(list[i].Parts, part) {
+			if len(list[i].Parts) < maxCrashParts && !slices.Contains(list[i].Parts, part) {
 				list[i].Parts = append(slices.Clip(list[i].Parts), part)
 			}
 		}
