window: cost of an update is independent of the fleet's size

At 83 instances the leaky bucket took too much processor time: 45 us for one update of another instance (go test -bench, six accounts), because each looked at every other instance's usage by name. The usage of the others now lies in slices, and an update changes one place of each bucket: 1.9 us.

--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -153,6 +153,10 @@
 
 // mergeQuarantine applies the evidence and the quarantined parts of another instance.
 func (s *Server) mergeQuarantine(now time.Time, u *gossip.Update) {
+	if len(u.Crashes)+len(u.Begun)+len(u.Quarantined) == 0 {
+		s.forgetQuarantinePeer(u.Instance)
+		return
+	}
 	r := quarantine.Report{Begun: make(map[string]int, len(u.Begun)), Quarantined: make(map[string]time.Time, len(u.Quarantined))}
 	for _, c := range u.Crashes {
 		r.Crashes = append(r.Crashes, quarantine.Crash{Engine: c.Endpoint, At: now.Add(-time.Duration(c.Age) * time.Millisecond), Parts: c.Parts})
@@ -170,7 +174,7 @@
 	s.logQuarantined(added, u.Instance)
 }
 
-// forgetQuarantinePeer drops the evidence that an instance that is gone reports no longer.
+// forgetQuarantinePeer drops the counts that an instance no longer reports.
 func (s *Server) forgetQuarantinePeer(instance string) {
 	s.quarantine.mu.Lock()
 	defer s.quarantine.mu.Unlock()
--- a/internal/limit/window/window.go
+++ b/internal/limit/window/window.go
@@ -14,6 +14,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"carawayrouter.example/router/internal/config"
@@ -49,14 +50,15 @@
 	transit    time.Duration // of updates; what was granted meanwhile is missing from the known usage
 	accounts   map[string]*bucket
 	peers      map[string]*peer
+	slots      []*peer // nil for a free slot
 }
 
 // bucket is an account's usage that has not drained yet, in tokens.
 type bucket struct {
-	own        float64            // of this instance; negative after refunds of drained tokens
-	peers      map[string]float64 // of the other instances, by name
-	ended      float64            // of instances that have ended
-	unknown    float64            // assumed usage of any instance before knownSince
+	own        float64   // of this instance; negative after refunds of drained tokens
+	peers      []float64 // of the other instances, by slot
+	ended      float64   // of instances that have ended
+	unknown    float64   // assumed usage of any instance before knownSince
 	limits     limits
 	updatedAt  time.Time
 	empty      bool      // nothing is left but the usage of silent peers
@@ -75,6 +77,7 @@
 }
 
 type peer struct {
+	slot        int // index of its usage in all buckets
 	updatedAt   time.Time
 	incarnation int64
 }
@@ -208,7 +211,7 @@
 	b := l.accounts[a.Name]
 	switch {
 	case b == nil:
-		b = &bucket{peers: map[string]float64{}, unknown: l.unknownUsage(now, limits), updatedAt: now, emptySince: l.knownSince.Add(seconds(limits.depth / limits.rate))}
+		b = &bucket{peers: make([]float64, len(l.slots)), unknown: l.unknownUsage(now, limits), updatedAt: now, emptySince: l.knownSince.Add(seconds(limits.depth / limits.rate))}
 		b.empty = b.unknown == 0
 		l.accounts[a.Name] = b
 	case b.limits == limits:
@@ -220,8 +223,8 @@
 			// it takes to drain a full bucket.
 			factor := limits.depth / b.limits.depth
 			b.own, b.ended, b.unknown = b.own*factor, b.ended*factor, b.unknown*factor
-			for name := range b.peers {
-				b.peers[name] *= factor
+			for slot := range b.peers {
+				b.peers[slot] *= factor
 			}
 		}
 	}
@@ -255,15 +258,19 @@
 	b.own *= factor
 	b.ended *= factor
 	b.unknown *= factor
-	for name, tokens := range b.peers {
-		switch p := l.peers[name]; {
-		case p.silent(now):
-			b.peers[name] = max(0, tokens-share)
-		case now.Sub(p.updatedAt) <= updateTimeout:
-			b.peers[name] = tokens * factor
+	level := b.own + b.ended + b.unknown
+	for slot, p := range l.slots {
+		switch age := p.age(now); {
+		case age > peerTimeout:
+			b.peers[slot] = max(0, b.peers[slot]-share)
+		case age > updateTimeout:
+			level += b.peers[slot]
+		default:
+			b.peers[slot] *= factor
+			level += b.peers[slot]
 		}
 	}
-	b.noteLevel(now, l.view(now, b).level)
+	b.noteLevel(now, level)
 }
 
 // negligible is a level in tokens that counts as empty: levels only approach zero.
@@ -292,18 +299,21 @@
 	v := view{level: b.own + b.ended + b.unknown}
 	instances := float64(len(l.peers) + 1)
 	share := b.limits.depth / instances
-	for name, p := range l.peers {
-		tokens := b.peers[name]
-		if !p.silent(now) {
-			v.level += tokens
-			late := max(0, now.Sub(p.updatedAt)-updateTimeout).Seconds() / (peerTimeout - updateTimeout).Seconds()
+	for slot, p := range l.slots {
+		tokens := b.peers[slot]
+		age := p.age(now)
+		if age > peerTimeout {
+			v.silent++
+			v.silentUsage += max(share, tokens)
+			v.assumed += max(0, share-tokens)
+			continue
+		}
+		v.level += tokens
+		if age > updateTimeout {
+			late := (age - updateTimeout).Seconds() / (peerTimeout - updateTimeout).Seconds()
 			v.silentUsage += max(0, share*late-tokens)
 			v.assumed += max(0, share*late-tokens)
-			continue
 		}
-		v.silent++
-		v.silentUsage += max(share, tokens)
-		v.assumed += max(0, share-tokens)
 	}
 	// The fleet as a whole kept the limit before knownSince, so silent peers have the rest of
 	// their shares only as the unknown usage drains.
@@ -313,7 +323,14 @@
 	return v
 }
 
-func (p *peer) silent(now time.Time) bool { return now.Sub(p.updatedAt) > peerTimeout }
+// age returns the time since the last update of the instance. A free slot has none and counts
+// as fresh: its usage is zero.
+func (p *peer) age(now time.Time) time.Duration {
+	if p == nil {
+		return 0
+	}
+	return now.Sub(p.updatedAt)
+}
 
 // Refund returns the tokens of a request that was charged at the given time and did not run.
 // Nothing is returned if the bucket has been empty since: the charge has drained.
@@ -364,16 +381,15 @@
 func (l *Limiter) UpdatePeer(now time.Time, r Report, accounts map[string]*config.Account) {
 	p := l.peers[r.Instance]
 	if p == nil {
-		p = &peer{}
-		l.peers[r.Instance] = p
+		p = l.addPeer(r.Instance)
 	}
-	if p.silent(now) {
+	if p.age(now) > updateTimeout {
 		for _, b := range l.accounts {
 			l.drain(now, b)
 		}
 	}
 	if p.incarnation != r.Incarnation {
-		l.retain(r.Instance)
+		l.retain(p)
 	}
 	p.updatedAt, p.incarnation = now, r.Incarnation
 	for account := range r.Usage {
@@ -385,8 +401,7 @@
 		if now.Sub(b.updatedAt) > drainInterval {
 			l.drain(now, b)
 		}
-		b.peers[r.Instance] = float64(r.Usage[account].Own)
-		b.noteLevel(now, l.view(now, b).level)
+		b.peers[p.slot] = float64(r.Usage[account].Own)
 	}
 	if now.Sub(l.startedAt) < peerTimeout && r.KnownFor > now.Sub(l.startedAt) {
 		l.adopt(now, r)
@@ -408,11 +423,26 @@
 	}
 }
 
+// addPeer adds another instance, in the first free slot.
+func (l *Limiter) addPeer(name string) *peer {
+	slot := slices.Index(l.slots, nil)
+	if slot < 0 {
+		slot = len(l.slots)
+		l.slots = append(l.slots, nil)
+		for _, b := range l.accounts {
+			b.peers = append(b.peers, 0)
+		}
+	}
+	p := &peer{slot: slot}
+	l.slots[slot], l.peers[name] = p, p
+	return p
+}
+
 // retain keeps the usage of an instance that has ended.
-func (l *Limiter) retain(name string) {
+func (l *Limiter) retain(p *peer) {
 	for _, b := range l.accounts {
-		b.ended += max(0, b.peers[name])
-		delete(b.peers, name)
+		b.ended += max(0, b.peers[p.slot])
+		b.peers[p.slot] = 0
 	}
 }
 
@@ -420,20 +450,18 @@
 // instance that has sent no update yet counts as silent.
 func (l *Limiter) SetPeers(names []string, transit time.Duration) {
 	l.transit = transit
-	peers := make(map[string]*peer, len(names))
-	for _, name := range names {
-		if p := l.peers[name]; p != nil {
-			peers[name] = p
-		} else {
-			peers[name] = &peer{}
+	for name, p := range l.peers {
+		if !slices.Contains(names, name) {
+			l.retain(p)
+			l.slots[p.slot] = nil
+			delete(l.peers, name)
 		}
 	}
-	for name := range l.peers {
-		if peers[name] == nil {
-			l.retain(name)
+	for _, name := range names {
+		if l.peers[name] == nil {
+			l.addPeer(name)
 		}
 	}
-	l.peers = peers
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
