--- a/internal/gateway/updates.go
+++ b/internal/gateway/updates.go
@@ -131,8 +131,8 @@
 	now := time.Now()
 	s.quotaMu.Lock()
 	u.KnownFor = s.quota.KnownFor(now).Milliseconds()
-	for account, usage := range s.quota.Usage(now) {
-		u.Usage = append(u.Usage, gossip.AccountUsage{Account: account, Tokens: usage.Own, Level: usage.Level})
+	for _, usage := range s.quota.Usage(now) {
+		u.Usage = append(u.Usage, gossip.AccountUsage{Account: usage.Account, Tokens: usage.Own, Level: usage.Level})
 	}
 	s.quotaMu.Unlock()
 	s.addQuarantine(now, u)
@@ -239,9 +239,9 @@
 		p.s.budget.setFleet(len(names)+1, p.countRestarted(now))
 	}
 
-	report := window.Report{Instance: u.Instance, Incarnation: u.Incarnation, KnownFor: time.Duration(u.KnownFor) * time.Millisecond, Usage: make(map[string]window.Usage, len(u.Usage))}
-	for _, s := range u.Usage {
-		report.Usage[s.Account] = window.Usage{Own: s.Tokens, Level: s.Level}
+	report := window.Report{Instance: u.Instance, Incarnation: u.Incarnation, KnownFor: time.Duration(u.KnownFor) * time.Millisecond, Usage: make([]window.Usage, len(u.Usage))}
+	for i, s := range u.Usage {
+		report.Usage[i] = window.Usage{Account: s.Account, Own: s.Tokens, Level: s.Level}
 	}
 	p.s.quotaMu.Lock()
 	p.s.quota.UpdatePeer(now, report, p.s.state.Current().Accounts)
--- a/internal/limit/window/window.go
+++ b/internal/limit/window/window.go
@@ -55,10 +55,11 @@
 
 // bucket is an account's usage that has not drained yet, in tokens.
 type bucket struct {
-	own        float64   // of this instance; negative after refunds of drained tokens
-	peers      []float64 // of the other instances, by slot
-	ended      float64   // of instances that have ended
-	unknown    float64   // assumed usage of any instance before knownSince
+	own        float64         // of this instance; negative after refunds of drained tokens
+	peers      []float64       // of the other instances, by slot
+	ended      float64         // of instances that have ended
+	unknown    float64         // assumed usage of any instance before knownSince
+	account    *config.Account // from which limits were computed
 	limits     limits
 	updatedAt  time.Time
 	empty      bool      // nothing is left but the usage of silent peers
@@ -80,6 +81,7 @@
 	slot        int // index of its usage in all buckets
 	updatedAt   time.Time
 	incarnation int64
+	reported    []*bucket // in the last update
 }
 
 // Slack is how far the sum over all instances may exceed the limit.
@@ -90,8 +92,9 @@
 
 // Usage is what an instance reports of an account, in tokens that have not drained yet.
 type Usage struct {
-	Own   int
-	Level int // of the whole fleet, as this instance knows it
+	Account string
+	Own     int
+	Level   int // of the whole fleet, as this instance knows it
 }
 
 // New returns a Limiter for a window of the given length. A non-zero startedAt means that the
@@ -207,16 +210,17 @@
 
 // bucketOf returns the account's bucket with its present limits.
 func (l *Limiter) bucketOf(now time.Time, a *config.Account) *bucket {
-	limits := l.limitsOf(a)
 	b := l.accounts[a.Name]
+	if b != nil && b.account == a {
+		return b
+	}
+	limits := l.limitsOf(a)
 	switch {
 	case b == nil:
 		b = &bucket{peers: make([]float64, len(l.slots)), unknown: l.unknownUsage(now, limits), updatedAt: now, emptySince: l.knownSince.Add(seconds(limits.depth / limits.rate))}
 		b.empty = b.unknown == 0
 		l.accounts[a.Name] = b
-	case b.limits == limits:
-		return b
-	default:
+	case b.limits != limits:
 		l.drain(now, b)
 		if limits.depth < b.limits.depth {
 			// The usage under a higher limit must not exhaust the lower one for longer than
@@ -228,7 +232,7 @@
 			}
 		}
 	}
-	b.limits = limits
+	b.account, b.limits = a, limits
 	return b
 }
 
@@ -346,18 +350,19 @@
 	b.own -= min(float64(tokens), max(0, l.view(now, b).level))
 }
 
-// Usage returns what this instance reports to the others, by account, and forgets the accounts
-// that have not been used for a window.
-func (l *Limiter) Usage(now time.Time) map[string]Usage {
-	out := make(map[string]Usage, len(l.accounts))
+// Usage returns what this instance reports to the others, and forgets the accounts that have
+// not been used for a window.
+func (l *Limiter) Usage(now time.Time) []Usage {
+	out := make([]Usage, 0, len(l.accounts))
 	for name, b := range l.accounts {
 		l.drain(now, b)
 		level := b.own + b.ended + b.unknown
 		for _, tokens := range b.peers {
 			level += tokens
 		}
-		if u := (Usage{Own: int(math.Round(b.own)), Level: int(math.Round(level))}); u != (Usage{}) {
-			out[name] = u
+		u := Usage{Account: name, Own: int(math.Round(b.own)), Level: int(math.Round(level))}
+		if u.Own != 0 || u.Level != 0 {
+			out = append(out, u)
 		} else if b.empty && now.Sub(b.emptySince) > l.window {
 			delete(l.accounts, name)
 		}
@@ -372,8 +377,8 @@
 type Report struct {
 	Instance    string
 	Incarnation int64
-	KnownFor    time.Duration    // how long the instance knows the usage of the fleet
-	Usage       map[string]Usage // by account
+	KnownFor    time.Duration // how long the instance knows the usage of the fleet
+	Usage       []Usage
 }
 
 // UpdatePeer applies the report of another instance. Usage of accounts that are not in accounts
@@ -388,20 +393,27 @@
 			l.drain(now, b)
 		}
 	}
+	for _, b := range p.reported {
+		if now.Sub(b.updatedAt) > drainInterval {
+			l.drain(now, b) // with the usage that was known until now
+		}
+	}
 	if p.incarnation != r.Incarnation {
 		l.retain(p)
 	}
 	p.updatedAt, p.incarnation = now, r.Incarnation
-	for account := range r.Usage {
-		if a := accounts[account]; a != nil && a.Rate > 0 {
-			l.bucketOf(now, a)
-		}
+	for _, b := range p.reported {
+		b.peers[p.slot] = 0
 	}
-	for account, b := range l.accounts {
-		if now.Sub(b.updatedAt) > drainInterval {
-			l.drain(now, b)
+	p.reported = p.reported[:0]
+	for _, u := range r.Usage {
+		a := accounts[u.Account]
+		if a == nil || a.Rate <= 0 {
+			continue
 		}
-		b.peers[p.slot] = float64(r.Usage[account].Own)
+		b := l.bucketOf(now, a)
+		b.peers[p.slot] = float64(u.Own)
+		p.reported = append(p.reported, b)
 	}
 	if now.Sub(l.startedAt) < peerTimeout && r.KnownFor > now.Sub(l.startedAt) {
 		l.adopt(now, r)
@@ -414,8 +426,12 @@
 	if since := now.Add(-r.KnownFor); since.Before(l.knownSince) {
 		l.knownSince = since
 	}
+	levels := make(map[string]int, len(r.Usage))
+	for _, u := range r.Usage {
+		levels[u.Account] = u.Level
+	}
 	for account, b := range l.accounts {
-		rest := float64(r.Usage[account].Level) - b.ended
+		rest := float64(levels[account]) - b.ended
 		for _, tokens := range b.peers {
 			rest -= tokens
 		}
