--- a/internal/gateway/upstream_test.go
+++ b/internal/gateway/upstream_test.go
@@ -1,12 +1,14 @@
 package gateway
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -137,3 +139,48 @@
 	assert.NilError(t, err)
 	assert.Equal(t, len(b), 800)
 }
+
+// A stream with neither a length nor chunks ends with its connection. It is complete only if
+// the connection was closed, not reset, between two events.
+func TestStreamThatEndsWithItsConnection(t *testing.T) {
+	for _, c := range []struct {
+		name, body string
+		reset      bool
+		want       error
+	}{
+		{"between events", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", false, io.EOF},
+		{"in an event", "id: 1\ndata: a\n\nid: 2\ndata", false, errTruncatedEvent},
+		{"by a reset", "id: 1\ndata: a\n\n", true, syscall.ECONNRESET},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			defer ln.Close()
+			firstRead := make(chan struct{})
+			go func() {
+				nc, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				_, _ = http.ReadRequest(bufio.NewReader(nc))
+				_, _ = io.WriteString(nc, "HTTP/1.1 200 OK\r\n\r\n"+c.body)
+				<-firstRead
+				if c.reset {
+					_ = nc.(*net.TCPConn).SetLinger(0)
+				}
+				_ = nc.Close()
+			}()
+			resp, err := testUpstream().do(context.Background(), endpointRequest{addr: ln.Addr().String(), method: http.MethodGet, uri: "/", host: "h"})
+			assert.NilError(t, err)
+			defer resp.close()
+			br := bufio.NewReader(resp.body)
+			_, err = readEvent(br)
+			assert.NilError(t, err)
+			close(firstRead)
+			for err == nil {
+				_, err = readEvent(br)
+			}
+			assert.ErrorIs(t, err, c.want)
+		})
+	}
+}
