window: reported usage ends the idle time of a bucket at once

A bucket that was empty stayed marked so until its next drain, so a request larger than the bucket could have had the credit of the idle time in the same instant in which another instance reported usage. TestReportedUsageEndsTheIdleTime failed before.

--- a/internal/limit/window/window.go
+++ b/internal/limit/window/window.go
@@ -413,6 +413,7 @@
 		}
 		b := l.bucketOf(now, a)
 		b.peers[p.slot] = float64(u.Own)
+		b.empty = b.empty && u.Own <= 0
 		p.reported = append(p.reported, b)
 	}
 	if now.Sub(l.startedAt) < peerTimeout && r.KnownFor > now.Sub(l.startedAt) {
--- a/internal/limit/window/window_test.go
+++ b/internal/limit/window/window_test.go
@@ -176,6 +176,16 @@
 	assert.Assert(t, l.Reserve(now.Add(time.Second), account, 2*int(account.Burst), PlainCall).Allowed)
 }
 
+// The idle time that a large request needs ends with the usage that another instance reports,
+// also at the same instant.
+func TestReportedUsageEndsTheIdleTime(t *testing.T) {
+	l, other := New(windowLength, Slack{}, time.Time{}), New(windowLength, Slack{}, time.Time{})
+	assert.Assert(t, other.Reserve(epoch, account, int(account.Burst), PlainCall).Allowed)
+	l.UpdatePeer(epoch, Report{Instance: "other", Incarnation: 1, KnownFor: time.Hour}, accounts)
+	l.UpdatePeer(epoch, reportOf(epoch, "other", 1, other), accounts)
+	assert.Assert(t, !l.Reserve(epoch, account, 3*int(account.Burst), PlainCall).Allowed)
+}
+
 // A flood of generations leaves the account enough tokens for its plain calls.
 func TestFloodOfGenerationsLeavesPlainCalls(t *testing.T) {
 	l := New(windowLength, Slack{}, time.Time{})
