window: a report after an account was forgotten must not end the process

An account that is not used for a window is forgotten, but an instance's last report still named its bucket. If the fleet had grown meanwhile, the next report of that instance, after a network partition for example, drained the forgotten bucket and read past its end. TestReportAfterAnAccountWasForgotten ended with that panic before. Forgetting an account now takes it out of the last reports too.

--- a/internal/limit/window/window.go
+++ b/internal/limit/window/window.go
@@ -364,12 +364,20 @@
 		if u.Own != 0 || u.Level != 0 {
 			out = append(out, u)
 		} else if b.empty && now.Sub(b.emptySince) > l.window {
-			delete(l.accounts, name)
+			l.forget(name, b)
 		}
 	}
 	return out
 }
 
+// forget drops an account that is not used.
+func (l *Limiter) forget(name string, b *bucket) {
+	delete(l.accounts, name)
+	for _, p := range l.peers {
+		p.reported = slices.DeleteFunc(p.reported, func(r *bucket) bool { return r == b })
+	}
+}
+
 // KnownFor returns for how long this instance knows the usage of the fleet.
 func (l *Limiter) KnownFor(now time.Time) time.Duration { return now.Sub(l.knownSince) }
 
--- a/internal/limit/window/window_test.go
+++ b/internal/limit/window/window_test.go
@@ -186,6 +186,24 @@
 	assert.Assert(t, !l.Reserve(epoch, account, 3*int(account.Burst), PlainCall).Allowed)
 }
 
+// An instance comes back after a network partition in which an account that it had used was
+// forgotten and the fleet grew.
+func TestReportAfterAnAccountWasForgotten(t *testing.T) {
+	l, other := New(windowLength, Slack{}, time.Time{}), New(windowLength, Slack{}, time.Time{})
+	assert.Assert(t, other.Reserve(epoch, account, int(account.Burst), PlainCall).Allowed)
+	l.UpdatePeer(epoch, reportOf(epoch, "other", 1, other), accounts)
+	now := epoch
+	for range 5 {
+		now = now.Add(windowLength)
+		l.Usage(now)
+	}
+	assert.Equal(t, len(l.accounts), 0)
+	l.UpdatePeer(now, Report{Instance: "joined", Incarnation: 1, KnownFor: time.Hour}, accounts)
+	assert.Assert(t, other.Reserve(now, account, int(account.Burst), PlainCall).Allowed)
+	l.UpdatePeer(now.Add(time.Second), reportOf(now, "other", 1, other), accounts)
+	assert.Assert(t, !l.Reserve(now.Add(time.Second), account, int(account.Burst), PlainCall).Allowed)
+}
+
 // A flood of generations leaves the account enough tokens for its plain calls.
 func TestFloodOfGenerationsLeavesPlainCalls(t *testing.T) {
 	l := New(windowLength, Slack{}, time.Time{})
