--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -88,9 +88,18 @@
 	HasLoad       bool
 	Running       int
 	Queued        int
+	Limit         AnnouncedLimit
 	Headers       http.Header // headers to forward
 }
 
+// AnnouncedLimit is the rate of requests that an endpoint accepts from all instances together,
+// for as long as its responses say so.
+type AnnouncedLimit struct {
+	Announced bool
+	Rate      float64 // requests per second
+	Malformed bool    // the response has a limit that cannot be read
+}
+
 // Wire translates between HTTP headers and the gateway's types.
 type Wire interface {
 	ParseCall(h http.Header, arrived time.Time) (Call, error)
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -148,6 +148,9 @@
 	if errors.Is(err, endpoint.ErrNotSent) {
 		x.sends, x.reserved = sends, reserved // the endpoint received nothing
 	}
+	if err == nil && (resp.Limit.Announced || resp.Limit.Malformed) {
+		x.decision("endpoint_limit", "endpoint", opts.Endpoint, "rate", resp.Limit.Rate, "malformed", resp.Limit.Malformed)
+	}
 	return resp, err
 }
 
