pacing: keep the rates that endpoints announce, over all instances

Cause: the announcement is new on the platform and was not read. The class is a limit on what all instances together send, of which an instance knows only its own part; the quota of accounts and the retry budget are of this class and have their own mechanisms, endpoints had none.

Evidence: 34 calls of all eight instances were placed on the endpoint in the 4 s before, at the pace of the seconds before the announcement; one retry, no health check.

Why it works: time is divided into slots, one a request that the rate allows, which the instances own in turn. Every request to the endpoint uses a slot of its instance: calls, generations, prefills, retries, moves, health checks, the release of prefill results. Updates carry the rate and the age of the first slot, so that instances agree without a common clock; the earliest known first slot wins. A slot lasts a second and the time of three slots, so 4 s see at most 5 x rate + 4 requests. Slots that have begun are given up when the rate or the list of instances changes. A call that finds no slot at any endpoint of its pool is refused at once (endpoint_limit) with the time until the next slot; a generation whose wait for a slot is longer than its caller stays is refused when it arrives.

--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -25,6 +25,7 @@
 	QueueFull           Kind = "queue_full"            // request queue is full
 	DeadlineUnreachable Kind = "deadline_unreachable"  // first token cannot be produced in time
 	NoEndpoint          Kind = "no_endpoint"           // no endpoint of the pool can be used
+	EndpointLimit       Kind = "endpoint_limit"        // endpoints accept no more requests at the moment
 	PromptQuarantined   Kind = "prompt_quarantined"    // engines crash on a part of the prompt
 	EndpointFailed      Kind = "endpoint_failed"       // endpoint returned an error or the connection broke
 	EndpointTimeout     Kind = "endpoint_timeout"      // endpoint stopped responding
@@ -69,6 +70,7 @@
 	QueueFull:           {503, true},
 	DeadlineUnreachable: {503, true},
 	NoEndpoint:          {503, true},
+	EndpointLimit:       {503, true},
 	PromptQuarantined:   {503, true},
 	EndpointFailed:      {502, true},
 	EndpointTimeout:     {504, true},
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -86,6 +87,28 @@
 	return nil, refusal(errkind.QueueFull, "the engines stayed full", a.queue.PredictWait(a.now(), a.sched, w))
 }
 
+// acquireService returns a lease for a plain call. The error is a refusal with a retry delay.
+func (a *admission) acquireService(d placement.Demand) (*placement.Lease, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.now()
+	if l := a.sched.AcquireService(now, d); l != nil {
+		return l, nil
+	}
+	if wait := a.sched.TurnAfter(now, d.Pool, 0); wait > 0 {
+		return nil, refusal(errkind.EndpointLimit, "the endpoints accept no more requests for now", a.spread(wait))
+	}
+	return nil, refusal(errkind.NoEndpoint, "no endpoint can be used", endpointRetryAfter)
+}
+
+// limitRetrySpread is over how long the callers that are refused until the same time return.
+const limitRetrySpread = 400 * time.Millisecond
+
+// spread adds a random delay, so that refused callers do not return together.
+func (a *admission) spread(wait time.Duration) time.Duration {
+	return wait + rand.N(limitRetrySpread)
+}
+
 // serveQueue grants leases to queued generations. The caller holds the lock.
 func (a *admission) serveQueue(now time.Time) {
 	for _, g := range a.queue.Serve(now, a.sched) {
@@ -118,6 +141,13 @@
 	f(a.now(), a.sched)
 }
 
+// takeTurn reports whether the endpoint may be sent a request without a lease under the limit
+// that it announces.
+func (a *admission) takeTurn(endpoint string) (ok bool) {
+	a.withScheduler(func(now time.Time, s *placement.Scheduler) { ok = s.TakeTurn(now, endpoint) })
+	return ok
+}
+
 // releaseAndServe runs f, which frees capacity, and then serves the queue.
 func (a *admission) releaseAndServe(f func(now time.Time, s *placement.Scheduler)) {
 	a.mu.Lock()
--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -16,8 +16,6 @@
 	// restartShare is the part of the fleet's budget that all instances which restart in a
 	// window have together. Twice this and budgetUseRatio are the whole budget.
 	restartShare = 0.05
-	// assumedFleetSize is used until the other instances are known.
-	assumedFleetSize = 12
 )
 
 // retryBudget limits what this instance sends beyond the first attempt of each request, per
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -361,10 +361,14 @@
 
 // releaseHandle frees a prefill result that will not be fetched.
 func (s *Server) releaseHandle(addr, name, handle string) {
+	if !s.admission.takeTurn(name) {
+		s.log.Info("prefill.not_freed", "endpoint", name, "cause", "limit of the endpoint")
+		return // the engine frees it when its time is over
+	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 		defer cancel()
-		resp, err := s.upstream.do(ctx, endpointRequest{addr: addr, method: http.MethodDelete, uri: s.wire.HandlePath(handle), host: addr})
+		resp, err := s.upstream.do(ctx, endpointRequest{endpoint: name, addr: addr, method: http.MethodDelete, uri: s.wire.HandlePath(handle), host: addr})
 		if err != nil {
 			s.log.Info("prefill.not_freed", "endpoint", name, "cause", err.Error())
 			return
--- /dev/null
+++ b/internal/gateway/limits.go
@@ -0,0 +1,103 @@
+package gateway
+
+import (
+	"time"
+
+	"carawayrouter.example/router/internal/gossip"
+	"carawayrouter.example/router/internal/limit/pacing"
+	"carawayrouter.example/router/internal/placement"
+)
+
+// recordLimit records whether an endpoint's response announces a limit. Responses that may not be
+// the endpoint's, and refusals, do not end a limit.
+func (s *Server) recordLimit(req endpointRequest, sentAt time.Time, resp ResponseInfo) {
+	if req.endpoint == "" || resp.WrongEndpoint || (resp.EndpointName != "" && resp.EndpointName != req.endpoint) {
+		return
+	}
+	identified := resp.EndpointName != "" || (req.attemptID != "" && resp.AttemptID == req.attemptID)
+	changed := false
+	s.admission.withScheduler(func(now time.Time, p *placement.Scheduler) {
+		switch {
+		case resp.Limit.Announced:
+			changed = p.RecordLimit(now, req.endpoint, resp.Limit.Rate)
+		case !resp.Limit.Malformed && !resp.NotRun && identified:
+			changed = p.RecordNoLimit(now, sentAt, req.endpoint)
+		}
+	})
+	if changed {
+		s.logLimit(req.endpoint, resp.Limit.Announced, resp.Limit.Rate, s.settings.Instance)
+		s.peers.requestUpdate()
+	}
+}
+
+func (s *Server) logLimit(endpoint string, limited bool, rate float64, source string) {
+	if limited {
+		s.log.Info("endpoint.limited", "endpoint", endpoint, "rate", rate, "source", source)
+		return
+	}
+	s.log.Info("endpoint.unlimited", "endpoint", endpoint, "source", source)
+}
+
+// countLimited returns the number of endpoints with a limit.
+func (a *admission) countLimited() (n int) {
+	a.withScheduler(func(now time.Time, p *placement.Scheduler) {
+		p.EachLimit(now, func(l placement.EndpointLimit) {
+			if l.Limited {
+				n++
+			}
+		})
+	})
+	return n
+}
+
+// maxReportedLimits bounds the limits in an update.
+const maxReportedLimits = 256
+
+// addLimits adds the endpoints' limits to an update.
+func addLimits(now time.Time, scheduler *placement.Scheduler, u *gossip.Update) {
+	scheduler.EachLimit(now, func(l placement.EndpointLimit) {
+		if len(u.Limits) < maxReportedLimits {
+			u.Limits = append(u.Limits, gossip.EndpointLimit{
+				Endpoint: l.Endpoint, Incarnation: l.Incarnation, Limited: l.Limited, Rate: l.Rate,
+				SinceAge: gossip.AgeMillis(now, l.Since), Age: gossip.AgeMillis(now, l.ObservedAt),
+			})
+		}
+	})
+}
+
+// mergeLimits applies the endpoints' limits that another instance knows.
+func (s *Server) mergeLimits(u *gossip.Update) {
+	if len(u.Limits) == 0 {
+		return
+	}
+	var changed []gossip.EndpointLimit
+	s.admission.withScheduler(func(now time.Time, p *placement.Scheduler) {
+		ago := func(ms int64) time.Time { return now.Add(-time.Duration(ms) * time.Millisecond) }
+		for _, l := range u.Limits {
+			limit := pacing.Limit{Limited: l.Limited, Rate: l.Rate, Since: ago(l.SinceAge), ObservedAt: ago(l.Age)}
+			if p.MergeLimit(now, placement.EndpointLimit{Endpoint: l.Endpoint, Incarnation: l.Incarnation, Limit: limit}) {
+				changed = append(changed, l)
+			}
+		}
+	})
+	for _, l := range changed {
+		s.logLimit(l.Endpoint, l.Limited, l.Rate, u.Instance)
+	}
+}
+
+// assumedFleetSize is used until the other instances are known.
+const assumedFleetSize = 12
+
+// setFleet tells the scheduler and the retry budget which other instances there are.
+func (s *Server) setFleet(now time.Time, others []string) {
+	rank := 0
+	for _, name := range others {
+		if name < s.settings.Instance {
+			rank++
+		}
+	}
+	s.budget.setFleet(len(others)+1, s.peers.countRestarted(now))
+	s.admission.withScheduler(func(_ time.Time, p *placement.Scheduler) {
+		p.SetMember(now, pacing.Member{Rank: rank, Count: len(others) + 1})
+	})
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -249,7 +249,7 @@
 		p.s.admission.withScheduler(func(_ time.Time, s *placement.Scheduler) { s.SetPeer(name, nil) })
 		p.s.forgetQuarantinePeer(name)
 	}
-	p.s.budget.setFleet(len(names)+1, p.countRestarted(now))
+	p.s.setFleet(now, names)
 	p.s.quotaMu.Lock()
 	p.s.quota.SetPeers(names, updateTransit(len(names)+1))
 	p.s.quotaMu.Unlock()
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -74,12 +74,12 @@
 	}
 	s.upstream.put(c)
 	pool := s.state.Current().Pools[ep.Pool]
-	if pool == nil || pool.HealthPath == "" {
+	if pool == nil || pool.HealthPath == "" || !s.admission.takeTurn(ep.Name) {
 		return "", nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	resp, err := s.upstream.do(ctx, endpointRequest{addr: ep.Addr, method: http.MethodGet, uri: pool.HealthPath, host: ep.Addr})
+	resp, err := s.upstream.do(ctx, endpointRequest{endpoint: ep.Name, addr: ep.Addr, method: http.MethodGet, uri: pool.HealthPath, host: ep.Addr})
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return "", nil // reachable but busy: health checks wait for a slot like requests
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -16,6 +16,7 @@
 	"math/rand/v2"
 
 	"carawayrouter.example/router/internal/config"
+	"carawayrouter.example/router/internal/limit/pacing"
 	"carawayrouter.example/router/internal/limit/window"
 	"carawayrouter.example/router/internal/placement"
 )
@@ -98,11 +99,14 @@
 	g.budget = newRetryBudget(s.RetryRatio, s.RetryExtra, s.RetryWindow, start)
 	g.quota = window.New(s.QuotaWindow, window.Slack{Fraction: s.QuotaSlackRatio, Tokens: s.QuotaSlackTokens}, start)
 	seed := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	g.admission = newAdmission(placement.New(s.DataCentre, seed), func(ep *config.Endpoint) {
+	scheduler := placement.New(s.DataCentre, seed)
+	scheduler.SetMember(time.Now(), pacing.Member{Rank: rand.IntN(assumedFleetSize), Count: assumedFleetSize})
+	g.admission = newAdmission(scheduler, func(ep *config.Endpoint) {
 		g.stats.ejections.Inc()
 		g.log.Info("endpoint.ejected", "endpoint", ep.Name, "addr", ep.Addr)
 	})
 	g.upstream = newUpstream(d.Wire, g.setUserTimeout)
+	g.upstream.onResponse = g.recordLimit
 	g.state = newState(d.RowDecoder, g.admission, d.Log)
 	g.peers = newPeers(g)
 	g.admission.onChange = g.peers.requestUpdate
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -32,15 +32,12 @@
 		if !x.reserveSends(1) {
 			return last
 		}
-		var lease *placement.Lease
-		x.s.admission.withScheduler(func(now time.Time, s *placement.Scheduler) {
-			lease = s.AcquireService(now, placement.Demand{Pool: x.call.Pool.Name, Exclude: x.excluded})
-		})
-		if lease == nil {
+		lease, err := x.s.admission.acquireService(placement.Demand{Pool: x.call.Pool.Name, Exclude: x.excluded})
+		if err != nil {
 			if last != nil {
 				return last
 			}
-			return refusal(errkind.NoEndpoint, "no endpoint can be used", endpointRetryAfter)
+			return err
 		}
 		x.decision("place", "endpoint", lease.Target.Name, "sends", x.sends)
 		done, err := x.attemptCall(ctx, lease)
@@ -136,6 +133,7 @@
 	}
 	x.s.stats.sends.Inc()
 	resp, err := x.s.upstream.do(ctx, endpointRequest{
+		endpoint:  opts.Endpoint,
 		addr:      addr,
 		method:    x.call.Method,
 		uri:       x.call.URI,
@@ -148,8 +146,8 @@
 	if errors.Is(err, endpoint.ErrNotSent) {
 		x.sends, x.reserved = sends, reserved // the endpoint received nothing
 	}
-	if err == nil && (resp.Limit.Announced || resp.Limit.Malformed) {
-		x.decision("endpoint_limit", "endpoint", opts.Endpoint, "rate", resp.Limit.Rate, "malformed", resp.Limit.Malformed)
+	if err == nil && resp.Limit.Malformed {
+		x.decision("limit_unreadable", "endpoint", opts.Endpoint)
 	}
 	return resp, err
 }
--- a/internal/gateway/updates.go
+++ b/internal/gateway/updates.go
@@ -121,6 +121,7 @@
 		scheduler.EachEjected(now, func(endpoint string, remaining time.Duration) {
 			u.Ejected = append(u.Ejected, gossip.Ejection{Endpoint: endpoint, Remaining: remaining.Milliseconds()})
 		})
+		addLimits(now, scheduler, u)
 		for _, w := range queue.Waiters() {
 			u.Queued = append(u.Queued, gossip.QueuedRequest{
 				Pool: w.Demand.Pool, Prompt: w.Demand.Prompt, Output: w.Demand.ExpectedOutput, Generated: w.Demand.Generated,
@@ -235,8 +236,8 @@
 	x.row.State = u.StateAddr
 	names := p.activeNames()
 	p.mu.Unlock()
-	if started {
-		p.s.budget.setFleet(len(names)+1, p.countRestarted(now))
+	if started || joined {
+		p.s.setFleet(now, names)
 	}
 
 	report := window.Report{Instance: u.Instance, Incarnation: u.Incarnation, KnownFor: time.Duration(u.KnownFor) * time.Millisecond, Usage: make([]window.Usage, len(u.Usage))}
@@ -250,6 +251,7 @@
 	}
 	p.s.quotaMu.Unlock()
 	p.s.mergeQuarantine(now, u)
+	p.s.mergeLimits(u)
 	p.s.admission.withScheduler(func(now time.Time, s *placement.Scheduler) { s.SetPeer(u.Instance, remoteOf(now, u)) })
 	return true
 }
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -49,8 +49,9 @@
 
 // upstream is the connection pool for endpoints.
 type upstream struct {
-	wire   Wire
-	onOpen func(net.Conn) // configures a new connection
+	wire       Wire
+	onOpen     func(net.Conn)                                                 // configures a new connection
+	onResponse func(req endpointRequest, sentAt time.Time, resp ResponseInfo) // observes every response
 
 	buffered atomic.Int64 // bytes of response bodies in memory
 
@@ -68,7 +69,7 @@
 }
 
 func newUpstream(w Wire, onOpen func(net.Conn)) *upstream {
-	return &upstream{wire: w, onOpen: onOpen, idle: map[string][]*endpointConn{}}
+	return &upstream{wire: w, onOpen: onOpen, onResponse: func(endpointRequest, time.Time, ResponseInfo) {}, idle: map[string][]*endpointConn{}}
 }
 
 // get returns a connection to addr that has been idle for at most maxAge, or a new one.
@@ -177,6 +178,7 @@
 
 // endpointRequest is one request to an endpoint.
 type endpointRequest struct {
+	endpoint  string // name
 	addr      string
 	method    string
 	uri       string
@@ -217,6 +219,7 @@
 		u.put(c)
 		return nil, errors.Mark(context.Cause(ctx), endpoint.ErrNotSent)
 	}
+	sentAt := time.Now()
 	stopWatch := context.AfterFunc(ctx, func() { _ = c.Close() })
 	resp, err := u.roundTrip(c, req)
 	if err != nil {
@@ -228,6 +231,7 @@
 		return nil, errors.Mark(err, endpoint.ErrCallFailed)
 	}
 	resp.stopWatch = stopWatch
+	u.onResponse(req, sentAt, resp.ResponseInfo)
 	return resp, nil
 }
 
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -39,6 +39,20 @@
 	Crashes     []Crash
 	Begun       []BegunOutputs
 	Quarantined []QuarantinedPart
+	Limits      []EndpointLimit
+}
+
+// EndpointLimit is the rate of requests that an endpoint has announced to accept from all
+// instances together, or the end of such a limit.
+type EndpointLimit struct {
+	_ struct{} `cbor:",toarray"`
+
+	Endpoint    string
+	Incarnation int64 // of the endpoint
+	Limited     bool
+	Rate        float64 // requests per second
+	SinceAge    int64   // ms since the first announcement
+	Age         int64   // ms since the observation
 }
 
 // Crash is the crash of an engine that was about to begin the output of requests of the
--- a/internal/placement/endpoint.go
+++ b/internal/placement/endpoint.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"carawayrouter.example/router/internal/config"
+	"carawayrouter.example/router/internal/limit/pacing"
 	"carawayrouter.example/router/internal/sched"
 )
 
@@ -45,6 +46,8 @@
 	peerLoads     map[string]peerLoad  // by instance
 	peerEjections map[string]time.Time // end of the ejections in force at other instances, by instance
 
+	pacer pacing.Pacer // of the limit that the endpoint announces
+
 	reportedCalls int // running and waiting calls besides the answered one, as the endpoint last reported
 	reportedAt    time.Time
 }
--- /dev/null
+++ b/internal/placement/limits.go
@@ -0,0 +1,115 @@
+package placement
+
+import (
+	"time"
+
+	"carawayrouter.example/router/internal/config"
+	"carawayrouter.example/router/internal/limit/pacing"
+)
+
+// endpointFilter reports whether an endpoint may be given a request.
+type endpointFilter func(now time.Time, x *endpointState) bool
+
+// ready reports whether this instance may send the endpoint a request under the limit that it
+// announces.
+func (s *Scheduler) ready(now time.Time, x *endpointState) bool { return x.pacer.Ready(now, s.member) }
+
+// reserveForPeer keeps engines free for a waiter of another instance, which has slots of its own
+// under the engines' limits.
+func (s *Scheduler) reserveForPeer(now time.Time, d Demand) *Lease {
+	return s.reserveEngine(now, d, func(time.Time, *endpointState) bool { return true })
+}
+
+// SetMember sets this instance's place in the fleet.
+func (s *Scheduler) SetMember(now time.Time, m pacing.Member) {
+	if m == s.member {
+		return
+	}
+	s.member = m
+	for _, x := range s.endpoints {
+		x.pacer.Forfeit(now)
+	}
+}
+
+// TakeTurn uses a slot of an endpoint for a request without a lease, and reports whether there was
+// one.
+func (s *Scheduler) TakeTurn(now time.Time, endpoint string) bool {
+	x := s.endpoints[endpoint]
+	if x == nil {
+		return true
+	}
+	if !s.ready(now, x) {
+		return false
+	}
+	x.pacer.Take(now, s.member)
+	return true
+}
+
+// RecordLimit records a response of an endpoint that announces a limit, in requests per second.
+// It reports whether the limit has changed.
+func (s *Scheduler) RecordLimit(now time.Time, endpoint string, rate float64) (changed bool) {
+	x := s.endpoints[endpoint]
+	return x != nil && x.pacer.Announced(now, rate)
+}
+
+// RecordNoLimit records a response of an endpoint that announces no limit, to a request sent at
+// the given time. It reports whether the limit has changed.
+func (s *Scheduler) RecordNoLimit(now, sentAt time.Time, endpoint string) (changed bool) {
+	x := s.endpoints[endpoint]
+	return x != nil && x.pacer.Unannounced(now, sentAt)
+}
+
+// EndpointLimit is what is known of the limit of an endpoint's incarnation.
+type EndpointLimit struct {
+	Endpoint    string
+	Incarnation int64
+	pacing.Limit
+}
+
+// MergeLimit applies what another instance knows of a limit, and reports whether the limit has
+// changed.
+func (s *Scheduler) MergeLimit(now time.Time, l EndpointLimit) (changed bool) {
+	x := s.endpoints[l.Endpoint]
+	return x != nil && x.ep.Incarnation == l.Incarnation && x.pacer.Merge(now, l.Limit)
+}
+
+// limitReportTime is for how long the end of a limit is reported to the other instances.
+const limitReportTime = 10 * time.Second
+
+// EachLimit calls visit with every limit in force and every one that has ended lately.
+func (s *Scheduler) EachLimit(now time.Time, visit func(EndpointLimit)) {
+	for name, x := range s.endpoints {
+		l := x.pacer.Limit()
+		if l.Limited || x.pacer.EndedLately(now, limitReportTime) {
+			visit(EndpointLimit{Endpoint: name, Incarnation: x.ep.Incarnation, Limit: l})
+		}
+	}
+}
+
+// TurnAfter returns how long this instance has to wait for the next slot of the pool's plain
+// endpoints after so many others, 0 if the limits of the endpoints do not hold it up.
+func (s *Scheduler) TurnAfter(now time.Time, pool string, before int) time.Duration {
+	return s.turnAfter(now, pool, config.Plain, before)
+}
+
+// turnAfter is TurnAfter for the pool's endpoints of a role.
+func (s *Scheduler) turnAfter(now time.Time, pool string, role config.Role, before int) time.Duration {
+	first, rate := time.Duration(-1), 0.0
+	for _, x := range s.pools[pool] {
+		if x.ep.Role != role || !x.available(now) {
+			continue
+		}
+		l := x.pacer.Limit()
+		if !l.Limited {
+			return 0
+		}
+		rate += l.Rate / float64(s.member.Count)
+		if wait := max(0, x.pacer.Next(now, s.member).Sub(now)); first < 0 || wait < first {
+			first = wait
+		}
+	}
+	if rate == 0 {
+		return 0
+	}
+	return first + time.Duration(float64(before)/rate*float64(time.Second))
+}
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -90,7 +90,11 @@
 	}
 	for _, w := range q.ordered(now, s) {
 		if !blocked[w.Demand.Pool] {
-			lease := s.AcquireEngine(now, w.Demand)
+			acquire := s.AcquireEngine
+			if !own[w] {
+				acquire = s.reserveForPeer
+			}
+			lease := acquire(now, w.Demand)
 			switch {
 			case lease != nil && own[w]:
 				grants = append(grants, Grant{Waiter: w, Lease: lease})
@@ -148,7 +152,19 @@
 		}
 	}
 	work += memoryTime(w.Demand, tokenTime)
-	return time.Duration(work / capacity * float64(time.Second))
+	return max(time.Duration(work/capacity*float64(time.Second)), q.predictTurn(now, s, w))
+}
+
+// predictTurn estimates how long w would wait because of the limits that engines announce: the
+// waiters of this instance before it and w itself need a slot each.
+func (q *Queue) predictTurn(now time.Time, s *Scheduler, w *Waiter) time.Duration {
+	before := 0
+	for _, other := range q.waiting {
+		if other != w && other.Demand.Pool == w.Demand.Pool && compareWaiters(now, other, w) <= 0 {
+			before++
+		}
+	}
+	return max(s.turnAfter(now, w.Demand.Pool, config.Prefill, before), s.turnAfter(now, w.Demand.Pool, config.Decode, before))
 }
 
 // memoryTime returns a generation's memory use integrated over its duration, in
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"carawayrouter.example/router/internal/config"
+	"carawayrouter.example/router/internal/limit/pacing"
 	"carawayrouter.example/router/internal/sched"
 )
 
@@ -60,11 +61,12 @@
 	endpoints  map[string]*endpointState
 	pools      map[string][]*endpointState
 	peers      map[string]*PeerState
+	member     pacing.Member // this instance's place in the fleet
 }
 
 // New returns a Scheduler without endpoints, for an instance in the given data centre.
 func New(dataCentre string, r *rand.Rand) *Scheduler {
-	return &Scheduler{dataCentre: dataCentre, rand: r, endpoints: map[string]*endpointState{}, pools: map[string][]*endpointState{}, peers: map[string]*PeerState{}}
+	return &Scheduler{dataCentre: dataCentre, rand: r, endpoints: map[string]*endpointState{}, pools: map[string][]*endpointState{}, peers: map[string]*PeerState{}, member: pacing.Member{Count: 1}}
 }
 
 // SetEndpoints replaces the endpoints. The state of an endpoint is kept while its name,
@@ -103,7 +105,20 @@
 // pool has a usable one, on a prefill engine. Without a prefill engine the decode engine
 // prefills the prompt itself. It returns nil if the request has to wait.
 func (s *Scheduler) AcquireEngine(now time.Time, d Demand) *Lease {
-	p, direct := s.choosePrefill(now, d)
+	l := s.reserveEngine(now, d, s.ready)
+	if l != nil {
+		l.targetEndpoint.pacer.Take(now, s.member)
+		if l.prefillEndpoint != nil {
+			l.prefillEndpoint.pacer.Take(now, s.member)
+		}
+	}
+	return l
+}
+
+// reserveEngine places a generation on engines that mayUse accepts, without regard to the limits
+// that they announce.
+func (s *Scheduler) reserveEngine(now time.Time, d Demand, mayUse endpointFilter) *Lease {
+	p, direct := s.choosePrefill(now, d, mayUse)
 	if p == nil && !direct {
 		return nil
 	}
@@ -112,7 +127,7 @@
 		start = now.Add(p.prefillBacklog(now) + time.Duration(d.Prompt)*p.prefillTokenTime)
 	}
 	generation := Generation{Prompt: d.Prompt + d.Generated, PlannedOutput: d.remainingOutput(), AsOf: start}
-	t := s.chooseDecode(now, d, generation)
+	t := s.chooseDecode(now, d, generation, mayUse)
 	if t == nil {
 		return nil
 	}
@@ -129,7 +144,7 @@
 
 // choosePrefill returns the prefill engine with the shortest backlog, nil if all backlogs
 // are too long. Direct is true if the pool has no usable prefill engine.
-func (s *Scheduler) choosePrefill(now time.Time, d Demand) (best *endpointState, direct bool) {
+func (s *Scheduler) choosePrefill(now time.Time, d Demand, mayUse endpointFilter) (best *endpointState, direct bool) {
 	usable := false
 	shortest := maxPrefillBacklog
 	for _, x := range s.rotatedPool(d.Pool) {
@@ -137,7 +152,7 @@
 			continue
 		}
 		usable = true
-		if now.Before(x.fullUntil) {
+		if now.Before(x.fullUntil) || !mayUse(now, x) {
 			continue
 		}
 		wait := x.prefillBacklog(now) + s.crossDataCentreCost(x, 5*time.Millisecond)
@@ -152,7 +167,7 @@
 }
 
 // chooseDecode returns the least loaded decode engine that g fits on, or nil.
-func (s *Scheduler) chooseDecode(now time.Time, d Demand, g Generation) *endpointState {
+func (s *Scheduler) chooseDecode(now time.Time, d Demand, g Generation, mayUse endpointFilter) *endpointState {
 	var best *endpointState
 	lightest := 0.0
 	for _, x := range s.rotatedPool(d.Pool) {
@@ -166,7 +181,7 @@
 			// every stream, so an engine takes one resumed stream at a time.
 			continue
 		}
-		if !x.fits(now, g, memoryHeadroom) {
+		if !mayUse(now, x) || !x.fits(now, g, memoryHeadroom) {
 			continue
 		}
 		load := x.plannedMemory(now) * float64(x.tokenTime) / float64(defaultTokenTime)
@@ -191,6 +206,9 @@
 	var shortest time.Duration
 	lowest := s.lowestLatency(now, d.Pool)
 	for _, x := range s.candidates(now, d) {
+		if !s.ready(now, x) {
+			continue
+		}
 		slots := max(1, x.ep.Slots)
 		active := x.activeCalls(now)
 		latency := x.callLatency
@@ -216,6 +234,7 @@
 	if best == nil {
 		return nil
 	}
+	best.pacer.Take(now, s.member)
 	best.calls++
 	return &Lease{Target: best.ep, targetEndpoint: best, grantedAt: now}
 }
@@ -293,11 +312,12 @@
 	delete(old.generations, l)
 	ejected = old.recordOutcome(now, o)
 	d.Exclude = append(slices.Clone(d.Exclude), old.ep.Name)
-	t := s.chooseDecode(now, d, l.generation)
+	t := s.chooseDecode(now, d, l.generation, s.ready)
 	if t == nil {
 		old.generations[l] = struct{}{}
 		return false, ejected
 	}
+	t.pacer.Take(now, s.member)
 	old.prefillTokens -= l.replayTokens
 	t.prefillTokens += l.replayTokens
 	l.targetEndpoint, l.Target = t, t.ep
