gateway: log calls whose endpoint crashed, with what makes them the same call

Attempts of one account with the same method, path and body have the same fingerprint at all instances; request.endpoint_crashed, formerly request.engine_crashed, shows it for calls and generations. Nothing is decided by it yet.

--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -63,6 +63,8 @@
 	firstEventDelay time.Duration     // from arrival to the first event
 	longestGap      time.Duration     // longest time between two events
 	lastEventAt     time.Time
+
+	fingerprintCache string // empty until it is needed
 }
 
 // run passes the request through the stages: route, identify, limit, dispatch.
@@ -104,11 +106,7 @@
 		return refusal(errkind.StaleConfiguration, "this instance has no configuration yet", noConfigRetryAfter)
 	}
 	c := x.call
-	host := c.Host
-	if h, _, err := net.SplitHostPort(host); err == nil {
-		host = h
-	}
-	c.Route = st.HostRoute(host, c.Method, c.Path)
+	c.Route = st.HostRoute(hostName(c.Host), c.Method, c.Path)
 	if c.Route == nil {
 		return errkind.New(errkind.UnknownRoute, "no route for this host and path")
 	}
@@ -129,6 +127,14 @@
 	return nil
 }
 
+// hostName returns the host without a port.
+func hostName(host string) string {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		return h
+	}
+	return host
+}
+
 // identify looks up the account of the caller's key. It runs again before each send, with the
 // newest configuration.
 func (x *exchange) identify(st *config.State) error {
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -82,9 +82,10 @@
 	q.tracker.Begun(time.Now(), x.call.PromptParts)
 }
 
-// recordBreak records a stream that broke before its output had begun, if the engine crashed.
+// recordBreak records a request that broke before its response had begun, if the endpoint
+// crashed.
 func (x *exchange) recordBreak(ctx context.Context, ep *config.Endpoint, err error) {
-	if len(x.call.PromptParts) == 0 || ctx.Err() != nil || !errors.Is(err, endpoint.ErrCallFailed) || errors.Is(err, errEndpointTimeout) {
+	if ctx.Err() != nil || !errors.Is(err, endpoint.ErrCallFailed) || errors.Is(err, errEndpointTimeout) {
 		return
 	}
 	s := x.s
@@ -93,7 +94,10 @@
 	}
 	s.stats.crashes.Inc()
 	x.crashed = true
-	x.decision("engine_crashed", "endpoint", ep.Name, "parts", strings.Join(x.call.PromptParts, ","))
+	x.decision("endpoint_crashed", "endpoint", ep.Name, "fingerprint", x.fingerprint(), "parts", strings.Join(x.call.PromptParts, ","))
+	if len(x.call.PromptParts) == 0 {
+		return
+	}
 	q := s.quarantine
 	q.mu.Lock()
 	added := q.tracker.Crashed(time.Now(), ep.Name, x.call.PromptParts)
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -73,6 +73,7 @@
 	resp, err := x.send(ctx, l.Target.Addr, RequestOptions{Endpoint: l.Target.Name})
 	if err != nil {
 		outcome = outcomeOf(ctx, err)
+		x.recordBreak(ctx, l.Target, err)
 		return x.recordFailure(err), err
 	}
 	defer resp.close()
@@ -81,6 +82,7 @@
 	}
 	body, err := resp.readAll()
 	if err != nil {
+		x.recordBreak(ctx, l.Target, err)
 		x.runs++
 		return !x.canRetry(), err
 	}
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -68,7 +68,7 @@
 		updatesRefused:    set.NewCounter("caraway_updates_refused_total"),
 		omitted:           set.NewCounter("caraway_log_requests_omitted_total"),
 		tokensCharged:     set.NewCounter("caraway_tokens_charged_total"),
-		crashes:           set.NewCounter("caraway_engine_crashes_total"),
+		crashes:           set.NewCounter("caraway_endpoint_crashes_total"),
 		callLatency:       set.NewPrometheusHistogramExt("caraway_plain_request_seconds", latencyBounds),
 		firstEvent:        set.NewPrometheusHistogramExt("caraway_first_event_seconds", latencyBounds),
 		longestGap:        set.NewPrometheusHistogramExt("caraway_longest_pause_seconds", latencyBounds),
