quarantine: a request that comes again and crashes its endpoints

Cause: crashes were related to the shared parts of prompts only. The class is evidence that is kept by attempt while the cause is what attempts have in common.

Evidence: the platform's record has both runs of one request crash one endpoint after the other, at 8 to 14 calls a second.

Why it works: every request has a fingerprint of its account, method, host, path, query and body, which is a possible cause beside the parts of its prompt, in the same evidence: crashes of all instances against responses begun. After three it is refused (request_quarantined), in all instances and over restarts of all. The calls that were at the endpoint by chance are cleared by their responses, or explained by the quarantined one. Of one request at most two crashes count against its parts, so that requests of the same session are served; a part is still found after four. Calls that crash their endpoint are no longer retried once they are suspected, and a crash during a prefill counts as well.

Tests that changed: those of parts give each prompt its own fingerprint, and bodies of their own on the platform, since three crashes of the same request now point to it; their bounds are as before. prompt.quarantined is now quarantine.began, its field part is cause; caraway_quarantined_parts is caraway_quarantined_causes.

--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -27,6 +27,7 @@
 	NoEndpoint          Kind = "no_endpoint"           // no endpoint of the pool can be used
 	EndpointLimit       Kind = "endpoint_limit"        // endpoints accept no more requests at the moment
 	PromptQuarantined   Kind = "prompt_quarantined"    // engines crash on a part of the prompt
+	RequestQuarantined  Kind = "request_quarantined"   // endpoints crash on the request
 	EndpointFailed      Kind = "endpoint_failed"       // endpoint returned an error or the connection broke
 	EndpointTimeout     Kind = "endpoint_timeout"      // endpoint stopped responding
 	StoreUnavailable    Kind = "store_unavailable"     // the platform's table is required and unavailable
@@ -72,6 +73,7 @@
 	NoEndpoint:          {503, true},
 	EndpointLimit:       {503, true},
 	PromptQuarantined:   {503, true},
+	RequestQuarantined:  {503, true},
 	EndpointFailed:      {502, true},
 	EndpointTimeout:     {504, true},
 	StoreUnavailable:    {503, true},
--- a/internal/gateway/fingerprint.go
+++ b/internal/gateway/fingerprint.go
@@ -7,8 +7,11 @@
 	"io"
 )
 
-// fingerprintBytes is the length of a fingerprint: no caller can find another caller's.
-const fingerprintBytes = 16
+const (
+	fingerprintBytes = 12 // no caller can find a request with the fingerprint of another caller's
+	// fingerprintPrefix keeps fingerprints apart from the parts of prompts, which are hexadecimal.
+	fingerprintPrefix = "r:"
+)
 
 // fingerprint identifies what the request asks for: attempts of the same account with the same
 // method, host, path, query and body have the same fingerprint at all instances.
@@ -21,7 +24,7 @@
 			_, _ = io.WriteString(h, field)
 		}
 		h.Write(c.Body)
-		x.fingerprintCache = hex.EncodeToString(h.Sum(nil)[:fingerprintBytes])
+		x.fingerprintCache = fingerprintPrefix + hex.EncodeToString(h.Sum(nil)[:fingerprintBytes])
 	}
 	return x.fingerprintCache
 }
--- a/internal/gateway/fingerprint_test.go
+++ b/internal/gateway/fingerprint_test.go
@@ -16,7 +16,7 @@
 		return (&exchange{call: c}).fingerprint()
 	}
 	same := of(func(*Call) {})
-	assert.Equal(t, len(same), 2*fingerprintBytes)
+	assert.Equal(t, len(same), len(fingerprintPrefix)+2*fingerprintBytes)
 	for name, change := range map[string]func(*Call){
 		"attempt": func(c *Call) { c.ID = "a2" },
 		"key":     func(c *Call) { c.Key = "k2" },
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -212,11 +212,13 @@
 			outcome = sched.Abandoned
 			return "", context.Cause(ctx)
 		}
+		x.recordBreak(pctx, p, err)
 		return "", err
 	}
 	defer resp.close()
 	body, err := resp.readAll()
 	if err != nil {
+		x.recordBreak(pctx, p, err)
 		return "", err
 	}
 	if resp.Status != http.StatusOK {
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -51,7 +51,7 @@
 }
 
 // maxReportedLimits bounds the limits in an update.
-const maxReportedLimits = 256
+const maxReportedLimits = 128
 
 // addLimits adds the endpoints' limits to an update.
 func addLimits(now time.Time, scheduler *placement.Scheduler, u *gossip.Update) {
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -17,69 +17,80 @@
 )
 
 const (
-	quarantineKeyPrefix    = "quarantine/"    // of the rows of quarantined parts, in the table Fleet
+	quarantineKeyPrefix    = "quarantine/"    // of the rows of quarantined causes, in the table Fleet
 	quarantineSyncInterval = 30 * time.Second // between comparisons with the store
 	quarantineRetryDelay   = time.Second      // after a failed comparison
 	crashCheckTimeout      = 100 * time.Millisecond
-	// beginEvents is how many events show that an engine has begun an output and not crashed
+	// beginEvents is how many events show that an engine has begun a stream and not crashed
 	// on it. The first one may be lost in the crash or leave the engine just before it.
 	beginEvents = 2
 )
 
-// quarantineState is the instance's view of the prompt parts on which engines crash.
+// quarantineState is the instance's view of the requests and prompt parts on which endpoints crash.
 type quarantineState struct {
 	mu      sync.Mutex
 	tracker *quarantine.Tracker
-	stored  map[string]bool // quarantined parts that have a row in the store
-	changed chan struct{}   // a part was quarantined by this instance
+	stored  map[string]bool // quarantined causes that have a row in the store
+	changed chan struct{}   // a cause was quarantined by this instance
 }
 
 func newQuarantineState() *quarantineState {
 	return &quarantineState{tracker: quarantine.New(), stored: map[string]bool{}, changed: make(chan struct{}, 1)}
 }
 
-// count returns the number of quarantined parts.
+// count returns the number of quarantined causes.
 func (q *quarantineState) count() int {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	return q.tracker.Len()
 }
 
-func (q *quarantineState) setStored(part string, stored bool) {
+func (q *quarantineState) setStored(cause string, stored bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if stored {
-		q.stored[part] = true
+		q.stored[cause] = true
 	} else {
-		delete(q.stored, part)
+		delete(q.stored, cause)
 	}
 }
 
-var errQuarantined = errors.New("a part of the prompt is quarantined")
+var errQuarantined = errors.New("the request or a part of its prompt is quarantined")
 
-// admit checks whether the request may be sent to an endpoint: the caller's key is valid, and no
-// part of the prompt is quarantined. It runs again before each send.
+// admit checks whether the request may be sent to an endpoint: the caller's key is valid, and
+// neither the request nor a part of its prompt is quarantined. It runs again before each send.
 func (x *exchange) admit() error {
 	if err := x.identify(x.s.state.Current()); err != nil {
 		return err
 	}
+	r := x.identity()
 	q := x.s.quarantine
 	q.mu.Lock()
-	part, left, refused := q.tracker.Refuses(time.Now(), x.call.PromptParts)
+	cause, left, refused := q.tracker.Refuses(time.Now(), r)
 	q.mu.Unlock()
 	if !refused {
 		return nil
 	}
-	x.decision("quarantined", "part", part, "left_ms", left.Milliseconds())
-	return errors.Mark(refusal(errkind.PromptQuarantined, "engines crash on a part of this prompt", left), errQuarantined)
+	x.decision("quarantined", "cause", cause, "left_ms", left.Milliseconds())
+	err := refusal(errkind.PromptQuarantined, "engines crash on a part of this prompt", left)
+	if cause == r.Fingerprint {
+		err = refusal(errkind.RequestQuarantined, "endpoints crash on this request", left)
+	}
+	return errors.Mark(err, errQuarantined)
+}
+
+// identity returns what may make the request crash its endpoint.
+func (x *exchange) identity() quarantine.Request {
+	return quarantine.Request{Fingerprint: x.fingerprint(), Parts: x.call.PromptParts}
 }
 
-// recordBegun records that an engine has begun the output of the request.
+// recordBegun records that an endpoint has begun the response to the request.
 func (x *exchange) recordBegun() {
+	r := x.identity()
 	q := x.s.quarantine
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.tracker.Begun(time.Now(), x.call.PromptParts)
+	q.tracker.Begun(time.Now(), r)
 }
 
 // recordBreak records a request that broke before its response had begun, if the endpoint
@@ -95,12 +106,10 @@
 	s.stats.crashes.Inc()
 	x.crashed = true
 	x.decision("endpoint_crashed", "endpoint", ep.Name, "fingerprint", x.fingerprint(), "parts", strings.Join(x.call.PromptParts, ","))
-	if len(x.call.PromptParts) == 0 {
-		return
-	}
+	r := x.identity()
 	q := s.quarantine
 	q.mu.Lock()
-	added := q.tracker.Crashed(time.Now(), ep.Name, x.call.PromptParts)
+	added := q.tracker.Crashed(time.Now(), ep.Name, r)
 	q.mu.Unlock()
 	s.logQuarantined(added, s.settings.Instance)
 	if len(added) > 0 {
@@ -112,15 +121,16 @@
 	s.peers.requestUpdate()
 }
 
-// suspected reports whether the last engine crashed on the request and another one is likely to.
+// suspected reports whether the last endpoint crashed on the request and another one is likely to.
 func (x *exchange) suspected() bool {
 	if !x.crashed {
 		return false
 	}
+	r := x.identity()
 	q := x.s.quarantine
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.tracker.Suspected(time.Now(), x.call.PromptParts)
+	return q.tracker.Suspected(time.Now(), r)
 }
 
 // endpointCrashed reports whether the endpoint's process has ended: nothing listens at its
@@ -132,30 +142,34 @@
 	return errors.Is(err, syscall.ECONNREFUSED) || (err == nil && name != "" && name != ep.Name)
 }
 
-func (s *Server) logQuarantined(parts []string, source string) {
-	for _, part := range parts {
-		s.log.Info("prompt.quarantined", "part", part, "source", source)
+func (s *Server) logQuarantined(causes []string, source string) {
+	for _, cause := range causes {
+		s.log.Info("quarantine.began", "cause", cause, "source", source)
 	}
 }
 
-// addQuarantine adds the evidence and the quarantined parts to an update.
+// addQuarantine adds the evidence and the quarantined causes to an update.
 func (s *Server) addQuarantine(now time.Time, u *gossip.Update) {
 	q := s.quarantine
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	r := q.tracker.Report(now)
 	for _, c := range r.Crashes {
-		u.Crashes = append(u.Crashes, gossip.Crash{Endpoint: c.Engine, Age: gossip.AgeMillis(now, c.At), Parts: c.Parts})
+		crash := gossip.Crash{Endpoint: c.Endpoint, Age: gossip.AgeMillis(now, c.At)}
+		for _, request := range c.Requests {
+			crash.Requests = append(crash.Requests, gossip.CrashedRequest{Fingerprint: request.Fingerprint, Parts: request.Parts})
+		}
+		u.Crashes = append(u.Crashes, crash)
 	}
-	for part, n := range r.Begun {
-		u.Begun = append(u.Begun, gossip.BegunOutputs{Part: part, Count: n})
+	for cause, n := range r.Begun {
+		u.Begun = append(u.Begun, gossip.BegunResponses{Cause: cause, Count: n})
 	}
-	for part, until := range r.Quarantined {
-		u.Quarantined = append(u.Quarantined, gossip.QuarantinedPart{Part: part, Remaining: until.Sub(now).Milliseconds()})
+	for cause, until := range r.Quarantined {
+		u.Quarantined = append(u.Quarantined, gossip.Quarantine{Cause: cause, Remaining: until.Sub(now).Milliseconds()})
 	}
 }
 
-// mergeQuarantine applies the evidence and the quarantined parts of another instance.
+// mergeQuarantine applies the evidence and the quarantined causes of another instance.
 func (s *Server) mergeQuarantine(now time.Time, u *gossip.Update) {
 	if len(u.Crashes)+len(u.Begun)+len(u.Quarantined) == 0 {
 		s.forgetQuarantinePeer(u.Instance)
@@ -163,13 +177,17 @@
 	}
 	r := quarantine.Report{Begun: make(map[string]int, len(u.Begun)), Quarantined: make(map[string]time.Time, len(u.Quarantined))}
 	for _, c := range u.Crashes {
-		r.Crashes = append(r.Crashes, quarantine.Crash{Engine: c.Endpoint, At: now.Add(-time.Duration(c.Age) * time.Millisecond), Parts: c.Parts})
+		crash := quarantine.Crash{Endpoint: c.Endpoint, At: now.Add(-time.Duration(c.Age) * time.Millisecond)}
+		for _, request := range c.Requests {
+			crash.Requests = append(crash.Requests, quarantine.Request{Fingerprint: request.Fingerprint, Parts: request.Parts})
+		}
+		r.Crashes = append(r.Crashes, crash)
 	}
 	for _, b := range u.Begun {
-		r.Begun[b.Part] = b.Count
+		r.Begun[b.Cause] = b.Count
 	}
-	for _, p := range u.Quarantined {
-		r.Quarantined[p.Part] = now.Add(time.Duration(p.Remaining) * time.Millisecond)
+	for _, q := range u.Quarantined {
+		r.Quarantined[q.Cause] = now.Add(time.Duration(q.Remaining) * time.Millisecond)
 	}
 	q := s.quarantine
 	q.mu.Lock()
@@ -185,7 +203,7 @@
 	s.quarantine.tracker.Forget(instance)
 }
 
-// quarantineLoop restores the quarantined parts from the store at the start, and keeps the
+// quarantineLoop restores the quarantined causes from the store at the start, and keeps the
 // store's rows equal to them, so that a restart of all instances does not lift a quarantine.
 func (s *Server) quarantineLoop(ctx context.Context) error {
 	restored, failures := false, 0
@@ -227,60 +245,60 @@
 	}
 	now := time.Now()
 	q := s.quarantine
-	var parts []string
+	var causes []string
 	q.mu.Lock()
 	for _, r := range rows {
-		part, ok := strings.CutPrefix(r.Key, quarantineKeyPrefix)
+		cause, ok := strings.CutPrefix(r.Key, quarantineKeyPrefix)
 		if !ok {
 			continue
 		}
 		until, err := time.Parse(time.RFC3339, string(r.Value))
 		if err != nil {
-			s.log.Info("quarantine.unreadable", "part", part, "cause", err.Error())
+			s.log.Info("quarantine.unreadable", "row", r.Key, "cause", err.Error())
 			continue
 		}
-		q.tracker.Restore(now, part, until)
-		q.stored[part] = true
-		parts = append(parts, part)
+		q.tracker.Restore(now, cause, until)
+		q.stored[cause] = true
+		causes = append(causes, cause)
 	}
 	q.mu.Unlock()
-	s.logQuarantined(parts, "store")
+	s.logQuarantined(causes, "store")
 	return nil
 }
 
-// storeQuarantine writes the rows of newly quarantined parts and deletes those of parts whose
+// storeQuarantine writes the rows of newly quarantined causes and deletes those of causes whose
 // quarantine has ended.
 func (s *Server) storeQuarantine(ctx context.Context) error {
 	q := s.quarantine
 	q.mu.Lock()
 	now := time.Now()
-	for _, part := range q.tracker.Expired(now) {
-		s.log.Info("prompt.released", "part", part)
+	for _, cause := range q.tracker.Expired(now) {
+		s.log.Info("quarantine.ended", "cause", cause)
 	}
 	quarantined := q.tracker.Report(now).Quarantined
 	var missing, ended []string
-	for part := range quarantined {
-		if !q.stored[part] {
-			missing = append(missing, part)
+	for cause := range quarantined {
+		if !q.stored[cause] {
+			missing = append(missing, cause)
 		}
 	}
-	for part := range q.stored {
-		if _, ok := quarantined[part]; !ok {
-			ended = append(ended, part)
+	for cause := range q.stored {
+		if _, ok := quarantined[cause]; !ok {
+			ended = append(ended, cause)
 		}
 	}
 	q.mu.Unlock()
-	for _, part := range missing {
-		if _, err := s.store.Create(ctx, Fleet, quarantineKeyPrefix+part, []byte(quarantined[part].UTC().Format(time.RFC3339))); err != nil {
+	for _, cause := range missing {
+		if _, err := s.store.Create(ctx, Fleet, quarantineKeyPrefix+cause, []byte(quarantined[cause].UTC().Format(time.RFC3339))); err != nil {
 			return err
 		}
-		q.setStored(part, true)
+		q.setStored(cause, true)
 	}
-	for _, part := range ended {
-		if err := s.store.Delete(ctx, Fleet, quarantineKeyPrefix+part); err != nil {
+	for _, cause := range ended {
+		if err := s.store.Delete(ctx, Fleet, quarantineKeyPrefix+cause); err != nil {
 			return err
 		}
-		q.setStored(part, false)
+		q.setStored(cause, false)
 	}
 	return nil
 }
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -12,7 +12,9 @@
 
 	"carawayrouter.example/router/internal/config"
 	"carawayrouter.example/router/internal/endpoint"
+	"carawayrouter.example/router/internal/errkind"
 	"carawayrouter.example/router/internal/gossip"
+	"carawayrouter.example/router/internal/quarantine"
 )
 
 // mapStore is a store of one table that can be unavailable.
@@ -50,19 +52,35 @@
 	return s
 }
 
-// promptExchange returns an exchange of a prompt with the given parts.
+// Numbers of the prompts and endpoints of the tests so far.
+var bodies, crashed int
+
+// promptExchange returns an exchange of a prompt of its own with the given parts.
 func promptExchange(s *Server, parts ...string) *exchange {
-	return &exchange{s: s, call: &Call{Route: &config.Route{Open: true}, PromptParts: parts, Arrived: time.Now()}}
+	bodies++
+	return callExchange(s, fmt.Sprint("prompt ", bodies), parts...)
+}
+
+// callExchange returns an exchange of a request with the given body.
+func callExchange(s *Server, body string, parts ...string) *exchange {
+	return &exchange{s: s, call: &Call{Route: &config.Route{Open: true}, Body: []byte(body), PromptParts: parts, Arrived: time.Now()}}
 }
 
-// crash records three crashes of an endpoint at which nothing listens.
+// crash records three crashes, of different prompts with the given parts.
 func crash(t *testing.T, s *Server, parts ...string) {
+	t.Helper()
+	crashOn(t, s, func() *exchange { return promptExchange(s, parts...) })
+}
+
+// crashOn records three crashes of endpoints at which nothing listens, each on an exchange.
+func crashOn(t *testing.T, s *Server, next func() *exchange) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	assert.NilError(t, ln.Close())
-	for _, name := range []string{"e1", "e2", "e3"} {
-		promptExchange(s, parts...).recordBreak(context.Background(), &config.Endpoint{Name: name, Addr: ln.Addr().String()}, errors.Mark(errors.New("EOF"), endpoint.ErrCallFailed))
+	for range 3 {
+		crashed++
+		next().recordBreak(context.Background(), &config.Endpoint{Name: fmt.Sprint("e", crashed), Addr: ln.Addr().String()}, errors.Mark(errors.New("EOF"), endpoint.ErrCallFailed))
 	}
 }
 
@@ -85,10 +103,25 @@
 	assert.Assert(t, errors.Is(promptExchange(s, "deadly").admit(), errQuarantined))
 }
 
-// Another instance refuses the part as soon as it receives an update.
+// A request that crashes its endpoints each time that it comes is refused, with another kind than
+// prompts with a quarantined part. Other requests with its parts are not.
+func TestRepeatedRequestIsRefused(t *testing.T) {
+	s := newQuarantineServer(nil)
+	again := func() *exchange { return callExchange(s, "deadly", "first") }
+	crashOn(t, s, again)
+	err := again().admit()
+	assert.Assert(t, errors.Is(err, errQuarantined))
+	assert.Equal(t, errkind.From(err).Kind, errkind.RequestQuarantined)
+	assert.NilError(t, promptExchange(s, "first").admit())
+	crash(t, s, "other")
+	assert.Equal(t, errkind.From(promptExchange(s, "other").admit()).Kind, errkind.PromptQuarantined)
+}
+
+// Another instance refuses the part and the request as soon as it receives an update.
 func TestQuarantineReachesOtherInstances(t *testing.T) {
 	a, b := newQuarantineServer(nil), newQuarantineServer(nil)
 	crash(t, a, "deadly")
+	crashOn(t, a, func() *exchange { return callExchange(a, "deadly") })
 	secret := []byte("secret")
 	datagram, err := gossip.Encode(a.peers.buildUpdate(), secret)
 	assert.NilError(t, err)
@@ -96,6 +129,8 @@
 	assert.NilError(t, err)
 	b.mergeQuarantine(time.Now(), u)
 	assert.Assert(t, errors.Is(promptExchange(b, "deadly").admit(), errQuarantined))
+	assert.Assert(t, errors.Is(callExchange(b, "deadly").admit(), errQuarantined))
+	assert.NilError(t, callExchange(b, "sound").admit())
 }
 
 // An answer that is lost while its engine goes on is no crash.
@@ -118,7 +153,7 @@
 	return p
 }
 
-// The evidence of many crashes of long prompts fits in an update.
+// The evidence of many crashes of long prompts fits in an update and leaves room for other state.
 func TestEvidenceFitsInAnUpdate(t *testing.T) {
 	s := newQuarantineServer(nil)
 	id := func(i int) string { return fmt.Sprintf("%032x", i) }
@@ -128,10 +163,12 @@
 		for j := range parts {
 			parts[j] = id(50*i + j)
 		}
-		s.quarantine.tracker.Begun(now, parts)
-		s.quarantine.tracker.Crashed(now, fmt.Sprint("endpoint-", i/10), parts)
+		r := quarantine.Request{Fingerprint: fmt.Sprintf("%s%032x", fingerprintPrefix, i), Parts: parts}
+		s.quarantine.tracker.Begun(now, r)
+		s.quarantine.tracker.Crashed(now, fmt.Sprint("endpoint-", i/40), r)
 		s.quarantine.tracker.Restore(now, id(i), now.Add(time.Hour))
 	}
-	_, err := gossip.Encode(s.peers.buildUpdate(), []byte("secret"))
+	datagram, err := gossip.Encode(s.peers.buildUpdate(), []byte("secret"))
 	assert.NilError(t, err)
+	assert.Assert(t, len(datagram) <= gossip.MaxDatagramBytes*2/3, "%d bytes", len(datagram))
 }
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -26,7 +26,10 @@
 func (x *exchange) service(ctx context.Context) error {
 	var last error
 	for x.sends < maxSends {
-		if err := x.identify(x.s.state.Current()); err != nil {
+		if err := x.admit(); err != nil {
+			if last != nil && errors.Is(err, errQuarantined) {
+				return last
+			}
 			return err
 		}
 		if !x.reserveSends(1) {
@@ -40,12 +43,16 @@
 			return err
 		}
 		x.decision("place", "endpoint", lease.Target.Name, "sends", x.sends)
+		x.crashed = false
 		done, err := x.attemptCall(ctx, lease)
 		if done {
 			return err
 		}
 		last = err
 		x.excluded = append(x.excluded, lease.Target.Name)
+		if x.suspected() {
+			return last
+		}
 		if ctx.Err() != nil {
 			return context.Cause(ctx)
 		}
@@ -95,6 +102,7 @@
 		return !x.canRetry(), err
 	}
 	outcome = sched.Succeeded
+	x.recordBegun()
 	if resp.Status >= 500 && x.canRetry() && time.Until(x.deadline) > x.s.admission.typicalLatency(l) {
 		// The endpoint itself reports the failure; another one may succeed.
 		x.fallback = &bufferedResponse{status: resp.Status, header: resp.Headers, body: body}
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -86,7 +86,7 @@
 	set.NewGauge("caraway_instances", func() float64 { return float64(s.peers.fleetSize()) })
 	set.NewGauge("caraway_waiting", func() float64 { return float64(s.admission.queueLength()) })
 	set.NewGauge("caraway_endpoints_limited", func() float64 { return float64(s.admission.countLimited()) })
-	set.NewGauge("caraway_quarantined_parts", func() float64 { return float64(s.quarantine.count()) })
+	set.NewGauge("caraway_quarantined_causes", func() float64 { return float64(s.quarantine.count()) })
 	set.NewGauge("caraway_store_away", func() float64 {
 		if s.state.storeUnavailable() {
 			return 1
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -37,8 +37,8 @@
 	Ejected []Ejection
 
 	Crashes     []Crash
-	Begun       []BegunOutputs
-	Quarantined []QuarantinedPart
+	Begun       []BegunResponses
+	Quarantined []Quarantine
 	Limits      []EndpointLimit
 }
 
@@ -55,29 +55,38 @@
 	Age         int64   // ms since the observation
 }
 
-// Crash is the crash of an engine that was about to begin the output of requests of the
+// Crash is the crash of an endpoint that was about to begin the responses to requests of the
 // instance.
 type Crash struct {
 	_ struct{} `cbor:",toarray"`
 
 	Endpoint string
-	Age      int64    // ms
-	Parts    []string // of the requests' prompts
+	Age      int64 // ms
+	Requests []CrashedRequest
 }
 
-// BegunOutputs counts the outputs that have begun lately of requests with a prompt part.
-type BegunOutputs struct {
+// CrashedRequest is a request that may have crashed its endpoint.
+type CrashedRequest struct {
 	_ struct{} `cbor:",toarray"`
 
-	Part  string
+	Fingerprint string
+	Parts       []string // of its prompt
+}
+
+// BegunResponses counts the responses that have begun lately to requests with a possible cause of
+// crashes: a fingerprint or a prompt part.
+type BegunResponses struct {
+	_ struct{} `cbor:",toarray"`
+
+	Cause string
 	Count int
 }
 
-// QuarantinedPart is a prompt part whose requests are refused.
-type QuarantinedPart struct {
+// Quarantine is a fingerprint or a prompt part whose requests are refused.
+type Quarantine struct {
 	_ struct{} `cbor:",toarray"`
 
-	Part      string
+	Cause     string
 	Remaining int64 // ms until the quarantine ends
 }
 
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -1,57 +1,76 @@
-// Package quarantine finds the parts of prompts on which engines crash. It relates every crash
-// to the parts of the requests whose output the engine was about to begin, over all instances,
-// and quarantines a part that was in several crashes and in hardly any output that began. The
-// package opens no sockets; the current time is an argument.
+// Package quarantine finds the requests and the parts of prompts on which endpoints crash. It
+// relates every crash to the requests whose responses the endpoint was about to begin, over all
+// instances. A request that comes again, or a part that requests share, is quarantined if it was
+// in several crashes and in hardly any response that began. The package opens no sockets; the
+// current time is an argument.
 package quarantine
 
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 )
 
 const (
-	// minCrashes is how many more crashes than begun outputs quarantine a part. One request
-	// and its retry can take two engines with them, together with a second request that is
+	// minCrashes is how many more crashes than begun responses quarantine a cause. One request
+	// and its retry can take two endpoints with them, together with a second request that is
 	// not the cause.
 	minCrashes = 3
-	// memory is how long crashes and begun outputs count.
+	// maxCrashesOfRequest is how many crashes of the same request count against its parts. More
+	// of them say that the request is the cause and not what it shares with others.
+	maxCrashesOfRequest = 2
+	// memory is how long crashes and begun responses count.
 	memory = time.Minute
-	// ttl is how long a part stays in quarantine. Finding out whether it still crashes engines
+	// ttl is how long a quarantine lasts. Finding out whether the cause still crashes endpoints
 	// costs some of them.
 	ttl = 24 * time.Hour
-	// crashWindow is how long reports of one engine's failure belong to the same crash. A
-	// crashed engine takes some seconds to restart.
+	// crashWindow is how long reports of one endpoint's failure belong to the same crash. A
+	// crashed endpoint takes some seconds to restart.
 	crashWindow = time.Second
 
-	// Bounds of the evidence; a report with all of it fits in a datagram.
-	maxCrashes     = 16   // the oldest is dropped
-	maxCrashParts  = 32   // of all requests that a crash affected
-	maxParts       = 12   // of a request
-	maxQuarantined = 64   // the one that expires first is dropped
-	maxBegun       = 4096 // parts whose begun outputs are counted in a period
+	// Bounds of the evidence; a report with all of it fits in a datagram with other state.
+	maxOwnCrashes    = 12   // the oldest is dropped
+	maxCrashes       = 64   // of all instances; the oldest is dropped
+	maxCrashRequests = 32   // that a crash affected
+	maxCrashParts    = 32   // of all requests that a crash affected
+	maxParts         = 12   // of a request
+	maxQuarantined   = 64   // the one that expires first is dropped
+	maxBegun         = 4096 // causes whose begun responses are counted in a period
+	maxReportedBegun = 128  // causes whose begun responses are reported: those in most crashes
 )
 
-// Crash is the crash of an engine, with the parts of the requests whose output it was about
-// to begin.
+// Request is what may make a request crash its endpoint. Both the fingerprint and each part are
+// possible causes; they must differ.
+type Request struct {
+	Fingerprint string   // the same whenever the request comes again
+	Parts       []string // of its prompt, that other requests can share, in order
+}
+
+// causes returns the possible causes, the most specific one last.
+func (r Request) causes() []string {
+	return append(slices.Clone(limited(r.Parts)), r.Fingerprint)
+}
+
+// Crash is the crash of an endpoint, with the requests whose responses it was about to begin.
 type Crash struct {
-	Engine string
-	At     time.Time
-	Parts  []string
+	Endpoint string
+	At       time.Time
+	Requests []Request
 }
 
 // Report is what an instance tells the others.
 type Report struct {
 	Crashes     []Crash        // observed by the instance itself
-	Begun       map[string]int // outputs begun at the instance, for the parts of known crashes
+	Begun       map[string]int // responses begun at the instance, for the causes in most crashes
 	Quarantined map[string]time.Time
 }
 
-// Tracker holds the evidence and the quarantined parts. It is not safe for concurrent use.
+// Tracker holds the evidence and the quarantined causes. It is not safe for concurrent use.
 type Tracker struct {
 	own         []Crash
-	crashes     []Crash // of all instances, merged by engine
+	crashes     []Crash // of all instances, merged by endpoint
 	begun       [2]map[string]int
 	periodStart time.Time
 	peerBegun   map[string]map[string]int // by instance
@@ -67,39 +86,37 @@
 	}
 }
 
-// Begun records that an engine has begun the output of a request with the given parts and has
-// not crashed.
-func (t *Tracker) Begun(now time.Time, parts []string) {
+// Begun records that an endpoint has begun the response to a request and has not crashed.
+func (t *Tracker) Begun(now time.Time, r Request) {
 	t.rotate(now)
-	for _, part := range limited(parts) {
-		if n, ok := t.begun[0][part]; ok || len(t.begun[0]) < maxBegun {
-			t.begun[0][part] = n + 1
+	for _, cause := range r.causes() {
+		if n, ok := t.begun[0][cause]; ok || len(t.begun[0]) < maxBegun {
+			t.begun[0][cause] = n + 1
 		}
 	}
 }
 
-// rotate starts a new period of begun outputs when the present one is over.
+// rotate starts a new period of begun responses when the present one is over.
 func (t *Tracker) rotate(now time.Time) {
 	if now.Sub(t.periodStart) > memory {
 		t.begun[0], t.begun[1], t.periodStart = map[string]int{}, t.begun[0], now
 	}
 }
 
-// Crashed records that an engine crashed as it was about to begin the output of a request with
-// the given parts. It returns the parts that are quarantined because of it.
-func (t *Tracker) Crashed(now time.Time, engine string, parts []string) []string {
-	c := Crash{Engine: engine, At: now, Parts: slices.Clone(limited(parts))}
-	t.own = insert(t.own, c)
-	t.crashes = insert(t.crashes, c)
+// Crashed records that an endpoint crashed as it was about to begin the response to a request. It
+// returns the causes that are quarantined because of it.
+func (t *Tracker) Crashed(now time.Time, endpoint string, r Request) []string {
+	c := Crash{Endpoint: endpoint, At: now, Requests: []Request{r}}
+	t.own = insert(t.own, c, maxOwnCrashes)
+	t.crashes = insert(t.crashes, c, maxCrashes)
 	return t.evaluate(now)
 }
 
-// Merge applies the report of another instance. It returns the parts that are quarantined
+// Merge applies the report of another instance. It returns the causes that are quarantined
 // because of it.
 func (t *Tracker) Merge(now time.Time, instance string, r Report) []string {
 	for _, c := range r.Crashes {
-		c.Parts = limited(c.Parts)
-		t.crashes = insert(t.crashes, c)
+		t.crashes = insert(t.crashes, c, maxCrashes)
 	}
 	if len(r.Begun) > 0 {
 		t.peerBegun[instance] = r.Begun
@@ -107,36 +124,51 @@
 		delete(t.peerBegun, instance)
 	}
 	var added []string
-	for part, until := range r.Quarantined {
-		if t.add(now, part, until) {
-			added = append(added, part)
+	for cause, until := range r.Quarantined {
+		if t.add(now, cause, until) {
+			added = append(added, cause)
 		}
 	}
 	return append(added, t.evaluate(now)...)
 }
 
-// Forget drops what another instance reported of its begun outputs.
+// Forget drops what another instance reported of its begun responses.
 func (t *Tracker) Forget(instance string) { delete(t.peerBegun, instance) }
 
-// insert adds a crash to a list, or its parts to those of the same crash.
-func insert(list []Crash, c Crash) []Crash {
+// insert adds a crash to a list of bounded length, or its requests to those of the same crash.
+func insert(list []Crash, c Crash, bound int) []Crash {
 	for i := range list {
-		if list[i].Engine != c.Engine || list[i].At.Sub(c.At).Abs() > crashWindow {
-			continue
+		if list[i].Endpoint == c.Endpoint && list[i].At.Sub(c.At).Abs() <= crashWindow {
+			list[i].addRequests(c.Requests)
+			return list
 		}
-		for _, part := range c.Parts {
-			if len(list[i].Parts) < maxCrashParts && !slices.Contains(list[i].Parts, part) {
-				list[i].Parts = append(slices.Clip(list[i].Parts), part)
-			}
-		}
-		return list
 	}
-	if list = append(list, c); len(list) > maxCrashes {
+	added := Crash{Endpoint: c.Endpoint, At: c.At}
+	added.addRequests(c.Requests)
+	if list = append(list, added); len(list) > bound {
 		list = list[1:]
 	}
 	return list
 }
 
+// addRequests adds the requests that the crash does not list yet, within the bounds.
+func (c *Crash) addRequests(requests []Request) {
+	parts := 0
+	for _, r := range c.Requests {
+		parts += len(r.Parts)
+	}
+	for _, r := range requests {
+		known := slices.ContainsFunc(c.Requests, func(o Request) bool { return o.Fingerprint == r.Fingerprint })
+		if known || len(c.Requests) >= maxCrashRequests {
+			continue
+		}
+		kept := limited(r.Parts)
+		kept = slices.Clone(kept[:min(len(kept), maxCrashParts-parts)])
+		parts += len(kept)
+		c.Requests = append(slices.Clip(c.Requests), Request{Fingerprint: r.Fingerprint, Parts: kept})
+	}
+}
+
 // expire drops what is too old to count.
 func (t *Tracker) expire(now time.Time) {
 	old := func(c Crash) bool { return now.Sub(c.At) > memory }
@@ -145,16 +177,16 @@
 	t.rotate(now)
 }
 
-// evaluate quarantines the parts with enough evidence and returns them.
+// evaluate quarantines the causes with enough evidence and returns them.
 func (t *Tracker) evaluate(now time.Time) []string {
 	t.expire(now)
 	var added []string
 	for {
 		best, found := "", false
 		evidence := t.evidence()
-		for part, e := range evidence {
-			if e.net() >= minCrashes && (!found || e.stronger(evidence[best])) {
-				best, found = part, true
+		for cause, e := range evidence {
+			if e.net() >= minCrashes && (!found || e.stronger(evidence[best]) || (!evidence[best].stronger(e) && cause < best)) {
+				best, found = cause, true
 			}
 		}
 		if !found || !t.add(now, best, now.Add(ttl)) {
@@ -164,63 +196,109 @@
 	}
 }
 
-// evidence is what speaks for and against a part.
+// evidence is what speaks for and against a cause.
 type evidence struct {
-	crashes  int // that no quarantined part explains
-	begun    int // outputs
-	position int // largest one in a prompt, from 0
+	crashes     int // that no quarantined cause explains
+	begun       int // responses
+	specificity int // largest position of a part in a prompt, from 0; that of a fingerprint is larger
 }
 
 func (e evidence) net() int { return e.crashes - e.begun }
 
-// stronger reports whether e's part is more likely the cause than other's. Of parts that always
-// came together the later one is: fewer requests share it.
+// stronger reports whether e's cause is more likely than other's. Of causes that always came
+// together the more specific one is: fewer requests share it.
 func (e evidence) stronger(other evidence) bool {
-	return cmp.Or(cmp.Compare(e.net(), other.net()), cmp.Compare(other.begun, e.begun), cmp.Compare(e.position, other.position)) > 0
+	return cmp.Or(cmp.Compare(e.net(), other.net()), cmp.Compare(other.begun, e.begun), cmp.Compare(e.specificity, other.specificity)) > 0
 }
 
-// evidence returns the evidence of the parts of recent crashes. Crashes that a quarantined part
-// explains count for no other part.
+// evidence returns the evidence of the causes of recent crashes. Crashes that a quarantined part
+// explains count for no other cause. Those that a quarantined request explains count for no other
+// request, but for the parts of that request: one of them may be why it crashes its endpoints.
 func (t *Tracker) evidence() map[string]evidence {
 	out := map[string]evidence{}
+	counted := map[string]map[string]int{} // crashes by part and fingerprint
 	for _, c := range t.crashes {
-		if slices.ContainsFunc(c.Parts, t.isQuarantined) {
+		if slices.ContainsFunc(c.Requests, func(r Request) bool { return slices.ContainsFunc(r.Parts, t.isQuarantined) }) {
 			continue
 		}
-		for i, part := range c.Parts {
+		suspects := slices.DeleteFunc(slices.Clone(c.Requests), func(r Request) bool { return !t.isQuarantined(r.Fingerprint) })
+		if len(suspects) == 0 {
+			suspects = c.Requests
+			for _, r := range suspects {
+				out[r.Fingerprint] = evidence{crashes: out[r.Fingerprint].crashes + 1, specificity: math.MaxInt}
+			}
+		}
+		for part, position := range partsOf(suspects) {
 			e := out[part]
-			e.crashes, e.position = e.crashes+1, max(e.position, i)
+			if countCrash(counted, part, suspects) {
+				e.crashes++
+			}
+			e.specificity = max(e.specificity, position)
 			out[part] = e
 		}
 	}
-	for part, e := range out {
-		e.begun = t.begunOutputs(part)
-		out[part] = e
+	for cause, e := range out {
+		e.begun = t.begunResponses(cause)
+		out[cause] = e
 	}
 	return out
 }
 
-// begunOutputs returns the outputs with the part that have begun lately, at all instances.
-func (t *Tracker) begunOutputs(part string) int {
-	n := t.begun[0][part] + t.begun[1][part]
+// partsOf returns the parts of requests with their largest positions.
+func partsOf(requests []Request) map[string]int {
+	out := map[string]int{}
+	for _, r := range requests {
+		for position, part := range r.Parts {
+			out[part] = max(out[part], position)
+		}
+	}
+	return out
+}
+
+// countCrash reports whether a crash of the given requests counts against the part, which is one
+// of theirs. Counted holds how many crashes of each request have counted; the request with the
+// fewest stands for this one.
+func countCrash(counted map[string]map[string]int, part string, requests []Request) bool {
+	byRequest := counted[part]
+	if byRequest == nil {
+		byRequest = map[string]int{}
+		counted[part] = byRequest
+	}
+	least, fewest := "", maxCrashesOfRequest
+	for _, r := range requests {
+		if n := byRequest[r.Fingerprint]; n < fewest && slices.Contains(r.Parts, part) {
+			least, fewest = r.Fingerprint, n
+		}
+	}
+	if fewest == maxCrashesOfRequest {
+		return false
+	}
+	byRequest[least]++
+	return true
+}
+
+// begunResponses returns the responses to requests with the cause that have begun lately, at all
+// instances.
+func (t *Tracker) begunResponses(cause string) int {
+	n := t.begun[0][cause] + t.begun[1][cause]
 	for _, begun := range t.peerBegun {
-		n += begun[part]
+		n += begun[cause]
 	}
 	return n
 }
 
-// add quarantines a part until the given time and reports whether it was not quarantined yet.
-func (t *Tracker) add(now time.Time, part string, until time.Time) bool {
-	old, known := t.quarantined[part]
+// add quarantines a cause until the given time and reports whether it was not quarantined yet.
+func (t *Tracker) add(now time.Time, cause string, until time.Time) bool {
+	old, known := t.quarantined[cause]
 	if !until.After(now) || (known && !until.After(old)) {
 		return false
 	}
-	t.quarantined[part] = until
+	t.quarantined[cause] = until
 	if len(t.quarantined) > maxQuarantined {
-		first := part
-		for p, end := range t.quarantined {
+		first := cause
+		for other, end := range t.quarantined {
 			if end.Before(t.quarantined[first]) {
-				first = p
+				first = other
 			}
 		}
 		delete(t.quarantined, first)
@@ -228,9 +306,9 @@
 	return !known
 }
 
-// Restore quarantines a part that was quarantined before this instance started.
-func (t *Tracker) Restore(now time.Time, part string, until time.Time) {
-	t.add(now, part, earlier(until, now.Add(ttl)))
+// Restore quarantines a cause that was quarantined before this instance started.
+func (t *Tracker) Restore(now time.Time, cause string, until time.Time) {
+	t.add(now, cause, earlier(until, now.Add(ttl)))
 }
 
 func earlier(a, b time.Time) time.Time {
@@ -240,45 +318,44 @@
 	return b
 }
 
-func (t *Tracker) isQuarantined(part string) bool {
-	_, ok := t.quarantined[part]
+func (t *Tracker) isQuarantined(cause string) bool {
+	_, ok := t.quarantined[cause]
 	return ok
 }
 
-// Len returns the number of quarantined parts.
+// Len returns the number of quarantined causes.
 func (t *Tracker) Len() int { return len(t.quarantined) }
 
-// Refuses returns the first quarantined part and the time until its quarantine ends.
-func (t *Tracker) Refuses(now time.Time, parts []string) (part string, left time.Duration, refused bool) {
-	for _, part := range limited(parts) {
-		if until, ok := t.quarantined[part]; ok && now.Before(until) {
-			return part, until.Sub(now), true
+// Refuses returns the first quarantined cause of the request and the time until its quarantine
+// ends.
+func (t *Tracker) Refuses(now time.Time, r Request) (cause string, left time.Duration, refused bool) {
+	if len(t.quarantined) == 0 {
+		return "", 0, false
+	}
+	for _, cause := range r.causes() {
+		if until, ok := t.quarantined[cause]; ok && now.Before(until) {
+			return cause, until.Sub(now), true
 		}
 	}
 	return "", 0, false
 }
 
-// Suspected reports whether one of the parts was in more crashes than begun outputs, and in
-// more than one crash, so that another attempt is likely to crash another engine.
-func (t *Tracker) Suspected(now time.Time, parts []string) bool {
+// Suspected reports whether one of the request's causes was in more crashes than begun responses,
+// and in more than one crash, so that another attempt is likely to crash another endpoint.
+func (t *Tracker) Suspected(now time.Time, r Request) bool {
 	t.expire(now)
 	evidence := t.evidence()
-	for _, part := range limited(parts) {
-		if evidence[part].net() > 1 {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(r.causes(), func(cause string) bool { return evidence[cause].net() > 1 })
 }
 
-// Expired removes and returns the parts whose quarantine has ended.
+// Expired removes and returns the causes whose quarantine has ended.
 func (t *Tracker) Expired(now time.Time) []string {
 	var out []string
-	maps.DeleteFunc(t.quarantined, func(part string, until time.Time) bool {
+	maps.DeleteFunc(t.quarantined, func(cause string, until time.Time) bool {
 		if now.Before(until) {
 			return false
 		}
-		out = append(out, part)
+		out = append(out, cause)
 		return true
 	})
 	return out
@@ -288,11 +365,13 @@
 func (t *Tracker) Report(now time.Time) Report {
 	t.expire(now)
 	r := Report{Crashes: slices.Clone(t.own), Begun: map[string]int{}, Quarantined: maps.Clone(t.quarantined)}
-	for _, c := range t.crashes {
-		for _, part := range c.Parts {
-			if n := t.begun[0][part] + t.begun[1][part]; n > 0 {
-				r.Begun[part] = n
-			}
+	evidence := t.evidence()
+	byCrashes := slices.SortedFunc(maps.Keys(evidence), func(a, b string) int {
+		return cmp.Or(cmp.Compare(evidence[b].crashes, evidence[a].crashes), cmp.Compare(a, b))
+	})
+	for _, cause := range byCrashes {
+		if n := t.begun[0][cause] + t.begun[1][cause]; n > 0 && len(r.Begun) < maxReportedBegun {
+			r.Begun[cause] = n
 		}
 	}
 	return r
