gateway: no callers before the quarantined causes are known

What callers saw: none is known to have been hurt; found by reading. An instance that has just started took callers before it had read the quarantined causes, so that a request that crashes its endpoints could crash one or two more after each restart.

Cause: readiness waits for the configuration, the endpoints and the updates of the others, but the quarantine is restored beside them.

Evidence: before the fix TestReadyWhenQuarantineIsKnown finds the instance ready at once, with the store down and no other instance heard.

--- a/internal/gateway/probe_test.go
+++ b/internal/gateway/probe_test.go
@@ -94,6 +94,7 @@
 	now := time.Now()
 	s := newTestServer("127.0.0.1:1", time.Time{})
 	s.peers.started = now
+	s.quarantine.setKnown()
 	assert.Assert(t, !s.synced(now) && !s.ready())
 	assert.Assert(t, s.synced(now.Add(2*syncTimeout)))
 	s.peers.known["i1"].lastUpdateAt = now
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -30,6 +30,7 @@
 type quarantineState struct {
 	mu      sync.Mutex
 	tracker *quarantine.Tracker
+	known   bool            // the quarantined causes of the time before the start are known
 	stored  map[string]bool // quarantined causes that have a row in the store
 	changed chan struct{}   // a cause was quarantined by this instance
 }
@@ -45,6 +46,21 @@
 	return q.tracker.Len()
 }
 
+// isKnown reports whether the causes that were quarantined before the start are known, from the
+// store or another instance.
+func (q *quarantineState) isKnown() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.known
+}
+
+// setKnown records that the causes that were quarantined before the start are known.
+func (q *quarantineState) setKnown() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.known = true
+}
+
 func (q *quarantineState) setStored(cause string, stored bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -261,6 +277,7 @@
 		q.stored[cause] = true
 		causes = append(causes, cause)
 	}
+	q.known = true
 	q.mu.Unlock()
 	s.logQuarantined(causes, "store")
 	return nil
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -103,6 +104,42 @@
 	assert.Assert(t, errors.Is(promptExchange(s, "deadly").admit(), errQuarantined))
 }
 
+// An instance takes callers only when it knows what was quarantined before it started, from the
+// store or another instance, unless both are out of reach.
+func TestReadyWhenQuarantineIsKnown(t *testing.T) {
+	ctx := context.Background()
+	store := &mapStore{down: true, rows: map[string][]byte{}}
+	started := func() *Server {
+		s := newQuarantineServer(store)
+		s.settings.Bootstrap, s.peers.started = true, time.Now()
+		return s
+	}
+	a, b := started(), started()
+	assert.ErrorContains(t, a.restoreQuarantine(ctx), "down")
+	assert.Assert(t, !a.ready())
+	secret := []byte("secret")
+	receive := func() {
+		a.peers.self.Incarnation++
+		datagram, err := gossip.Encode(a.peers.buildUpdate(), secret)
+		assert.NilError(t, err)
+		u, _, err := gossip.Decode(datagram, secret)
+		assert.NilError(t, err)
+		u.Instance = "i2"
+		assert.Assert(t, b.peers.applyUpdate(time.Now(), u, netip.AddrPort{}, false))
+	}
+	receive()
+	assert.Assert(t, !b.ready(), "the other instance does not know either")
+	store.down = false
+	assert.NilError(t, a.restoreQuarantine(ctx))
+	assert.Assert(t, a.ready())
+	receive()
+	assert.Assert(t, b.ready())
+
+	alone := started()
+	alone.peers.started = time.Now().Add(-2 * syncTimeout)
+	assert.Assert(t, alone.ready())
+}
+
 // A request that crashes its endpoints each time that it comes is refused, with another kind than
 // prompts with a quarantined part. Other requests with its parts are not.
 func TestRepeatedRequestIsRefused(t *testing.T) {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -252,7 +252,13 @@
 // ready reports whether the instance can serve callers.
 func (s *Server) ready() bool {
 	st := s.state.Current()
-	return !s.draining.Load() && !s.cutOff.Load() && st.Ticket > 0 && len(st.Endpoints) > 0 && s.synced(time.Now())
+	return !s.draining.Load() && !s.cutOff.Load() && st.Ticket > 0 && len(st.Endpoints) > 0 && s.synced(time.Now()) && s.knowsQuarantine(time.Now())
+}
+
+// knowsQuarantine reports whether the instance knows what is quarantined, as far as it can find
+// out. Without it a request that crashes its endpoints would crash some after every restart.
+func (s *Server) knowsQuarantine(now time.Time) bool {
+	return s.quarantine.isKnown() || now.Sub(s.peers.started) > syncTimeout
 }
 
 // syncTimeout is how long after its start an instance waits for updates from the others: three
--- a/internal/gateway/updates.go
+++ b/internal/gateway/updates.go
@@ -137,6 +137,7 @@
 	}
 	s.quotaMu.Unlock()
 	s.addQuarantine(now, u)
+	u.KnowsQuarantine = s.quarantine.isKnown()
 	return u
 }
 
@@ -251,6 +252,9 @@
 	}
 	p.s.quotaMu.Unlock()
 	p.s.mergeQuarantine(now, u)
+	if u.KnowsQuarantine {
+		p.s.quarantine.setKnown()
+	}
 	p.s.mergeLimits(u)
 	p.s.admission.withScheduler(func(now time.Time, s *placement.Scheduler) { s.SetPeer(u.Instance, remoteOf(now, u)) })
 	return true
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -39,7 +39,9 @@
 	Crashes     []Crash
 	Begun       []BegunResponses
 	Quarantined []Quarantine
-	Limits      []EndpointLimit
+	// KnowsQuarantine means that Quarantined has all causes that were quarantined before the start.
+	KnowsQuarantine bool
+	Limits          []EndpointLimit
 }
 
 // EndpointLimit is the rate of requests that an endpoint has announced to accept from all
