quarantine: a cause that an update completes is stored at once

What callers saw: none is known to have been hurt. After a restart of all instances within half a minute of a quarantine, the request crashed endpoints again.

Cause: only the instance at which a crash completes the evidence stored the cause at once. Where the crashes were seen by different instances, an update completes it, and the cause was stored with the next comparison, up to 30 s later.

Why it works: causes that were found by merging an update are told apart from those that the update has as quarantined, and are stored like those found by a crash.

--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -127,10 +127,15 @@
 	q.mu.Lock()
 	added := q.tracker.Crashed(time.Now(), ep.Name, r)
 	q.mu.Unlock()
-	s.logQuarantined(added, s.settings.Instance)
-	if len(added) > 0 {
+	s.announceQuarantine(added)
+}
+
+// announceQuarantine passes on new evidence and stores the causes that were found by it.
+func (s *Server) announceQuarantine(found []string) {
+	s.logQuarantined(found, s.settings.Instance)
+	if len(found) > 0 {
 		select {
-		case q.changed <- struct{}{}:
+		case s.quarantine.changed <- struct{}{}:
 		default:
 		}
 	}
@@ -207,9 +212,12 @@
 	}
 	q := s.quarantine
 	q.mu.Lock()
-	added := q.tracker.Merge(now, u.Instance, r)
+	learned, found := q.tracker.Merge(now, u.Instance, r)
 	q.mu.Unlock()
-	s.logQuarantined(added, u.Instance)
+	s.logQuarantined(learned, u.Instance)
+	if len(found) > 0 {
+		s.announceQuarantine(found)
+	}
 }
 
 // forgetQuarantinePeer drops the counts that an instance no longer reports.
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -170,6 +170,27 @@
 	assert.NilError(t, callExchange(b, "sound").admit())
 }
 
+// A cause that is found from the evidence of two instances is stored at once, so that it outlives
+// both.
+func TestQuarantineFoundByAnUpdateIsStored(t *testing.T) {
+	s := newQuarantineServer(nil)
+	deadly := gossip.CrashedRequest{Fingerprint: "deadly"}
+	update := &gossip.Update{Instance: "i1"}
+	for i := range 3 {
+		update.Crashes = append(update.Crashes, gossip.Crash{Endpoint: fmt.Sprint("e", i), Requests: []gossip.CrashedRequest{deadly}})
+	}
+	s.mergeQuarantine(time.Now(), update)
+	assert.Equal(t, s.quarantine.count(), 1)
+	select {
+	case <-s.quarantine.changed:
+	default:
+		t.Fatal("the store is compared only after the usual interval")
+	}
+	update.Quarantined = []gossip.Quarantine{{Cause: "another", Remaining: 1000}}
+	s.mergeQuarantine(time.Now(), update)
+	assert.Equal(t, len(s.quarantine.changed), 0, "the instance that found it stores it")
+}
+
 // An answer that is lost while its engine goes on is no crash.
 func TestLostAnswerIsNoCrash(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -112,9 +112,9 @@
 	return t.evaluate(now)
 }
 
-// Merge applies the report of another instance. It returns the causes that are quarantined
-// because of it.
-func (t *Tracker) Merge(now time.Time, instance string, r Report) []string {
+// Merge applies the report of another instance. It returns the causes that the instance has
+// quarantined, and those that are found because of the report.
+func (t *Tracker) Merge(now time.Time, instance string, r Report) (learned, found []string) {
 	for _, c := range r.Crashes {
 		t.crashes = insert(t.crashes, c, maxCrashes)
 	}
@@ -123,13 +123,12 @@
 	} else {
 		delete(t.peerBegun, instance)
 	}
-	var added []string
 	for cause, until := range r.Quarantined {
 		if t.add(now, cause, until) {
-			added = append(added, cause)
+			learned = append(learned, cause)
 		}
 	}
-	return append(added, t.evaluate(now)...)
+	return learned, t.evaluate(now)
 }
 
 // Forget drops what another instance reported of its begun responses.
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -263,7 +263,9 @@
 			}
 		}
 		y := New()
-		assert.DeepEqual(t, y.Merge(epoch, "x", x.Report(epoch)), []string{"a"})
+		learned, found := y.Merge(epoch, "x", x.Report(epoch))
+		assert.DeepEqual(t, found, []string{"a"})
+		assert.Equal(t, len(learned), 0)
 	}
 }
 
