quarantine: requests that nobody waits for when their endpoint crashes

A request whose caller leaves, or whose attempt times out, before the endpoint crashes on it was never related to the crash.

Cause: evidence came only from connections that broke while the response was awaited.

Why it works: an instance remembers for two seconds which requests it has abandoned at which endpoint. Whoever notices the end of the endpoint, by a broken request, a refused connection, a probe or another instance's update, the requests that were abandoned there shortly before count as affected by the crash. Sound requests among them are cleared by their responses as before.

--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -140,6 +140,7 @@
 	x.lastEndpoint = l.Target.Name
 	if err := x.s.upstream.ensureConn(ctx, l.Target.Addr); err != nil {
 		outcome = outcomeOf(ctx, err)
+		x.s.recordConnectError(l.Target, err)
 		x.excluded = append(x.excluded, l.Target.Name)
 		return ctx.Err() != nil, err
 	}
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -55,6 +55,7 @@
 	name, err := s.identifyEndpoint(ctx, ep)
 	switch {
 	case err != nil: // still unreachable; tried again in the next round
+		s.recordConnectError(ep, err)
 	case name != "" && name != ep.Name:
 		s.admission.withScheduler(func(_ time.Time, p *placement.Scheduler) { p.MarkReplaced(ep) })
 		s.log.Info("endpoint.replaced", "endpoint", ep.Name, "addr", ep.Addr, "by", name)
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -110,12 +110,19 @@
 }
 
 // recordBreak records a request that broke before its response had begun, if the endpoint
-// crashed.
+// crashed or crashes soon.
 func (x *exchange) recordBreak(ctx context.Context, ep *config.Endpoint, err error) {
-	if ctx.Err() != nil || !errors.Is(err, endpoint.ErrCallFailed) || errors.Is(err, errEndpointTimeout) {
+	s := x.s
+	switch {
+	case errors.Is(err, endpoint.ErrNotSent):
+		s.recordConnectError(ep, err)
+		return
+	case ctx.Err() != nil || errors.Is(err, errEndpointTimeout):
+		x.recordAbandoned(ep)
+		return
+	case !errors.Is(err, endpoint.ErrCallFailed):
 		return
 	}
-	s := x.s
 	if !s.endpointCrashed(context.WithoutCancel(ctx), ep) {
 		return
 	}
@@ -130,6 +137,30 @@
 	s.announceQuarantine(added)
 }
 
+// recordAbandoned records that the response to the request is no longer awaited.
+func (x *exchange) recordAbandoned(ep *config.Endpoint) {
+	r := x.identity()
+	q := x.s.quarantine
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.tracker.Abandoned(time.Now(), ep.Name, r)
+}
+
+// recordConnectError records that the endpoint's process has ended, if nothing listens at its
+// address.
+func (s *Server) recordConnectError(ep *config.Endpoint, err error) {
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		return
+	}
+	q := s.quarantine
+	q.mu.Lock()
+	found := q.tracker.Ended(time.Now(), ep.Name)
+	q.mu.Unlock()
+	if len(found) > 0 {
+		s.announceQuarantine(found)
+	}
+}
+
 // announceQuarantine passes on new evidence and stores the causes that were found by it.
 func (s *Server) announceQuarantine(found []string) {
 	s.logQuarantined(found, s.settings.Instance)
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -29,6 +29,9 @@
 	// crashWindow is how long reports of one endpoint's failure belong to the same crash. A
 	// crashed endpoint takes some seconds to restart.
 	crashWindow = time.Second
+	// abandonedTime is how long a request may work on at an endpoint, and the end of the endpoint
+	// stay unnoticed, after nobody waits for the response any more.
+	abandonedTime = 2 * time.Second
 
 	// Bounds of the evidence; a report with all of it fits in a datagram with other state.
 	maxOwnCrashes    = 12   // the oldest is dropped
@@ -37,6 +40,7 @@
 	maxCrashParts    = 32   // of all requests that a crash affected
 	maxParts         = 12   // of a request
 	maxQuarantined   = 64   // the one that expires first is dropped
+	maxAbandoned     = 256  // requests; the oldest is dropped
 	maxBegun         = 4096 // causes whose begun responses are counted in a period
 	maxReportedBegun = 128  // causes whose begun responses are reported: those in most crashes
 )
@@ -71,6 +75,7 @@
 type Tracker struct {
 	own         []Crash
 	crashes     []Crash // of all instances, merged by endpoint
+	abandoned   []Crash // of this instance, each with one request: crashes if the endpoint ends soon
 	begun       [2]map[string]int
 	periodStart time.Time
 	peerBegun   map[string]map[string]int // by instance
@@ -107,16 +112,56 @@
 // returns the causes that are quarantined because of it.
 func (t *Tracker) Crashed(now time.Time, endpoint string, r Request) []string {
 	c := Crash{Endpoint: endpoint, At: now, Requests: []Request{r}}
+	t.addOwn(c)
+	t.blameAbandoned(endpoint, now)
+	return t.evaluate(now)
+}
+
+func (t *Tracker) addOwn(c Crash) {
 	t.own = insert(t.own, c, maxOwnCrashes)
 	t.crashes = insert(t.crashes, c, maxCrashes)
+}
+
+// Abandoned records a request whose response is no longer awaited. The endpoint may still work on
+// it.
+func (t *Tracker) Abandoned(now time.Time, endpoint string, r Request) {
+	t.abandoned = append(t.abandoned, Crash{Endpoint: endpoint, At: now, Requests: []Request{r}})
+	if len(t.abandoned) > maxAbandoned {
+		t.abandoned = t.abandoned[1:]
+	}
+}
+
+// Ended records that the process of an endpoint has ended, without a request that was awaited
+// there. It returns the causes that are quarantined because of it.
+func (t *Tracker) Ended(now time.Time, endpoint string) []string {
+	if !t.blameAbandoned(endpoint, now) {
+		return nil
+	}
 	return t.evaluate(now)
 }
 
+// blameAbandoned adds the requests that were abandoned at an endpoint shortly before its crash,
+// and reports whether there were any.
+func (t *Tracker) blameAbandoned(endpoint string, crashedAt time.Time) (found bool) {
+	t.abandoned = slices.DeleteFunc(t.abandoned, func(c Crash) bool {
+		before := crashedAt.Sub(c.At)
+		if c.Endpoint != endpoint || before > abandonedTime || before < -crashWindow {
+			return before > abandonedTime
+		}
+		found = true
+		c.At = crashedAt
+		t.addOwn(c)
+		return true
+	})
+	return found
+}
+
 // Merge applies the report of another instance. It returns the causes that the instance has
 // quarantined, and those that are found because of the report.
 func (t *Tracker) Merge(now time.Time, instance string, r Report) (learned, found []string) {
 	for _, c := range r.Crashes {
 		t.crashes = insert(t.crashes, c, maxCrashes)
+		t.blameAbandoned(c.Endpoint, c.At)
 	}
 	if len(r.Begun) > 0 {
 		t.peerBegun[instance] = r.Begun
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -317,3 +317,29 @@
 		}
 	})
 }
+
+// A request that was abandoned shortly before its endpoint crashed counts as much as one that was
+// awaited, whoever noticed the crash.
+func TestAbandonedRequestIsBlamed(t *testing.T) {
+	x, other := New(), New()
+	x.Abandoned(after(0), "e0", call("deadly"))
+	assert.Equal(t, len(x.Ended(after(1), "e0")), 0)
+	assert.Equal(t, len(x.Ended(after(1.5), "e0")), 0, "the same crash")
+
+	x.Abandoned(after(5), "e1", call("deadly"))
+	x.Crashed(after(5.3), "e1", call("victim"))
+
+	x.Abandoned(after(7), "e9", call("slow"))
+	assert.Equal(t, len(x.Ended(after(10), "e9")), 0, "too long ago")
+	assert.Equal(t, len(x.Ended(after(10), "e8")), 0)
+
+	x.Abandoned(after(12), "e2", call("deadly"))
+	other.Crashed(after(12.4), "e2", call("another victim"))
+	_, found := x.Merge(after(12.5), "other", other.Report(after(12.5)))
+	assert.DeepEqual(t, found, []string{"deadly"})
+	assert.Assert(t, !refuses(x, after(13), call("slow")))
+	for range 2 * maxAbandoned {
+		x.Abandoned(after(20), "e3", call("slow"))
+	}
+	assert.Equal(t, len(x.abandoned), maxAbandoned)
+}
