gateway: a refused caller is always told when to come back

What callers saw: a generation that waited in vain for an engine could be refused with "Retry-After: 0.00", and came back to the same queue at once.

Cause: the predicted wait at the end of the stay can be less than 5 ms, which the header rounds to nothing. The limits of endpoints, whose next slot can begin right after a caller's stay, make it frequent.

Why it works: all refusals have 50 ms or more.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -113,7 +113,11 @@
 	HandlePath(handle string) string
 }
 
+// minRetryAfter is the shortest time after which a refused caller is told to return. The header
+// has two decimals, and a caller that returns at once finds the same state.
+const minRetryAfter = 50 * time.Millisecond
+
 // refusal returns the error for a request that was rejected without being run.
 func refusal(k errkind.Kind, message string, retryAfter time.Duration) error {
-	return errkind.New(k, message).WithRetryAfter(retryAfter)
+	return errkind.New(k, message).WithRetryAfter(max(retryAfter, minRetryAfter))
 }
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,18 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"carawayrouter.example/router/internal/errkind"
+)
+
+// A refused caller is never told to come back at once, however short the predicted wait is.
+func TestRefusalHasATimeToReturn(t *testing.T) {
+	for _, wait := range []time.Duration{-time.Second, 0, time.Millisecond, minRetryAfter, time.Minute} {
+		after := errkind.From(refusal(errkind.QueueFull, "the engines stayed full", wait)).RetryAfter
+		assert.Assert(t, after >= minRetryAfter && after >= wait, "%s after a wait of %s", after, wait)
+	}
+}
