pacing: updates do not make an observation of a limit look newer

In a large fleet the end of a limit, or a new one, could be overridden for a moment by an older observation.

Cause: instances passed on what they had heard, with its age at the sender, so that it became younger by the transit with each hop.

Why it works: an instance reports only what it has observed itself, as long as nobody has observed anything later; every update reaches all instances anyway.

--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -40,22 +40,16 @@
 
 // countLimited returns the number of endpoints with a limit.
 func (a *admission) countLimited() (n int) {
-	a.withScheduler(func(now time.Time, p *placement.Scheduler) {
-		p.EachLimit(now, func(l placement.EndpointLimit) {
-			if l.Limited {
-				n++
-			}
-		})
-	})
+	a.withScheduler(func(_ time.Time, p *placement.Scheduler) { n = p.CountLimited() })
 	return n
 }
 
 // maxReportedLimits bounds the limits in an update.
 const maxReportedLimits = 128
 
-// addLimits adds the endpoints' limits to an update.
+// addLimits adds the endpoints' limits that this instance has observed to an update.
 func addLimits(now time.Time, scheduler *placement.Scheduler, u *gossip.Update) {
-	scheduler.EachLimit(now, func(l placement.EndpointLimit) {
+	scheduler.EachReportedLimit(now, func(l placement.EndpointLimit) {
 		if len(u.Limits) < maxReportedLimits {
 			u.Limits = append(u.Limits, gossip.EndpointLimit{
 				Endpoint: l.Endpoint, Incarnation: l.Incarnation, Limited: l.Limited, Rate: l.Rate,
@@ -65,7 +59,7 @@
 	})
 }
 
-// mergeLimits applies the endpoints' limits that another instance knows.
+// mergeLimits applies the endpoints' limits that another instance has observed.
 func (s *Server) mergeLimits(u *gossip.Update) {
 	if len(u.Limits) == 0 {
 		return
--- a/internal/limit/pacing/pacing.go
+++ b/internal/limit/pacing/pacing.go
@@ -47,15 +47,20 @@
 // safe for concurrent use.
 type Pacer struct {
 	limit    Limit
+	own      bool      // limit was observed by this instance
 	usedSlot time.Time // slots up to this time are used or forfeited
 }
 
 // Limit returns what is known of the limit.
 func (p *Pacer) Limit() Limit { return p.limit }
 
-// EndedLately reports whether the limit has ended within the given time.
-func (p *Pacer) EndedLately(now time.Time, within time.Duration) bool {
-	return !p.limit.Limited && !p.limit.ObservedAt.IsZero() && now.Sub(p.limit.ObservedAt) < within
+// reportTime is for how long the end of a limit is reported to the other instances.
+const reportTime = 10 * time.Second
+
+// Report returns what this instance tells the others, if anything. It tells what it has observed
+// itself only: an observation that is passed on looks newer by the transit of the update each time.
+func (p *Pacer) Report(now time.Time) (l Limit, ok bool) {
+	return p.limit, p.own && (p.limit.Limited || now.Sub(p.limit.ObservedAt) < reportTime)
 }
 
 // sameRate is the relative difference up to which an announced rate counts as the one in force:
@@ -67,7 +72,7 @@
 	if p.limit.Limited && math.Abs(rate-p.limit.Rate) <= sameRate*p.limit.Rate {
 		rate = p.limit.Rate
 	}
-	return p.Merge(now, Limit{Limited: true, Rate: rate, Since: now, ObservedAt: now})
+	return p.observe(now, Limit{Limited: true, Rate: rate, Since: now, ObservedAt: now})
 }
 
 // Unannounced records a response without a limit, to a request that was sent at the given time.
@@ -77,10 +82,17 @@
 	if !p.limit.Limited {
 		return false
 	}
-	return p.Merge(now, Limit{ObservedAt: sentAt})
+	return p.observe(now, Limit{ObservedAt: sentAt})
+}
+
+func (p *Pacer) observe(now time.Time, l Limit) (changed bool) {
+	newer := l.ObservedAt.After(p.limit.ObservedAt)
+	changed = p.Merge(now, l)
+	p.own = p.own || newer
+	return changed
 }
 
-// Merge applies what an instance knows of the limit. The latest observation decides. Of two first
+// Merge applies what another instance has observed of the limit. The latest observation decides. Of two first
 // slots the earlier one does, so that all instances come to the same one. It reports whether the
 // limit has changed.
 func (p *Pacer) Merge(now time.Time, l Limit) (changed bool) {
@@ -96,7 +108,7 @@
 		return false
 	}
 	old := p.limit
-	p.limit = l
+	p.limit, p.own = l, false
 	if l.Limited {
 		p.limit.Since = since
 	}
--- a/internal/placement/limits.go
+++ b/internal/placement/limits.go
@@ -66,26 +66,33 @@
 	pacing.Limit
 }
 
-// MergeLimit applies what another instance knows of a limit, and reports whether the limit has
+// MergeLimit applies what another instance has observed of a limit, and reports whether the limit has
 // changed.
 func (s *Scheduler) MergeLimit(now time.Time, l EndpointLimit) (changed bool) {
 	x := s.endpoints[l.Endpoint]
 	return x != nil && x.ep.Incarnation == l.Incarnation && x.pacer.Merge(now, l.Limit)
 }
 
-// limitReportTime is for how long the end of a limit is reported to the other instances.
-const limitReportTime = 10 * time.Second
-
-// EachLimit calls visit with every limit in force and every one that has ended lately.
-func (s *Scheduler) EachLimit(now time.Time, visit func(EndpointLimit)) {
+// EachReportedLimit calls visit with every limit that this instance tells the others of.
+func (s *Scheduler) EachReportedLimit(now time.Time, visit func(EndpointLimit)) {
 	for name, x := range s.endpoints {
-		l := x.pacer.Limit()
-		if l.Limited || x.pacer.EndedLately(now, limitReportTime) {
+		if l, ok := x.pacer.Report(now); ok {
 			visit(EndpointLimit{Endpoint: name, Incarnation: x.ep.Incarnation, Limit: l})
 		}
 	}
 }
 
+// CountLimited returns the number of endpoints with a limit.
+func (s *Scheduler) CountLimited() int {
+	n := 0
+	for _, x := range s.endpoints {
+		if x.pacer.Limit().Limited {
+			n++
+		}
+	}
+	return n
+}
+
 // TurnAfter returns how long this instance has to wait for the next slot of the pool's plain
 // endpoints after so many others, 0 if the limits of the endpoints do not hold it up.
 func (s *Scheduler) TurnAfter(now time.Time, pool string, before int) time.Duration {
