--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -80,7 +80,7 @@
 }
 
 // Health checks are not sent to an endpoint that accepts no more requests.
-func TestHealthCheckUsesASlot(t *testing.T) {
+func TestHealthCheckUsesATurn(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	addr := "127.0.0.2:" + port(t, ln)
--- a/internal/limit/pacing/pacing.go
+++ b/internal/limit/pacing/pacing.go
@@ -3,7 +3,8 @@
 // current time is an argument.
 //
 // Time is divided into slots, one for each request that the rate allows, which the instances own
-// in turn. An instance may use a slot for a short time after it begins. Instances need to agree
+// in turn. An instance may use a slot for a short time after it begins; elsewhere such a slot is
+// called a turn, as slots of endpoints are their concurrent requests. Instances need to agree
 // on the beginning of the first slot and on the list of instances only; both are part of their
 // updates. Where they disagree, every instance still sends its equal share of the rate.
 //
--- a/internal/placement/limits.go
+++ b/internal/placement/limits.go
@@ -14,7 +14,7 @@
 // announces.
 func (s *Scheduler) ready(now time.Time, x *endpointState) bool { return x.pacer.Ready(now, s.member) }
 
-// reserveForPeer keeps engines free for a waiter of another instance, which has slots of its own
+// reserveForPeer keeps engines free for a waiter of another instance, which has turns of its own
 // under the engines' limits.
 func (s *Scheduler) reserveForPeer(now time.Time, d Demand) *Lease {
 	return s.reserveEngine(now, d, func(time.Time, *endpointState) bool { return true })
@@ -31,8 +31,8 @@
 	}
 }
 
-// TakeTurn uses a slot of an endpoint for a request without a lease, and reports whether there was
-// one.
+// TakeTurn uses a turn of this instance at an endpoint for a request without a lease, and reports
+// whether there was one. Endpoints without a limit always have one.
 func (s *Scheduler) TakeTurn(now time.Time, endpoint string) bool {
 	x := s.endpoints[endpoint]
 	if x == nil {
@@ -66,8 +66,8 @@
 	pacing.Limit
 }
 
-// MergeLimit applies what another instance has observed of a limit, and reports whether the limit has
-// changed.
+// MergeLimit applies what another instance has observed of a limit, and reports whether the limit
+// has changed.
 func (s *Scheduler) MergeLimit(now time.Time, l EndpointLimit) (changed bool) {
 	x := s.endpoints[l.Endpoint]
 	return x != nil && x.ep.Incarnation == l.Incarnation && x.pacer.Merge(now, l.Limit)
@@ -93,8 +93,8 @@
 	return n
 }
 
-// TurnAfter returns how long this instance has to wait for the next slot of the pool's plain
-// endpoints after so many others, 0 if the limits of the endpoints do not hold it up.
+// TurnAfter returns how long this instance has to wait for a turn at one of the pool's plain
+// endpoints, after as many turns as before, or 0 if their limits do not hold it up.
 func (s *Scheduler) TurnAfter(now time.Time, pool string, before int) time.Duration {
 	return s.turnAfter(now, pool, config.Plain, before)
 }
--- a/internal/placement/limits_test.go
+++ b/internal/placement/limits_test.go
@@ -33,8 +33,8 @@
 }
 
 // Plain calls, generations, prefills, moves to another engine and requests without a lease all
-// use the slots of the endpoints that they reach.
-func TestEveryRequestUsesASlot(t *testing.T) {
+// use the turns at the endpoints that they reach.
+func TestEveryRequestUsesATurn(t *testing.T) {
 	const seconds = 4
 	plain := func(s *Scheduler) func(time.Time) *Lease {
 		return func(now time.Time) *Lease { return s.AcquireService(now, Demand{Pool: servicePool}) }
@@ -94,7 +94,7 @@
 }
 
 // An endpoint without a limit takes the calls of those that have used theirs up, and waiters of
-// other instances use no slots of this one.
+// other instances use no turns of this one.
 func TestLimitsLeaveOtherEndpointsAlone(t *testing.T) {
 	s := newScheduler(1, engines(1, 1, 1e6))
 	s.RecordLimit(start, "plain-0", 1)
@@ -125,7 +125,7 @@
 		return q.PredictWait(start, s, w)
 	}
 	for i := range 4 {
-		want := 2*time.Second + time.Duration(i)*time.Second // two engines with a slot every 2 s
+		want := 2*time.Second + time.Duration(i)*time.Second // two engines with a turn every 2 s
 		got := wait()
 		assert.Assert(t, (got-want).Abs() < 10*time.Millisecond, "waiter %d: %s instead of %s", i, got, want)
 	}
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -156,7 +156,7 @@
 }
 
 // predictTurn estimates how long w would wait because of the limits that engines announce: the
-// waiters of this instance before it and w itself need a slot each.
+// waiters of this instance before it and w itself need a turn each.
 func (q *Queue) predictTurn(now time.Time, s *Scheduler, w *Waiter) time.Duration {
 	before := 0
 	for _, other := range q.waiting {
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -115,8 +115,8 @@
 	return l
 }
 
-// reserveEngine places a generation on engines that mayUse accepts, without regard to the limits
-// that they announce.
+// reserveEngine places a generation on engines that mayUse accepts. It uses no turns under the
+// limits that they announce.
 func (s *Scheduler) reserveEngine(now time.Time, d Demand, mayUse endpointFilter) *Lease {
 	p, direct := s.choosePrefill(now, d, mayUse)
 	if p == nil && !direct {
