--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -95,20 +95,16 @@
 	if l := a.sched.AcquireService(now, d); l != nil {
 		return l, nil
 	}
-	if wait := a.sched.TurnAfter(now, d.Pool, 0); wait > 0 {
-		return nil, refusal(errkind.EndpointLimit, "the endpoints accept no more requests for now", a.spread(wait))
+	if wait := a.sched.NextTurn(now, d.Pool); wait > 0 {
+		return nil, refusal(errkind.EndpointLimit, "the endpoints accept no more requests for now", wait+rand.N(limitRetrySpread))
 	}
 	return nil, refusal(errkind.NoEndpoint, "no endpoint can be used", endpointRetryAfter)
 }
 
-// limitRetrySpread is over how long the callers that are refused until the same time return.
+// limitRetrySpread is over how long the callers that are refused until the same time return, at
+// random.
 const limitRetrySpread = 400 * time.Millisecond
 
-// spread adds a random delay, so that refused callers do not return together.
-func (a *admission) spread(wait time.Duration) time.Duration {
-	return wait + rand.N(limitRetrySpread)
-}
-
 // serveQueue grants leases to queued generations. The caller holds the lock.
 func (a *admission) serveQueue(now time.Time) {
 	for _, g := range a.queue.Serve(now, a.sched) {
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -78,20 +78,3 @@
 		s.logLimit(l.Endpoint, l.Limited, l.Rate, u.Instance)
 	}
 }
-
-// assumedFleetSize is used until the other instances are known.
-const assumedFleetSize = 12
-
-// setFleet tells the scheduler and the retry budget which other instances there are.
-func (s *Server) setFleet(now time.Time, others []string) {
-	rank := 0
-	for _, name := range others {
-		if name < s.settings.Instance {
-			rank++
-		}
-	}
-	s.budget.setFleet(len(others)+1, s.peers.countRestarted(now))
-	s.admission.withScheduler(func(_ time.Time, p *placement.Scheduler) {
-		p.SetMember(now, pacing.Member{Rank: rank, Count: len(others) + 1})
-	})
-}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -16,6 +16,7 @@
 	"github.com/valyala/fasthttp"
 
 	"carawayrouter.example/router/internal/gossip"
+	"carawayrouter.example/router/internal/limit/pacing"
 	"carawayrouter.example/router/internal/placement"
 )
 
@@ -250,9 +251,23 @@
 		p.s.forgetQuarantinePeer(name)
 	}
 	p.s.setFleet(now, names)
-	p.s.quotaMu.Lock()
-	p.s.quota.SetPeers(names, updateTransit(len(names)+1))
-	p.s.quotaMu.Unlock()
+}
+
+// assumedFleetSize is used until the other instances are known.
+const assumedFleetSize = 12
+
+// setFleet tells the scheduler, the limiter and the retry budget which other instances there are.
+// The names are sorted.
+func (s *Server) setFleet(now time.Time, others []string) {
+	fleet := len(others) + 1
+	s.budget.setFleet(fleet, s.peers.countRestarted(now))
+	rank, _ := slices.BinarySearch(others, s.settings.Instance)
+	s.admission.withScheduler(func(_ time.Time, p *placement.Scheduler) {
+		p.SetMember(now, pacing.Member{Rank: rank, Count: fleet})
+	})
+	s.quotaMu.Lock()
+	defer s.quotaMu.Unlock()
+	s.quota.SetPeers(others, updateTransit(fleet))
 }
 
 func (p *peers) applyRow(now time.Time, r Row) {
--- a/internal/gateway/updates.go
+++ b/internal/gateway/updates.go
@@ -237,9 +237,6 @@
 	x.row.State = u.StateAddr
 	names := p.activeNames()
 	p.mu.Unlock()
-	if started || joined {
-		p.s.setFleet(now, names)
-	}
 
 	report := window.Report{Instance: u.Instance, Incarnation: u.Incarnation, KnownFor: time.Duration(u.KnownFor) * time.Millisecond, Usage: make([]window.Usage, len(u.Usage))}
 	for i, s := range u.Usage {
@@ -247,14 +244,14 @@
 	}
 	p.s.quotaMu.Lock()
 	p.s.quota.UpdatePeer(now, report, p.s.state.Current().Accounts)
-	if joined {
-		p.s.quota.SetPeers(names, updateTransit(len(names)+1))
-	}
 	p.s.quotaMu.Unlock()
-	p.s.mergeQuarantine(now, u)
+	if started || joined {
+		p.s.setFleet(now, names)
+	}
 	if u.KnowsQuarantine {
 		p.s.quarantine.setKnown()
 	}
+	p.s.mergeQuarantine(now, u)
 	p.s.mergeLimits(u)
 	p.s.admission.withScheduler(func(now time.Time, s *placement.Scheduler) { s.SetPeer(u.Instance, remoteOf(now, u)) })
 	return true
--- a/internal/limit/pacing/pacing.go
+++ b/internal/limit/pacing/pacing.go
@@ -93,9 +93,9 @@
 	return changed
 }
 
-// Merge applies what another instance has observed of the limit. The latest observation decides. Of two first
-// slots the earlier one does, so that all instances come to the same one. It reports whether the
-// limit has changed.
+// Merge applies what another instance has observed of the limit. The latest observation decides.
+// Of two first slots the earlier one does, so that all instances come to the same one. It reports
+// whether the limit has changed.
 func (p *Pacer) Merge(now time.Time, l Limit) (changed bool) {
 	l.Rate = min(maxRate, max(minRate, l.Rate))
 	since := l.Since
--- a/internal/placement/limits.go
+++ b/internal/placement/limits.go
@@ -93,13 +93,14 @@
 	return n
 }
 
-// TurnAfter returns how long this instance has to wait for a turn at one of the pool's plain
-// endpoints, after as many turns as before, or 0 if their limits do not hold it up.
-func (s *Scheduler) TurnAfter(now time.Time, pool string, before int) time.Duration {
-	return s.turnAfter(now, pool, config.Plain, before)
+// NextTurn returns how long this instance has to wait for a turn at one of the pool's plain
+// endpoints, or 0 if their limits do not hold it up.
+func (s *Scheduler) NextTurn(now time.Time, pool string) time.Duration {
+	return s.turnAfter(now, pool, config.Plain, 0)
 }
 
-// turnAfter is TurnAfter for the pool's endpoints of a role.
+// turnAfter returns how long this instance has to wait for a turn at one of the pool's endpoints
+// of a role after as many turns as before, or 0 if their limits do not hold it up.
 func (s *Scheduler) turnAfter(now time.Time, pool string, role config.Role, before int) time.Duration {
 	first, rate := time.Duration(-1), 0.0
 	for _, x := range s.pools[pool] {
