One copy of small conversions

Read once more, behaviour as before. The cap of durations in pacing could never be reached, as rates are bounded before.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -73,3 +73,6 @@
 	}
 	f.timers = kept
 }
+
+// Seconds returns the duration of s seconds.
+func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -66,9 +66,8 @@
 	}
 	var changed []gossip.EndpointLimit
 	s.admission.withScheduler(func(now time.Time, p *placement.Scheduler) {
-		ago := func(ms int64) time.Time { return now.Add(-time.Duration(ms) * time.Millisecond) }
 		for _, l := range u.Limits {
-			limit := pacing.Limit{Limited: l.Limited, Rate: l.Rate, Since: ago(l.SinceAge), ObservedAt: ago(l.Age)}
+			limit := pacing.Limit{Limited: l.Limited, Rate: l.Rate, Since: gossip.TimeOfAge(now, l.SinceAge), ObservedAt: gossip.TimeOfAge(now, l.Age)}
 			if p.MergeLimit(now, placement.EndpointLimit{Endpoint: l.Endpoint, Incarnation: l.Incarnation, Limit: limit}) {
 				changed = append(changed, l)
 			}
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -229,7 +229,7 @@
 	}
 	r := quarantine.Report{Begun: make(map[string]int, len(u.Begun)), Quarantined: make(map[string]time.Time, len(u.Quarantined))}
 	for _, c := range u.Crashes {
-		crash := quarantine.Crash{Endpoint: c.Endpoint, At: now.Add(-time.Duration(c.Age) * time.Millisecond)}
+		crash := quarantine.Crash{Endpoint: c.Endpoint, At: gossip.TimeOfAge(now, c.Age)}
 		for _, request := range c.Requests {
 			crash.Requests = append(crash.Requests, quarantine.Request{Fingerprint: request.Fingerprint, Parts: request.Parts})
 		}
--- a/internal/gateway/updates.go
+++ b/internal/gateway/updates.go
@@ -260,13 +260,12 @@
 // remoteOf converts an update to the scheduler's view of another instance.
 func remoteOf(now time.Time, u *gossip.Update) *placement.PeerState {
 	r := &placement.PeerState{UpdatedAt: now, Generations: map[string][]placement.Generation{}, PrefillTokens: map[string]int{}}
-	ago := func(ms int64) time.Time { return now.Add(-time.Duration(ms) * time.Millisecond) }
 	for _, load := range u.Loads {
 		if load.PrefillTokens > 0 {
 			r.PrefillTokens[load.Endpoint] = load.PrefillTokens
 		}
 		for _, run := range load.Runs {
-			r.Generations[load.Endpoint] = append(r.Generations[load.Endpoint], placement.Generation{Prompt: run.Prompt, PlannedOutput: run.Output, Generated: run.Generated, AsOf: ago(run.Age)})
+			r.Generations[load.Endpoint] = append(r.Generations[load.Endpoint], placement.Generation{Prompt: run.Prompt, PlannedOutput: run.Output, Generated: run.Generated, AsOf: gossip.TimeOfAge(now, run.Age)})
 		}
 	}
 	if len(u.Ejected) > 0 {
@@ -278,7 +277,7 @@
 	for _, w := range u.Queued {
 		r.Waiters = append(r.Waiters, &placement.Waiter{
 			Demand:  placement.Demand{Pool: w.Pool, Prompt: w.Prompt, MaxOutput: w.Output, Generated: w.Generated},
-			Arrived: ago(w.Age), Due: ago(-w.StartBy), Priority: w.Priority,
+			Arrived: gossip.TimeOfAge(now, w.Age), Due: gossip.TimeOfAge(now, -w.StartBy), Priority: w.Priority,
 		})
 	}
 	return r
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -231,3 +231,8 @@
 
 // AgeMillis returns the age of t in ms, for the fields that carry ages.
 func AgeMillis(now, t time.Time) int64 { return now.Sub(t).Milliseconds() }
+
+// TimeOfAge returns the time that has the given age in ms.
+func TimeOfAge(now time.Time, ms int64) time.Time {
+	return now.Add(-time.Duration(ms) * time.Millisecond)
+}
--- a/internal/limit/pacing/pacing.go
+++ b/internal/limit/pacing/pacing.go
@@ -15,6 +15,8 @@
 import (
 	"math"
 	"time"
+
+	"carawayrouter.example/router/internal/clock"
 )
 
 const (
@@ -130,12 +132,12 @@
 	if !p.limit.Limited {
 		return now
 	}
-	earliest := now.Add(-baseLifetime - seconds(lifetimeSlots/p.limit.Rate))
+	earliest := now.Add(-baseLifetime - clock.Seconds(lifetimeSlots/p.limit.Rate))
 	n := max(0, math.Ceil(p.ownSlot(earliest, m)))
 	if !p.usedSlot.IsZero() {
 		n = max(n, math.Floor(p.ownSlot(p.usedSlot, m)+slotTolerance)+1)
 	}
-	return p.limit.Since.Add(seconds((n*float64(m.Count) + float64(m.Rank)) / p.limit.Rate))
+	return p.limit.Since.Add(clock.Seconds((n*float64(m.Count) + float64(m.Rank)) / p.limit.Rate))
 }
 
 // slotTolerance is by how much a computed position may be below that of the slot, as a fraction
@@ -157,10 +159,3 @@
 		p.usedSlot = p.Next(now, m)
 	}
 }
-
-func seconds(s float64) time.Duration {
-	return time.Duration(min(s, maxSeconds) * float64(time.Second))
-}
-
-// maxSeconds bounds computed durations.
-const maxSeconds = 1e9
--- a/internal/limit/pacing/pacing_test.go
+++ b/internal/limit/pacing/pacing_test.go
@@ -9,11 +9,13 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"carawayrouter.example/router/internal/clock"
 )
 
 var epoch = time.Unix(1_700_000_000, 0)
 
-func at(s float64) time.Time { return epoch.Add(seconds(s)) }
+func at(s float64) time.Time { return epoch.Add(clock.Seconds(s)) }
 
 const (
 	tick       = 10 * time.Millisecond
--- a/internal/limit/window/window.go
+++ b/internal/limit/window/window.go
@@ -17,6 +17,7 @@
 	"slices"
 	"time"
 
+	"carawayrouter.example/router/internal/clock"
 	"carawayrouter.example/router/internal/config"
 )
 
@@ -196,7 +197,7 @@
 		b.empty = false
 		return d
 	}
-	d.RetryAfter = max(minRetryAfter, seconds(missing/(b.limits.rate*v.reporting)))
+	d.RetryAfter = max(minRetryAfter, clock.Seconds(missing/(b.limits.rate*v.reporting)))
 	return d
 }
 
@@ -217,7 +218,7 @@
 	limits := l.limitsOf(a)
 	switch {
 	case b == nil:
-		b = &bucket{peers: make([]float64, len(l.slots)), unknown: l.unknownUsage(now, limits), updatedAt: now, emptySince: l.knownSince.Add(seconds(limits.depth / limits.rate))}
+		b = &bucket{peers: make([]float64, len(l.slots)), unknown: l.unknownUsage(now, limits), updatedAt: now, emptySince: l.knownSince.Add(clock.Seconds(limits.depth / limits.rate))}
 		b.empty = b.unknown == 0
 		l.accounts[a.Name] = b
 	case b.limits != limits:
@@ -488,5 +489,3 @@
 		}
 	}
 }
-
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
