gateway: a silent endpoint is kept until another one has taken the request over

Callers saw streams that ended in the middle, and calls and streams answered with 502 or 503, although their endpoint was sound and had only paused for a second or so.

Cause: silence ended an attempt before it was known whether another one could follow. The next attempt then needed room in the retry budget, an engine with memory, a connection, a prefill and an engine that accepts, and without one of them the request was over. Where no attempt could follow, the silence ended the request after 3.6 s all the same.

Now silence ends nothing by itself. A run at an engine is read by a goroutine of its own; after 1.2 s without a byte the exchange prepares a standby at another engine (budget, lease, connection, prefill, request), and only when its response has begun is the silent run closed. A byte from the silent engine ends the standby instead. A silent prefill or call is given up only when the budget and another endpoint are in hand. With no other attempt the caller's own patience and the deadline decide.

--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -1,10 +1,11 @@
 package gateway
 
 import (
-	"bufio"
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -27,8 +28,10 @@
 	startMargin = 900 * time.Millisecond
 
 	engineTimeoutGaps    = 4 // multiple of the maximum gap between events; longer than the pauses of preempted streams
-	prefillTimeoutFactor = 4 // multiple of the predicted prefill time after which a prefill is abandoned
+	prefillTimeoutFactor = 4 // multiple of the predicted prefill time after which another engine is asked
 	minPrefillTimeout    = 400 * time.Millisecond
+	standbyRetryDelay    = 400 * time.Millisecond // between two attempts to replace a silent engine
+	maxGenerationSends   = 2 * maxSends           // with prefills and refused sends
 	// resumeJitter is about the time that an engine needs to prefill the output of one
 	// interrupted stream. It spreads the resumption of streams that break at the same time at
 	// all instances, so that each instance learns of the leases of the others.
@@ -41,50 +44,248 @@
 	expectedStartDelay = 150 * time.Millisecond // from the lease to the first event, on engines that are not slow
 )
 
-// generation runs a request on a model pool: lease, prefill, decode, and retries where they are
-// allowed.
+// generation runs a request on a model pool. A request has one run at a decode engine, and while
+// that engine is silent another one is prepared elsewhere: the standby. The silent run ends only
+// when the standby's response has begun, so that its silence costs the request nothing if it goes
+// on before, or if nothing else can take the request.
+type generation struct {
+	*exchange
+	ctx     context.Context
+	current *engineRun
+	standby *engineRun
+	silence *time.Timer // fires when the current run's engine has been silent for too long
+}
+
 func (x *exchange) generation(ctx context.Context) error {
 	if x.s.refusesStreams() {
 		return refusal(errkind.ShuttingDown, "this instance is shutting down", shutdownRetryAfter)
 	}
+	g := &generation{exchange: x, ctx: ctx, silence: time.NewTimer(x.engineTimeout())}
+	defer g.silence.Stop()
+	defer g.abandonAll()
 	var last error
-	for x.sends < 2*maxSends {
-		if !x.reserveSends(1) {
+	for {
+		done, err := g.step()
+		switch {
+		case done && last != nil && errors.IsAny(err, errNoRetryBudget, errQuarantined, errNoPlace):
 			return last
-		}
-		began := time.Now()
-		lease, err := x.s.admission.acquireEngine(ctx, x.newWaiter())
-		x.queueTime += time.Since(began)
-		if err != nil {
-			if last != nil {
-				return last
-			}
+		case done:
 			return err
-		}
-		x.decision("place", "prefill", endpointName(lease.Prefill), "decode", lease.Target.Name, "waited_ms", x.queueTime.Milliseconds(), "prompt", x.call.PromptTokens, "output", x.call.MaxOutputTokens)
-		x.crashed = false
-		done, err := x.attempt(ctx, lease)
-		if last != nil && errors.IsAny(err, errNoRetryBudget, errQuarantined) {
-			return last
-		}
-		if done || err == nil {
-			return err
-		}
-		if ctx.Err() != nil {
+		case err == nil:
+			continue
+		case ctx.Err() != nil:
 			return context.Cause(ctx)
 		}
 		last = err
-		if x.suspected() {
+		if g.current != nil {
+			continue
+		}
+		if x.suspected() || x.sends >= maxGenerationSends {
 			return last
 		}
+		x.recordRepeat(err)
 		if x.relayedTokens > 0 {
-			x.s.stats.resumes.Inc()
 			sleepJitter(ctx, resumeJitter)
 		}
-		x.s.stats.retries.Inc()
-		x.decision("repeat", "endpoint", x.lastEndpoint, "sends", x.sends, "runs", x.runs, "cause", err.Error())
 	}
-	return last
+}
+
+// recordRepeat records that the request is sent to another engine because of cause.
+func (x *exchange) recordRepeat(cause error) {
+	if x.relayedTokens > 0 {
+		x.s.stats.resumes.Inc()
+	}
+	x.s.stats.retries.Inc()
+	x.decision("repeat", "endpoint", x.lastEndpoint, "sends", x.sends, "runs", x.runs, "cause", cause.Error())
+}
+
+// step starts a run if there is none, or handles what happens next. An error with done unset
+// means that a run failed.
+func (g *generation) step() (done bool, err error) {
+	if g.current == nil {
+		return g.startFirst()
+	}
+	var standby chan runResult
+	if g.standby != nil {
+		standby = g.standby.results
+	}
+	select {
+	case r := <-g.current.results:
+		return g.handleCurrent(r)
+	case r := <-standby:
+		g.handleStandby(r)
+	case <-g.silence.C:
+		g.startStandby()
+	case <-g.ctx.Done():
+		return true, context.Cause(g.ctx)
+	}
+	return false, nil
+}
+
+// startFirst starts a run while there is none.
+func (g *generation) startFirst() (done bool, err error) {
+	if !g.reserveSends(1) {
+		return true, errNoRetryBudget
+	}
+	w := g.newWaiter()
+	began := time.Now()
+	lease, err := g.s.admission.acquireEngine(g.ctx, w)
+	g.queueTime += time.Since(began)
+	if err != nil {
+		return true, errors.Mark(err, errNoPlace)
+	}
+	g.crashed = false
+	run, done, err := g.launch(g.ctx, lease)
+	if run != nil {
+		g.lastEndpoint = lease.Target.Name
+		g.current = run
+		g.watchSilence()
+	}
+	return done, err
+}
+
+// watchSilence restarts the timer for the silence of the current run's engine. The streams of an
+// engine become silent together, so the times are spread.
+func (g *generation) watchSilence() {
+	g.silence.Reset(g.engineTimeout() + rand.N(resumeJitter))
+}
+
+// startStandby prepares a run at another engine until the current run's engine is heard.
+func (g *generation) startStandby() {
+	if g.standby != nil || !g.mayUseAnotherEngine() {
+		return // no other attempt is allowed before the current run makes progress
+	}
+	defer g.silence.Reset(standbyRetryDelay)
+	if !g.reserveSends(1) {
+		return
+	}
+	ctx, cancel := context.WithCancel(g.ctx)
+	defer cancel()
+	g.current.notifyProgress(cancel)
+	w := g.newWaiter()
+	w.Demand.Exclude = append(slices.Clone(w.Demand.Exclude), g.current.lease.Target.Name)
+	lease, err := g.s.admission.acquireEngine(ctx, w)
+	if err == nil {
+		g.standby, _, err = g.launch(ctx, lease)
+	}
+	if err != nil {
+		g.decision("no_standby", "endpoint", g.current.lease.Target.Name, "cause", err.Error())
+	}
+}
+
+// mayUseAnotherEngine reports whether the request may run at another engine besides those that
+// may have run it.
+func (g *generation) mayUseAnotherEngine() bool {
+	runs := g.runs
+	if !g.current.counted {
+		runs++
+	}
+	r := g.call.Route
+	return r.Resumable && runs < r.MaxAttempts && g.sends < maxGenerationSends && !g.suspected()
+}
+
+// handleCurrent handles a result of the current run.
+func (g *generation) handleCurrent(r runResult) (done bool, err error) {
+	run := g.current
+	run.received(r)
+	v, outcome, err := g.receive(run, r)
+	switch v {
+	case runProgressed:
+		g.dropStandby()
+		g.watchSilence()
+		return false, nil
+	case runFinished:
+		g.current = nil
+		g.end(run, outcome)
+		return true, err
+	case runRefused:
+		if next := g.redirectRun(run, outcome, err); next != nil {
+			g.current = next
+			g.lastEndpoint = next.lease.Target.Name
+			g.watchSilence()
+			return false, nil
+		}
+	case runFailed:
+	}
+	g.end(run, outcome)
+	g.current, g.standby = g.standby, nil
+	if g.current != nil {
+		g.takeOver(err)
+		return false, err
+	}
+	return v == runFailed && g.cannotResume(g.ctx), err
+}
+
+// handleStandby handles a result of the standby. It replaces the current run once its response
+// has begun.
+func (g *generation) handleStandby(r runResult) {
+	run := g.standby
+	run.received(r)
+	v, outcome, err := g.receive(run, r)
+	switch v {
+	case runProgressed:
+		old := g.current
+		g.current, g.standby = run, nil
+		g.abandon(old, sched.Failed)
+		g.takeOver(errEndpointTimeout)
+		return
+	case runRefused:
+		if next := g.redirectRun(run, outcome, err); next != nil {
+			g.standby = next
+			return
+		}
+	case runFinished, runFailed:
+	}
+	g.standby = nil
+	g.end(run, outcome)
+	g.decision("no_standby", "endpoint", run.lease.Target.Name, "cause", err.Error())
+	g.silence.Reset(standbyRetryDelay)
+}
+
+// takeOver records that the standby has become the current run because of cause.
+func (g *generation) takeOver(cause error) {
+	g.recordRepeat(cause)
+	g.lastEndpoint = g.current.lease.Target.Name
+	g.watchSilence()
+}
+
+// dropStandby ends the standby, if there is one.
+func (g *generation) dropStandby() {
+	if run := g.standby; run != nil {
+		g.standby = nil
+		g.abandon(run, sched.Abandoned)
+	}
+}
+
+// abandonAll ends all runs.
+func (g *generation) abandonAll() {
+	g.dropStandby()
+	if run := g.current; run != nil {
+		g.current = nil
+		g.abandon(run, sched.Abandoned)
+	}
+}
+
+// abandon ends a run in progress.
+func (g *generation) abandon(run *engineRun, o sched.Outcome) {
+	g.countRun(run)
+	if run.events < beginEvents {
+		g.recordAbandoned(run.lease.Target)
+	}
+	g.end(run, o)
+}
+
+// end frees what a run holds.
+func (g *generation) end(run *engineRun, o sched.Outcome) {
+	run.cancel(errRunAbandoned)
+	if p := run.prefill; p != nil && !run.counted {
+		g.s.stats.prefillsUnfetched.Inc()
+		g.s.releaseHandle(p.addr, p.endpoint, p.handle)
+	}
+	if o != sched.Succeeded && o != sched.Abandoned {
+		g.excluded = append(g.excluded, run.lease.Target.Name)
+	}
+	g.s.admission.release(run.lease, o)
 }
 
 // callerTimeout returns how long a caller waits for the next event.
@@ -93,8 +294,8 @@
 	return max(minCallerTimeout, callerTimeoutTargets*r.FirstToken, callerTimeoutGaps*r.MaxGap)
 }
 
-// engineTimeout returns how long the engine of the next attempt may send nothing: until the
-// caller gives up, or, if the stream can be resumed on another engine, until the engine is more
+// engineTimeout returns how long an engine may send nothing before another one is prepared: until
+// the caller gives up, or, if the stream can be resumed on another engine, until the engine is more
 // likely unreachable than slow. The caller must still be connected when the stream resumes.
 func (x *exchange) engineTimeout() time.Duration {
 	r := x.call.Route
@@ -123,60 +324,61 @@
 	}
 }
 
-// errNoRetryBudget ends a request that would need another prefill and decode when the retry
-// budget does not allow them.
-var errNoRetryBudget = errors.New("retry budget is exhausted")
+var (
+	// errNoRetryBudget ends a request that would have to be sent again when the retry budget
+	// does not allow it.
+	errNoRetryBudget = errors.New("retry budget is exhausted")
+	// errNoPlace marks the refusal of a request for which no engine can be had in time.
+	errNoPlace = errors.New("no engine can be had in time")
+)
 
 // prefillTimePerToken is the typical time to prefill one prompt token.
 const prefillTimePerToken = 18 * time.Microsecond
 
-// attempt runs prefill and decode once. Done is false if another attempt may follow.
-func (x *exchange) attempt(ctx context.Context, l *placement.Lease) (done bool, err error) {
+// launch prefills the prompt, if the lease has an engine for that, and sends the request to the
+// lease's decode engine. Done is false if another attempt may follow. Ctx limits the
+// preparation only. The run holds the lease; without a run it is released.
+func (g *generation) launch(ctx context.Context, l *placement.Lease) (run *engineRun, done bool, err error) {
+	g.decision("place", "prefill", endpointName(l.Prefill), "decode", l.Target.Name, "waited_ms", g.queueTime.Milliseconds(), "prompt", g.call.PromptTokens, "output", g.call.MaxOutputTokens)
 	outcome := sched.Abandoned
-	defer func() { x.s.admission.release(l, outcome) }()
-	if err := x.admit(); err != nil {
-		return true, err
+	defer func() {
+		if run == nil {
+			g.s.admission.release(l, outcome)
+		}
+	}()
+	if err := g.admit(); err != nil {
+		return nil, true, err
 	}
-	x.lastEndpoint = l.Target.Name
-	if err := x.s.upstream.ensureConn(ctx, l.Target.Addr); err != nil {
+	if err := g.s.upstream.ensureConn(ctx, l.Target.Addr); err != nil {
 		outcome = outcomeOf(ctx, err)
-		x.s.recordConnectError(l.Target, err)
-		x.excluded = append(x.excluded, l.Target.Name)
-		return ctx.Err() != nil, err
+		g.s.recordConnectError(l.Target, err)
+		g.excluded = append(g.excluded, l.Target.Name)
+		return nil, ctx.Err() != nil, err
 	}
-	if l.Prefill != nil && x.prefilled && !x.reserveSends(2) {
-		return true, errNoRetryBudget
-	}
-	source := ""
-	if p := l.Prefill; p != nil {
-		handle, err := x.prefill(ctx, l)
-		if err != nil {
-			x.excluded = append(x.excluded, p.Name)
-			return errors.Is(err, errCallerGone), err
+	var p *prefillResult
+	if engine := l.Prefill; engine != nil {
+		if g.prefilled && !g.reserveSends(2) {
+			return nil, true, errNoRetryBudget
 		}
-		source = p.Addr + "/" + handle
-		defer func() {
-			if !x.handleFetched {
-				x.s.stats.prefillsUnfetched.Inc()
-				x.s.releaseHandle(p.Addr, p.Name, handle)
-			}
-		}()
-	}
-	prefilledAt := time.Now()
-	for {
-		if err := x.admit(); err != nil {
-			return true, err
-		}
-		x.lastEndpoint = l.Target.Name
-		refused := false
-		refused, done, outcome, err = x.decode(ctx, l, source)
-		if outcome != sched.Succeeded && outcome != sched.Abandoned {
-			x.excluded = append(x.excluded, l.Target.Name)
+		if p, err = g.prefill(ctx, l); err != nil {
+			g.excluded = append(g.excluded, engine.Name)
+			return nil, errors.Is(err, errCallerGone), err
 		}
-		if !refused || source == "" || ctx.Err() != nil || time.Since(prefilledAt) > x.handleReuseTime() || !x.redirect(l, outcome, err) {
-			return done, err
+	}
+	if err := g.admit(); err != nil {
+		if p != nil {
+			g.s.releaseHandle(p.addr, p.endpoint, p.handle)
 		}
+		return nil, true, err
 	}
+	return g.sendRun(l, p), false, nil
+}
+
+// sendRun sends the request to the lease's decode engine.
+func (g *generation) sendRun(l *placement.Lease, p *prefillResult) *engineRun {
+	g.countSend()
+	req := g.request(l.Target.Addr, RequestOptions{Endpoint: l.Target.Name, KVSource: p.source(), LastEventID: g.lastEventID})
+	return g.s.upstream.startRun(g.ctx, req, l, p)
 }
 
 // handleReuseTime is how long after a prefill its result may still be offered to another
@@ -185,122 +387,198 @@
 	return time.Duration(handleReuseRatio * float64(x.call.Pool.Engine.HandleTTL))
 }
 
-// redirect moves a generation to another decode engine after its prefill: repeating the prefill
-// would cost more than anything else.
-func (x *exchange) redirect(l *placement.Lease, o sched.Outcome, cause error) bool {
-	if !x.reserveSends(1) {
-		return false
+// redirectRun sends a request that an engine refused to another one, with the result of the same
+// prefill: repeating the prefill would cost more than anything else. It returns nil if that is
+// not possible.
+func (g *generation) redirectRun(run *engineRun, o sched.Outcome, cause error) *engineRun {
+	p, l := run.prefill, run.lease
+	if p == nil || g.ctx.Err() != nil || time.Since(p.at) > g.handleReuseTime() || !g.reserveSends(1) {
+		return nil
 	}
 	from := l.Target
-	moved := x.s.admission.redirect(l, x.newWaiter().Demand, o)
-	x.s.stats.redirects.Inc()
-	x.decision("redirect", "from", from.Name, "to", l.Target.Name, "moved", moved, "cause", cause.Error())
-	return moved
+	moved := g.s.admission.redirect(l, g.newWaiter().Demand, o)
+	g.s.stats.redirects.Inc()
+	g.decision("redirect", "from", from.Name, "to", l.Target.Name, "moved", moved, "cause", cause.Error())
+	if !moved || g.admit() != nil {
+		return nil
+	}
+	g.excluded = append(g.excluded, from.Name)
+	run.cancel(errRunAbandoned)
+	return g.sendRun(l, p)
 }
 
-// prefill runs the prompt on a prefill engine and returns the handle of the result.
-func (x *exchange) prefill(ctx context.Context, l *placement.Lease) (string, error) {
+// prefill runs the prompt on the lease's prefill engine. An engine that takes too long is given up
+// only if another one can be asked.
+func (g *generation) prefill(ctx context.Context, l *placement.Lease) (*prefillResult, error) {
 	outcome := sched.Failed
 	p := l.Prefill
-	defer func() { x.s.admission.releasePrefill(l, outcome) }()
-	limit := max(minPrefillTimeout, prefillTimeoutFactor*x.s.admission.expectedPrefillTime(l))
-	pctx, cancel := context.WithTimeoutCause(ctx, limit, errEndpointTimeout)
-	defer cancel()
-	sends, reserved := x.sends, x.reserved
-	resp, err := x.send(pctx, p.Addr, RequestOptions{Endpoint: p.Name, PrefillOnly: true})
+	defer func() { g.s.admission.releasePrefill(l, outcome) }()
+	pctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	sends, reserved := g.sends, g.reserved
+	call := g.startCall(pctx, p.Addr, RequestOptions{Endpoint: p.Name, PrefillOnly: true})
+	g.awaitPrefill(l, call, cancel)
+	g.finishCall(call, p.Name)
+	resp, err := call.resp, call.err
+	if resp != nil {
+		defer resp.close()
+	}
 	if err != nil {
 		if ctx.Err() != nil {
 			outcome = sched.Abandoned
-			return "", context.Cause(ctx)
+			return nil, context.Cause(ctx)
 		}
-		x.recordBreak(pctx, p, err)
-		return "", err
-	}
-	defer resp.close()
-	body, err := resp.readAll()
-	if err != nil {
-		x.recordBreak(pctx, p, err)
-		return "", err
+		g.recordBreak(pctx, p, err)
+		return nil, err
 	}
 	if resp.Status != http.StatusOK {
 		if resp.NotRun {
 			outcome = refusedOutcome(resp)
 		}
-		return "", errors.Newf("prefill failed with status %d", resp.Status)
+		return nil, errors.Newf("prefill failed with status %d", resp.Status)
 	}
-	handle, err := x.s.wire.PrefillHandle(body)
+	handle, err := g.s.wire.PrefillHandle(call.body)
 	if err != nil {
-		return "", errors.Mark(err, endpoint.ErrCallFailed)
+		return nil, errors.Mark(err, endpoint.ErrCallFailed)
 	}
 	outcome = sched.Succeeded
-	x.s.stats.prefills.Inc()
-	x.decision("prefill", "endpoint", p.Name, "tokens", x.call.PromptTokens)
-	if !x.prefilled {
-		x.prefilled, x.sends, x.reserved = true, sends, reserved
+	g.s.stats.prefills.Inc()
+	g.decision("prefill", "endpoint", p.Name, "tokens", g.call.PromptTokens)
+	if !g.prefilled {
+		g.prefilled, g.sends, g.reserved = true, sends, reserved
 	}
-	return handle, nil
+	return &prefillResult{addr: p.Addr, endpoint: p.Name, handle: handle, at: time.Now()}, nil
 }
 
-// decode streams the output to the caller. Refused means that the engine did not accept the
-// request, so that a prefill result is still available.
-func (x *exchange) decode(ctx context.Context, l *placement.Lease, source string) (refused, done bool, outcome sched.Outcome, err error) {
-	sctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	limit := x.engineTimeout()
-	idleTimer := time.AfterFunc(limit, func() { cancel(errEndpointTimeout) })
-	defer idleTimer.Stop()
-	resp, err := x.send(sctx, l.Target.Addr, RequestOptions{Endpoint: l.Target.Name, KVSource: source, LastEventID: x.lastEventID})
-	if err != nil {
-		if errors.Is(err, endpoint.ErrNotSent) {
-			return true, ctx.Err() != nil, outcomeOf(ctx, err), err
+// awaitPrefill waits until the prefill is answered, or cancels it when it takes too long and
+// another engine can be asked.
+func (g *generation) awaitPrefill(l *placement.Lease, call *pendingCall, cancel context.CancelCauseFunc) {
+	limit := time.NewTimer(max(minPrefillTimeout, prefillTimeoutFactor*g.s.admission.expectedPrefillTime(l)))
+	defer limit.Stop()
+	for {
+		select {
+		case <-call.answered:
+			return
+		case <-limit.C:
+			demand := g.newWaiter().Demand
+			demand.Exclude = append(slices.Clone(demand.Exclude), l.Prefill.Name)
+			if g.sends < maxGenerationSends && g.s.admission.hasPlace(demand) && g.reserveSends(1) {
+				cancel(errEndpointTimeout)
+				<-call.answered
+				return
+			}
+			limit.Reset(standbyRetryDelay)
 		}
-		x.runs, x.handleFetched = x.runs+1, true
-		x.recordBreak(sctx, l.Target, err)
-		return false, x.cannotResume(ctx), outcomeOf(ctx, err), err
 	}
-	defer resp.close()
+}
+
+// runVerdict says what a result means for its run.
+type runVerdict int
+
+const (
+	runProgressed runVerdict = iota
+	runFinished              // the request has its response
+	runRefused               // the engine did not run the request; a prefill result is still available
+	runFailed
+)
+
+// receive handles a result of a run. The outcome is the run's, if it is over.
+func (g *generation) receive(run *engineRun, r runResult) (runVerdict, sched.Outcome, error) {
+	switch {
+	case run.begun:
+		return g.receiveEvent(run, r)
+	case r.resp != nil:
+		return g.receiveHead(run, r)
+	case errors.Is(r.err, endpoint.ErrNotSent):
+		g.uncountSend()
+		g.s.recordConnectError(run.lease.Target, r.err)
+		return runRefused, outcomeOf(g.ctx, r.err), r.err
+	}
+	g.countRun(run)
+	g.recordBreak(g.ctx, run.lease.Target, r.err)
+	return runFailed, outcomeOf(g.ctx, r.err), r.err
+}
+
+// countRun records that the run's engine may have run the request.
+func (g *generation) countRun(run *engineRun) {
+	if !run.counted {
+		run.counted = true
+		g.runs++
+	}
+}
+
+// receiveHead handles the head of a response, or the whole response if it is not a stream.
+func (g *generation) receiveHead(run *engineRun, r runResult) (runVerdict, sched.Outcome, error) {
+	resp := r.resp
+	g.reportLimit(resp, run.lease.Target.Name)
 	if resp.NotRun {
-		_, _ = resp.readAll()
-		return true, false, refusedOutcome(resp), refusal(errkind.QueueFull, "the engine refused the request", endpointRetryAfter)
+		return runRefused, refusedOutcome(resp), refusal(errkind.QueueFull, "the engine refused the request", endpointRetryAfter)
 	}
-	x.runs, x.handleFetched = x.runs+1, true
+	g.countRun(run)
 	if err := checkResponse(resp); err != nil {
-		return false, x.cannotResume(ctx), sched.Failed, err
+		return runFailed, sched.Failed, err
 	}
-	if resp.Status != http.StatusOK {
-		body, err := resp.readAll()
-		if err != nil {
-			return false, x.cannotResume(ctx), sched.Failed, err
-		}
-		if x.resp.started || !x.cannotResume(ctx) {
-			x.fallback = &bufferedResponse{status: resp.Status, header: resp.Headers, body: body}
-			return false, x.cannotResume(ctx), sched.Failed, errors.Newf("engine responded with status %d", resp.Status)
-		}
-		x.resp.send(resp.Status, resp.Headers, body)
-		return false, true, sched.Succeeded, x.resp.writeErr
+	if startsStream(resp) {
+		run.begun, run.resp = true, resp
+		return runProgressed, sched.Succeeded, nil
 	}
-	events, err := x.relayStream(resp, l, func() { idleTimer.Reset(limit) })
-	switch {
-	case err != nil && events < beginEvents:
-		x.recordBreak(sctx, l.Target, err)
-	case events < beginEvents:
-		x.recordBegun()
+	if r.err != nil {
+		return runFailed, sched.Failed, r.err
 	}
+	if g.resp.started || g.current != run || g.standby != nil || !g.cannotResume(g.ctx) {
+		g.fallback = &bufferedResponse{status: resp.Status, header: resp.Headers, body: r.body}
+		return runFailed, sched.Failed, errors.Newf("engine responded with status %d", resp.Status)
+	}
+	g.resp.send(resp.Status, resp.Headers, r.body)
+	return runFinished, sched.Succeeded, g.resp.writeErr
+}
+
+// receiveEvent forwards an event, or handles the end of a stream.
+func (g *generation) receiveEvent(run *engineRun, r runResult) (runVerdict, sched.Outcome, error) {
 	switch {
-	case err == nil:
-		resp.bodyRead = true
-		if x.call.LastEventID == "" {
-			x.s.admission.observeOutput(x.call, x.relayedTokens)
+	case r.err == nil:
+		if err := g.relayEvent(run, r.event); err != nil {
+			return runFinished, sched.Abandoned, errors.Mark(err, errCallerGone)
 		}
-		if !x.resp.started {
-			x.resp.startStream(resp.Status, resp.Headers)
+		return runProgressed, sched.Succeeded, nil
+	case !errors.Is(r.err, io.EOF):
+		if run.events < beginEvents {
+			g.recordBreak(g.ctx, run.lease.Target, r.err)
 		}
-		x.resp.finishStream()
-		return false, true, sched.Succeeded, x.resp.writeErr
-	case x.resp.writeErr != nil:
-		return false, true, sched.Abandoned, errors.Mark(x.resp.writeErr, errCallerGone)
+		return runFailed, outcomeOf(g.ctx, r.err), r.err
+	}
+	if run.events < beginEvents {
+		g.recordBegun()
+	}
+	if g.call.LastEventID == "" {
+		g.s.admission.observeOutput(g.call, g.relayedTokens)
+	}
+	if !g.resp.started {
+		g.resp.startStream(run.resp.Status, run.resp.Headers)
 	}
-	return false, x.cannotResume(ctx), outcomeOf(ctx, err), err
+	g.resp.finishStream()
+	return runFinished, sched.Succeeded, g.resp.writeErr
+}
+
+// relayEvent forwards a complete event.
+func (g *generation) relayEvent(run *engineRun, e streamEvent) error {
+	if !g.resp.started {
+		g.resp.startStream(run.resp.Status, run.resp.Headers)
+	}
+	if err := g.resp.writeChunk(e.raw); err != nil {
+		return err
+	}
+	if e.id != "" {
+		g.lastEventID = e.id
+	}
+	g.recordEventTime(time.Now())
+	if run.events++; run.events == beginEvents {
+		g.recordBegun()
+	}
+	stride := max(1, g.call.Pool.Engine.Stride)
+	g.relayedTokens += stride
+	g.s.admission.withScheduler(func(now time.Time, s *placement.Scheduler) { s.RecordProgress(now, run.lease, run.events*stride) })
+	return nil
 }
 
 // outcomeOf classifies a failure by whether the endpoint caused it.
@@ -321,37 +599,6 @@
 	return ctx.Err() != nil || !x.call.Route.Resumable || x.runs >= x.call.Route.MaxAttempts
 }
 
-// relayStream forwards complete events as they arrive and returns how many there were.
-func (x *exchange) relayStream(resp *endpointResponse, l *placement.Lease, onEvent func()) (events int, err error) {
-	br := bufio.NewReaderSize(resp.body, eventBufferBytes)
-	stride := max(1, x.call.Pool.Engine.Stride)
-	for {
-		e, err := readEvent(br)
-		if errors.Is(err, io.EOF) {
-			return events, nil
-		}
-		if err != nil {
-			return events, errors.Mark(err, endpoint.ErrCallFailed)
-		}
-		onEvent()
-		if !x.resp.started {
-			x.resp.startStream(resp.Status, resp.Headers)
-		}
-		if err := x.resp.writeChunk(e.raw); err != nil {
-			return events, err
-		}
-		if e.id != "" {
-			x.lastEventID = e.id
-		}
-		x.recordEventTime(time.Now())
-		if events++; events == beginEvents {
-			x.recordBegun()
-		}
-		x.relayedTokens += stride
-		x.s.admission.withScheduler(func(now time.Time, s *placement.Scheduler) { s.RecordProgress(now, l, events*stride) })
-	}
-}
-
 // recordEventTime records when an event was relayed.
 func (x *exchange) recordEventTime(now time.Time) {
 	if x.relayedTokens == 0 {
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -49,7 +49,6 @@
 	reserved        int       // retries reserved in the budget and not yet used; negative for sends without a reservation
 	prefilled       bool      // a prefill has succeeded; only the first one does not count as a send
 	runs            int       // endpoints that may have run the request
-	handleFetched   bool      // an engine may have fetched the prefill result
 	crashed         bool      // the endpoint of the last attempt crashed before its response began
 	excluded        []string  // endpoints that failed the request
 	lastEndpoint    string    // endpoint of the last attempt
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -142,6 +142,16 @@
 	return l
 }
 
+// HasPlace reports whether AcquireEngine would place a generation.
+func (s *Scheduler) HasPlace(now time.Time, d Demand) bool {
+	l := s.reserveEngine(now, d, s.ready)
+	if l == nil {
+		return false
+	}
+	s.Release(now, l, sched.Abandoned)
+	return true
+}
+
 // choosePrefill returns the prefill engine with the shortest backlog, nil if all backlogs
 // are too long. Direct is true if the pool has no usable prefill engine.
 func (s *Scheduler) choosePrefill(now time.Time, d Demand, mayUse endpointFilter) (best *endpointState, direct bool) {
