gateway: requests in progress are answered before the process exits

Callers saw a connection closed without a response when their call was forwarded late in a drain and its endpoint was silent for longer than the process still ran.

Cause: the drain waits for the requests in progress until shortly before the platform kills the process, and then exits, whatever is still in progress.

Now requests whose response has not begun are ended 150 ms before the exit and get 503 if they have not run, else 502. Begun streams go on until the exit.

--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -148,6 +149,11 @@
 func (c *callerConn) handleCall(ctx context.Context, call *Call, r *response) (reuse bool, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	defer context.AfterFunc(c.s.exiting, func() {
+		if !r.streaming.Load() {
+			cancel(context.Cause(c.s.exiting))
+		}
+	})()
 	_ = c.nc.SetReadDeadline(time.Time{})
 	watcherDone := make(chan struct{})
 	go func() {
@@ -195,6 +201,8 @@
 	started  bool // part of the response may have been sent
 	finished bool
 	writeErr error
+
+	streaming atomic.Bool // a response of unknown length has begun
 }
 
 // send sends a complete response.
@@ -232,6 +240,7 @@
 
 // startStream starts a response of unknown length.
 func (r *response) startStream(status int, h http.Header) {
+	r.streaming.Store(true)
 	r.writeHead(status, h)
 	_, _ = r.conn.bw.WriteString("Transfer-Encoding: chunked\r\n\r\n")
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -16,6 +16,7 @@
 	"math/rand/v2"
 
 	"carawayrouter.example/router/internal/config"
+	"carawayrouter.example/router/internal/errkind"
 	"carawayrouter.example/router/internal/limit/pacing"
 	"carawayrouter.example/router/internal/limit/window"
 	"carawayrouter.example/router/internal/placement"
@@ -31,6 +32,7 @@
 	streamStartLimit    = 2900 * time.Millisecond
 	callDrainTime       = 800 * time.Millisecond // before exit, for running service calls to end
 	exitMargin          = 400 * time.Millisecond // before the platform kills the process
+	exitAnswerTime      = 150 * time.Millisecond // before exit, to answer the requests that are still in progress
 	drainPollInterval   = 20 * time.Millisecond
 	storeScaleFleet     = 8                      // largest fleet for which the intervals between store calls are not scaled
 	delayPerInstance    = 25 * time.Millisecond  // per instance, so that a series of row changes is read in few calls
@@ -73,6 +75,9 @@
 	stopping atomic.Bool // requests are no longer forwarded to endpoints
 	cutOff   atomic.Bool // other instances serve callers better; see updateCutOff
 
+	exiting context.Context // ends when requests in progress have to be answered because of the exit
+	exit    context.CancelCauseFunc
+
 	connMu sync.Mutex
 	conns  map[net.Conn]struct{}
 
@@ -92,6 +97,7 @@
 		conns:  map[net.Conn]struct{}{},
 		reload: d.Reload,
 	}
+	g.exiting, g.exit = context.WithCancelCause(context.Background())
 	var start time.Time
 	if !s.Bootstrap {
 		start = time.Now()
@@ -327,6 +333,9 @@
 	_ = ln.Close()
 	s.peers.leave()
 	for s.active.Load() > 0 && time.Now().Before(deadline) {
+		if time.Until(deadline) < exitAnswerTime {
+			s.exit(refusal(errkind.ShuttingDown, "this instance is shutting down", shutdownRetryAfter))
+		}
 		time.Sleep(drainPollInterval)
 	}
 	s.log.Info("process.stop", "cut", s.active.Load(), "ms", time.Since(began).Milliseconds())
