gateway: log software versions and the streams that callers take up again

The endpoints' rows name the version of their software, and callers name the attempt that a stream began with; neither was read, so that logs could not tell whether a stream that went on at another version was moved by the instance, taken up by its caller, or decoded from a prefill of another version.

request.place, request.redirect and endpoint.seen now name the software version, and request.resume the attempt that a caller takes up.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -119,6 +119,8 @@
 	Fencing    bool   `json:"fencing"` // refuses orders with a stale epoch
 	Leaving    bool   `json:"leaving"`
 
+	SoftwareVersion string `json:"software_version,omitempty"`
+
 	Incarnation int64         `json:"incarnation,omitempty"` // start of the process, Unix ms
 	Revision    uint64        `json:"revision,omitempty"`    // increases with every report of one incarnation
 	WarmUp      time.Duration `json:"cold,omitempty"`        // remaining warm-up time after its start, during which it is slow
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -45,6 +45,7 @@
 	Headers        http.Header // headers to forward
 	LastEventID    string      // ID of the last event the caller received; empty on a first attempt
 	EventsReceived int         // number of events up to LastEventID
+	Resumes        string      // ID of the attempt that brought the stream's first event; empty on a first attempt
 	Arrived        time.Time
 	Deadline       time.Time // zero if the caller set none
 
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -60,6 +60,9 @@
 	if x.s.refusesStreams() {
 		return refusal(errkind.ShuttingDown, "this instance is shutting down", shutdownRetryAfter)
 	}
+	if x.call.LastEventID != "" {
+		x.decision("resume", "attempt", x.call.Resumes, "after", x.call.LastEventID)
+	}
 	g := &generation{exchange: x, ctx: ctx, silence: time.NewTimer(x.engineTimeout())}
 	defer g.silence.Stop()
 	defer g.abandonAll()
@@ -339,7 +342,7 @@
 // lease's decode engine. Done is false if another attempt may follow. Ctx limits the
 // preparation only. The run holds the lease; without a run it is released.
 func (g *generation) launch(ctx context.Context, l *placement.Lease) (run *engineRun, done bool, err error) {
-	g.decision("place", "prefill", endpointName(l.Prefill), "decode", l.Target.Name, "waited_ms", g.queueTime.Milliseconds(), "prompt", g.call.PromptTokens, "output", g.call.MaxOutputTokens)
+	g.decision("place", "prefill", endpointName(l.Prefill), "decode", l.Target.Name, "software", l.Target.SoftwareVersion, "waited_ms", g.queueTime.Milliseconds(), "prompt", g.call.PromptTokens, "output", g.call.MaxOutputTokens)
 	outcome := sched.Abandoned
 	defer func() {
 		if run == nil {
@@ -398,7 +401,7 @@
 	from := l.Target
 	moved := g.s.admission.redirect(l, g.newWaiter().Demand, o)
 	g.s.stats.redirects.Inc()
-	g.decision("redirect", "from", from.Name, "to", l.Target.Name, "moved", moved, "cause", cause.Error())
+	g.decision("redirect", "from", from.Name, "to", l.Target.Name, "software", l.Target.SoftwareVersion, "moved", moved, "cause", cause.Error())
 	if !moved || g.admit() != nil {
 		return nil
 	}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -97,7 +97,7 @@
 			continue
 		}
 		if s.directory.put(ep) {
-			s.log.Info("endpoint.seen", "endpoint", ep.Name, "addr", ep.Addr, "pool", ep.Pool, "role", ep.Role, "leaving", ep.Leaving, "incarnation", ep.Incarnation)
+			s.log.Info("endpoint.seen", "endpoint", ep.Name, "addr", ep.Addr, "pool", ep.Pool, "role", ep.Role, "software", ep.SoftwareVersion, "leaving", ep.Leaving, "incarnation", ep.Incarnation)
 			changed = true
 		}
 	}
