gateway: retries are returned to the window in which they were reserved

A retry that was reserved and not made was returned to the budget of the moment. Reservations are held for long by streams whose engine is silent; no caller is known to have been hurt.

A refund now lowers the window of its reservation, or nothing if that is over.

--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -97,10 +97,15 @@
 	return true
 }
 
-// refund returns retries that were reserved but not made.
-func (b *retryBudget) refund(now time.Time, pool string, n int) {
+// refund returns retries that were reserved at a time but not made. They count for the window in
+// which they were reserved.
+func (b *retryBudget) refund(reservedAt time.Time, pool string, n int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	bucket, _, _ := b.currentBucket(now, pool)
-	bucket.retries -= n
+	buckets := b.pools[pool]
+	index := reservedAt.UnixNano() / int64(b.window/budgetBuckets)
+	if buckets == nil || buckets[index%budgetBuckets].index != index {
+		return
+	}
+	buckets[index%budgetBuckets].retries -= n
 }
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -47,6 +47,7 @@
 	chargedAt       time.Time // when the tokens were charged to the account
 	sends           int       // requests received by endpoints that count against the retry budget
 	reserved        int       // retries reserved in the budget and not yet used; negative for sends without a reservation
+	reservedAt      time.Time // of the oldest reservation
 	prefilled       bool      // a prefill has succeeded; only the first one does not count as a send
 	runs            int       // endpoints that may have run the request
 	crashed         bool      // the endpoint of the last attempt crashed before its response began
@@ -195,11 +196,15 @@
 	if need <= 0 {
 		return true
 	}
-	if !x.s.budget.reserve(time.Now(), x.call.Pool.Name, need) {
+	now := time.Now()
+	if !x.s.budget.reserve(now, x.call.Pool.Name, need) {
 		x.s.stats.retriesDenied.Inc()
 		x.decision("no_repeat", "reason", "budget", "arrivals", need)
 		return false
 	}
+	if x.reserved <= 0 {
+		x.reservedAt = now
+	}
 	x.reserved += need
 	return true
 }
@@ -207,7 +212,7 @@
 // refundSends returns reserved retries that were not used.
 func (x *exchange) refundSends() {
 	if x.reserved > 0 {
-		x.s.budget.refund(time.Now(), x.call.Pool.Name, x.reserved)
+		x.s.budget.refund(x.reservedAt, x.call.Pool.Name, x.reserved)
 		x.reserved = 0
 	}
 }
