gateway: a silent call is kept until another endpoint has not refused it

A call whose endpoint was silent was given up as soon as another endpoint was chosen.

The call now stays at both endpoints until one answers, or until the second one has had it for 300 ms without a refusal.

--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -20,58 +20,46 @@
 	attemptLatencyFactor = 6   // multiple of the pool's typical latency
 	attemptTargetRatio   = 0.6 // fraction of the latency target
 	maxSends             = 4   // per request, including sends that the endpoint refused
+	// maxCallOverlap is how long two endpoints may work on one call; a refusal comes at once.
+	maxCallOverlap = 300 * time.Millisecond
 )
 
 // service runs a service call. It is retried only if the route allows it, or if the endpoint
 // states that the call did not run.
 func (x *exchange) service(ctx context.Context) error {
 	var last error
-	var next *placement.Lease // acquired for the next attempt
 	for x.sends < maxSends {
 		if err := x.admit(); err != nil {
-			x.returnLease(next)
 			if last != nil && errors.Is(err, errQuarantined) {
 				return last
 			}
 			return err
 		}
 		if !x.reserveSends(1) {
-			x.returnLease(next)
 			return last
 		}
-		lease := next
-		if lease == nil {
-			var err error
-			if lease, err = x.s.admission.acquireService(x.callDemand()); err != nil {
-				if last != nil {
-					return last
-				}
-				return err
+		lease, err := x.s.admission.acquireService(x.callDemand())
+		if err != nil {
+			if last != nil {
+				return last
 			}
+			return err
 		}
-		x.decision("place", "endpoint", lease.Target.Name, "sends", x.sends)
 		x.crashed = false
-		var done bool
-		var err error
-		next, done, err = x.attemptCall(ctx, lease)
+		done, err := x.attemptCall(ctx, x.startCallRun(ctx, lease))
 		if done {
-			x.returnLease(next)
 			return err
 		}
 		last = err
-		x.excluded = append(x.excluded, lease.Target.Name)
 		if x.suspected() {
-			x.returnLease(next)
 			return last
 		}
 		if ctx.Err() != nil {
-			x.returnLease(next)
 			return context.Cause(ctx)
 		}
 		x.s.stats.retries.Inc()
-		x.decision("repeat", "endpoint", lease.Target.Name, "sends", x.sends, "runs", x.runs, "cause", err.Error())
+		x.decision("repeat", "endpoint", x.lastEndpoint, "sends", x.sends, "runs", x.runs, "cause", err.Error())
 	}
-	x.returnLease(next)
 	return last
 }
 
@@ -79,85 +67,155 @@
 	return placement.Demand{Pool: x.call.Pool.Name, Exclude: x.excluded}
 }
 
-// returnLease releases a lease that was not used, if there is one.
-func (x *exchange) returnLease(l *placement.Lease) {
-	if l != nil {
-		x.s.admission.releaseCall(l, sched.Abandoned)
-	}
-}
-
 // canRetry reports whether the request may be run again although it may already have run.
 func (x *exchange) canRetry() bool {
 	return x.call.Route.Idempotent && x.runs < x.call.Route.MaxAttempts
 }
 
-// attemptCall makes one attempt. Done is false if another endpoint may be tried; next is a lease
-// for that if the attempt was given up because its endpoint was silent.
-func (x *exchange) attemptCall(ctx context.Context, l *placement.Lease) (next *placement.Lease, done bool, err error) {
+// callRun is a service call at one endpoint.
+type callRun struct {
+	lease   *placement.Lease
+	call    *pendingCall
+	cancel  context.CancelCauseFunc
+	standby bool // sent while another endpoint has the call
+}
+
+// startCallRun sends the call to the lease's endpoint.
+func (x *exchange) startCallRun(ctx context.Context, l *placement.Lease) *callRun {
+	x.decision("place", "endpoint", l.Target.Name, "sends", x.sends)
+	x.lastEndpoint = l.Target.Name
+	r := &callRun{lease: l}
+	ctx, r.cancel = context.WithCancelCause(ctx)
+	r.call = x.startCall(ctx, l.Target.Addr, RequestOptions{Endpoint: l.Target.Name})
+	return r
+}
+
+// attemptCall waits for the response to a call. While its endpoint is silent, and another one may
+// and can be tried, the call is sent to that one too, and given up at the silent one when the
+// other one has not refused it. Done is false if another endpoint may be tried.
+func (x *exchange) attemptCall(ctx context.Context, run *callRun) (done bool, err error) {
+	silence := time.NewTimer(x.attemptTimeout(run.lease))
+	defer silence.Stop()
+	var standby *callRun
+	for {
+		var standbyAnswered chan struct{}
+		if standby != nil {
+			standbyAnswered = standby.call.answered
+		}
+		select {
+		case <-run.call.answered:
+			done, err = x.finishCallRun(ctx, run, standby != nil)
+			if done || standby == nil {
+				if standby != nil {
+					x.abandonCallRun(standby, sched.Abandoned)
+				}
+				return done, err
+			}
+			run, standby = promote(standby, silence, x.attemptTimeout(standby.lease)), nil
+		case <-standbyAnswered:
+			if standby.call.refused() {
+				_, err = x.finishCallRun(ctx, standby, true)
+				x.decision("no_standby", "endpoint", run.lease.Target.Name, "cause", err.Error())
+				standby = nil
+				silence.Reset(standbyRetryDelay)
+				continue
+			}
+			x.abandonCallRun(run, sched.Failed)
+			run, standby = promote(standby, silence, x.attemptTimeout(standby.lease)), nil
+		case <-silence.C:
+			switch {
+			case standby != nil:
+				x.abandonCallRun(run, sched.Failed)
+				run, standby = promote(standby, silence, x.attemptTimeout(standby.lease)), nil
+			case x.call.Route.Idempotent && x.runs+1 < x.call.Route.MaxAttempts:
+				if other := x.acquireOther(run.lease); other != nil {
+					standby = x.startCallRun(ctx, other)
+					standby.standby = true
+					silence.Reset(maxCallOverlap)
+				} else {
+					silence.Reset(standbyRetryDelay)
+				}
+			}
+		}
+	}
+}
+
+// promote makes a standby the only run of its call.
+func promote(standby *callRun, silence *time.Timer, timeout time.Duration) *callRun {
+	standby.standby = false
+	silence.Reset(timeout)
+	return standby
+}
+
+// refused reports whether an answered call was certainly not run.
+func (p *pendingCall) refused() bool {
+	return errors.Is(p.err, endpoint.ErrNotSent) || p.err == nil && p.resp.NotRun
+}
+
+// abandonCallRun ends a call without its response.
+func (x *exchange) abandonCallRun(run *callRun, o sched.Outcome) {
+	run.cancel(errEndpointTimeout)
+	<-run.call.answered
+	x.finishCall(run.call, run.lease.Target.Name)
+	if !run.call.refused() {
+		x.runs++
+		x.recordAbandoned(run.lease.Target)
+	}
+	x.endCallRun(run, o)
+}
+
+// endCallRun frees what a call holds.
+func (x *exchange) endCallRun(run *callRun, o sched.Outcome) {
+	run.cancel(nil)
+	if run.call.resp != nil {
+		run.call.resp.close()
+	}
+	if o != sched.Succeeded && o != sched.Abandoned && (o != sched.Full || !run.standby) {
+		x.excluded = append(x.excluded, run.lease.Target.Name)
+	}
+	x.s.admission.releaseCall(run.lease, o)
+}
+
+// finishCallRun handles an answered call. Another says that the call is in progress at another
+// endpoint too. Done is false if another endpoint may be tried.
+func (x *exchange) finishCallRun(ctx context.Context, run *callRun, another bool) (done bool, err error) {
 	outcome := sched.Failed
-	defer func() { x.s.admission.releaseCall(l, outcome) }()
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
+	defer func() { x.endCallRun(run, outcome) }()
+	l := run.lease
 	x.lastEndpoint = l.Target.Name
-	p := x.startCall(ctx, l.Target.Addr, RequestOptions{Endpoint: l.Target.Name})
-	next = x.awaitCall(l, p, cancel)
-	x.finishCall(p, l.Target.Name)
-	resp, body, err := p.resp, p.body, p.err
+	x.finishCall(run.call, l.Target.Name)
+	resp, body, err := run.call.resp, run.call.body, run.call.err
 	if resp == nil {
 		outcome = outcomeOf(ctx, err)
 		x.recordBreak(ctx, l.Target, err)
-		return next, x.recordFailure(err), err
+		return x.recordFailure(err) && !another, err
 	}
-	defer resp.close()
 	if resp.HasLoad {
 		x.s.admission.withScheduler(func(now time.Time, s *placement.Scheduler) { s.RecordLoad(now, l, resp.Running, resp.Queued) })
 	}
 	if err != nil {
 		x.recordBreak(ctx, l.Target, err)
 		x.runs++
-		return next, !x.canRetry(), err
+		return !x.canRetry() && !another, err
 	}
 	if resp.NotRun {
 		outcome = refusedOutcome(resp)
-		return next, false, refusal(errkind.NoEndpoint, "the endpoint refused the request", endpointRetryAfter)
+		return false, refusal(errkind.NoEndpoint, "the endpoint refused the request", endpointRetryAfter)
 	}
 	x.runs++
 	if err := checkResponse(resp); err != nil {
-		return next, !x.canRetry(), err
+		return !x.canRetry() && !another, err
 	}
 	outcome = sched.Succeeded
 	x.recordBegun()
-	if resp.Status >= 500 && x.canRetry() && time.Until(x.deadline) > x.s.admission.typicalLatency(l) {
+	if resp.Status >= 500 && (another || x.canRetry() && time.Until(x.deadline) > x.s.admission.typicalLatency(l)) {
 		// The endpoint itself reports the failure; another one may succeed.
 		x.fallback = &bufferedResponse{status: resp.Status, header: resp.Headers, body: body}
-		return next, false, errors.Newf("endpoint responded with status %d", resp.Status)
+		x.excluded = append(x.excluded, l.Target.Name)
+		return false, errors.Newf("endpoint responded with status %d", resp.Status)
 	}
 	x.resp.send(resp.Status, resp.Headers, body)
-	return next, true, x.resp.writeErr
-}
-
-// awaitCall waits for the response to a call. If the endpoint is silent for too long, and another
-// one may and can be tried, it gives the call up and returns the lease for the other one.
-func (x *exchange) awaitCall(l *placement.Lease, p *pendingCall, cancel context.CancelCauseFunc) *placement.Lease {
-	if !x.call.Route.Idempotent || x.runs+1 >= x.call.Route.MaxAttempts {
-		<-p.answered
-		return nil
-	}
-	silence := time.NewTimer(x.attemptTimeout(l))
-	defer silence.Stop()
-	for {
-		select {
-		case <-p.answered:
-			return nil
-		case <-silence.C:
-			if next := x.acquireOther(l); next != nil {
-				cancel(errEndpointTimeout)
-				<-p.answered
-				return next
-			}
-			silence.Reset(standbyRetryDelay)
-		}
-	}
+	return true, x.resp.writeErr
 }
 
 // acquireOther returns a lease at another endpoint than that of l, or nil if the call may not or
@@ -170,6 +228,7 @@
 	d.Exclude = append(slices.Clone(d.Exclude), l.Target.Name)
 	next, err := x.s.admission.acquireService(d)
 	if err != nil {
+		x.refundSends()
 		x.decision("no_standby", "endpoint", l.Target.Name, "cause", err.Error())
 		return nil
 	}
