gateway: defects of the standby for a silent engine

Found by a review of the change that keeps silent engines, before any caller met them; the tests failed before: - A begun stream was sent to another engine only after 3.6 s, when its caller leaves, where two attempts are allowed: the current run was counted as an earlier attempt (TestSilentStreamMovesBeforeItsCallerLeaves, 3.7 s). - A refused standby could be redirected to the silent engine itself, which then had the request twice (TestStandbyIsNotSentToTheSilentEngine). - Engines that were full for a standby, or whose prefill was cancelled because the silent engine was heard, were left out for the rest of the request (TestStreamResumesAtAnEngineThatWasFull, ...WithoutPrefillEngines, TestPrefillEnginesAreUsedAfterAPause). - A stream that found no other engine held a retry of the budget until its end (TestSilentStreamHoldsNoBudget). - With two silent engines a third one was never tried (TestThirdEngineIsTriedIfTwoAreSilent).

The silent engine and the standby now have a request together for 300 ms at most: an engine that has not refused it by then has taken it. Both runs' engines are left out when another one is sought, a standby's refusals count for that standby only, and its reservation ends with its preparation.

--- a/internal/gateway/enginerun.go
+++ b/internal/gateway/enginerun.go
@@ -25,6 +25,8 @@
 	cancel  context.CancelCauseFunc
 	results chan runResult
 
+	refusedBy []string // engines that refused the request with the same prefill result
+
 	// The exchange's view of the run.
 	counted bool // the engine may have run the request and fetched the prefill result
 	begun   bool // the engine has begun a stream
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -31,6 +31,7 @@
 	prefillTimeoutFactor = 4 // multiple of the predicted prefill time after which another engine is asked
 	minPrefillTimeout    = 400 * time.Millisecond
 	standbyRetryDelay    = 400 * time.Millisecond // between two attempts to replace a silent engine
+	maxRunOverlap        = 300 * time.Millisecond // for which two engines may have a request; a refusal comes at once
 	maxGenerationSends   = 2 * maxSends           // with prefills and refused sends
 	// resumeJitter is about the time that an engine needs to prefill the output of one
 	// interrupted stream. It spreads the resumption of streams that break at the same time at
@@ -46,8 +47,9 @@
 
 // generation runs a request on a model pool. A request has one run at a decode engine, and while
 // that engine is silent another one is prepared elsewhere: the standby. The silent run ends only
-// when the standby's response has begun, so that its silence costs the request nothing if it goes
-// on before, or if nothing else can take the request.
+// when the standby's response has begun, or when its engine has not refused it for maxRunOverlap, so
+// that silence costs the request nothing if the engine goes on before, or if no other one takes the
+// request.
 type generation struct {
 	*exchange
 	ctx     context.Context
@@ -118,13 +120,28 @@
 	case r := <-standby:
 		g.handleStandby(r)
 	case <-g.silence.C:
-		g.startStandby()
+		return g.handleSilence()
 	case <-g.ctx.Done():
 		return true, context.Cause(g.ctx)
 	}
 	return false, nil
 }
 
+// handleSilence handles the end of the timer for the current run's silence.
+func (g *generation) handleSilence() (done bool, err error) {
+	select {
+	case r := <-g.current.results: // it was heard at the same time
+		return g.handleCurrent(r)
+	default:
+	}
+	if g.standby != nil {
+		g.replaceCurrent()
+	} else {
+		g.startStandby()
+	}
+	return false, nil
+}
+
 // startFirst starts a run while there is none.
 func (g *generation) startFirst() (done bool, err error) {
 	if !g.reserveSends(1) {
@@ -150,43 +167,71 @@
 // watchSilence restarts the timer for the silence of the current run's engine. The streams of an
 // engine become silent together, so the times are spread.
 func (g *generation) watchSilence() {
-	g.silence.Reset(g.engineTimeout() + rand.N(resumeJitter))
+	g.silence.Reset(g.silenceLimit(g.otherRuns(g.current)) + rand.N(resumeJitter))
+}
+
+// otherRuns returns how many runs besides this one may have run the request.
+func (g *generation) otherRuns(run *engineRun) int {
+	if run.counted {
+		return g.runs - 1
+	}
+	return g.runs
 }
 
 // startStandby prepares a run at another engine until the current run's engine is heard.
 func (g *generation) startStandby() {
-	if g.standby != nil || !g.mayUseAnotherEngine() {
-		return // no other attempt is allowed before the current run makes progress
+	if !g.mayUseAnotherEngine() {
+		return // before the current run makes progress
 	}
-	defer g.silence.Reset(standbyRetryDelay)
+	g.silence.Reset(standbyRetryDelay)
+	defer g.refundSends()
 	if !g.reserveSends(1) {
 		return
 	}
 	ctx, cancel := context.WithCancel(g.ctx)
 	defer cancel()
 	g.current.notifyProgress(cancel)
-	w := g.newWaiter()
-	w.Demand.Exclude = append(slices.Clone(w.Demand.Exclude), g.current.lease.Target.Name)
-	lease, err := g.s.admission.acquireEngine(ctx, w)
+	lease, err := g.s.admission.acquireEngine(ctx, g.newWaiter())
 	if err == nil {
 		g.standby, _, err = g.launch(ctx, lease)
 	}
 	if err != nil {
 		g.decision("no_standby", "endpoint", g.current.lease.Target.Name, "cause", err.Error())
+		return
 	}
+	g.silence.Reset(maxRunOverlap)
+}
+
+// replaceCurrent ends the silent current run in favour of the standby.
+func (g *generation) replaceCurrent() {
+	old := g.current
+	g.current, g.standby = g.standby, nil
+	g.abandon(old, sched.Failed)
+	g.takeOver(errEndpointTimeout)
 }
 
 // mayUseAnotherEngine reports whether the request may run at another engine besides those that
 // may have run it.
 func (g *generation) mayUseAnotherEngine() bool {
-	runs := g.runs
-	if !g.current.counted {
-		runs++
-	}
 	r := g.call.Route
-	return r.Resumable && runs < r.MaxAttempts && g.sends < maxGenerationSends && !g.suspected()
+	return r.Resumable && g.otherRuns(g.current)+1 < r.MaxAttempts && g.sends < maxGenerationSends && !g.suspected()
 }
 
+// newWaiter returns a waiter for another run. It leaves out the engines of the runs in progress.
+func (g *generation) newWaiter() *placement.Waiter {
+	w := g.exchange.newWaiter()
+	w.Demand.Exclude = slices.Clone(w.Demand.Exclude)
+	for _, run := range []*engineRun{g.current, g.standby} {
+		if run != nil {
+			w.Demand.Exclude = append(w.Demand.Exclude, run.lease.Target.Name)
+		}
+	}
+	return w
+}
+
+// demand returns the demand of another run.
+func (g *generation) demand() placement.Demand { return g.newWaiter().Demand }
+
 // handleCurrent handles a result of the current run.
 func (g *generation) handleCurrent(r runResult) (done bool, err error) {
 	run := g.current
@@ -216,6 +261,9 @@
 		g.takeOver(err)
 		return false, err
 	}
+	if g.ctx.Err() != nil {
+		return true, context.Cause(g.ctx)
+	}
 	return v == runFailed && g.cannotResume(g.ctx), err
 }
 
@@ -227,14 +275,12 @@
 	v, outcome, err := g.receive(run, r)
 	switch v {
 	case runProgressed:
-		old := g.current
-		g.current, g.standby = run, nil
-		g.abandon(old, sched.Failed)
-		g.takeOver(errEndpointTimeout)
+		g.replaceCurrent()
 		return
 	case runRefused:
 		if next := g.redirectRun(run, outcome, err); next != nil {
 			g.standby = next
+			g.silence.Reset(maxRunOverlap)
 			return
 		}
 	case runFinished, runFailed:
@@ -285,8 +331,9 @@
 		g.s.stats.prefillsUnfetched.Inc()
 		g.s.releaseHandle(p.addr, p.endpoint, p.handle)
 	}
-	if o != sched.Succeeded && o != sched.Abandoned {
-		g.excluded = append(g.excluded, run.lease.Target.Name)
+	// An engine that was full for a standby may have room when the current run breaks.
+	if o != sched.Succeeded && o != sched.Abandoned && (o != sched.Full || run == g.current) {
+		g.excluded = append(append(g.excluded, run.refusedBy...), run.lease.Target.Name)
 	}
 	g.s.admission.release(run.lease, o)
 }
@@ -297,12 +344,17 @@
 	return max(minCallerTimeout, callerTimeoutTargets*r.FirstToken, callerTimeoutGaps*r.MaxGap)
 }
 
-// engineTimeout returns how long an engine may send nothing before another one is prepared: until
-// the caller gives up, or, if the stream can be resumed on another engine, until the engine is more
-// likely unreachable than slow. The caller must still be connected when the stream resumes.
-func (x *exchange) engineTimeout() time.Duration {
+// engineTimeout returns how long the engine of the next attempt may send nothing before another
+// one is prepared.
+func (x *exchange) engineTimeout() time.Duration { return x.silenceLimit(x.runs) }
+
+// silenceLimit returns how long an engine may send nothing before another one is prepared, after
+// runs at other engines: until the caller gives up, or, if the stream can be resumed on another
+// engine, until the engine is more likely unreachable than slow. The caller must still be
+// connected when the stream resumes.
+func (x *exchange) silenceLimit(runs int) time.Duration {
 	r := x.call.Route
-	if !r.Resumable || x.runs+1 >= r.MaxAttempts {
+	if !r.Resumable || runs+1 >= r.MaxAttempts {
 		return x.callerTimeout()
 	}
 	return min(x.callerTimeout(), max(r.FirstToken, engineTimeoutGaps*r.MaxGap))
@@ -355,7 +407,9 @@
 	if err := g.s.upstream.ensureConn(ctx, l.Target.Addr); err != nil {
 		outcome = outcomeOf(ctx, err)
 		g.s.recordConnectError(l.Target, err)
-		g.excluded = append(g.excluded, l.Target.Name)
+		if ctx.Err() == nil {
+			g.excluded = append(g.excluded, l.Target.Name)
+		}
 		return nil, ctx.Err() != nil, err
 	}
 	var p *prefillResult
@@ -364,15 +418,21 @@
 			return nil, true, errNoRetryBudget
 		}
 		if p, err = g.prefill(ctx, l); err != nil {
-			g.excluded = append(g.excluded, engine.Name)
+			if ctx.Err() == nil {
+				g.excluded = append(g.excluded, engine.Name)
+			}
 			return nil, errors.Is(err, errCallerGone), err
 		}
 	}
-	if err := g.admit(); err != nil {
+	if err = g.admit(); err == nil && ctx.Err() != nil {
+		err = context.Cause(ctx)
+	}
+	done = err != nil
+	if err != nil {
 		if p != nil {
 			g.s.releaseHandle(p.addr, p.endpoint, p.handle)
 		}
-		return nil, true, err
+		return nil, done, err
 	}
 	return g.sendRun(l, p), false, nil
 }
@@ -394,20 +454,28 @@
 // prefill: repeating the prefill would cost more than anything else. It returns nil if that is
 // not possible.
 func (g *generation) redirectRun(run *engineRun, o sched.Outcome, cause error) *engineRun {
-	p, l := run.prefill, run.lease
+	p, l, from := run.prefill, run.lease, run.lease.Target
 	if p == nil || g.ctx.Err() != nil || time.Since(p.at) > g.handleReuseTime() || !g.reserveSends(1) {
 		return nil
 	}
-	from := l.Target
-	moved := g.s.admission.redirect(l, g.newWaiter().Demand, o)
-	g.s.stats.redirects.Inc()
-	g.decision("redirect", "from", from.Name, "to", l.Target.Name, "software", l.Target.SoftwareVersion, "moved", moved, "cause", cause.Error())
-	if !moved || g.admit() != nil {
+	d := g.demand()
+	d.Exclude = append(d.Exclude, run.refusedBy...)
+	if !g.redirect(l, d, o, cause) || g.admit() != nil {
 		return nil
 	}
-	g.excluded = append(g.excluded, from.Name)
 	run.cancel(errRunAbandoned)
-	return g.sendRun(l, p)
+	next := g.sendRun(l, p)
+	next.refusedBy = append(run.refusedBy, from.Name)
+	return next
+}
+
+// redirect moves a lease whose prefill is done to another decode engine.
+func (g *generation) redirect(l *placement.Lease, d placement.Demand, o sched.Outcome, cause error) (moved bool) {
+	from := l.Target
+	moved = g.s.admission.redirect(l, d, o)
+	g.s.stats.redirects.Inc()
+	g.decision("redirect", "from", from.Name, "to", l.Target.Name, "software", l.Target.SoftwareVersion, "moved", moved, "cause", cause.Error())
+	return moved
 }
 
 // prefill runs the prompt on the lease's prefill engine. An engine that takes too long is given up
@@ -463,8 +531,8 @@
 		case <-call.answered:
 			return
 		case <-limit.C:
-			demand := g.newWaiter().Demand
-			demand.Exclude = append(slices.Clone(demand.Exclude), l.Prefill.Name)
+			demand := g.demand()
+			demand.Exclude = append(demand.Exclude, l.Prefill.Name)
 			if g.sends < maxGenerationSends && g.s.admission.hasPlace(demand) && g.reserveSends(1) {
 				cancel(errEndpointTimeout)
 				<-call.answered
