gateway: nothing is sent to an engine that began to leave during the prefill

The decode engine is looked at again after the prefill, and the result goes to another one if it leaves.

--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -383,6 +383,8 @@
 	// errNoRetryBudget ends a request that would have to be sent again when the retry budget
 	// does not allow it.
 	errNoRetryBudget = errors.New("retry budget is exhausted")
+	// errEngineLeft ends an attempt whose engine began to leave during the prefill.
+	errEngineLeft = errors.New("the engine began to leave")
 	// errNoPlace marks the refusal of a request for which no engine can be had in time.
 	errNoPlace = errors.New("no engine can be had in time")
 )
@@ -428,6 +430,9 @@
 		err = context.Cause(ctx)
 	}
 	done = err != nil
+	if err == nil && p != nil && g.s.isLeaving(l.Target) && !g.redirect(l, g.demand(), sched.Abandoned, errEngineLeft) {
+		err = errEngineLeft
+	}
 	if err != nil {
 		if p != nil {
 			g.s.releaseHandle(p.addr, p.endpoint, p.handle)
@@ -437,6 +442,12 @@
 	return g.sendRun(l, p), false, nil
 }
 
+// isLeaving reports whether an endpoint has been seen leaving, or is gone.
+func (s *Server) isLeaving(ep *config.Endpoint) bool {
+	now := s.state.Current().Endpoints[ep.Name]
+	return now == nil || now.Leaving || now.Incarnation != ep.Incarnation
+}
+
 // sendRun sends the request to the lease's decode engine.
 func (g *generation) sendRun(l *placement.Lease, p *prefillResult) *engineRun {
 	g.countSend()
