soak: releases of engines while callers take streams up again

Callers leave streams in the middle and take them up again at random instances. The check from the callers' side: no stream holds events of several versions, and of the streams taken up again at undisturbed instances, while two decode engines of their version serve, at least half as large a share goes on as begins of the new ones.

--- a/cmd/caraway-soak/main.go
+++ b/cmd/caraway-soak/main.go
@@ -23,6 +23,7 @@
 	Rounds    int    `arg:"--rounds" default:"2" help:"number of fault phases, each followed by a quiet phase"`
 	Logs      string `arg:"--logs" placeholder:"DIR" help:"directory that keeps the settings and logs of failed seeds"`
 	Untimed   bool   `arg:"--untimed" help:"skip the time-bounded guarantees"`
+	Releases  bool   `arg:"--releases" help:"replace engines by others of newer software versions, while callers take streams up again"`
 	Verbose   bool   `arg:"-v,--verbose" help:"log every injected fault"`
 }
 
@@ -59,7 +60,7 @@
 	if err != nil {
 		return false, err
 	}
-	r, err := soak.Run(ctx, soak.Options{Binary: binary, Dir: dir, Seed: seed, Instances: a.Instances, Rounds: a.Rounds, Timed: !a.Untimed, Log: func(format string, args ...any) {
+	r, err := soak.Run(ctx, soak.Options{Binary: binary, Dir: dir, Seed: seed, Instances: a.Instances, Rounds: a.Rounds, Timed: !a.Untimed, Releases: a.Releases, Log: func(format string, args ...any) {
 		if a.Verbose {
 			fmt.Printf(format+"\n", args...)
 		}
@@ -72,6 +73,9 @@
 		faults += n
 	}
 	fmt.Printf("seed %d: %d faults, %d requests: %d complete, %d refused, %d failed; %d guarantee violations\n", seed, faults, r.Requests, r.Complete, r.Refused, r.Failed, len(r.Violations))
+	if a.Releases {
+		fmt.Printf("  streams: %d, %d of several versions; at undisturbed instances %d of %d new ones began and %d of %d went on\n", r.Streams, r.Mixed, r.Begun.Answered, r.Begun.All, r.Resumed.Answered, r.Resumed.All)
+	}
 	if len(r.Violations) == 0 {
 		return false, os.RemoveAll(dir)
 	}
