gateway: a broken stream goes on only at the software version that began it

Cause: the next attempt of a stream was placed by load alone; the version in the endpoints' rows was not used.

A stream's first event now fixes the version of its engines. The scheduler gives it engines of that version only, also as a waiter of another instance, and a waiter for one version does not hold up those that any engine can serve.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -45,7 +45,7 @@
 			return l, nil
 		}
 	}
-	if !a.sched.HasUsableEndpoint(now, w.Demand.Pool) {
+	if !a.sched.HasUsableEndpoint(now, w.Demand) {
 		a.mu.Unlock()
 		return nil, refusal(errkind.NoEndpoint, "no engine can be used", time.Second)
 	}
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -213,8 +213,7 @@
 // mayUseAnotherEngine reports whether the request may run at another engine besides those that
 // may have run it.
 func (g *generation) mayUseAnotherEngine() bool {
-	r := g.call.Route
-	return r.Resumable && g.otherRuns(g.current)+1 < r.MaxAttempts && g.sends < maxGenerationSends && !g.suspected()
+	return g.resumable() && g.otherRuns(g.current)+1 < g.call.Route.MaxAttempts && g.sends < maxGenerationSends && !g.suspected()
 }
 
 // newWaiter returns a waiter for another run. It leaves out the engines of the runs in progress.
@@ -371,7 +370,7 @@
 		latest = x.deadline
 	}
 	return &placement.Waiter{
-		Demand:   placement.Demand{Pool: c.Pool.Name, Prompt: c.PromptTokens, MaxOutput: c.MaxOutputTokens, ExpectedOutput: x.s.admission.predictOutput(c), Generated: x.priorTokens + x.relayedTokens, Exclude: x.excluded},
+		Demand:   placement.Demand{Pool: c.Pool.Name, Prompt: c.PromptTokens, MaxOutput: c.MaxOutputTokens, ExpectedOutput: x.s.admission.predictOutput(c), Generated: x.priorTokens + x.relayedTokens, Exclude: x.excluded, SoftwareVersion: x.softwareVersion},
 		Arrived:  c.Arrived,
 		Due:      since.Add(c.Route.FirstToken - expectedStartDelay - time.Duration(c.PromptTokens)*prefillTimePerToken),
 		Deadline: latest,
@@ -647,6 +646,9 @@
 	if !g.resp.started {
 		g.resp.startStream(run.resp.Status, run.resp.Headers)
 	}
+	if g.softwareVersion == "" {
+		g.softwareVersion = run.lease.Target.SoftwareVersion
+	}
 	if err := g.resp.writeChunk(e.raw); err != nil {
 		return err
 	}
@@ -678,7 +680,13 @@
 // cannotResume reports whether the stream ends here because the request may have run and cannot
 // be resumed on another engine.
 func (x *exchange) cannotResume(ctx context.Context) bool {
-	return ctx.Err() != nil || !x.call.Route.Resumable || x.runs >= x.call.Route.MaxAttempts
+	return ctx.Err() != nil || !x.resumable() || x.runs >= x.call.Route.MaxAttempts
+}
+
+// resumable reports whether another engine may go on with the stream. An instance of a release
+// that does not know software versions may have passed on the entry of the engine that began it.
+func (x *exchange) resumable() bool {
+	return x.call.Route.Resumable && (x.relayedTokens == 0 || x.softwareVersion != "")
 }
 
 // recordEventTime records when an event was relayed.
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -56,6 +56,7 @@
 	queueTime       time.Duration
 	relayedTokens   int               // output tokens relayed
 	priorTokens     int               // output tokens that the caller received in an earlier attempt
+	softwareVersion string            // of the engine that began the stream; empty before
 	lastEventID     string            // ID of the last event relayed, or the one sent by the caller
 	logNow          bool              // log lines are written immediately
 	deferredLines   []logLine         // log lines to write when the request ends
--- a/internal/gateway/updates.go
+++ b/internal/gateway/updates.go
@@ -126,6 +126,7 @@
 			u.Queued = append(u.Queued, gossip.QueuedRequest{
 				Pool: w.Demand.Pool, Prompt: w.Demand.Prompt, Output: w.Demand.ExpectedOutput, Generated: w.Demand.Generated,
 				Age: gossip.AgeMillis(now, w.Arrived), StartBy: -gossip.AgeMillis(now, w.Due), Priority: w.Priority,
+				SoftwareVersion: w.Demand.SoftwareVersion,
 			})
 		}
 	})
@@ -276,7 +277,7 @@
 	}
 	for _, w := range u.Queued {
 		r.Waiters = append(r.Waiters, &placement.Waiter{
-			Demand:  placement.Demand{Pool: w.Pool, Prompt: w.Prompt, MaxOutput: w.Output, Generated: w.Generated},
+			Demand:  placement.Demand{Pool: w.Pool, Prompt: w.Prompt, MaxOutput: w.Output, Generated: w.Generated, SoftwareVersion: w.SoftwareVersion},
 			Arrived: gossip.TimeOfAge(now, w.Age), Due: gossip.TimeOfAge(now, -w.StartBy), Priority: w.Priority,
 		})
 	}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -136,6 +136,8 @@
 	Age            int64 // ms since arrival
 	StartBy        int64 // ms until the latest start that meets the latency target; negative once it has passed
 	Priority       int
+	// SoftwareVersion is the only version that can serve the request; empty for any.
+	SoftwareVersion string
 }
 
 // Batch carries the unchanged datagrams of several instances. A relay sends it to the instances
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -72,6 +72,10 @@
 	return a.Arrived.Compare(b.Arrived)
 }
 
+// poolVersion is what a waiter can use: the engines of a pool, or those of one software version.
+// A stream that waits for the few engines of its version does not hold up the others.
+type poolVersion struct{ pool, version string }
+
 // Serve places the waiters that fit, in order, and removes them from the queue. The waiters
 // of other instances take part in the order: the capacity that they would take is left free
 // for them.
@@ -82,14 +86,15 @@
 	var grants []Grant
 	var stillWaiting []*Waiter
 	var reserved []*Lease
-	blocked := map[string]bool{}
+	blocked := map[poolVersion]bool{}
 	unplaced := 0
 	own := map[*Waiter]bool{}
 	for _, w := range q.waiting {
 		own[w] = true
 	}
 	for _, w := range q.ordered(now, s) {
-		if !blocked[w.Demand.Pool] {
+		need := poolVersion{w.Demand.Pool, w.Demand.SoftwareVersion}
+		if !blocked[need] {
 			acquire := s.AcquireEngine
 			if !own[w] {
 				acquire = s.reserveForPeer
@@ -104,7 +109,7 @@
 				continue
 			}
 			unplaced++
-			blocked[w.Demand.Pool] = now.Sub(w.Arrived) > maxBypassTime || unplaced >= maxUnplaced
+			blocked[need] = now.Sub(w.Arrived) > maxBypassTime || unplaced >= maxUnplaced
 		}
 		if own[w] {
 			stillWaiting = append(stillWaiting, w)
@@ -135,11 +140,17 @@
 // PredictWait estimates how long w would wait: the memory-time of the waiters before it and
 // its own, divided by the memory of the available engines.
 func (q *Queue) PredictWait(now time.Time, s *Scheduler, w *Waiter) time.Duration {
-	work, capacity := 0.0, 0.0
+	work, capacity, poolCapacity := 0.0, 0.0, 0.0
 	tokenTime := defaultTokenTime
+	version := w.Demand.SoftwareVersion
 	for _, x := range s.pools[w.Demand.Pool] {
-		if x.ep.Role == config.Decode && x.spec != nil && x.available(now) {
-			capacity += memoryHeadroom * float64(x.spec.KVTokens)
+		if x.ep.Role != config.Decode || x.spec == nil || !x.available(now) {
+			continue
+		}
+		memory := memoryHeadroom * float64(x.spec.KVTokens)
+		poolCapacity += memory
+		if version == "" || version == x.ep.SoftwareVersion {
+			capacity += memory
 			tokenTime = x.tokenTime
 		}
 	}
@@ -147,8 +158,18 @@
 		return time.Second
 	}
 	for _, other := range q.ordered(now, s) {
-		if other != w && other.Demand.Pool == w.Demand.Pool && compareWaiters(now, other, w) <= 0 {
-			work += memoryTime(other.Demand, tokenTime)
+		if other == w || other.Demand.Pool != w.Demand.Pool || compareWaiters(now, other, w) > 0 {
+			continue
+		}
+		switch need := memoryTime(other.Demand, tokenTime); other.Demand.SoftwareVersion {
+		case version:
+			work += need
+		case "":
+			work += need * capacity / poolCapacity
+		default:
+			if version == "" {
+				work += need
+			}
 		}
 	}
 	work += memoryTime(w.Demand, tokenTime)
