placement: a prefill result is decoded at its own software version

A generation now gets both engines of one version. Among several versions the one with a prefill engine and the least loaded decode engine is taken; where a version has no usable prefill engine, its decode engine prefills the prompt itself. A result that a decode engine refuses goes to another one of the same version.

--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -126,16 +126,29 @@
 // reserveEngine places a generation on engines that mayUse accepts. It uses no turns under the
 // limits that they announce.
 func (s *Scheduler) reserveEngine(now time.Time, d Demand, mayUse endpointFilter) *Lease {
-	p, direct := s.choosePrefill(now, d, mayUse)
-	if p == nil && !direct {
-		return nil
-	}
-	start := now
-	if p != nil {
-		start = now.Add(p.prefillBacklog(now) + time.Duration(d.Prompt)*p.prefillTokenTime)
+	var p, t *endpointState
+	var generation Generation
+	lightest := 0.0
+	for _, version := range s.softwareVersions(d) {
+		d.SoftwareVersion = version
+		prefill, direct := s.choosePrefill(now, d, mayUse)
+		if prefill == nil && (!direct || p != nil) {
+			continue
+		}
+		start := now
+		if prefill != nil {
+			start = now.Add(prefill.prefillBacklog(now) + time.Duration(d.Prompt)*prefill.prefillTokenTime)
+		}
+		g := Generation{Prompt: d.Prompt + d.Generated, PlannedOutput: d.remainingOutput(), AsOf: start}
+		decode, load := s.chooseDecode(now, d, g, mayUse)
+		if decode == nil {
+			continue
+		}
+		// An engine that has to prefill the prompt itself slows its other streams.
+		if t == nil || (p == nil) == (prefill == nil) && load < lightest || p == nil && prefill != nil {
+			p, t, generation, lightest = prefill, decode, g, load
+		}
 	}
-	generation := Generation{Prompt: d.Prompt + d.Generated, PlannedOutput: d.remainingOutput(), AsOf: start}
-	t, _ := s.chooseDecode(now, d, generation, mayUse)
 	if t == nil {
 		return nil
 	}
@@ -160,6 +173,21 @@
 	return true
 }
 
+// softwareVersions returns the versions at which d can be placed. An engine cannot use the prefill
+// result of another version.
+func (s *Scheduler) softwareVersions(d Demand) []string {
+	if d.SoftwareVersion != "" {
+		return []string{d.SoftwareVersion}
+	}
+	var versions []string
+	for _, x := range s.pools[d.Pool] {
+		if !slices.Contains(versions, x.ep.SoftwareVersion) {
+			versions = append(versions, x.ep.SoftwareVersion)
+		}
+	}
+	return versions
+}
+
 // choosePrefill returns the prefill engine with the shortest backlog, nil if all backlogs
 // are too long. Direct is true if the pool has no usable prefill engine.
 func (s *Scheduler) choosePrefill(now time.Time, d Demand, mayUse endpointFilter) (best *endpointState, direct bool) {
@@ -328,6 +356,7 @@
 	delete(old.generations, l)
 	ejected = old.recordOutcome(now, o)
 	d.Exclude = append(slices.Clone(d.Exclude), old.ep.Name)
+	d.SoftwareVersion = old.ep.SoftwareVersion
 	t, _ := s.chooseDecode(now, d, l.generation, s.ready)
 	if t == nil {
 		old.generations[l] = struct{}{}
