gateway: a stream that its caller takes up again goes on where it began

Cause: no instance knew where a stream of another attempt had begun. Resumes was forwarded and not read, and a request with Last-Event-Id was placed like a new one, at any engine of any version.

With its first event an instance records the stream's pool and software version under account and attempt, before the event is sent, and tells the others at once. While a pool has several versions the records are also written to the store, twice a second, so that a restart of all does not lose them. A request that takes a stream up goes on in that pool at that version only. What is not known here is read from the store; what is not known there either is refused (resume_unknown, 503) and not run, unless a read of the store after the request's arrival shows that the pool has had only one version. A record is a fact that never changes, so that late, repeated and old copies of it do no harm.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -182,6 +182,14 @@
 	return r.Pool
 }
 
+// Allows reports whether requests may go to a pool.
+func (r *Route) Allows(pool string) bool {
+	if len(r.Split) == 0 {
+		return r.Pool == pool
+	}
+	return slices.ContainsFunc(r.Split, func(s Share) bool { return s.Pool == pool && s.Weight > 0 })
+}
+
 // Matches reports whether the route accepts a request.
 func (r *Route) Matches(method, path, model string) bool {
 	if r.Method != "" && r.Method != method {
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -28,6 +28,7 @@
 	EndpointLimit       Kind = "endpoint_limit"        // endpoints accept no more requests at the moment
 	PromptQuarantined   Kind = "prompt_quarantined"    // engines crash on a part of the prompt
 	RequestQuarantined  Kind = "request_quarantined"   // endpoints crash on the request
+	ResumeUnknown       Kind = "resume_unknown"        // not known to go on where the broken stream began
 	EndpointFailed      Kind = "endpoint_failed"       // endpoint returned an error or the connection broke
 	EndpointTimeout     Kind = "endpoint_timeout"      // endpoint stopped responding
 	StoreUnavailable    Kind = "store_unavailable"     // the platform's table is required and unavailable
@@ -74,6 +75,7 @@
 	EndpointLimit:       {503, true},
 	PromptQuarantined:   {503, true},
 	RequestQuarantined:  {503, true},
+	ResumeUnknown:       {503, true},
 	EndpointFailed:      {502, true},
 	EndpointTimeout:     {504, true},
 	StoreUnavailable:    {503, true},
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -13,6 +13,7 @@
 	"carawayrouter.example/router/internal/config"
 	"carawayrouter.example/router/internal/endpoint"
 	"carawayrouter.example/router/internal/errkind"
+	"carawayrouter.example/router/internal/origin"
 	"carawayrouter.example/router/internal/placement"
 	"carawayrouter.example/router/internal/sched"
 )
@@ -62,9 +63,6 @@
 	if x.s.refusesStreams() {
 		return refusal(errkind.ShuttingDown, "this instance is shutting down", shutdownRetryAfter)
 	}
-	if x.call.LastEventID != "" {
-		x.decision("resume", "attempt", x.call.Resumes, "after", x.call.LastEventID)
-	}
 	g := &generation{exchange: x, ctx: ctx, silence: time.NewTimer(x.engineTimeout())}
 	defer g.silence.Stop()
 	defer g.abandonAll()
@@ -646,8 +644,10 @@
 	if !g.resp.started {
 		g.resp.startStream(run.resp.Status, run.resp.Headers)
 	}
-	if g.softwareVersion == "" {
-		g.softwareVersion = run.lease.Target.SoftwareVersion
+	if version := run.lease.Target.SoftwareVersion; g.softwareVersion == "" && version != "" {
+		g.softwareVersion = version
+		g.s.origins.begin(time.Now(), g.account(), g.call.ID, origin.Origin{Pool: g.call.Pool.Name, Version: version})
+		g.s.peers.requestUpdate()
 	}
 	if err := g.resp.writeChunk(e.raw); err != nil {
 		return err
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -84,12 +84,10 @@
 	if err := x.limit(); err != nil {
 		return err
 	}
-	x.s.budget.recordRequest(time.Now(), x.call.Pool.Name)
-	var err error
-	if x.call.Pool.Engine != nil {
-		err = x.generation(ctx)
-	} else {
-		err = x.service(ctx)
+	err := x.resume(ctx)
+	if err == nil {
+		x.s.budget.recordRequest(time.Now(), x.call.Pool.Name)
+		err = x.dispatch(ctx)
 	}
 	x.refundSends()
 	if x.runs == 0 && x.call.Account != nil {
@@ -98,6 +96,14 @@
 	return err
 }
 
+// dispatch sends the request to endpoints.
+func (x *exchange) dispatch(ctx context.Context) error {
+	if x.call.Pool.Engine != nil {
+		return x.generation(ctx)
+	}
+	return x.service(ctx)
+}
+
 var errDeadline = errors.New("the deadline passed")
 
 // route determines the route, the pool and the deadline.
--- a/internal/gateway/peerstate.go
+++ b/internal/gateway/peerstate.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"carawayrouter.example/router/internal/config"
+	"carawayrouter.example/router/internal/gossip"
 )
 
 // peerState is the response to an instance that requests state.
@@ -22,6 +23,7 @@
 	Retired              map[string]int64       `json:"retired"`
 	Secret               []byte                 `json:"secret"`
 	Instances            map[string]instanceRow `json:"instances"`
+	Streams              []gossip.BegunStream   `json:"streams,omitempty"`
 }
 
 // serveState responds to instances of the fleet. One that starts during a store outage has no
@@ -52,7 +54,7 @@
 		return
 	}
 	st := p.s.state.export()
-	st.Secret, st.Instances = secret, rows
+	st.Secret, st.Instances, st.Streams = secret, rows, p.s.origins.all(time.Now())
 	b, err := json.Marshal(st)
 	if err != nil {
 		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
@@ -136,6 +138,7 @@
 	}
 	p.mu.Unlock()
 	p.s.state.merge(now, &st, addr)
+	p.s.origins.merge(now, st.Streams)
 	p.requestUpdate()
 	return nil
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -69,6 +69,7 @@
 	quota   *window.Limiter
 
 	quarantine *quarantineState
+	origins    *origins
 
 	active   atomic.Int64 // requests being read or answered
 	draining atomic.Bool
@@ -114,6 +115,8 @@
 	g.upstream = newUpstream(d.Wire, g.setUserTimeout)
 	g.upstream.onResponse = g.recordLimit
 	g.state = newState(d.RowDecoder, g.admission, d.Log)
+	g.origins = newOrigins(d.Store, s.Instance, g.state)
+	g.state.onEndpoint = g.origins.seeSoftware
 	g.peers = newPeers(g)
 	g.admission.onChange = g.peers.requestUpdate
 	g.stats = newStats(g)
@@ -152,7 +155,7 @@
 		g.Go(func() error { return newInternalServer(s.serveMetrics).Serve(metrics) })
 	}
 	g.Go(func() error { return newInternalServer(s.peers.serveState).Serve(state) })
-	for _, loop := range []func(context.Context) error{s.peers.sendLoop, s.peers.receiveLoop, s.peers.relayLoop, s.peers.registerLoop, s.peers.catchUp, s.probeLoop, s.quarantineLoop} {
+	for _, loop := range []func(context.Context) error{s.peers.sendLoop, s.peers.receiveLoop, s.peers.relayLoop, s.peers.registerLoop, s.peers.catchUp, s.probeLoop, s.quarantineLoop, s.originsLoop} {
 		g.Go(func() error { return loop(ctx) })
 	}
 	g.Go(func() error { return s.accept(ctx, callers) })
@@ -296,6 +299,7 @@
 			return nil
 		case <-expire.C:
 			s.state.expire(time.Now())
+			s.origins.expire(time.Now())
 		case <-sweep.C:
 			inUse := map[string]bool{}
 			for _, e := range s.state.Current().Endpoints {
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -26,6 +26,9 @@
 	admission *admission
 	log       logr.Logger
 
+	// onEndpoint is called with every endpoint of a snapshot before it is in force.
+	onEndpoint func(now time.Time, ep *config.Endpoint)
+
 	current atomic.Pointer[config.State]
 
 	mu               sync.Mutex
@@ -36,7 +39,7 @@
 }
 
 func newState(decoder RowDecoder, a *admission, log logr.Logger) *state {
-	s := &state{decoder: decoder, admission: a, log: log, directory: newDirectory()}
+	s := &state{decoder: decoder, admission: a, log: log, directory: newDirectory(), onEndpoint: func(time.Time, *config.Endpoint) {}}
 	s.current.Store(config.Empty())
 	return s
 }
@@ -65,6 +68,9 @@
 
 // install puts a snapshot in force and updates the scheduler. The caller holds the lock.
 func (s *state) install(next *config.State) {
+	for _, ep := range next.Endpoints {
+		s.onEndpoint(time.Now(), ep)
+	}
 	s.current.Store(next)
 	s.admission.withScheduler(func(_ time.Time, p *placement.Scheduler) { p.SetEndpoints(next) })
 }
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -44,9 +44,10 @@
 	Endpoints                  // written by the endpoints
 	Instances                  // one row per instance
 	Fleet                      // data shared by the fleet
+	Streams                    // where recent streams began, some rows per instance
 )
 
 // String implements fmt.Stringer.
 func (t Table) String() string {
-	return [...]string{"configuration", "endpoints", "instances", "fleet"}[t]
+	return [...]string{"configuration", "endpoints", "instances", "fleet", "streams"}[t]
 }
--- a/internal/gateway/updates.go
+++ b/internal/gateway/updates.go
@@ -138,6 +138,7 @@
 	}
 	s.quotaMu.Unlock()
 	s.addQuarantine(now, u)
+	s.origins.addRecent(now, u)
 	u.KnowsQuarantine = s.quarantine.isKnown()
 	return u
 }
@@ -254,6 +255,7 @@
 	}
 	p.s.mergeQuarantine(now, u)
 	p.s.mergeLimits(u)
+	p.s.origins.merge(now, u.Streams)
 	p.s.admission.withScheduler(func(now time.Time, s *placement.Scheduler) { s.SetPeer(u.Instance, remoteOf(now, u)) })
 	return true
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -42,6 +42,7 @@
 	// KnowsQuarantine means that Quarantined has all causes that were quarantined before the start.
 	KnowsQuarantine bool
 	Limits          []EndpointLimit
+	Streams         []BegunStream
 }
 
 // EndpointLimit is the rate of requests that an endpoint has announced to accept from all
@@ -140,6 +141,16 @@
 	SoftwareVersion string
 }
 
+// BegunStream is a stream that began lately at an engine, for callers that take it up again.
+type BegunStream struct {
+	_ struct{} `cbor:",toarray"`
+
+	Key             []byte // of the caller's attempt
+	Pool            string
+	SoftwareVersion string // of the engine
+	Age             int64  // ms
+}
+
 // Batch carries the unchanged datagrams of several instances. A relay sends it to the instances
 // of its data centre, and with Forward set to the relays of the others.
 type Batch struct {
