--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -185,6 +185,9 @@
 			versions = append(versions, x.ep.SoftwareVersion)
 		}
 	}
+	if len(versions) > 1 {
+		s.rand.Shuffle(len(versions), func(i, j int) { versions[i], versions[j] = versions[j], versions[i] })
+	}
 	return versions
 }
 
