gateway: an engine that goes on with a stream confirms its incarnation

The entry's version holds for the incarnation in it only.

An engine that is to go on with a stream, or to prefill for it, is asked for its incarnation first; a new stream is not held up by it.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -112,6 +112,10 @@
 	PrefillHandle(body []byte) (handle string, err error)
 	// HandlePath returns the path that frees a handle with DELETE.
 	HandlePath(handle string) string
+	// ReportPath returns the path at which an engine reports its state with GET.
+	ReportPath() string
+	// ReportedIncarnation returns the incarnation in an engine's report, 0 if there is none.
+	ReportedIncarnation(report []byte) (int64, error)
 }
 
 // minRetryAfter is the shortest time after which a refused caller is told to return. The header
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -382,6 +382,9 @@
 	errNoRetryBudget = errors.New("retry budget is exhausted")
 	// errEngineLeft ends an attempt whose engine began to leave during the prefill.
 	errEngineLeft = errors.New("the engine began to leave")
+	// errVersionUnknown ends an attempt to go on with a stream at an engine whose software version
+	// could not be confirmed.
+	errVersionUnknown = errors.New("the engine's software version is not confirmed")
 	// errNoPlace marks the refusal of a request for which no engine can be had in time.
 	errNoPlace = errors.New("no engine can be had in time")
 )
@@ -416,7 +419,10 @@
 		if g.prefilled && !g.reserveSends(2) {
 			return nil, true, errNoRetryBudget
 		}
-		if p, err = g.prefill(ctx, l); err != nil {
+		if err = g.confirmVersion(ctx, engine); err == nil {
+			p, err = g.prefill(ctx, l)
+		}
+		if err != nil {
 			if ctx.Err() == nil {
 				g.excluded = append(g.excluded, engine.Name)
 			}
@@ -430,6 +436,11 @@
 	if err == nil && p != nil && g.s.isLeaving(l.Target) && !g.redirect(l, g.demand(), sched.Abandoned, errEngineLeft) {
 		err = errEngineLeft
 	}
+	if err == nil {
+		if err = g.confirmVersion(ctx, l.Target); err != nil && ctx.Err() == nil {
+			g.excluded = append(g.excluded, l.Target.Name)
+		}
+	}
 	if err != nil {
 		if p != nil {
 			g.s.releaseHandle(p.addr, p.endpoint, p.handle)
@@ -439,6 +450,44 @@
 	return g.sendRun(l, p), false, nil
 }
 
+// confirmVersion asks an engine that is to go on with a stream whether it is still the incarnation
+// in its entry. One that has restarted under its name may have another software version, of which
+// the entry tells only later.
+func (g *generation) confirmVersion(ctx context.Context, ep *config.Endpoint) error {
+	if g.softwareVersion == "" {
+		return nil
+	}
+	if !g.s.admission.takeTurn(ep.Name) {
+		return errVersionUnknown
+	}
+	incarnation, err := g.s.askIncarnation(ctx, ep)
+	switch {
+	case err != nil:
+		return errors.CombineErrors(errVersionUnknown, err)
+	case incarnation != 0 && incarnation != ep.Incarnation:
+		g.s.admission.withScheduler(func(_ time.Time, p *placement.Scheduler) { p.MarkReplaced(ep) })
+		g.s.log.Info("endpoint.restarted", "endpoint", ep.Name, "incarnation", incarnation, "before", ep.Incarnation)
+		return errVersionUnknown
+	}
+	return nil
+}
+
+// askIncarnation returns the incarnation of an endpoint as it says itself, 0 if it does not.
+func (s *Server) askIncarnation(ctx context.Context, ep *config.Endpoint) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	resp, err := s.upstream.do(ctx, endpointRequest{endpoint: ep.Name, addr: ep.Addr, method: http.MethodGet, uri: s.wire.ReportPath(), host: ep.Addr})
+	if err != nil {
+		return 0, err
+	}
+	defer resp.close()
+	body, err := resp.readAll()
+	if err != nil || resp.Status != http.StatusOK {
+		return 0, err
+	}
+	return s.wire.ReportedIncarnation(body)
+}
+
 // isLeaving reports whether an endpoint has been seen leaving, or is gone.
 func (s *Server) isLeaving(ep *config.Endpoint) bool {
 	now := s.state.Current().Endpoints[ep.Name]
@@ -468,7 +517,7 @@
 	}
 	d := g.demand()
 	d.Exclude = append(d.Exclude, run.refusedBy...)
-	if !g.redirect(l, d, o, cause) || g.admit() != nil {
+	if !g.redirect(l, d, o, cause) || g.admit() != nil || g.confirmVersion(g.ctx, l.Target) != nil {
 		return nil
 	}
 	run.cancel(errRunAbandoned)
