placement: a stream that waits for its version is not overtaken for ever

New streams, which any engine can serve, took the memory that became free at the engines of a version before a large stream of that version fitted: it was never placed in 20 s (TestWaiterForAVersionIsNotOvertakenForever, failed before).

As with waiters for any engine, one that has waited for 300 ms keeps the engines that it can use free: those of its version.

--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -87,6 +87,7 @@
 	var stillWaiting []*Waiter
 	var reserved []*Lease
 	blocked := map[poolVersion]bool{}
+	kept := map[string][]string{} // software versions, by pool, whose engines are kept free for a waiter
 	unplaced := 0
 	own := map[*Waiter]bool{}
 	for _, w := range q.waiting {
@@ -99,7 +100,9 @@
 			if !own[w] {
 				acquire = s.reserveForPeer
 			}
-			lease := acquire(now, w.Demand)
+			d := w.Demand
+			d.avoid = kept[d.Pool]
+			lease := acquire(now, d)
 			switch {
 			case lease != nil && own[w]:
 				grants = append(grants, Grant{Waiter: w, Lease: lease})
@@ -109,7 +112,11 @@
 				continue
 			}
 			unplaced++
-			blocked[need] = now.Sub(w.Arrived) > maxBypassTime || unplaced >= maxUnplaced
+			overdue := now.Sub(w.Arrived) > maxBypassTime
+			blocked[need] = overdue || unplaced >= maxUnplaced
+			if overdue && need.version != "" {
+				kept[need.pool] = append(kept[need.pool], need.version)
+			}
 		}
 		if own[w] {
 			stillWaiting = append(stillWaiting, w)
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -27,6 +27,8 @@
 	// SoftwareVersion is the version that began the stream, which alone may go on with it; empty
 	// for a stream that has not begun.
 	SoftwareVersion string
+
+	avoid []string // software versions whose engines are kept free for others
 }
 
 // accepts reports whether an engine may serve the demand.
@@ -181,7 +183,7 @@
 	}
 	var versions []string
 	for _, x := range s.pools[d.Pool] {
-		if !slices.Contains(versions, x.ep.SoftwareVersion) {
+		if !slices.Contains(versions, x.ep.SoftwareVersion) && !slices.Contains(d.avoid, x.ep.SoftwareVersion) {
 			versions = append(versions, x.ep.SoftwareVersion)
 		}
 	}
