gossip: batches of a large fleet are split

A relay's batch above the size of a datagram was dropped whole, with the loads and quotas in it. With streams in the updates that would have happened from 380 instances on with one stream a second each; no fleet of that size was run.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -117,14 +117,16 @@
 	if len(b.Datagrams) == 0 {
 		return
 	}
-	d, err := gossip.EncodeBatch(b, secret)
+	datagrams, err := gossip.EncodeBatches(b, secret)
 	if err != nil {
 		p.log.Error(err, "update.not_relayed")
 		return
 	}
-	for _, addr := range to {
-		// A datagram that cannot be sent counts as lost; the next one makes up for it.
-		_, _ = p.conn.WriteToUDPAddrPort(d, addr)
+	for _, d := range datagrams {
+		for _, addr := range to {
+			// A datagram that cannot be sent counts as lost; the next one makes up for it.
+			_, _ = p.conn.WriteToUDPAddrPort(d, addr)
+		}
 	}
 }
 
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -167,8 +167,39 @@
 	kindBatch  = 'b'
 )
 
-// EncodeBatch returns the datagram of b, signed with the fleet's secret.
-func EncodeBatch(b *Batch, secret []byte) ([]byte, error) { return seal(kindBatch, b, secret) }
+const (
+	batchOverhead    = 64 // bytes besides the datagrams and the relay's name
+	datagramOverhead = 5  // bytes for each datagram in a batch
+)
+
+// EncodeBatches returns datagrams that together hold the batch, signed with the fleet's secret.
+func EncodeBatches(b *Batch, secret []byte) ([][]byte, error) {
+	limit := MaxDatagramBytes - macBytes - batchOverhead - len(b.Relay)
+	var out [][]byte
+	part := &Batch{Relay: b.Relay, Forward: b.Forward}
+	size := 0
+	flush := func() error {
+		if len(part.Datagrams) == 0 {
+			return nil
+		}
+		d, err := seal(kindBatch, part, secret)
+		out, size, part.Datagrams = append(out, d), 0, nil
+		return err
+	}
+	for _, d := range b.Datagrams {
+		if size+len(d)+datagramOverhead > limit {
+			if err := flush(); err != nil {
+				return nil, err
+			}
+		}
+		part.Datagrams = append(part.Datagrams, d)
+		size += len(d) + datagramOverhead
+	}
+	if err := flush(); err != nil {
+		return nil, err
+	}
+	return out, nil
+}
 
 // Decode verifies a datagram and decodes its update or batch.
 func Decode(datagram, secret []byte) (*Update, *Batch, error) {
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -25,9 +25,9 @@
 	assert.Assert(t, batch == nil)
 	assert.DeepEqual(t, got, sampleUpdate())
 
-	batchDatagram, err := EncodeBatch(&Batch{Relay: "north-2", Forward: true, Datagrams: [][]byte{b}}, secret)
+	batchDatagrams, err := EncodeBatches(&Batch{Relay: "north-2", Forward: true, Datagrams: [][]byte{b}}, secret)
 	assert.NilError(t, err)
-	_, batch, err = Decode(batchDatagram, secret)
+	_, batch, err = Decode(batchDatagrams[0], secret)
 	assert.NilError(t, err)
 	got, _, err = Decode(batch.Datagrams[0], secret)
 	assert.NilError(t, err)
