gateway: a stream's software version is that of the process that began it

A stream could be recorded at the version in the engine's entry although the engine had restarted with another one under its name and the entry did not say so yet; it then went on at the entry's version. Likewise a prefill result. Found by a review; no caller is known to have been hurt.

The engine is now asked for its incarnation at each new connection, which a process does not outlive, instead of before each run that goes on with a stream. A version holds only for the incarnation in the entry: a stream at an engine that has not confirmed it is not recorded and not moved, and no prefill result is made or used there.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -150,6 +150,13 @@
 	return ok
 }
 
+// isUnlimited reports whether the endpoint announces no limit. Of one with a limit the entry is
+// taken at its word: requests for its incarnation would take the turns of callers' requests.
+func (a *admission) isUnlimited(endpoint string) (ok bool) {
+	a.withScheduler(func(_ time.Time, s *placement.Scheduler) { ok = !s.IsLimited(endpoint) })
+	return ok
+}
+
 // releaseAndServe runs f, which frees capacity, and then serves the queue.
 func (a *admission) releaseAndServe(f func(now time.Time, s *placement.Scheduler)) {
 	a.mu.Lock()
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -382,9 +382,6 @@
 	errNoRetryBudget = errors.New("retry budget is exhausted")
 	// errEngineLeft ends an attempt whose engine began to leave during the prefill.
 	errEngineLeft = errors.New("the engine began to leave")
-	// errVersionUnknown ends an attempt to go on with a stream at an engine whose software version
-	// could not be confirmed.
-	errVersionUnknown = errors.New("the engine's software version is not confirmed")
 	// errNoPlace marks the refusal of a request for which no engine can be had in time.
 	errNoPlace = errors.New("no engine can be had in time")
 )
@@ -406,7 +403,7 @@
 	if err := g.admit(); err != nil {
 		return nil, true, err
 	}
-	if err := g.s.upstream.ensureConn(ctx, l.Target.Addr); err != nil {
+	if err := g.s.upstream.ensureConn(ctx, l.Target); err != nil {
 		outcome = outcomeOf(ctx, err)
 		g.s.recordConnectError(l.Target, err)
 		if ctx.Err() == nil {
@@ -419,10 +416,7 @@
 		if g.prefilled && !g.reserveSends(2) {
 			return nil, true, errNoRetryBudget
 		}
-		if err = g.confirmVersion(ctx, engine); err == nil {
-			p, err = g.prefill(ctx, l)
-		}
-		if err != nil {
+		if p, err = g.prefill(ctx, l); err != nil {
 			if ctx.Err() == nil {
 				g.excluded = append(g.excluded, engine.Name)
 			}
@@ -436,11 +430,6 @@
 	if err == nil && p != nil && g.s.isLeaving(l.Target) && !g.redirect(l, g.demand(), sched.Abandoned, errEngineLeft) {
 		err = errEngineLeft
 	}
-	if err == nil {
-		if err = g.confirmVersion(ctx, l.Target); err != nil && ctx.Err() == nil {
-			g.excluded = append(g.excluded, l.Target.Name)
-		}
-	}
 	if err != nil {
 		if p != nil {
 			g.s.releaseHandle(p.addr, p.endpoint, p.handle)
@@ -450,44 +439,6 @@
 	return g.sendRun(l, p), false, nil
 }
 
-// confirmVersion asks an engine that is to go on with a stream whether it is still the incarnation
-// in its entry. One that has restarted under its name may have another software version, of which
-// the entry tells only later.
-func (g *generation) confirmVersion(ctx context.Context, ep *config.Endpoint) error {
-	if g.softwareVersion == "" {
-		return nil
-	}
-	if !g.s.admission.takeTurn(ep.Name) {
-		return errVersionUnknown
-	}
-	incarnation, err := g.s.askIncarnation(ctx, ep)
-	switch {
-	case err != nil:
-		return errors.CombineErrors(errVersionUnknown, err)
-	case incarnation != 0 && incarnation != ep.Incarnation:
-		g.s.admission.withScheduler(func(_ time.Time, p *placement.Scheduler) { p.MarkReplaced(ep) })
-		g.s.log.Info("endpoint.restarted", "endpoint", ep.Name, "incarnation", incarnation, "before", ep.Incarnation)
-		return errVersionUnknown
-	}
-	return nil
-}
-
-// askIncarnation returns the incarnation of an endpoint as it says itself, 0 if it does not.
-func (s *Server) askIncarnation(ctx context.Context, ep *config.Endpoint) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	resp, err := s.upstream.do(ctx, endpointRequest{endpoint: ep.Name, addr: ep.Addr, method: http.MethodGet, uri: s.wire.ReportPath(), host: ep.Addr})
-	if err != nil {
-		return 0, err
-	}
-	defer resp.close()
-	body, err := resp.readAll()
-	if err != nil || resp.Status != http.StatusOK {
-		return 0, err
-	}
-	return s.wire.ReportedIncarnation(body)
-}
-
 // isLeaving reports whether an endpoint has been seen leaving, or is gone.
 func (s *Server) isLeaving(ep *config.Endpoint) bool {
 	now := s.state.Current().Endpoints[ep.Name]
@@ -498,6 +449,8 @@
 func (g *generation) sendRun(l *placement.Lease, p *prefillResult) *engineRun {
 	g.countSend()
 	req := g.request(l.Target.Addr, RequestOptions{Endpoint: l.Target.Name, KVSource: p.source(), LastEventID: g.lastEventID})
+	// The software version in an entry holds for its incarnation only.
+	req.incarnation, req.mustConfirm = l.Target.Incarnation, p != nil || g.softwareVersion != ""
 	return g.s.upstream.startRun(g.ctx, req, l, p)
 }
 
@@ -517,7 +470,7 @@
 	}
 	d := g.demand()
 	d.Exclude = append(d.Exclude, run.refusedBy...)
-	if !g.redirect(l, d, o, cause) || g.admit() != nil || g.confirmVersion(g.ctx, l.Target) != nil {
+	if !g.redirect(l, d, o, cause) || g.admit() != nil {
 		return nil
 	}
 	run.cancel(errRunAbandoned)
@@ -544,7 +497,10 @@
 	pctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	sends, reserved := g.sends, g.reserved
-	call := g.startCall(pctx, p.Addr, RequestOptions{Endpoint: p.Name, PrefillOnly: true})
+	g.countSend()
+	req := g.request(p.Addr, RequestOptions{Endpoint: p.Name, PrefillOnly: true})
+	req.incarnation, req.mustConfirm = p.Incarnation, true
+	call := g.s.upstream.startCall(pctx, req)
 	g.awaitPrefill(l, call, cancel)
 	g.finishCall(call, p.Name)
 	resp, err := call.resp, call.err
@@ -556,6 +512,9 @@
 			outcome = sched.Abandoned
 			return nil, context.Cause(ctx)
 		}
+		if errors.Is(err, endpoint.ErrNotSent) {
+			outcome = outcomeOf(ctx, err)
+		}
 		g.recordBreak(pctx, p, err)
 		return nil, err
 	}
@@ -693,7 +652,7 @@
 	if !g.resp.started {
 		g.resp.startStream(run.resp.Status, run.resp.Headers)
 	}
-	if version := run.lease.Target.SoftwareVersion; g.softwareVersion == "" && version != "" {
+	if version := run.lease.Target.SoftwareVersion; g.softwareVersion == "" && run.resp.confirmed {
 		g.softwareVersion = version
 		g.s.origins.begin(time.Now(), g.account(), g.call.ID, origin.Origin{Pool: g.call.Pool.Name, Version: version})
 		g.s.peers.requestUpdate()
@@ -720,6 +679,10 @@
 	switch {
 	case cause != nil && !errors.Is(cause, errEndpointTimeout):
 		return sched.Abandoned
+	case errors.Is(err, errOtherIncarnation):
+		return sched.Replaced
+	case errors.Is(err, errIncarnationUnknown):
+		return sched.Full // worth another try soon
 	case errors.Is(err, endpoint.ErrNotSent):
 		return sched.Unreachable
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -114,6 +114,7 @@
 	})
 	g.upstream = newUpstream(d.Wire, g.setUserTimeout)
 	g.upstream.onResponse = g.recordLimit
+	g.upstream.mayAsk = g.admission.isUnlimited
 	g.state = newState(d.RowDecoder, g.admission, d.Log)
 	g.origins = newOrigins(d.Store, s.Instance, g.state)
 	g.state.onEndpoint = g.origins.seeSoftware
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -86,7 +86,8 @@
 	x.lastEndpoint = l.Target.Name
 	r := &callRun{lease: l}
 	ctx, r.cancel = context.WithCancelCause(ctx)
-	r.call = x.startCall(ctx, l.Target.Addr, RequestOptions{Endpoint: l.Target.Name})
+	x.countSend()
+	r.call = x.s.upstream.startCall(ctx, x.request(l.Target.Addr, RequestOptions{Endpoint: l.Target.Name}))
 	return r
 }
 
@@ -265,14 +266,12 @@
 	err      error
 }
 
-// startCall sends the request once and counts it.
-func (x *exchange) startCall(ctx context.Context, addr string, opts RequestOptions) *pendingCall {
-	x.countSend()
-	req := x.request(addr, opts)
+// startCall sends a request and reads its response in the background.
+func (u *upstream) startCall(ctx context.Context, req endpointRequest) *pendingCall {
 	p := &pendingCall{answered: make(chan struct{})}
 	go func() {
 		defer close(p.answered)
-		if p.resp, p.err = x.s.upstream.do(ctx, req); p.err == nil {
+		if p.resp, p.err = u.do(ctx, req); p.err == nil {
 			p.body, p.err = p.resp.readAll()
 		}
 	}()
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -16,6 +16,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"carawayrouter.example/router/internal/config"
 	"carawayrouter.example/router/internal/endpoint"
 	"carawayrouter.example/router/internal/tcp"
 )
@@ -52,6 +53,7 @@
 	wire       Wire
 	onOpen     func(net.Conn)                                                 // configures a new connection
 	onResponse func(req endpointRequest, sentAt time.Time, resp ResponseInfo) // observes every response
+	mayAsk     func(endpoint string) bool                                     // reports whether an endpoint may be asked for its incarnation
 
 	buffered atomic.Int64 // bytes of response bodies in memory
 
@@ -66,10 +68,21 @@
 	br        *bufio.Reader
 	idleSince time.Time
 	idleTTL   time.Duration
+
+	incarnation int64 // of the process at the other end, as it says itself; 0 if it was not asked
 }
 
+// notStated is the incarnation of a process that does not state one.
+const notStated = -1
+
+// errOtherIncarnation means that the process at an endpoint's address is not the one in its entry.
+var errOtherIncarnation = errors.New("another incarnation of the endpoint answers at its address")
+
+// errIncarnationUnknown means that an endpoint did not say which incarnation it is.
+var errIncarnationUnknown = errors.New("the endpoint's incarnation is not known")
+
 func newUpstream(w Wire, onOpen func(net.Conn)) *upstream {
-	return &upstream{wire: w, onOpen: onOpen, onResponse: func(endpointRequest, time.Time, ResponseInfo) {}, idle: map[string][]*endpointConn{}}
+	return &upstream{wire: w, onOpen: onOpen, onResponse: func(endpointRequest, time.Time, ResponseInfo) {}, mayAsk: func(string) bool { return true }, idle: map[string][]*endpointConn{}}
 }
 
 // get returns a connection to addr that has been idle for at most maxAge, or a new one.
@@ -102,10 +115,14 @@
 	return &endpointConn{Conn: nc, addr: addr, limited: limited, br: bufio.NewReaderSize(limited, readBuffer), idleTTL: defaultIdleTTL}, nil
 }
 
-// ensureConn makes sure that a connection to addr is available, so that an unreachable endpoint
-// is detected before work is done for it.
-func (u *upstream) ensureConn(ctx context.Context, addr string) error {
-	c, err := u.get(ctx, addr, defaultIdleTTL)
+// ensureConn makes sure that a connection to an endpoint is available, so that an unreachable one,
+// or another incarnation of it, is detected before work is done for it.
+func (u *upstream) ensureConn(ctx context.Context, ep *config.Endpoint) error {
+	c, err := u.get(ctx, ep.Addr, defaultIdleTTL)
+	if err != nil {
+		return err
+	}
+	c, err = u.identify(ctx, c, endpointRequest{endpoint: ep.Name, addr: ep.Addr, incarnation: ep.Incarnation})
 	if err != nil {
 		return err
 	}
@@ -113,6 +130,67 @@
 	return nil
 }
 
+// identify makes sure that the process at the other end of a connection is the incarnation that
+// the request is meant for, and returns the connection to use: a process cannot be replaced without
+// breaking its connections. The error is marked with ErrNotSent.
+func (u *upstream) identify(ctx context.Context, c *endpointConn, req endpointRequest) (*endpointConn, error) {
+	if req.incarnation == 0 {
+		return c, nil
+	}
+	if c.incarnation == 0 && !u.mayAsk(req.endpoint) {
+		return c, nil
+	}
+	if c.incarnation == 0 {
+		if err := u.askIncarnation(ctx, c, req); err != nil {
+			_ = c.Close()
+			if c, err = u.dial(ctx, req.addr); err != nil {
+				return nil, err
+			}
+		}
+	}
+	err := error(nil)
+	switch {
+	case c.incarnation == 0 && req.mustConfirm:
+		err = errIncarnationUnknown
+	case c.incarnation > 0 && c.incarnation != req.incarnation:
+		err = errOtherIncarnation
+	default:
+		return c, nil
+	}
+	u.put(c)
+	return nil, errors.Mark(err, endpoint.ErrNotSent)
+}
+
+// askIncarnation asks the process at the other end of an idle connection for its incarnation.
+func (u *upstream) askIncarnation(ctx context.Context, c *endpointConn, req endpointRequest) error {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	defer context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })()
+	resp, err := u.roundTrip(c, endpointRequest{method: http.MethodGet, uri: u.wire.ReportPath(), host: req.addr})
+	if err != nil {
+		return err
+	}
+	body, err := resp.readAll()
+	u.buffered.Add(-resp.buffered)
+	if err != nil {
+		return err
+	}
+	if !resp.keepAlive || ctx.Err() != nil {
+		return errors.New("the endpoint closes the connection")
+	}
+	if resp.Status != http.StatusOK {
+		return errors.Newf("the endpoint's report has status %d", resp.Status)
+	}
+	incarnation, err := u.wire.ReportedIncarnation(body)
+	if err != nil {
+		return err
+	}
+	if c.incarnation = incarnation; incarnation == 0 {
+		c.incarnation = notStated
+	}
+	return nil
+}
+
 func (u *upstream) pop(addr string) *endpointConn {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -187,6 +265,9 @@
 	body      []byte
 	attemptID string // attempt that the response must belong to; empty accepts any
 	sendOnce  bool   // must not be sent on a connection that may be closing
+
+	incarnation int64 // of the endpoint; 0 accepts any
+	mustConfirm bool  // is sent only to an endpoint that has said to be the incarnation, or says none
 }
 
 // endpointResponse is an endpoint's response. Close must be called; if the body was not read
@@ -201,6 +282,7 @@
 	buffered  int64 // bytes of the body in memory
 	bodyRead  bool  // the body was read completely
 	keepAlive bool
+	confirmed bool // it comes from the incarnation that the request was meant for, as far as endpoints say
 }
 
 // do sends a request and reads the header of its response. Ctx applies until the response is
@@ -215,6 +297,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if c, err = u.identify(ctx, c, req); err != nil {
+		return nil, err
+	}
 	if ctx.Err() != nil {
 		u.put(c)
 		return nil, errors.Mark(context.Cause(ctx), endpoint.ErrNotSent)
@@ -264,6 +349,7 @@
 		c.limited.N = math.MaxInt64
 		resp := &endpointResponse{ResponseInfo: info, Status: httpResp.StatusCode, body: httpResp.Body, conn: c, upstream: u}
 		resp.keepAlive = !httpResp.Close && skipped == 0
+		resp.confirmed = c.incarnation != 0 || req.incarnation == 0 || !u.mayAsk(req.endpoint)
 		if ttl, ok := keepAliveTTL(httpResp.Header); ok {
 			c.idleTTL = ttl
 		}
--- a/internal/placement/limits.go
+++ b/internal/placement/limits.go
@@ -82,6 +82,12 @@
 	}
 }
 
+// IsLimited reports whether the endpoint announces a limit.
+func (s *Scheduler) IsLimited(endpoint string) bool {
+	x := s.endpoints[endpoint]
+	return x != nil && x.pacer.Limit().Limited
+}
+
 // CountLimited returns the number of endpoints with a limit.
 func (s *Scheduler) CountLimited() int {
 	n := 0
