placement: an engine of unknown version opens no pair of different versions

One engine without a version, as an instance of an older build may pass it on, let prefill and decode engines of different versions be paired (TestEngineWithoutAVersionPairsNoOthers, failed before).

--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -182,11 +182,19 @@
 		return []string{d.SoftwareVersion}
 	}
 	var versions []string
+	unknown := false
 	for _, x := range s.pools[d.Pool] {
+		if x.ep.SoftwareVersion == "" {
+			unknown = true
+			continue
+		}
 		if !slices.Contains(versions, x.ep.SoftwareVersion) && !slices.Contains(d.avoid, x.ep.SoftwareVersion) {
 			versions = append(versions, x.ep.SoftwareVersion)
 		}
 	}
+	if len(versions) == 0 && unknown {
+		return []string{""}
+	}
 	if len(versions) > 1 {
 		s.rand.Shuffle(len(versions), func(i, j int) { versions[i], versions[j] = versions[j], versions[i] })
 	}
--- a/internal/placement/version_test.go
+++ b/internal/placement/version_test.go
@@ -64,3 +64,20 @@
 		})
 	}
 }
+
+// An engine whose version is not known does not open the pairs of engines of different versions.
+func TestEngineWithoutAVersionPairsNoOthers(t *testing.T) {
+	state := engines(2, 3, 40000)
+	for name, ep := range state.Endpoints {
+		e := *ep
+		e.SoftwareVersion = map[string]string{"prefill-0": "v1", "prefill-1": "v1", "decode-2": "v2", "decode-3": "v2", "decode-4": ""}[name]
+		state.Endpoints[name] = &e
+	}
+	s := newScheduler(7, state)
+	for range 20 {
+		l := s.AcquireEngine(start, demand(100, 100))
+		if l != nil && l.Prefill != nil {
+			assert.Equal(t, l.Prefill.SoftwareVersion, l.Target.SoftwareVersion, "%s decodes a prefill result of %s", l.Target.Name, l.Prefill.Name)
+		}
+	}
+}
