gateway: connections of service calls are reused again

Since each service call opened a connection of its own: its context was ended before its response was closed, which closes the connection.

--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -167,10 +167,10 @@
 
 // endCallRun frees what a call holds.
 func (x *exchange) endCallRun(run *callRun, o sched.Outcome) {
-	run.cancel(nil)
 	if run.call.resp != nil {
-		run.call.resp.close()
+		run.call.resp.close() // before its context ends, which would close the connection
 	}
+	run.cancel(nil)
 	if o != sched.Succeeded && o != sched.Abandoned && (o != sched.Full || !run.standby) {
 		x.excluded = append(x.excluded, run.lease.Target.Name)
 	}
