gateway: what is known of streams' origins outlasts moves, restores and growth

Instances now keep and store for a minute which routes have moved. - A just started instance took the only version that the store had for the only one, although the others knew another (TestStreamOfAVersionThatTheStoreHasLostIsNotMixed). The updates now carry the versions, and rows that a restored store lacks are written again. - A route that is no longer of type streaming went past the check (TestResumeOnARouteThatIsNotStreamingIsNotMixed). - Versions were never forgotten once instances lost sight of them at different times, or forgotten although one came back (TestEndedVersionIsForgottenByAll, TestVersionThatComesBackWhileItsRowIsDeletedIsNotForgotten). Updates carry the streams of one version together, 12 bytes each.

--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -121,9 +121,7 @@
 	if c.Pool == nil {
 		return refusal(errkind.NoEndpoint, "the route's pool is not configured", endpointRetryAfter)
 	}
-	if e := c.Pool.Engine; e != nil {
-		x.priorTokens = min(c.EventsReceived*max(1, e.Stride), c.MaxOutputTokens)
-	}
+	x.countPriorTokens()
 	x.deadline = c.Arrived.Add(c.Route.Deadline)
 	if c.Route.Deadline <= 0 {
 		x.deadline = c.Arrived.Add(bodyTimeout)
@@ -134,6 +132,13 @@
 	return nil
 }
 
+// countPriorTokens counts the output tokens that the caller received in an earlier attempt.
+func (x *exchange) countPriorTokens() {
+	if e := x.call.Pool.Engine; e != nil {
+		x.priorTokens = min(x.call.EventsReceived*max(1, e.Stride), x.call.MaxOutputTokens)
+	}
+}
+
 // hostName returns the host without a port.
 func hostName(host string) string {
 	if h, _, err := net.SplitHostPort(host); err == nil {
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -22,7 +23,8 @@
 const (
 	originReportTime   = 3 * time.Second        // for which updates repeat a stream that began
 	originStoreDelay   = 500 * time.Millisecond // from the begin of a stream to its row, in a fleet of up to storeScaleFleet instances
-	originReadInterval = 50 * time.Millisecond  // between two reads of the rows
+	originReadInterval = 150 * time.Millisecond // between two reads of the rows, in a fleet of up to originReadFleet instances
+	originReadFleet    = 16
 	originReadTimeout  = 400 * time.Millisecond // for a read that a request waits for
 
 	// The rows of an instance are a ring that is longer than the lifetime of a record, so that
@@ -36,10 +38,12 @@
 
 	// softwareMemory is how long a software version counts after its last endpoint has gone: until
 	// no stream that it began can be taken up again.
-	softwareMemory   = 2 * origin.Lifetime
-	softwarePrefix   = "software/" // of the rows of software versions
-	streamPrefix     = "streams/"  // of the rows of streams, by instance
-	softwareKeyBytes = 12
+	softwareMemory  = 2 * origin.Lifetime
+	softwareRefresh = softwareMemory / 2 // between two writes of the row of a version that endpoints have
+	softwarePrefix  = "software/"        // of the rows of software versions
+	movePrefix      = "moved/"           // of the rows of routes whose pools have changed lately
+	streamPrefix    = "streams/"         // of the rows of streams, by instance
+	rowKeyBytes     = 12                 // of a hashed name
 
 	resumeRetryAfter = 500 * time.Millisecond // by then what another instance began is known here, or will not be
 )
@@ -50,13 +54,17 @@
 // It also knows which software versions each pool has had lately: while there is only one, every
 // stream began at it.
 type origins struct {
-	store    Store
-	instance string
-	state    *state
+	store     Store
+	instance  string
+	state     *state
+	fleetSize func() int
+	synced    func(now time.Time) bool // reports whether the other instances have said which versions they know
 
 	mu       sync.Mutex
 	table    *origin.Table
-	dirty    map[int]bool // rows of this instance that differ from the store's
+	dirty    map[int]bool      // rows of this instance that differ from the store's
+	loaded   map[string]uint64 // versions of the rows that were merged last
+	moved    map[string]*routeMove
 	software map[origin.Origin]*softwareVersion
 	read     *originRead // the last read of the rows
 	changed  chan struct{}
@@ -65,7 +73,15 @@
 // softwareVersion is a version that endpoints of a pool have, or had lately.
 type softwareVersion struct {
 	lastSeen time.Time
-	stored   bool // it has a row in the store
+	stored   bool      // it has a row in the store
+	storedAt time.Time // what the row says of lastSeen
+}
+
+// routeMove is a change of the pools that a route may use. Streams that began before it may have
+// begun in another pool.
+type routeMove struct {
+	at     time.Time
+	stored bool
 }
 
 // originRead is a read of the rows that several requests can wait for.
@@ -77,8 +93,8 @@
 
 func newOrigins(store Store, instance string, st *state) *origins {
 	return &origins{
-		store: store, instance: instance, state: st,
-		table: origin.New(), dirty: map[int]bool{}, software: map[origin.Origin]*softwareVersion{},
+		store: store, instance: instance, state: st, synced: func(time.Time) bool { return true }, fleetSize: func() int { return 1 },
+		table: origin.New(), dirty: map[int]bool{}, loaded: map[string]uint64{}, moved: map[string]*routeMove{}, software: map[origin.Origin]*softwareVersion{},
 		changed: make(chan struct{}, 1),
 	}
 }
@@ -111,8 +127,8 @@
 }
 
 // find returns where the stream of an account's attempt began, if that is known here or in the
-// store. Pool is the only one in which it can have begun, or empty.
-func (o *origins) find(ctx context.Context, account, attempt, pool string) (at origin.Origin, known bool, err error) {
+// store. Pool is the only one that the route may use, or empty.
+func (o *origins) find(ctx context.Context, account, attempt, route, pool string) (at origin.Origin, known bool, err error) {
 	key := origin.KeyOf(account, attempt)
 	if at, known = o.lookUp(key); known {
 		return at, true, nil
@@ -123,7 +139,9 @@
 	if at, known = o.lookUp(key); known || pool == "" {
 		return at, known, nil
 	}
-	at, known = o.onlyVersion(pool)
+	if now := time.Now(); o.synced(now) && !o.hasMoved(now, route) {
+		at, known = o.onlyVersion(pool)
+	}
 	return at, known, nil
 }
 
@@ -160,7 +178,8 @@
 				last = r.began
 			}
 			r = &originRead{began: time.Now(), done: make(chan struct{})}
-			if next := last.Add(originReadInterval); r.began.Before(next) {
+			interval := originReadInterval * time.Duration(max(1, o.fleetSize()/originReadFleet))
+			if next := last.Add(interval); r.began.Before(next) {
 				r.began = next
 			}
 			o.read = r
@@ -183,7 +202,7 @@
 	time.Sleep(time.Until(r.began))
 	ctx, cancel := context.WithTimeout(context.Background(), originReadTimeout)
 	defer cancel()
-	if _, r.err = o.load(ctx); r.err == nil {
+	if _, r.err = o.load(ctx, false); r.err == nil {
 		r.err = o.readNewEndpoints(ctx)
 	}
 }
@@ -223,12 +242,17 @@
 	if ep.Role != config.Decode {
 		return // begins no streams
 	}
-	key := origin.Origin{Pool: ep.Pool, Version: ep.SoftwareVersion}
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.seeVersion(origin.Origin{Pool: ep.Pool, Version: ep.SoftwareVersion}, now)
+}
+
+// seeVersion records that an engine of a pool had a software version at a time. The caller holds
+// the lock.
+func (o *origins) seeVersion(key origin.Origin, at time.Time) {
 	v := o.software[key]
 	if v == nil {
-		v = &softwareVersion{}
+		v = &softwareVersion{lastSeen: at}
 		o.software[key] = v
 		if o.hasSeveralVersions(key.Pool) {
 			for row := range originRows {
@@ -237,7 +261,9 @@
 		}
 		o.requestStore()
 	}
-	v.lastSeen = now
+	if at.After(v.lastSeen) {
+		v.lastSeen = at
+	}
 }
 
 // hasSeveralVersions reports whether a pool has, or had lately, several software versions. The
@@ -260,61 +286,103 @@
 	BegunMillis     int64  `json:"begun_ms"` // Unix time
 }
 
-// load merges all rows. It returns the keys of those that nobody will overwrite any more.
-func (o *origins) load(ctx context.Context) (obsolete []string, err error) {
+// load merges all rows, and at the start those of this instance's earlier incarnation into its own.
+// It returns the keys of those that nobody will overwrite any more.
+func (o *origins) load(ctx context.Context, restoreOwn bool) (obsolete []string, err error) {
 	rows, _, err := o.store.Rows(ctx, Streams)
 	if err != nil {
 		return nil, errors.Wrap(err, "read the origins of streams")
 	}
-	now := time.Now()
 	o.mu.Lock()
-	defer o.mu.Unlock()
-	for _, v := range o.software {
-		v.stored = false // a store that was restored from a copy may lack it
-	}
+	loaded := o.loaded
+	o.mu.Unlock()
+	versions := make(map[string]uint64, len(rows))
+	var changed []decodedRow
 	for _, row := range rows {
-		if strings.HasPrefix(row.Key, softwarePrefix) {
-			o.mergeSoftwareRow(now, row)
-		} else if !o.mergeStreamRow(now, row) {
-			obsolete = append(obsolete, row.Key)
+		if versions[row.Key] = row.Version; restoreOwn || loaded[row.Key] != row.Version || row.Version == 0 {
+			changed = append(changed, decodeRow(row))
 		}
 	}
-	for _, v := range o.software {
-		if !v.stored {
-			o.requestStore()
+	now := time.Now()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.loaded = versions
+	for _, row := range changed {
+		if !o.mergeRow(now, row, restoreOwn) {
+			obsolete = append(obsolete, row.key)
 		}
 	}
+	o.checkStored(versions)
 	return obsolete, nil
 }
 
-// mergeSoftwareRow merges the row of a software version. The caller holds the lock.
-func (o *origins) mergeSoftwareRow(now time.Time, row Row) {
-	var key origin.Origin
-	if err := json.Unmarshal(row.Value, &key); err != nil || key.Pool == "" {
-		return
-	}
-	if o.software[key] == nil {
-		o.software[key] = &softwareVersion{lastSeen: now}
+// decodedRow is a row of any kind. A row that cannot be read has none.
+type decodedRow struct {
+	key      string
+	streams  []storedStream
+	software *storedSoftware
+	move     *storedMove
+}
+
+// storedSoftware is the row of a software version.
+type storedSoftware struct {
+	origin.Origin
+	SeenMillis int64 `json:"seen_ms"` // Unix time
+}
+
+// storedMove is the row of a route whose pools have changed.
+type storedMove struct {
+	Route       string `json:"route"`
+	MovedMillis int64  `json:"moved_ms"` // Unix time
+}
+
+func decodeRow(row Row) decodedRow {
+	d := decodedRow{key: row.Key}
+	switch {
+	case strings.HasPrefix(row.Key, softwarePrefix):
+		if json.Unmarshal(row.Value, &d.software) != nil {
+			d.software = nil
+		}
+	case strings.HasPrefix(row.Key, movePrefix):
+		if json.Unmarshal(row.Value, &d.move) != nil {
+			d.move = nil
+		}
+	default:
+		if json.Unmarshal(row.Value, &d.streams) != nil {
+			d.streams = nil
+		}
 	}
-	o.software[key].stored = true
+	return d
 }
 
-// mergeStreamRow merges a row of streams and reports whether it is still needed. The caller holds
-// the lock.
-func (o *origins) mergeStreamRow(now time.Time, row Row) (needed bool) {
-	var streams []storedStream
-	if json.Unmarshal(row.Value, &streams) != nil {
-		return false
+// mergeRow merges a row and reports whether it is still needed. The caller holds the lock.
+func (o *origins) mergeRow(now time.Time, row decodedRow, restoreOwn bool) (needed bool) {
+	if s := row.software; s != nil {
+		seen := time.UnixMilli(s.SeenMillis)
+		if now.Sub(seen) >= softwareMemory {
+			return false
+		}
+		o.seeVersion(s.Origin, seen)
+		o.software[s.Origin].storedAt = seen
+		return true
 	}
-	own := strings.HasPrefix(row.Key, o.rowKey(""))
+	if m := row.move; m != nil {
+		at := time.UnixMilli(m.MovedMillis)
+		if now.Sub(at) >= origin.Lifetime {
+			return false
+		}
+		o.recordMove(m.Route, at, true)
+		return true
+	}
+	own := strings.HasPrefix(row.key, o.rowKey(""))
 	needed = own
-	for _, s := range streams {
+	for _, s := range row.streams {
 		begun := time.UnixMilli(s.BegunMillis)
 		needed = needed || now.Sub(begun) < originRowMaxAge
 		r, ok := originRecord(s.Key, s.Pool, s.SoftwareVersion, begun)
 		switch {
 		case !ok:
-		case own:
+		case own && restoreOwn:
 			o.table.Restore(now, r)
 		default:
 			o.table.Merge(now, r)
@@ -323,13 +391,61 @@
 	return needed
 }
 
+// checkStored has the rows written again that the store lacks: it may have been restored from a
+// copy. The caller holds the lock.
+func (o *origins) checkStored(rows map[string]uint64) {
+	for key, v := range o.software {
+		_, v.stored = rows[softwareKey(key)]
+	}
+	for route, m := range o.moved {
+		_, m.stored = rows[moveKey(route)]
+	}
+	for _, r := range o.table.Own(time.Time{}) {
+		row := originRow(r.Begun)
+		if _, ok := rows[o.rowKey(strconv.Itoa(row))]; !ok && o.hasSeveralVersions(r.Origin.Pool) {
+			o.dirty[row] = true
+		}
+	}
+	o.requestStore()
+}
+
+// recordMove records that the pools of a route have changed. The caller holds the lock.
+func (o *origins) recordMove(route string, at time.Time, stored bool) {
+	if old := o.moved[route]; old == nil || old.at.Before(at) {
+		o.moved[route] = &routeMove{at: at, stored: stored}
+	}
+}
+
+// routesMoved records the routes whose pools have changed.
+func (o *origins) routesMoved(now time.Time, routes []string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, route := range routes {
+		o.recordMove(route, now, false)
+	}
+	o.requestStore()
+}
+
+// hasMoved reports whether the pools of a route have changed lately.
+func (o *origins) hasMoved(now time.Time, route string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	m := o.moved[route]
+	return m != nil && now.Sub(m.at) < origin.Lifetime
+}
+
 // rowKey returns the key of a row of this instance.
 func (o *origins) rowKey(row string) string { return streamPrefix + o.instance + "/" + row }
 
 // softwareKey returns the key of a version's row.
-func softwareKey(v origin.Origin) string {
-	h := sha256.Sum256([]byte(v.Pool + "\x00" + v.Version))
-	return softwarePrefix + hex.EncodeToString(h[:softwareKeyBytes])
+func softwareKey(v origin.Origin) string { return hashedKey(softwarePrefix, v.Pool+"\x00"+v.Version) }
+
+// moveKey returns the key of the row of a route whose pools have changed.
+func moveKey(route string) string { return hashedKey(movePrefix, route) }
+
+func hashedKey(prefix, name string) string {
+	h := sha256.Sum256([]byte(name))
+	return prefix + hex.EncodeToString(h[:rowKeyBytes])
 }
 
 // originRecord returns the record of a stream as another instance or the store has it.
@@ -340,40 +456,64 @@
 	return origin.Record{Key: origin.Key(key), Origin: origin.Origin{Pool: pool, Version: version}, Begun: begun}, true
 }
 
-// addRecent adds the streams that began lately at this instance to an update.
+// addRecent adds the streams that began lately at this instance, and the software versions, to an
+// update.
 func (o *origins) addRecent(now time.Time, u *gossip.Update) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	u.Streams = begunStreams(now, o.table.Own(now.Add(-originReportTime)))
+	u.Software = o.softwareVersions(now)
 }
 
-// all returns all known streams.
-func (o *origins) all(now time.Time) []gossip.BegunStream {
+// export returns all known streams and software versions.
+func (o *origins) export(now time.Time) ([]gossip.BegunStreams, []gossip.SoftwareVersion) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return begunStreams(now, o.table.All())
+	return begunStreams(now, o.table.All()), o.softwareVersions(now)
+}
+
+// softwareVersions returns the software versions. The caller holds the lock.
+func (o *origins) softwareVersions(now time.Time) []gossip.SoftwareVersion {
+	out := make([]gossip.SoftwareVersion, 0, len(o.software))
+	for key, v := range o.software {
+		out = append(out, gossip.SoftwareVersion{Pool: key.Pool, Version: key.Version, Age: gossip.AgeMillis(now, v.lastSeen)})
+	}
+	return out
 }
 
-func begunStreams(now time.Time, records []origin.Record) []gossip.BegunStream {
-	out := make([]gossip.BegunStream, len(records))
-	for i, r := range records {
-		out[i] = gossip.BegunStream{Key: r.Key[:], Pool: r.Origin.Pool, SoftwareVersion: r.Origin.Version, Age: gossip.AgeMillis(now, r.Begun)}
+// begunStreams groups records by origin.
+func begunStreams(now time.Time, records []origin.Record) []gossip.BegunStreams {
+	var out []gossip.BegunStreams
+	index := map[origin.Origin]int{}
+	for _, r := range records {
+		i, ok := index[r.Origin]
+		if !ok {
+			i = len(out)
+			index[r.Origin] = i
+			out = append(out, gossip.BegunStreams{Pool: r.Origin.Pool, SoftwareVersion: r.Origin.Version})
+		}
+		out[i].Keys = append(out[i].Keys, r.Key[:]...)
+		out[i].Age = max(out[i].Age, gossip.AgeMillis(now, r.Begun))
 	}
 	return out
 }
 
-// merge adds streams that another instance knows.
-func (o *origins) merge(now time.Time, streams []gossip.BegunStream) {
-	if len(streams) == 0 {
+// merge adds streams and software versions that another instance knows.
+func (o *origins) merge(now time.Time, streams []gossip.BegunStreams, software []gossip.SoftwareVersion) {
+	if len(streams)+len(software) == 0 {
 		return
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, s := range streams {
-		if r, ok := originRecord(s.Key, s.Pool, s.SoftwareVersion, gossip.TimeOfAge(now, s.Age)); ok {
-			o.table.Merge(now, r)
+		at, begun := origin.Origin{Pool: s.Pool, Version: s.SoftwareVersion}, gossip.TimeOfAge(now, s.Age)
+		for keys := s.Keys; len(keys) >= len(origin.Key{}); keys = keys[len(origin.Key{}):] {
+			o.table.Merge(now, origin.Record{Key: origin.Key(keys[:len(origin.Key{})]), Origin: at, Begun: begun})
 		}
 	}
+	for _, v := range software {
+		o.seeVersion(origin.Origin{Pool: v.Pool, Version: v.Version}, gossip.TimeOfAge(now, v.Age))
+	}
 }
 
 // expire drops the records whose lifetime is over, and has the rows of software versions deleted
@@ -385,8 +525,13 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.table.Expire(now)
+	for route, m := range o.moved {
+		if now.Sub(m.at) >= origin.Lifetime {
+			delete(o.moved, route)
+		}
+	}
 	for _, v := range o.software {
-		if now.Sub(v.lastSeen) >= softwareMemory {
+		if now.Sub(v.lastSeen) >= softwareMemory || v.lastSeen.Sub(v.storedAt) >= softwareRefresh {
 			o.requestStore()
 		}
 	}
@@ -434,7 +579,7 @@
 
 // restoreOrigins reads the rows at the start, and deletes those that nobody needs.
 func (s *Server) restoreOrigins(ctx context.Context) error {
-	obsolete, err := s.origins.load(ctx)
+	obsolete, err := s.origins.load(ctx, true)
 	if err != nil {
 		return err
 	}
@@ -447,42 +592,71 @@
 	return nil
 }
 
-// storeSoftware writes the rows of new software versions and deletes those of old ones.
+// storeSoftware writes the rows of software versions and of routes that have moved, and deletes the
+// rows of versions that no endpoint has any more.
 func (o *origins) storeSoftware(ctx context.Context) error {
+	type write struct {
+		key   string
+		value any
+	}
+	var writes []write
+	var ended []origin.Origin
+	now := time.Now()
 	o.mu.Lock()
-	var added, ended []origin.Origin
 	for key, v := range o.software {
+		unseen := now.Sub(v.lastSeen)
 		switch {
-		case time.Since(v.lastSeen) >= softwareMemory:
+		case unseen >= softwareMemory:
 			ended = append(ended, key)
-		case !v.stored:
-			added = append(added, key)
+			delete(o.software, key)
+		case !v.stored && unseen < softwareRefresh || v.lastSeen.Sub(v.storedAt) >= softwareRefresh:
+			v.stored, v.storedAt = true, v.lastSeen
+			writes = append(writes, write{softwareKey(key), storedSoftware{key, v.lastSeen.UnixMilli()}})
+		}
+	}
+	for route, m := range o.moved {
+		if !m.stored {
+			m.stored = true
+			writes = append(writes, write{moveKey(route), storedMove{route, m.at.UnixMilli()}})
 		}
 	}
 	o.mu.Unlock()
-	for _, key := range added {
-		value, err := json.Marshal(key)
-		if err != nil {
-			return err
+	for i, w := range writes {
+		value, err := json.Marshal(w.value)
+		if err == nil {
+			err = o.store.Put(ctx, Streams, w.key, value)
 		}
-		if err := o.store.Put(ctx, Streams, softwareKey(key), value); err != nil {
+		if err != nil {
+			o.mu.Lock()
+			defer o.mu.Unlock()
+			for _, w := range writes[i:] {
+				o.markUnstored(w.key)
+			}
 			return err
 		}
-		o.mu.Lock()
-		o.software[key].stored = true
-		o.mu.Unlock()
 	}
 	for _, key := range ended {
 		if err := o.store.Delete(ctx, Streams, softwareKey(key)); err != nil {
-			return err
+			return err // the row has expired; the next instance that starts deletes it
 		}
-		o.mu.Lock()
-		delete(o.software, key)
-		o.mu.Unlock()
 	}
 	return nil
 }
 
+// markUnstored records that a row was not written. The caller holds the lock.
+func (o *origins) markUnstored(key string) {
+	for v, s := range o.software {
+		if softwareKey(v) == key {
+			s.stored, s.storedAt = false, time.Time{}
+		}
+	}
+	for route, m := range o.moved {
+		if moveKey(route) == key {
+			m.stored = false
+		}
+	}
+}
+
 // storeRows writes the rows that have changed.
 func (o *origins) storeRows(ctx context.Context) error {
 	o.mu.Lock()
@@ -515,43 +689,70 @@
 // and at the software version that began the stream.
 func (x *exchange) resume(ctx context.Context) error {
 	c := x.call
-	if c.LastEventID == "" || !c.Route.Streaming {
+	pools := x.s.modelPools(c.Route)
+	if c.LastEventID == "" || len(pools) == 0 {
 		return nil
 	}
+	only := ""
+	if len(pools) == 1 {
+		only = pools[0].Name
+	}
 	began := time.Now()
-	at, known, err := x.s.origins.find(ctx, x.account(), c.Resumes, x.s.onlyModelPool(c.Route))
+	at, known, err := x.s.origins.find(ctx, x.account(), c.Resumes, routeKey(c.Route), only)
 	fields := []any{"attempt", c.Resumes, "after", c.LastEventID, "known", known, "pool", at.Pool, "software", at.Version, "waited_ms", time.Since(began).Milliseconds()}
 	if err != nil {
 		fields = append(fields, "cause", err.Error())
 	}
 	x.decision("resume", fields...)
-	switch {
-	case ctx.Err() != nil:
+	if ctx.Err() != nil {
 		return context.Cause(ctx)
-	case !known:
+	}
+	if !known {
 		return refusal(errkind.ResumeUnknown, "where the stream began is not known", resumeRetryAfter)
-	case !c.Route.Allows(at.Pool):
-		return refusal(errkind.ResumeUnknown, "the stream began in a pool that the route no longer uses", resumeRetryAfter)
 	}
-	pool := x.s.state.Current().Pools[at.Pool]
-	if pool == nil || pool.Engine == nil {
-		return refusal(errkind.ResumeUnknown, "the stream's pool is no longer configured", resumeRetryAfter)
+	i := slices.IndexFunc(pools, func(p *config.Pool) bool { return p.Name == at.Pool })
+	if i < 0 {
+		return refusal(errkind.ResumeUnknown, "the stream began in a pool that the route no longer uses", resumeRetryAfter)
 	}
-	c.Pool, x.softwareVersion = pool, at.Version
+	c.Pool, x.softwareVersion = pools[i], at.Version
+	x.countPriorTokens()
 	return nil
 }
 
-// onlyModelPool returns the model pool of a route that has only one, else "".
-func (s *Server) onlyModelPool(r *config.Route) string {
-	only := ""
-	for name, pool := range s.state.Current().Pools {
-		if pool.Engine == nil || !r.Allows(name) {
-			continue
+// modelPools returns the model pools that a route may use.
+func (s *Server) modelPools(r *config.Route) []*config.Pool { return modelPools(s.state.Current(), r) }
+
+func modelPools(st *config.State, r *config.Route) (pools []*config.Pool) {
+	for name, pool := range st.Pools {
+		if pool.Engine != nil && r.Allows(name) {
+			pools = append(pools, pool)
 		}
-		if only != "" {
-			return ""
+	}
+	return pools
+}
+
+// routeKey identifies a route in all configurations.
+func routeKey(r *config.Route) string { return r.Host + " " + r.Path }
+
+// movedRoutes returns the keys of the routes whose model pools differ between two configurations.
+func movedRoutes(before, after *config.State) (moved []string) {
+	pools := func(st *config.State) map[string]string {
+		out := map[string]string{}
+		for _, r := range st.Routes {
+			var names []string
+			for _, p := range modelPools(st, r) {
+				names = append(names, p.Name)
+			}
+			slices.Sort(names)
+			out[routeKey(r)] = strings.Join(names, "\x00")
+		}
+		return out
+	}
+	old := pools(before)
+	for key, names := range pools(after) {
+		if had, ok := old[key]; ok && had != names {
+			moved = append(moved, key)
 		}
-		only = name
 	}
-	return only
+	return moved
 }
--- a/internal/gateway/peerstate.go
+++ b/internal/gateway/peerstate.go
@@ -16,14 +16,15 @@
 
 // peerState is the response to an instance that requests state.
 type peerState struct {
-	ConfigurationVersion uint64                 `json:"version"`
-	Configuration        []byte                 `json:"configuration,omitempty"`
-	EndpointsVersion     uint64                 `json:"directory"`
-	Endpoints            []*config.Endpoint     `json:"endpoints"`
-	Retired              map[string]int64       `json:"retired"`
-	Secret               []byte                 `json:"secret"`
-	Instances            map[string]instanceRow `json:"instances"`
-	Streams              []gossip.BegunStream   `json:"streams,omitempty"`
+	ConfigurationVersion uint64                   `json:"version"`
+	Configuration        []byte                   `json:"configuration,omitempty"`
+	EndpointsVersion     uint64                   `json:"directory"`
+	Endpoints            []*config.Endpoint       `json:"endpoints"`
+	Retired              map[string]int64         `json:"retired"`
+	Secret               []byte                   `json:"secret"`
+	Instances            map[string]instanceRow   `json:"instances"`
+	Streams              []gossip.BegunStreams    `json:"streams,omitempty"`
+	Software             []gossip.SoftwareVersion `json:"software,omitempty"`
 }
 
 // serveState responds to instances of the fleet. One that starts during a store outage has no
@@ -54,7 +55,8 @@
 		return
 	}
 	st := p.s.state.export()
-	st.Secret, st.Instances, st.Streams = secret, rows, p.s.origins.all(time.Now())
+	st.Secret, st.Instances = secret, rows
+	st.Streams, st.Software = p.s.origins.export(time.Now())
 	b, err := json.Marshal(st)
 	if err != nil {
 		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
@@ -138,7 +140,7 @@
 	}
 	p.mu.Unlock()
 	p.s.state.merge(now, &st, addr)
-	p.s.origins.merge(now, st.Streams)
+	p.s.origins.merge(now, st.Streams, st.Software)
 	p.requestUpdate()
 	return nil
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -117,8 +117,9 @@
 	g.upstream.mayAsk = g.admission.isUnlimited
 	g.state = newState(d.RowDecoder, g.admission, d.Log)
 	g.origins = newOrigins(d.Store, s.Instance, g.state)
-	g.state.onEndpoint = g.origins.seeSoftware
+	g.state.onEndpoint, g.state.onMove, g.origins.synced = g.origins.seeSoftware, g.origins.routesMoved, g.synced
 	g.peers = newPeers(g)
+	g.origins.fleetSize = g.peers.fleetSize
 	g.admission.onChange = g.peers.requestUpdate
 	g.stats = newStats(g)
 	return g
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -28,6 +28,8 @@
 
 	// onEndpoint is called with every endpoint of a snapshot before it is in force.
 	onEndpoint func(now time.Time, ep *config.Endpoint)
+	// onMove is called with the routes whose pools a new configuration changes.
+	onMove func(now time.Time, routes []string)
 
 	current atomic.Pointer[config.State]
 
@@ -39,7 +41,7 @@
 }
 
 func newState(decoder RowDecoder, a *admission, log logr.Logger) *state {
-	s := &state{decoder: decoder, admission: a, log: log, directory: newDirectory(), onEndpoint: func(time.Time, *config.Endpoint) {}}
+	s := &state{decoder: decoder, admission: a, log: log, directory: newDirectory(), onEndpoint: func(time.Time, *config.Endpoint) {}, onMove: func(time.Time, []string) {}}
 	s.current.Store(config.Empty())
 	return s
 }
@@ -62,7 +64,11 @@
 	}
 	objects.Endpoints = s.directory.list()
 	s.rawConfiguration = value
-	s.install(config.Build(version, objects))
+	next := config.Build(version, objects)
+	if moved := movedRoutes(old, next); len(moved) > 0 {
+		s.onMove(time.Now(), moved)
+	}
+	s.install(next)
 	s.log.Info("configuration.applied", "version", version, "before", old.Ticket, "routes", len(objects.Routes), "source", source)
 }
 
--- a/internal/gateway/updates.go
+++ b/internal/gateway/updates.go
@@ -255,7 +255,7 @@
 	}
 	p.s.mergeQuarantine(now, u)
 	p.s.mergeLimits(u)
-	p.s.origins.merge(now, u.Streams)
+	p.s.origins.merge(now, u.Streams, u.Software)
 	p.s.admission.withScheduler(func(now time.Time, s *placement.Scheduler) { s.SetPeer(u.Instance, remoteOf(now, u)) })
 	return true
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -42,7 +42,8 @@
 	// KnowsQuarantine means that Quarantined has all causes that were quarantined before the start.
 	KnowsQuarantine bool
 	Limits          []EndpointLimit
-	Streams         []BegunStream
+	Streams         []BegunStreams
+	Software        []SoftwareVersion
 }
 
 // EndpointLimit is the rate of requests that an endpoint has announced to accept from all
@@ -141,14 +142,24 @@
 	SoftwareVersion string
 }
 
-// BegunStream is a stream that began lately at an engine, for callers that take it up again.
-type BegunStream struct {
+// BegunStreams are streams that began at engines of one software version, for callers that take
+// them up again.
+type BegunStreams struct {
 	_ struct{} `cbor:",toarray"`
 
-	Key             []byte // of the caller's attempt
 	Pool            string
-	SoftwareVersion string // of the engine
-	Age             int64  // ms
+	SoftwareVersion string // of the engines
+	Keys            []byte // of the callers' attempts, one after the other
+	Age             int64  // ms, of the oldest one
+}
+
+// SoftwareVersion is a version that engines of a pool have, or had lately.
+type SoftwareVersion struct {
+	_ struct{} `cbor:",toarray"`
+
+	Pool    string
+	Version string
+	Age     int64 // ms since an engine was last seen to have it
 }
 
 // Batch carries the unchanged datagrams of several instances. A relay sends it to the instances
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -49,7 +49,7 @@
 
 // Table holds the origins of the streams of all instances. It is not safe for concurrent use.
 //
-// Invariant: the origin of a key is fixed once it is recorded, or becomes the zero Origin, so
+// Invariant: own is sorted by Begun. The origin of a key is fixed once it is recorded, or becomes the zero Origin, so
 // records from any source and of any age can be merged in any order.
 type Table struct {
 	records map[Key]Record
@@ -71,12 +71,20 @@
 
 // Restore adds a record of an earlier incarnation of this instance to its own ones.
 func (t *Table) Restore(now time.Time, r Record) {
-	if now.Sub(r.Begun) >= Lifetime || slices.Contains(t.own, r) {
+	if now.Sub(r.Begun) >= Lifetime {
 		return
 	}
 	t.Merge(now, r)
-	t.own = append(t.own, r)
-	slices.SortStableFunc(t.own, func(a, b Record) int { return a.Begun.Compare(b.Begun) })
+	i, _ := slices.BinarySearchFunc(t.own, r.Begun, func(r Record, at time.Time) int { return r.Begun.Compare(at) })
+	for _, old := range t.own[i:] {
+		if old.Key == r.Key && old.Begun.Equal(r.Begun) {
+			return
+		}
+		if old.Begun.After(r.Begun) {
+			break
+		}
+	}
+	t.own = slices.Insert(t.own, i, r)
 }
 
 // Merge adds a record of any instance.
