front: a drain accepts established connections before it closes the listener

TestPromisesUnderFaults/instance_drained failed at times with "connection reset by peer".

Cause: at the end of a drain the listener is closed while callers still connect. Every caller of the test opens a connection of its own for each request, so no kept connection was involved: the kernel resets the connections in the accept queue of a closed listener, with the request that their caller has sent. Idle and new connections that were accepted are not the cause: the HTTP library closes these only after a grace of 5 s, and answers the request on them.

Now the drain attaches a socket filter that drops new SYNs, goes on accepting until the queue is empty and then closes the listener. A caller whose SYN was dropped is refused when it repeats it, so it knows that nothing was sent. Listeners no longer use Multipath TCP, whose sockets take no filters.

--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -25,6 +25,7 @@
 	"carawayrouter.example/router/internal/platform"
 	"carawayrouter.example/router/internal/reqid"
 	"carawayrouter.example/router/internal/retry"
+	"carawayrouter.example/router/internal/tcp"
 )
 
 const (
@@ -64,7 +65,7 @@
 		if *x.ln != nil {
 			continue
 		}
-		ln, err := net.Listen("tcp", x.addr)
+		ln, err := tcp.Listen(x.addr)
 		if err != nil {
 			l.close()
 			return errors.Newf("%s: %s: cannot listen: %s", x.name, x.addr, socketErrorText(err))
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -17,6 +17,7 @@
 	"carawayrouter.example/router/internal/platform"
 	"carawayrouter.example/router/internal/platform/httpplatform"
 	"carawayrouter.example/router/internal/settings"
+	"carawayrouter.example/router/internal/tcp"
 )
 
 // Entry is an entry instance of the fleet. It can be killed, drained and restarted
@@ -81,7 +82,7 @@
 		&s.Listen.Operator: &e.listeners.Operator,
 	} {
 		var err error
-		if *ln, err = net.Listen("tcp", loopback); err != nil {
+		if *ln, err = tcp.Listen(loopback); err != nil {
 			return nil, errors.Wrapf(err, "instance %s", name)
 		}
 		*addr = (*ln).Addr().String()
@@ -103,7 +104,7 @@
 	for addr, ln := range map[string]*net.Listener{l.Callers: &opened.Callers, l.Peers: &opened.Peers, l.Operator: &opened.Operator} {
 		var err error
 		for range maxListenAttempts {
-			if *ln, err = net.Listen("tcp", addr); err == nil {
+			if *ln, err = tcp.Listen(addr); err == nil {
 				break
 			}
 			time.Sleep(pollInterval)
--- a/internal/front/idle_test.go
+++ b/internal/front/idle_test.go
@@ -15,6 +15,7 @@
 	"carawayrouter.example/router/internal/clock"
 	"carawayrouter.example/router/internal/config"
 	"carawayrouter.example/router/internal/metrics"
+	"carawayrouter.example/router/internal/tcp"
 )
 
 // An idle connection is closed without a response, which the caller could take for the
@@ -90,6 +91,52 @@
 	<-drained
 }
 
+// slowListener holds connections in the accept queue until accept is closed.
+type slowListener struct {
+	*net.TCPListener
+	accept chan struct{}
+}
+
+// Accept implements net.Listener.
+func (l slowListener) Accept() (net.Conn, error) {
+	<-l.accept
+	return l.TCPListener.Accept()
+}
+
+// A request on a connection that was established but not accepted when a drain ends is refused
+// with execution not_run. Closing the listener would reset it.
+func TestDrainAcceptsEstablishedConnections(t *testing.T) {
+	s := New(Options{
+		Clock: clock.Real{}, Log: logr.Discard(), Metrics: metrics.New(), MaxConnections: 4,
+		ReadTimeout: time.Minute, IdleTimeout: time.Minute, WriteTimeout: time.Second,
+		Config: emptyConfig{},
+	})
+	tl, err := tcp.Listen("127.0.0.1:0")
+	assert.NilError(t, err)
+	ln := slowListener{tl.(*net.TCPListener), make(chan struct{})}
+	go func() { _ = s.Serve(ln) }()
+	c, err := net.Dial("tcp", ln.Addr().String())
+	assert.NilError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, "GET /x HTTP/1.1\r\nHost: a\r\n\r\n")
+	assert.NilError(t, err)
+	for s.listener.Load() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	drained := make(chan struct{})
+	go func() {
+		defer close(drained)
+		s.Drain(context.Background())
+		_ = s.Close()
+	}()
+	time.AfterFunc(5*drainPollInterval, func() { close(ln.accept) })
+	r, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, r.StatusCode, http.StatusServiceUnavailable)
+	assert.Assert(t, r.Close)
+	<-drained
+}
+
 // emptyConfig is a config.Source that has no configuration yet.
 type emptyConfig struct{}
 
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -22,6 +22,7 @@
 	"carawayrouter.example/router/internal/metrics"
 	"carawayrouter.example/router/internal/operation"
 	"carawayrouter.example/router/internal/reqid"
+	"carawayrouter.example/router/internal/tcp"
 )
 
 const (
@@ -31,6 +32,7 @@
 	drainPollInterval      = 20 * time.Millisecond
 	connDrainDelay         = time.Second // longest pause between requests on an active keep-alive connection
 	maxHeaderBytes         = 16 << 10
+	acceptTimeout          = time.Second // longest wait for established connections to be accepted at the end of a drain
 	shutdownTimeout        = 5 * time.Second
 )
 
@@ -57,6 +59,7 @@
 type Server struct {
 	opts       Options
 	http       *fasthttp.Server
+	listener   atomic.Pointer[listener]
 	draining   atomic.Bool
 	baseCtx    context.Context
 	cancelBase context.CancelCauseFunc
@@ -91,16 +94,42 @@
 
 // Serve accepts connections on ln until Close is called, and then returns nil.
 func (s *Server) Serve(ln net.Listener) error {
-	return s.http.Serve(&listener{Listener: ln, writeTimeout: s.opts.WriteTimeout})
+	l := &listener{Listener: ln, writeTimeout: s.opts.WriteTimeout}
+	s.listener.Store(l)
+	return s.http.Serve(l)
 }
 
 // Drain refuses new requests and waits until the running ones have ended or ctx is
 // done. It returns the number of requests still running. Keep-alive connections stay
 // open for connDrainDelay after the last request: a request on one is refused with
 // Connection: close. Closing them from the server side could reset a connection on
-// which a request is already in transit.
+// which a request is already in transit. At the end new connections are refused, and
+// those already established are accepted, so that Close resets none; a cancelled ctx
+// ends the drain at once.
 func (s *Server) Drain(ctx context.Context) int {
 	s.draining.Store(true)
+	running := s.waitIdle(ctx)
+	if !errors.Is(ctx.Err(), context.Canceled) {
+		s.stopListening()
+	}
+	return running
+}
+
+// stopListening refuses new connections and waits until the established ones are accepted.
+func (s *Server) stopListening() {
+	l := s.listener.Load()
+	if l == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(s.baseCtx, acceptTimeout)
+	defer cancel()
+	if err := tcp.StopListening(ctx, l.Listener); err != nil {
+		s.opts.Log.Error(err, "connections may be reset")
+	}
+}
+
+// waitIdle waits as Drain says and returns the number of requests still running.
+func (s *Server) waitIdle(ctx context.Context) int {
 	var idleSince time.Time
 	for {
 		running := int(s.opts.Metrics.Running.Value())
--- a/internal/netgate/netgate.go
+++ b/internal/netgate/netgate.go
@@ -8,6 +8,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -158,6 +159,15 @@
 	}
 }
 
+// SyscallConn implements syscall.Conn.
+func (l *listener) SyscallConn() (syscall.RawConn, error) {
+	sc, ok := l.Listener.(syscall.Conn)
+	if !ok {
+		return nil, errors.Newf("%T gives no access to its socket", l.Listener)
+	}
+	return sc.SyscallConn()
+}
+
 // gatedConn is a connection controlled by a gate. After it was used over a cut link, it
 // drops all traffic permanently, like a connection whose state was lost in the network.
 type gatedConn struct {
