shard: homes elsewhere outlive the poller of a data centre

TestInstanceStartsWithoutTheStore failed at times with "store_unavailable: the client account's rate cannot be checked at the moment" for a minute, and with "shard east/23 has no home".

Only the poller reads the next data centre's rows ahead of need. The others look up what they need in the background, at most one lookup in 200 ms, and the test took the store down some 50 ms after the account was first used. The restarted instance asks the new poller, which cannot read the row any more. The second message, once: the shard was just being handed over.

Now the members that may become the poller, three at most in a data centre, also read the next data centre's rows: one more range read each in 30 s.

--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -25,6 +25,7 @@
 	"carawayrouter.example/router/internal/platform"
 	"carawayrouter.example/router/internal/reqid"
 	"carawayrouter.example/router/internal/retry"
+	"carawayrouter.example/router/internal/shard"
 	"carawayrouter.example/router/internal/tcp"
 )
 
@@ -144,6 +145,9 @@
 // Metrics returns the daemon's metrics under their published names.
 func (d *Daemon) Metrics() *expvar.Map { return d.metrics.Map() }
 
+// Home returns the home of a shard as this instance knows it.
+func (d *Daemon) Home(k shard.Key) (shard.Assignment, bool) { return d.components.shards.Home(k) }
+
 // newRand returns the random source of one component; see the seed constants.
 func (d *Daemon) newRand(component uint64) *rand.Rand {
 	return rand.New(rand.NewPCG(d.deps.Seed, component))
--- a/internal/shard/sync.go
+++ b/internal/shard/sync.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -189,7 +190,7 @@
 
 // poller returns the member that scans the rows for its data centre: the first by name
 // that was not found to have lost access to the store. Only the first maxPollers members
-// are eligible. other is false if the poller is this member.
+// are eligible; see mayPoll. other is false if the poller is this member.
 func (c *Controller) poller() (s member.Session, other bool) {
 	v := c.opts.Members.View()
 	members := registered(v.InDataCentre(c.dc))
@@ -210,6 +211,13 @@
 	return members[0], true
 }
 
+// mayPoll reports whether this member may become the poller of its data centre.
+func (c *Controller) mayPoll() bool {
+	v := c.opts.Members.View()
+	members := registered(v.InDataCentre(c.dc))
+	return slices.ContainsFunc(members[:min(len(members), maxPollers)], func(m member.Session) bool { return m.Name == v.Self.Name })
+}
+
 // refreshLocal reads the rows of this data centre if that is due: the poller from the
 // store, other members from the poller.
 func (c *Controller) refreshLocal(ctx context.Context) {
@@ -249,7 +257,8 @@
 
 // scanNextDataCentre reads the rows of the next data centre in advance. An instance that
 // starts while the store is down, and finds the home in its own data centre dead, asks
-// the homes there.
+// the homes there. All members that may become the poller read them, since the dead home
+// may have been the poller.
 func (c *Controller) scanNextDataCentre(ctx context.Context) {
 	next, ok := c.nextDataCentre()
 	if !ok {
@@ -262,6 +271,8 @@
 	if !due {
 		return
 	}
+	ctx, cancel := context.WithTimeout(ctx, c.opts.StoreTimeout)
+	defer cancel()
 	rows, err := c.opts.Table.Scan(ctx, RowPrefix+next+"/", "", Count)
 	if err != nil {
 		c.opts.Logger.V(1).Info("reading shard rows of the next data centre failed", "data_centre", next, "error", err.Error())
@@ -316,10 +327,10 @@
 	c.mu.Lock()
 	args := c.synced
 	c.mu.Unlock()
-	ctx, cancel := context.WithTimeout(peer.Idempotent(ctx), c.opts.CallTimeout)
+	callCtx, cancel := context.WithTimeout(peer.Idempotent(ctx), c.opts.CallTimeout)
 	defer cancel()
 	var reply SyncReply
-	if err := c.opts.Caller.Call(ctx, from.Addr, serviceName+".Sync", args, &reply); err != nil || !reply.Fresh {
+	if err := c.opts.Caller.Call(callCtx, from.Addr, serviceName+".Sync", args, &reply); err != nil || !reply.Fresh {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		c.stalePollers[from.Name] = c.opts.Clock.Now()
@@ -327,10 +338,13 @@
 	}
 	c.updateRecords(reply.Rows)
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.synced = SyncArgs{Source: reply.Source, Gen: reply.Gen}
 	c.loaded = true
 	delete(c.stalePollers, from.Name)
+	c.mu.Unlock()
+	if c.mayPoll() {
+		c.scanNextDataCentre(ctx)
+	}
 }
 
 // runLookups performs the queued lookups of rows of other data centres.
