dispatch: a new dispatcher has its endpoints before it takes demands

TestDispatcherCrashKeepsGrants failed at times with "no_endpoint: no endpoint of the pool can be used" for several requests after the dispatcher was killed.

Cause: hostedAt put the new dispatcher into Node.hosted, unlocked the node and set the endpoints only then. A demand that another goroutine submitted between the two found a dispatcher without endpoints, which refuses it as infeasible for good. After a crash all waiting demands are submitted again at the same time.

Evidence: with a sleep of 1 ms between the two, in a scratch copy, the test failed with this message in 5 of 5 runs.

Now the dispatcher gets its endpoints before it is put into the map, both under the node's lock. With the race detector 75 of 75 runs of the test passed, three copies at once, 25 each.

--- a/internal/sched/dispatch/host.go
+++ b/internal/sched/dispatch/host.go
@@ -75,12 +75,12 @@
 		mailboxes:  map[pool.Holder]*mailbox{},
 		lastUsed:   n.opts.Clock.Now(),
 	}
-	n.hosted[p] = h
-	running, leaving := n.running, n.leaving
+	running := n.running
+	h.Pause(running)
+	h.SetEndpoints(eps, n.leaving)
+	n.hosted[p] = h // last, since without endpoints it would refuse demands
 	n.mu.Unlock()
 
-	h.Pause(running)
-	h.SetEndpoints(eps, leaving)
 	if running {
 		n.wg.Go(func() { h.Run(ctx) })
 		n.wg.Go(func() { h.recoverAndPoll(ctx) })
