gateway: a silent prefill is kept until another engine has the result

A prefill whose engine was silent was given up as soon as another engine and a retry were at hand. If that engine refused and the budget allowed no third, the caller was refused although the silent one would have answered (TestSilentPrefillIsNotCutForAnEngineThatRefuses, failed before: 503 after 0.4 s, answer due at 1 s).

The prompt now goes to a second engine of the same version beside the silent one, and the first result counts; the other one is freed.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -87,10 +87,10 @@
 	return nil, refusal(errkind.QueueFull, "the engines stayed full", a.queue.PredictWait(a.now(), a.sched, w))
 }
 
-// hasPlace reports whether there are engines for a generation at this moment.
-func (a *admission) hasPlace(d placement.Demand) (ok bool) {
-	a.withScheduler(func(now time.Time, s *placement.Scheduler) { ok = s.HasPlace(now, d) })
-	return ok
+// tryAcquireEngine returns a lease on engines, or nil if the generation would have to wait.
+func (a *admission) tryAcquireEngine(d placement.Demand) (l *placement.Lease) {
+	a.withScheduler(func(now time.Time, s *placement.Scheduler) { l = s.AcquireEngine(now, d) })
+	return l
 }
 
 // acquireService returns a lease for a plain call. The error is a refusal with a retry delay.
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -165,16 +165,6 @@
 	return l
 }
 
-// HasPlace reports whether AcquireEngine would place a generation.
-func (s *Scheduler) HasPlace(now time.Time, d Demand) bool {
-	l := s.reserveEngine(now, d, s.ready)
-	if l == nil {
-		return false
-	}
-	s.Release(now, l, sched.Abandoned)
-	return true
-}
-
 // softwareVersions returns the versions at which d can be placed. An engine cannot use the prefill
 // result of another version.
 func (s *Scheduler) softwareVersions(d Demand) []string {
