gateway: a standby's engine must answer before it gets the request

TestSilentStreamIsNotSentToAnotherSilentEngine failed before, each time: "the stream ended after 5 events".

A standby's engine is now asked for its incarnation each time, not only at a new connection, and left alone if it does not answer within 100 ms.

--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -401,10 +401,11 @@
 	if err := g.admit(); err != nil {
 		return nil, true, err
 	}
-	if err := g.s.upstream.ensureConn(ctx, l.Target); err != nil {
+	// A standby is worth nothing at an engine that is silent too.
+	if err := g.s.upstream.ensureConn(ctx, l.Target, g.current != nil); err != nil {
 		outcome = outcomeOf(ctx, err)
 		g.s.recordConnectError(l.Target, err)
-		if ctx.Err() == nil {
+		if ctx.Err() == nil && !errors.Is(err, errIncarnationUnknown) {
 			g.excluded = append(g.excluded, l.Target.Name)
 		}
 		return nil, ctx.Err() != nil, err
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -116,13 +116,17 @@
 }
 
 // ensureConn makes sure that a connection to an endpoint is available, so that an unreachable one,
-// or another incarnation of it, is detected before work is done for it.
-func (u *upstream) ensureConn(ctx context.Context, ep *config.Endpoint) error {
+// or another incarnation of it, is detected before work is done for it. With mustAnswer the
+// endpoint has to answer now, so that a silent one is detected too.
+func (u *upstream) ensureConn(ctx context.Context, ep *config.Endpoint, mustAnswer bool) error {
 	c, err := u.get(ctx, ep.Addr, defaultIdleTTL)
 	if err != nil {
 		return err
 	}
-	c, err = u.identify(ctx, c, endpointRequest{endpoint: ep.Name, addr: ep.Addr, incarnation: ep.Incarnation})
+	if mustAnswer {
+		c.incarnation = 0
+	}
+	c, err = u.identify(ctx, c, endpointRequest{endpoint: ep.Name, addr: ep.Addr, incarnation: ep.Incarnation, mustConfirm: mustAnswer})
 	if err != nil {
 		return err
 	}
