gateway: an abandoned request is not delivered after a partition

Cause: the connection of an abandoned request was closed, and the kernel goes on sending what the partition has held up once it heals. Now the connection is reset, which drops it. The test failed before: the endpoint saw EOF instead of a reset.

--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -249,6 +249,15 @@
 	}
 }
 
+// reset closes a connection whose request is abandoned. Bytes that a broken link holds up are
+// dropped instead of being delivered when it heals.
+func (c *endpointConn) reset() {
+	if tc, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tc.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // stale reports whether the endpoint has closed the idle connection or sent unsolicited bytes.
 func (c *endpointConn) stale() bool {
 	if c.br.Buffered() > 0 {
@@ -309,7 +318,7 @@
 		return nil, errors.Mark(context.Cause(ctx), endpoint.ErrNotSent)
 	}
 	sentAt := time.Now()
-	stopWatch := context.AfterFunc(ctx, func() { _ = c.Close() })
+	stopWatch := context.AfterFunc(ctx, c.reset)
 	resp, err := u.roundTrip(c, req)
 	if err != nil {
 		stopWatch()
--- a/internal/gateway/upstream_test.go
+++ b/internal/gateway/upstream_test.go
@@ -184,3 +184,35 @@
 		})
 	}
 }
+
+// A request that was abandoned during a network partition was delivered after it, seconds later (run
+// barniz-quito releases-and-resumes, --seed 598979889278): a closed connection goes on sending, and
+// one that is reset does not.
+func TestAbandonedRequestResetsItsConnection(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer ln.Close()
+	ended := make(chan error, 1)
+	received := make(chan struct{})
+	go func() {
+		c, err := ln.Accept()
+		if err != nil {
+			ended <- err
+			return
+		}
+		defer c.Close()
+		buf := make([]byte, 1<<10)
+		_, _ = c.Read(buf)
+		close(received)
+		_, err = c.Read(buf)
+		ended <- err
+	}()
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-received
+		cancel()
+	}()
+	_, err = newUpstream(nameOnlyWire{}, func(net.Conn) {}).do(ctx, endpointRequest{addr: ln.Addr().String(), method: http.MethodGet, uri: "/", host: "e"})
+	assert.ErrorIs(t, err, context.Canceled)
+	assert.ErrorIs(t, <-ended, syscall.ECONNRESET)
+}
