Streams taken up again after a restart of all go first

The account's rate was asked before the origin of a stream, so a stream that its caller took up was charged and refused like a new request while the buckets had to be assumed full; Retry-After was 200 ms, the least value, whatever the wait, so callers lost their three retries within a second; and a stream that did get tokens was late from the start in the queue for engines, behind all new requests.

Change: the origin is asked first. A stream that is taken up has a claim on its account's tokens, in the order of the first returns, which all instances know by their updates; it waits up to half of its caller's patience, or is told when its turn is expected and keeps its place at whichever instance it returns. New generations get what the claims leave, and are told to return in a line at the account's rate. In the engines' queue a stream is on time from its charge, and goes before new ones of its rank.

--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -361,14 +361,18 @@
 	if x.relayedTokens > 0 {
 		since = x.lastEventAt
 	}
-	latest := since.Add(x.callerTimeout() - startMargin)
+	latest, dueFrom := since.Add(x.callerTimeout()-startMargin), since
 	if latest.After(x.deadline) {
 		latest = x.deadline
 	}
+	if x.takenUp && x.relayedTokens == 0 && !x.chargedAt.IsZero() {
+		// The wait for tokens must not put it behind all new requests.
+		dueFrom = x.chargedAt
+	}
 	return &placement.Waiter{
 		Demand:   placement.Demand{Pool: c.Pool.Name, Prompt: c.PromptTokens, MaxOutput: c.MaxOutputTokens, ExpectedOutput: x.s.admission.predictOutput(c), Generated: x.priorTokens + x.relayedTokens, Exclude: x.excluded, SoftwareVersion: x.softwareVersion},
 		Arrived:  c.Arrived,
-		Due:      since.Add(c.Route.FirstToken - expectedStartDelay - time.Duration(c.PromptTokens)*prefillTimePerToken),
+		Due:      dueFrom.Add(c.Route.FirstToken - expectedStartDelay - time.Duration(c.PromptTokens)*prefillTimePerToken),
 		Deadline: latest,
 		Priority: x.priority(),
 	}
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -10,7 +10,6 @@
 
 	"carawayrouter.example/router/internal/config"
 	"carawayrouter.example/router/internal/errkind"
-	"carawayrouter.example/router/internal/limit/window"
 )
 
 const (
@@ -57,6 +56,7 @@
 	relayedTokens   int               // output tokens relayed
 	priorTokens     int               // output tokens that the caller received in an earlier attempt
 	softwareVersion string            // of the engine that began the stream; empty before
+	takenUp         bool              // the caller takes up a broken stream
 	lastEventID     string            // ID of the last event relayed, or the one sent by the caller
 	logNow          bool              // log lines are written immediately
 	deferredLines   []logLine         // log lines to write when the request ends
@@ -68,7 +68,7 @@
 	fingerprintCache string // empty until it is needed
 }
 
-// run passes the request through the stages: route, identify, limit, dispatch.
+// run passes the request through the stages: route, identify, resume, limit, dispatch.
 func (x *exchange) run(ctx context.Context) error {
 	if x.s.stopping.Load() {
 		return refusal(errkind.ShuttingDown, "this instance is shutting down", shutdownRetryAfter)
@@ -81,17 +81,18 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(ctx, x.deadline, errDeadline)
 	defer cancel()
-	if err := x.limit(); err != nil {
+	// A stream that is taken up again is charged once it is known where it may go on.
+	if err := x.resume(ctx); err != nil {
 		return err
 	}
-	err := x.resume(ctx)
-	if err == nil {
-		x.s.budget.recordRequest(time.Now(), x.call.Pool.Name)
-		err = x.dispatch(ctx)
+	if err := x.limit(ctx); err != nil {
+		return err
 	}
+	x.s.budget.recordRequest(time.Now(), x.call.Pool.Name)
+	err := x.dispatch(ctx)
 	x.refundSends()
 	if x.runs == 0 && x.call.Account != nil {
-		x.s.quotaReturn(x.chargedAt, x.call.Account.Name, x.call.ChargedTokens)
+		x.s.refundTokens(x.chargedAt, x.call.Account, x.call.ChargedTokens)
 	}
 	return err
 }
@@ -168,28 +169,6 @@
 	return nil
 }
 
-// limit charges the request's tokens to the account.
-func (x *exchange) limit() error {
-	c := x.call
-	if c.Account == nil {
-		return nil
-	}
-	c.ChargedTokens = c.Account.FlatTokens
-	size := window.PlainCall
-	if c.HasTokenCounts {
-		c.ChargedTokens, size = c.PromptTokens+c.MaxOutputTokens, window.Generation
-	}
-	d := x.s.quotaReserve(c.Account, c.ChargedTokens, size)
-	c.OverLimit = d.UsedSlack
-	if !d.Allowed {
-		x.decision("over_rate", "account", c.Account.Name, "tokens", c.ChargedTokens, "needed", int(d.Needed), "limit", int(d.Limit), "own", int(d.OwnUsage), "others", int(d.PeerUsage), "assumed", int(d.Assumed), "silent", d.SilentPeers, "retry_after_ms", d.RetryAfter.Milliseconds())
-		return refusal(errkind.OverRate, "the account is above its rate", d.RetryAfter)
-	}
-	x.chargedAt = time.Now()
-	x.s.stats.tokensCharged.Add(c.ChargedTokens)
-	return nil
-}
-
 // account returns the account's name, or "" on open routes.
 func (x *exchange) account() string {
 	if x.call.Account == nil {
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -39,7 +39,7 @@
 	if i < 0 {
 		return refusal(errkind.ResumeUnknown, "the stream began in a pool that the route no longer uses", resumeRetryAfter)
 	}
-	c.Pool, x.softwareVersion = pools[i], at.Version
+	c.Pool, x.softwareVersion, x.takenUp = pools[i], at.Version, true
 	x.countPriorTokens()
 	return nil
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -353,15 +353,3 @@
 func (s *Server) refusesStreams() bool {
 	return s.draining.Load() && time.Since(time.Unix(0, s.drainStartedAt.Load())) > streamStartLimit
 }
-
-func (s *Server) quotaReserve(a *config.Account, tokens int, size window.RequestKind) window.Decision {
-	s.quotaMu.Lock()
-	defer s.quotaMu.Unlock()
-	return s.quota.Reserve(time.Now(), a, tokens, size)
-}
-
-func (s *Server) quotaReturn(chargedAt time.Time, account string, tokens int) {
-	s.quotaMu.Lock()
-	defer s.quotaMu.Unlock()
-	s.quota.Refund(time.Now(), chargedAt, account, tokens)
-}
--- a/internal/gateway/updates.go
+++ b/internal/gateway/updates.go
@@ -134,7 +134,7 @@
 	s.quotaMu.Lock()
 	u.KnownFor = s.quota.KnownFor(now).Milliseconds()
 	for _, usage := range s.quota.Usage(now) {
-		u.Usage = append(u.Usage, gossip.AccountUsage{Account: usage.Account, Tokens: usage.Own, Level: usage.Level})
+		u.Usage = append(u.Usage, encodeUsage(now, usage))
 	}
 	s.quotaMu.Unlock()
 	s.addQuarantine(now, u)
@@ -242,7 +242,7 @@
 
 	report := window.Report{Instance: u.Instance, Incarnation: u.Incarnation, KnownFor: time.Duration(u.KnownFor) * time.Millisecond, Usage: make([]window.Usage, len(u.Usage))}
 	for i, s := range u.Usage {
-		report.Usage[i] = window.Usage{Account: s.Account, Own: s.Tokens, Level: s.Level}
+		report.Usage[i] = decodeUsage(now, s)
 	}
 	p.s.quotaMu.Lock()
 	p.s.quota.UpdatePeer(now, report, p.s.state.Current().Accounts)
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -126,6 +126,19 @@
 	Account string
 	Tokens  int // of the instance
 	Level   int // of the whole fleet as the instance knows it, tokens
+
+	Claims    []Claim
+	Returning int // tokens of new requests of the instance whose callers were told to return
+}
+
+// Claim is a stream that its caller takes up again and that waits for its account's tokens.
+type Claim struct {
+	_ struct{} `cbor:",toarray"`
+
+	Key    []byte
+	Tokens int
+	Since  int64 // first return of its caller, Unix ms by the clock of the instance where it came
+	Due    int64 // ms until its caller is to return, negative after that time; 0 while it waits
 }
 
 // QueuedRequest is a generation that waits for an engine.
--- /dev/null
+++ b/internal/limit/window/claim.go
@@ -0,0 +1,220 @@
+package window
+
+import (
+	"bytes"
+	"math"
+	"slices"
+	"time"
+
+	"carawayrouter.example/router/internal/clock"
+	"carawayrouter.example/router/internal/config"
+)
+
+const (
+	// returnGrace is how long after its time a caller that was told to return keeps its place.
+	returnGrace = 600 * time.Millisecond
+	// maxReportedClaims bounds the claims on an account in an update; the oldest are reported.
+	maxReportedClaims = 32
+)
+
+// ClaimKey identifies a stream over all attempts of its caller.
+type ClaimKey [12]byte
+
+// Claim is the place of a stream that its caller takes up again in the line for an account's
+// tokens.
+//
+// Claims answer the load after all instances have restarted: every stream has broken, its caller
+// returns within a second together with new requests, and the account's bucket must be assumed to
+// be full. Streams with half an answer go first, in the order in which their callers returned,
+// and new generations of the account get what they leave. A caller that is told to return keeps
+// its place, whichever instance it comes to.
+type Claim struct {
+	Key    ClaimKey
+	Tokens int
+	Since  int64     // first return of the caller, Unix ms by the clock of the instance where it came
+	Due    time.Time // when the caller was told to return; zero while its request waits
+}
+
+// before reports whether the claim goes before another one. All instances agree on the order,
+// whatever their clocks show.
+func (c *Claim) before(other *Claim) bool {
+	if c.Since != other.Since {
+		return c.Since < other.Since
+	}
+	return bytes.Compare(c.Key[:], other.Key[:]) < 0
+}
+
+// present reports whether the claim's request waits, or is expected now.
+func (c *Claim) present(now time.Time) bool {
+	return c.Due.IsZero() || !now.Before(c.Due) && !c.expired(now)
+}
+
+func (c *Claim) expired(now time.Time) bool { return !c.Due.IsZero() && now.Sub(c.Due) > returnGrace }
+
+// returning is a caller of a new request that was told to return.
+type returning struct {
+	at     time.Time
+	tokens float64
+}
+
+// line is who waits for an account's tokens, as one instance reports it.
+type line struct {
+	claims    []Claim
+	returning float64 // tokens of new requests whose callers were told to return
+}
+
+// ClaimTokens charges the tokens of a stream that its caller takes up again. Otherwise the claim
+// waits, until it is asked for again, postponed or withdrawn, and RetryAfter is the expected wait.
+func (l *Limiter) ClaimTokens(now time.Time, a *config.Account, key ClaimKey, tokens int) Decision {
+	if a.Rate <= 0 {
+		return Decision{Allowed: true}
+	}
+	b := l.bucketOf(now, a)
+	l.drain(now, b)
+	c := b.ownClaim(key)
+	if c == nil {
+		c = &Claim{Key: key, Since: now.UnixMilli()}
+		l.eachPeerClaim(now, b, func(other *Claim) {
+			if other.Key == key {
+				c.Since = min(c.Since, other.Since)
+			}
+		})
+		b.claims = append(b.claims, c)
+	}
+	c.Tokens, c.Due = tokens, time.Time{}
+	ahead, expected := 0.0, 0.0
+	l.eachClaim(now, b, func(other *Claim) {
+		if other.Key == key || !other.before(c) {
+			return
+		}
+		expected += float64(other.Tokens)
+		if other.present(now) {
+			ahead += float64(other.Tokens)
+		}
+	})
+	d, v := l.examine(now, b, float64(tokens), float64(tokens), Generation)
+	d.Ahead = expected
+	if missing := d.missing + ahead; missing <= 0 {
+		l.charge(b, &d, tokens)
+		// Until it expires, the claim tells the others to give up its former place.
+		c.Tokens, c.Due = 0, now
+		return d
+	}
+	d.RetryAfter = max(minRetryAfter, clock.Seconds((d.missing+expected)/(b.limits.rate*v.reporting)))
+	return d
+}
+
+// PostponeClaim records that the caller of a claim was told to return after a time.
+func (l *Limiter) PostponeClaim(now time.Time, account string, key ClaimKey, after time.Duration) {
+	if b := l.accounts[account]; b != nil {
+		if c := b.ownClaim(key); c != nil {
+			c.Due = now.Add(after)
+		}
+	}
+}
+
+// WithdrawClaim removes the claim of a caller that has gone.
+func (l *Limiter) WithdrawClaim(account string, key ClaimKey) {
+	if b := l.accounts[account]; b != nil {
+		b.dropClaim(key)
+	}
+}
+
+func (b *bucket) ownClaim(key ClaimKey) *Claim {
+	if i := slices.IndexFunc(b.claims, func(c *Claim) bool { return c.Key == key }); i >= 0 {
+		return b.claims[i]
+	}
+	return nil
+}
+
+func (b *bucket) dropClaim(key ClaimKey) {
+	b.claims = slices.DeleteFunc(b.claims, func(c *Claim) bool { return c.Key == key })
+}
+
+// eachClaim calls f for the claims of all instances that have not expired. A stream whose caller
+// has returned to another instance may have two for the time of an update.
+func (l *Limiter) eachClaim(now time.Time, b *bucket, f func(c *Claim)) {
+	for _, c := range b.claims {
+		if !c.expired(now) {
+			f(c)
+		}
+	}
+	l.eachPeerClaim(now, b, f)
+}
+
+// eachPeerClaim calls f for the claims of the other instances that are heard.
+func (l *Limiter) eachPeerClaim(now time.Time, b *bucket, f func(c *Claim)) {
+	for slot, p := range l.slots {
+		if p.age(now) > updateTimeout {
+			continue
+		}
+		claims := b.lines[slot].claims
+		for i := range claims {
+			if !claims[i].expired(now) {
+				f(&claims[i])
+			}
+		}
+	}
+}
+
+// waitingTokens returns the tokens that claims need before a new generation: those whose requests
+// wait, and all.
+func (l *Limiter) waitingTokens(now time.Time, b *bucket) (present, all float64) {
+	l.eachClaim(now, b, func(c *Claim) {
+		all += float64(c.Tokens)
+		if c.present(now) {
+			present += float64(c.Tokens)
+		}
+	})
+	return present, all
+}
+
+// returningTokens returns the tokens of new requests whose callers were told to return to any
+// instance.
+func (l *Limiter) returningTokens(now time.Time, b *bucket) float64 {
+	sum := b.ownReturning(now)
+	for slot, p := range l.slots {
+		if p.age(now) <= updateTimeout {
+			sum += b.lines[slot].returning
+		}
+	}
+	return sum
+}
+
+// ownReturning returns the tokens of new requests whose callers were told to return, and forgets
+// those whose time has come.
+func (b *bucket) ownReturning(now time.Time) (sum float64) {
+	b.returning = slices.DeleteFunc(b.returning, func(r returning) bool { return !now.Before(r.at) })
+	for _, r := range b.returning {
+		sum += r.tokens
+	}
+	return sum
+}
+
+// reportLine returns this instance's part of the line for an update.
+func (b *bucket) reportLine(now time.Time) (claims []Claim, returning int) {
+	b.claims = slices.DeleteFunc(b.claims, func(c *Claim) bool { return c.expired(now) })
+	if len(b.claims) > 0 {
+		oldest := slices.SortedFunc(slices.Values(b.claims), func(x, y *Claim) int {
+			if x.before(y) {
+				return -1
+			}
+			return 1
+		})
+		for _, c := range oldest[:min(len(oldest), maxReportedClaims)] {
+			claims = append(claims, *c)
+		}
+	}
+	return claims, int(math.Round(b.ownReturning(now)))
+}
+
+// applyLine replaces the part of the line that an instance reports. A postponed claim of this
+// instance ends when its caller waits or was served there.
+func (b *bucket) applyLine(slot int, u Usage) {
+	b.lines[slot] = line{claims: u.Claims, returning: float64(u.Returning)}
+	for _, c := range u.Claims {
+		if own := b.ownClaim(c.Key); own != nil && !own.Due.IsZero() && (c.Due.IsZero() || c.Tokens == 0) {
+			b.dropClaim(c.Key)
+		}
+	}
+}
--- a/internal/limit/window/window.go
+++ b/internal/limit/window/window.go
@@ -58,6 +58,9 @@
 type bucket struct {
 	own        float64         // of this instance; negative after refunds of drained tokens
 	peers      []float64       // of the other instances, by slot
+	lines      []line          // who waits at the other instances, by slot
+	claims     []*Claim        // of this instance
+	returning  []returning     // of this instance
 	ended      float64         // of instances that have ended
 	unknown    float64         // assumed usage of any instance before knownSince
 	account    *config.Account // from which limits were computed
@@ -96,6 +99,9 @@
 	Account string
 	Own     int
 	Level   int // of the whole fleet, as this instance knows it
+
+	Claims    []Claim // of this instance
+	Returning int     // of new requests of this instance whose callers were told to return
 }
 
 // New returns a Limiter for a window of the given length. A non-zero startedAt means that the
@@ -115,7 +121,7 @@
 // Decision is the outcome of one reservation, with the quantities behind it in tokens.
 type Decision struct {
 	Allowed     bool
-	UsedSlack   bool          // allowed above the account's burst, within the slack
+	UsedSlack   bool          // above the account's burst, within the slack if it was allowed
 	RetryAfter  time.Duration // time until the request is expected to fit, if it was not allowed
 	Limit       float64       // usable depth of the bucket
 	Needed      float64       // room that the request needs below Limit
@@ -123,6 +129,11 @@
 	PeerUsage   float64       // of the other instances, reported or assumed
 	Assumed     float64       // part of PeerUsage that no instance has reported
 	SilentPeers int           // other instances whose updates are overdue
+	Rate        float64       // at which the bucket drains, per second
+	Ahead       float64       // tokens of those that go first
+
+	missing float64 // room that is missing below Limit
+	credit  float64 // of idle time, above the depth
 }
 
 // These factors limit how much of the slack is used. The rest covers late updates.
@@ -171,36 +182,61 @@
 	}
 	b := l.bucketOf(now, a)
 	l.drain(now, b)
-	v := l.view(now, b)
-	d := Decision{OwnUsage: b.own, PeerUsage: v.level - b.own + v.silentUsage, Assumed: v.assumed, SilentPeers: v.silent}
-	credit := 0.0
-	if b.empty {
-		// A request larger than the bucket needs that much more idle time before it.
-		credit = v.reporting * min(b.limits.rate*now.Sub(b.emptySince).Seconds(), b.limits.window)
-	}
-	usable := b.limits.depth - v.silentUsage + credit
 	need := float64(tokens)
+	ahead := 0.0
 	if kind == Generation {
 		// A generation of any size is admitted only if a large one would fit. Otherwise the
 		// small generations of a flood take all the capacity that becomes free, and the
 		// large ones are starved.
 		b.observeGeneration(now, l.window, need)
-		need = max(need, min(max(b.largest, b.largestBefore), b.limits.depth-v.silentUsage+v.reporting*b.limits.window))
-		usable -= min(plainCallReserve*v.reporting*l.windowLimit(a), max(0, usable-need))
+		need = max(need, b.largest, b.largestBefore)
+		ahead, _ = l.waitingTokens(now, b)
 	}
-	d.Limit, d.Needed = usable+v.silentUsage, need
-	level := max(0, v.level)
-	missing := need + level - usable
-	if missing <= 0 {
-		d.Allowed, d.UsedSlack = true, float64(tokens)+level+v.silentUsage > credit+max(a.Burst, a.Rate*minDepth.Seconds())
-		b.own += float64(tokens)
-		b.empty = false
+	d, v := l.examine(now, b, float64(tokens), need, kind)
+	d.Ahead = ahead
+	if d.missing+ahead <= 0 {
+		l.charge(b, &d, tokens)
 		return d
 	}
-	d.RetryAfter = max(minRetryAfter, clock.Seconds(missing/(b.limits.rate*v.reporting)))
+	if kind == Generation {
+		_, all := l.waitingTokens(now, b)
+		d.Ahead = all + l.returningTokens(now, b)
+	}
+	wait := clock.Seconds((d.missing + d.Ahead) / (d.Rate * v.reporting))
+	d.RetryAfter = min(max(minRetryAfter, wait), l.window)
+	if kind == Generation {
+		b.returning = append(b.returning, returning{now.Add(d.RetryAfter), float64(tokens)})
+	}
 	return d
 }
 
+// examine compares the bucket with a request of the given tokens that needs room for need.
+func (l *Limiter) examine(now time.Time, b *bucket, tokens, need float64, kind RequestKind) (Decision, view) {
+	v := l.view(now, b)
+	d := Decision{OwnUsage: b.own, PeerUsage: v.level - b.own + v.silentUsage, Assumed: v.assumed, SilentPeers: v.silent, Rate: b.limits.rate}
+	if b.empty {
+		// A request larger than the bucket needs that much more idle time before it.
+		d.credit = v.reporting * min(b.limits.rate*now.Sub(b.emptySince).Seconds(), b.limits.window)
+	}
+	usable := b.limits.depth - v.silentUsage + d.credit
+	if kind == Generation {
+		need = max(tokens, min(need, b.limits.depth-v.silentUsage+v.reporting*b.limits.window))
+		usable -= min(plainCallReserve*v.reporting*l.windowLimit(b.account), max(0, usable-need))
+	}
+	level := max(0, v.level)
+	d.Limit, d.Needed, d.missing = usable+v.silentUsage, need, need+level-usable
+	a := b.account
+	d.UsedSlack = tokens+level+v.silentUsage > d.credit+max(a.Burst, a.Rate*minDepth.Seconds())
+	return d, v
+}
+
+// charge adds a request's tokens to the bucket.
+func (l *Limiter) charge(b *bucket, d *Decision, tokens int) {
+	d.Allowed = true
+	b.own += float64(tokens)
+	b.empty = false
+}
+
 // observeGeneration records the size of a generation.
 func (b *bucket) observeGeneration(now time.Time, period time.Duration, tokens float64) {
 	if now.Sub(b.periodStart) > period {
@@ -218,7 +254,7 @@
 	limits := l.limitsOf(a)
 	switch {
 	case b == nil:
-		b = &bucket{peers: make([]float64, len(l.slots)), unknown: l.unknownUsage(now, limits), updatedAt: now, emptySince: l.knownSince.Add(clock.Seconds(limits.depth / limits.rate))}
+		b = &bucket{peers: make([]float64, len(l.slots)), lines: make([]line, len(l.slots)), unknown: l.unknownUsage(now, limits), updatedAt: now, emptySince: l.knownSince.Add(clock.Seconds(limits.depth / limits.rate))}
 		b.empty = b.unknown == 0
 		l.accounts[a.Name] = b
 	case b.limits != limits:
@@ -362,7 +398,8 @@
 			level += tokens
 		}
 		u := Usage{Account: name, Own: int(math.Round(b.own)), Level: int(math.Round(level))}
-		if u.Own != 0 || u.Level != 0 {
+		u.Claims, u.Returning = b.reportLine(now)
+		if u.Own != 0 || u.Level != 0 || len(u.Claims) > 0 || u.Returning > 0 {
 			out = append(out, u)
 		} else if b.empty && now.Sub(b.emptySince) > l.window {
 			l.forget(name, b)
@@ -412,7 +449,7 @@
 	}
 	p.updatedAt, p.incarnation = now, r.Incarnation
 	for _, b := range p.reported {
-		b.peers[p.slot] = 0
+		b.peers[p.slot], b.lines[p.slot] = 0, line{}
 	}
 	p.reported = p.reported[:0]
 	for _, u := range r.Usage {
@@ -422,6 +459,7 @@
 		}
 		b := l.bucketOf(now, a)
 		b.peers[p.slot] = float64(u.Own)
+		b.applyLine(p.slot, u)
 		b.empty = b.empty && u.Own <= 0
 		p.reported = append(p.reported, b)
 	}
@@ -456,7 +494,7 @@
 		slot = len(l.slots)
 		l.slots = append(l.slots, nil)
 		for _, b := range l.accounts {
-			b.peers = append(b.peers, 0)
+			b.peers, b.lines = append(b.peers, 0), append(b.lines, line{})
 		}
 	}
 	p := &peer{slot: slot}
@@ -468,7 +506,7 @@
 func (l *Limiter) retain(p *peer) {
 	for _, b := range l.accounts {
 		b.ended += max(0, b.peers[p.slot])
-		b.peers[p.slot] = 0
+		b.peers[p.slot], b.lines[p.slot] = 0, line{}
 	}
 }
 
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -57,21 +57,32 @@
 	}
 }
 
+// isBroken reports whether the waiter goes on with a stream.
+func (w *Waiter) isBroken() bool { return w.Demand.Generated > 0 }
+
 // compareWaiters orders waiters that can still meet their latency target before those that
-// cannot, then by priority, then by arrival. It is negative if a goes first.
+// cannot, then by priority, then broken streams before new ones, then by arrival. It is negative
+// if a goes first.
 func compareWaiters(now time.Time, a, b *Waiter) int {
-	lateA, lateB := now.After(a.Due), now.After(b.Due)
-	switch {
-	case lateA != lateB && lateB:
-		return -1
-	case lateA != lateB:
-		return 1
-	case a.Priority != b.Priority:
+	if lateA, lateB := now.After(a.Due), now.After(b.Due); lateA != lateB {
+		return firstIf(lateB)
+	}
+	if a.Priority != b.Priority {
 		return a.Priority - b.Priority
 	}
+	if a.isBroken() != b.isBroken() {
+		return firstIf(a.isBroken())
+	}
 	return a.Arrived.Compare(b.Arrived)
 }
 
+func firstIf(first bool) int {
+	if first {
+		return -1
+	}
+	return 1
+}
+
 // poolVersion is what a waiter can use: the engines of a pool, or those of one software version.
 // A stream that waits for the few engines of its version does not hold up the others.
 type poolVersion struct{ pool, version string }
--- a/internal/placement/queue_test.go
+++ b/internal/placement/queue_test.go
@@ -152,3 +152,22 @@
 	assert.Equal(t, engineFor(first, second), "decode-3")
 	assert.Equal(t, engineFor(second, first), "decode-2")
 }
+
+// All callers return after a restart, more than the engines can take. A stream that its caller
+// took up again goes before new ones that came earlier, of this and of other instances, and yields
+// like them once it is late.
+func TestBrokenStreamsGoBeforeNewOnes(t *testing.T) {
+	waiter := func(generated, priority int, arrived, due time.Duration) *Waiter {
+		return &Waiter{Demand: Demand{Pool: "m", Generated: generated}, Arrived: start.Add(arrived), Due: start.Add(due), Priority: priority}
+	}
+	broken, first := waiter(10, 0, time.Second, 3*time.Second), waiter(0, 0, 0, 3*time.Second)
+	late, urgent := waiter(10, 0, 0, time.Second), waiter(0, -1, time.Second, 3*time.Second)
+	now := start.Add(2 * time.Second)
+	s := newScheduler(7, engines(2, 2, 40000))
+	s.SetPeer("other", &PeerState{UpdatedAt: now, Waiters: []*Waiter{first}})
+	queue := Queue{waiting: []*Waiter{late, broken, urgent}}
+	got := queue.ordered(now, s)
+	for i, want := range []*Waiter{urgent, broken, first, late} {
+		assert.Assert(t, got[i] == want, "position %d", i)
+	}
+}
