--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -25,6 +25,7 @@
 	queuedUpdateInterval = 50 * time.Millisecond  // while requests are queued
 	minUpdateGap         = 4 * time.Millisecond   // minimum between two datagrams
 	registerInterval     = 5 * time.Second        // between writes of the instance's row
+	newcomerTime         = 3 * time.Second        // for which an instance that has started needs to know the usage of all
 	peerTTL              = 15 * time.Second       // without a row change or an update; longer than typical network partitions
 	catchUpInterval      = 150 * time.Millisecond
 	catchUpDelay         = 150 * time.Millisecond // allowed delay of the store's change feed
@@ -74,6 +75,32 @@
 	known  map[string]*peer
 	secret []byte
 	outbox map[string]relayedUpdate // by instance
+
+	newcomerAt time.Time    // when an instance was last seen to start
+	changes    fleetChanges // since they were logged
+}
+
+// fleetChanges counts changes of the fleet. In a large fleet they are logged together: after a
+// restart of all, every instance sees every other one start.
+type fleetChanges struct{ seen, heard, forgotten int }
+
+// logChanges logs the changes of a large fleet.
+func (p *peers) logChanges(now time.Time) {
+	silent, known := p.countSilent(now)
+	p.mu.Lock()
+	c := p.changes
+	p.changes = fleetChanges{}
+	p.mu.Unlock()
+	if c != (fleetChanges{}) && known >= maxDirectFleet {
+		p.log.Info("instances.changed", "seen", c.seen, "heard", c.heard, "forgotten", c.forgotten, "known", known, "silent", silent)
+	}
+}
+
+// hasNewcomer reports whether an instance has started lately.
+func (p *peers) hasNewcomer(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Sub(p.newcomerAt) < newcomerTime
 }
 
 func newPeers(s *Server) *peers {
@@ -243,10 +270,13 @@
 			gone = append(gone, name)
 		}
 	}
+	p.changes.forgotten += len(gone)
 	names := p.activeNames()
 	p.mu.Unlock()
 	for _, name := range gone {
-		p.log.Info("instance.forgotten", "instance", name)
+		if len(names) < maxDirectFleet {
+			p.log.Info("instance.forgotten", "instance", name)
+		}
 		p.s.admission.withScheduler(func(_ time.Time, s *placement.Scheduler) { s.SetPeer(name, nil) })
 		p.s.forgetQuarantinePeer(name)
 	}
@@ -288,8 +318,12 @@
 	if x == nil {
 		x = &peer{rowChangedAt: now}
 		p.known[r.Key] = x
+		p.newcomerAt = now
+		p.changes.seen++
 		p.requestUpdate()
-		p.log.Info("instance.seen", "instance", r.Key, "addr", row.Updates)
+		if len(p.known) < maxDirectFleet {
+			p.log.Info("instance.seen", "instance", r.Key, "addr", row.Updates)
+		}
 	}
 	if x.row.Incarnation != row.Incarnation || x.rowVersion != r.Version {
 		x.rowChangedAt, x.rowVersion = now, r.Version
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -308,6 +308,7 @@
 				inUse[e.Addr] = true
 			}
 			s.upstream.sweep(inUse)
+			s.peers.logChanges(time.Now())
 			if n := s.stats.omitted.Get(); n > omitted {
 				s.log.Info("log.omitted", "requests", n-omitted)
 				omitted = n
--- a/internal/gateway/updates.go
+++ b/internal/gateway/updates.go
@@ -131,9 +131,10 @@
 		}
 	})
 	now := time.Now()
+	u.AllLevels = p.hasNewcomer(now)
 	s.quotaMu.Lock()
 	u.KnownFor = s.quota.KnownFor(now).Milliseconds()
-	for _, usage := range s.quota.Usage(now) {
+	for _, usage := range s.quota.Usage(now, u.AllLevels) {
 		u.Usage = append(u.Usage, encodeUsage(now, usage))
 	}
 	s.quotaMu.Unlock()
@@ -183,8 +184,8 @@
 	}
 	p.recordRelay(now, batch.Relay)
 	for _, d := range batch.Datagrams {
-		u, _, err := gossip.Decode(d, secret)
-		if err != nil || u == nil {
+		u, err := gossip.DecodeRelayed(d)
+		if err != nil {
 			return errors.Wrap(err, "decode relayed update")
 		}
 		if p.applyUpdate(now, u, netip.AddrPort{}, false) && batch.Forward {
@@ -228,26 +229,33 @@
 	}
 	started := x.update == nil || x.update.Incarnation != u.Incarnation
 	if started {
-		p.log.Info("instance.heard", "instance", u.Instance, "incarnation", u.Incarnation)
+		p.newcomerAt = now
+		p.changes.heard++
+		if len(p.known) < maxDirectFleet {
+			p.log.Info("instance.heard", "instance", u.Instance, "incarnation", u.Incarnation)
+		}
 		p.requestUpdate() // it may not have heard this instance yet
 	}
-	joined = joined || x.leaving != u.Leaving
+	changed := started || joined || x.leaving != u.Leaving
 	x.update, x.lastUpdateAt, x.leaving = u, now, u.Leaving
 	if direct {
 		x.lastDirectAt, x.addr = now, from
 	}
 	x.row.State = u.StateAddr
-	names := p.activeNames()
+	var names []string
+	if changed {
+		names = p.activeNames()
+	}
 	p.mu.Unlock()
 
-	report := window.Report{Instance: u.Instance, Incarnation: u.Incarnation, KnownFor: time.Duration(u.KnownFor) * time.Millisecond, Usage: make([]window.Usage, len(u.Usage))}
+	report := window.Report{Instance: u.Instance, Incarnation: u.Incarnation, KnownFor: time.Duration(u.KnownFor) * time.Millisecond, Complete: u.AllLevels, Usage: make([]window.Usage, len(u.Usage))}
 	for i, s := range u.Usage {
 		report.Usage[i] = decodeUsage(now, s)
 	}
 	p.s.quotaMu.Lock()
 	p.s.quota.UpdatePeer(now, report, p.s.state.Current().Accounts)
 	p.s.quotaMu.Unlock()
-	if started || joined {
+	if changed {
 		p.s.setFleet(now, names)
 	}
 	if u.KnowsQuarantine {
@@ -262,7 +270,10 @@
 
 // remoteOf converts an update to the scheduler's view of another instance.
 func remoteOf(now time.Time, u *gossip.Update) *placement.PeerState {
-	r := &placement.PeerState{UpdatedAt: now, Generations: map[string][]placement.Generation{}, PrefillTokens: map[string]int{}}
+	r := &placement.PeerState{UpdatedAt: now}
+	if len(u.Loads) > 0 {
+		r.Generations, r.PrefillTokens = map[string][]placement.Generation{}, map[string]int{}
+	}
 	for _, load := range u.Loads {
 		if load.PrefillTokens > 0 {
 			r.PrefillTokens[load.Endpoint] = load.PrefillTokens
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -31,10 +31,13 @@
 	ConfigurationVersion uint64 // version in force
 	EndpointsVersion     uint64 // last version read of the endpoint table
 
-	Loads   []EndpointLoad
-	Usage   []AccountUsage
-	Queued  []QueuedRequest
-	Ejected []Ejection
+	Loads []EndpointLoad
+	Usage []AccountUsage
+	// AllLevels means that Usage has every account with a level, not only those that the instance
+	// uses.
+	AllLevels bool
+	Queued    []QueuedRequest
+	Ejected   []Ejection
 
 	Crashes     []Crash
 	Begun       []BegunResponses
@@ -233,14 +236,8 @@
 	}
 	switch body[0] {
 	case kindUpdate:
-		var u Update
-		if err := cbor.Unmarshal(body[1:], &u); err != nil {
-			return nil, nil, errors.Wrap(err, "decode update")
-		}
-		if u.Instance == "" {
-			return nil, nil, errors.New("update has no instance name")
-		}
-		return &u, nil, nil
+		u, err := decodeUpdate(body)
+		return u, nil, err
 	case kindBatch:
 		var batch Batch
 		if err := cbor.Unmarshal(body[1:], &batch); err != nil {
@@ -251,6 +248,27 @@
 	return nil, nil, errors.Newf("datagram has unknown type %d", body[0])
 }
 
+// DecodeRelayed decodes an update out of a batch. The signature of the batch vouches for it: the
+// relay has verified the update's own one, with the same secret.
+func DecodeRelayed(datagram []byte) (*Update, error) {
+	if len(datagram) <= macBytes || datagram[0] != kindUpdate {
+		return nil, errors.New("datagram in a batch is no update")
+	}
+	return decodeUpdate(datagram[:len(datagram)-macBytes])
+}
+
+// decodeUpdate decodes the part of a datagram that its signature covers.
+func decodeUpdate(body []byte) (*Update, error) {
+	var u Update
+	if err := cbor.Unmarshal(body[1:], &u); err != nil {
+		return nil, errors.Wrap(err, "decode update")
+	}
+	if u.Instance == "" {
+		return nil, errors.New("update has no instance name")
+	}
+	return &u, nil
+}
+
 // verify checks the signature of a datagram and returns the part that it covers.
 func verify(datagram, secret []byte) ([]byte, error) {
 	if len(datagram) <= macBytes {
--- a/internal/limit/window/restart_test.go
+++ b/internal/limit/window/restart_test.go
@@ -230,3 +230,17 @@
 		}
 	})
 }
+
+// An instance that starts takes no report for the whole fleet's usage that leaves accounts out.
+func TestIncompleteReportIsNotAdopted(t *testing.T) {
+	now := epoch
+	f := newTestFleet(2, now)
+	f.flood(now, 2*time.Second, 5*time.Millisecond)
+	now = now.Add(2 * time.Second)
+	l := New(windowLength, testSlack, now)
+	l.SetPeers([]string{instanceName(1)}, 0)
+	report := reportOf(now, instanceName(1), f.births[1].UnixNano(), f.limiters[1])
+	report.Usage, report.Complete = nil, false
+	l.UpdatePeer(now, report, accounts)
+	assert.Assert(t, !l.Reserve(now, account, 4000, Generation).Allowed, "a full bucket was taken for an empty one")
+}
--- a/internal/limit/window/window.go
+++ b/internal/limit/window/window.go
@@ -388,8 +388,8 @@
 }
 
 // Usage returns what this instance reports to the others, and forgets the accounts that have
-// not been used for a window.
-func (l *Limiter) Usage(now time.Time) []Usage {
+// not been used for a window. With allLevels it reports the accounts that other instances use too.
+func (l *Limiter) Usage(now time.Time, allLevels bool) []Usage {
 	out := make([]Usage, 0, len(l.accounts))
 	for name, b := range l.accounts {
 		l.drain(now, b)
@@ -399,9 +399,11 @@
 		}
 		u := Usage{Account: name, Own: int(math.Round(b.own)), Level: int(math.Round(level))}
 		u.Claims, u.Returning = b.reportLine(now)
-		if u.Own != 0 || u.Level != 0 || len(u.Claims) > 0 || u.Returning > 0 {
+		switch {
+		case u.Own != 0 || len(u.Claims) > 0 || u.Returning > 0 || allLevels && u.Level != 0:
 			out = append(out, u)
-		} else if b.empty && now.Sub(b.emptySince) > l.window {
+		case u.Level != 0:
+		case b.empty && now.Sub(b.emptySince) > l.window:
 			l.forget(name, b)
 		}
 	}
@@ -424,6 +426,7 @@
 	Instance    string
 	Incarnation int64
 	KnownFor    time.Duration // how long the instance knows the usage of the fleet
+	Complete    bool          // Usage has all accounts that have a level
 	Usage       []Usage
 }
 
@@ -463,7 +466,7 @@
 		b.empty = b.empty && u.Own <= 0
 		p.reported = append(p.reported, b)
 	}
-	if now.Sub(l.startedAt) < peerTimeout && r.KnownFor > now.Sub(l.startedAt) {
+	if r.Complete && now.Sub(l.startedAt) < peerTimeout && r.KnownFor > now.Sub(l.startedAt) {
 		l.adopt(now, r)
 	}
 }
@@ -510,12 +513,12 @@
 	}
 }
 
-// SetPeers replaces the list of other instances and the time that their updates take. An
+// SetPeers replaces the sorted list of other instances and the time that their updates take. An
 // instance that has sent no update yet counts as silent.
 func (l *Limiter) SetPeers(names []string, transit time.Duration) {
 	l.transit = transit
 	for name, p := range l.peers {
-		if !slices.Contains(names, name) {
+		if _, ok := slices.BinarySearch(names, name); !ok {
 			l.retain(p)
 			l.slots[p.slot] = nil
 			delete(l.peers, name)
--- a/internal/limit/window/window_test.go
+++ b/internal/limit/window/window_test.go
@@ -25,7 +25,7 @@
 
 // reportOf returns what an instance with the limiter sends to the others.
 func reportOf(now time.Time, name string, incarnation int64, l *Limiter) Report {
-	return Report{Instance: name, Incarnation: incarnation, KnownFor: l.KnownFor(now), Usage: l.Usage(now)}
+	return Report{Instance: name, Incarnation: incarnation, KnownFor: l.KnownFor(now), Complete: true, Usage: l.Usage(now, true)}
 }
 
 // charge is a request that was allowed.
@@ -195,7 +195,7 @@
 	now := epoch
 	for range 5 {
 		now = now.Add(windowLength)
-		l.Usage(now)
+		l.Usage(now, true)
 	}
 	assert.Equal(t, len(l.accounts), 0)
 	l.UpdatePeer(now, Report{Instance: "joined", Incarnation: 1, KnownFor: time.Hour}, accounts)
