Fewer calls to the store in large fleets; a soak with a rate that binds

Change: a series of configurations is read in few calls, like one of endpoints; in large fleets rows are written every 30 s, an instance counts until its row has not changed for 2.5 intervals, and the row of an instance that is heard without one is read at once.

--- a/cmd/caraway-soak/main.go
+++ b/cmd/caraway-soak/main.go
@@ -23,6 +23,7 @@
 	Rounds    int    `arg:"--rounds" default:"2" help:"number of fault phases, each followed by a quiet phase"`
 	Logs      string `arg:"--logs" placeholder:"DIR" help:"directory that keeps the settings and logs of failed seeds"`
 	Untimed   bool   `arg:"--untimed" help:"skip the time-bounded guarantees"`
+	LowRate   bool   `arg:"--low-rate" help:"limit the account to a rate that binds"`
 	Releases  bool   `arg:"--releases" help:"replace engines by others of newer software versions, while callers take streams up again"`
 	Verbose   bool   `arg:"-v,--verbose" help:"log every injected fault"`
 }
@@ -60,7 +61,7 @@
 	if err != nil {
 		return false, err
 	}
-	r, err := soak.Run(ctx, soak.Options{Binary: binary, Dir: dir, Seed: seed, Instances: a.Instances, Rounds: a.Rounds, Timed: !a.Untimed, Releases: a.Releases, Log: func(format string, args ...any) {
+	r, err := soak.Run(ctx, soak.Options{Binary: binary, Dir: dir, Seed: seed, Instances: a.Instances, Rounds: a.Rounds, Timed: !a.Untimed, Releases: a.Releases, LowRate: a.LowRate, Log: func(format string, args ...any) {
 		if a.Verbose {
 			fmt.Printf(format+"\n", args...)
 		}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"crypto/rand"
+	cryptorand "crypto/rand"
 	"encoding/hex"
 	"encoding/json"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"slices"
@@ -24,9 +25,12 @@
 	updateInterval       = 400 * time.Millisecond // while nothing changes
 	queuedUpdateInterval = 50 * time.Millisecond  // while requests are queued
 	minUpdateGap         = 4 * time.Millisecond   // minimum between two datagrams
-	registerInterval     = 5 * time.Second        // between writes of the instance's row
+	registerInterval     = 5 * time.Second        // between writes of the instance's row, in a fleet of up to storeScaleFleet instances
+	maxRegisterInterval  = 30 * time.Second       // the same in the largest fleets
+	newRowDelay          = 3 * time.Second        // until the row of an instance that was heard without one is read
 	newcomerTime         = 3 * time.Second        // for which an instance that has started needs to know the usage of all
 	peerTTL              = 15 * time.Second       // without a row change or an update; longer than typical network partitions
+	rowTTLIntervals      = 2.5                    // without a row change, in intervals between the writes of a row
 	catchUpInterval      = 150 * time.Millisecond
 	catchUpDelay         = 150 * time.Millisecond // allowed delay of the store's change feed
 	fetchTimeout         = 600 * time.Millisecond
@@ -69,6 +73,7 @@
 	client       *fasthttp.Client
 	updateNeeded chan struct{}
 	relayNeeded  chan struct{} // an update is waiting to be relayed
+	rowNeeded    chan struct{} // an instance was heard whose row is not known
 	sequence     uint64
 
 	mu     sync.Mutex
@@ -110,6 +115,7 @@
 		client:       &fasthttp.Client{MaxResponseBodySize: maxStateBytes, ReadTimeout: fetchTimeout, WriteTimeout: fetchTimeout, MaxIdleConnDuration: time.Second, NoDefaultUserAgentHeader: true},
 		updateNeeded: make(chan struct{}, 1),
 		relayNeeded:  make(chan struct{}, 1),
+		rowNeeded:    make(chan struct{}, 1),
 		outbox:       map[string]relayedUpdate{},
 		known:        map[string]*peer{},
 	}
@@ -123,6 +129,14 @@
 	}
 }
 
+// requestRow asks for the rows of the instances to be read soon.
+func (p *peers) requestRow() {
+	select {
+	case p.rowNeeded <- struct{}{}:
+	default:
+	}
+}
+
 // listen opens the socket for datagrams.
 func (p *peers) listen() error {
 	host, _, err := net.SplitHostPort(p.s.settings.PeerAddr)
@@ -196,6 +210,8 @@
 
 // registerLoop keeps the instance's row in the store and reads the rows of the others.
 func (p *peers) registerLoop(ctx context.Context) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	failures := 0
 	for ctx.Err() == nil {
 		if err := p.register(ctx); err != nil {
@@ -206,11 +222,25 @@
 			continue
 		}
 		failures = 0
-		sleepJitter(ctx, p.s.scaleToFleet(registerInterval))
+		timer.Reset(p.registerInterval()/2 + rand.N(p.registerInterval()/2))
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-p.rowNeeded:
+			sleepJitter(ctx, newRowDelay)
+		}
 	}
 	return nil
 }
 
+// registerInterval returns the longest time between two writes of the instance's row. The others
+// learn of the instance by its updates; the row tells instances that start, or are cut off from
+// it, that it exists.
+func (p *peers) registerInterval() time.Duration {
+	fleet := time.Duration(max(storeScaleFleet, p.fleetSize()))
+	return min(maxRegisterInterval, registerInterval*fleet/storeScaleFleet)
+}
+
 func (p *peers) register(ctx context.Context) error {
 	if err := p.ensureSecret(ctx); err != nil {
 		return err
@@ -239,7 +269,7 @@
 		return nil
 	}
 	fresh := make([]byte, secretBytes)
-	if _, err := rand.Read(fresh); err != nil {
+	if _, err := cryptorand.Read(fresh); err != nil {
 		return errors.Wrap(err, "generate fleet secret")
 	}
 	value, err := p.s.store.Create(ctx, Fleet, secretKey, []byte(hex.EncodeToString(fresh)))
@@ -256,6 +286,7 @@
 
 // applyRows applies the instances' rows and forgets instances with neither a row nor updates.
 func (p *peers) applyRows(now time.Time, rows []Row) {
+	rowTTL := max(peerTTL, time.Duration(rowTTLIntervals*float64(p.registerInterval())))
 	p.mu.Lock()
 	present := map[string]bool{}
 	for _, r := range rows {
@@ -264,7 +295,7 @@
 	}
 	var gone []string
 	for name, x := range p.known {
-		expired := now.Sub(x.lastUpdateAt) > peerTTL && now.Sub(x.rowChangedAt) > peerTTL
+		expired := now.Sub(x.lastUpdateAt) > peerTTL && now.Sub(x.rowChangedAt) > rowTTL
 		if expired || (x.leaving && !present[name]) {
 			delete(p.known, name)
 			gone = append(gone, name)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -180,18 +180,27 @@
 	return min(maxPollWait, max(d, d*fleet/storeScaleFleet))
 }
 
+// batchDelay returns how long after a change a table is not read again, so that a series of
+// changes costs each instance of a large fleet few calls.
+func (s *Server) batchDelay() time.Duration {
+	return min(maxBatchDelay, time.Duration(s.peers.fleetSize())*delayPerInstance)
+}
+
 func (s *Server) watchers() []*watcher {
 	return []*watcher{
-		{store: s.store, table: Configuration, wait: func() time.Duration { return s.scaleToFleet(pollWait) }, log: s.log, apply: func(rows []Row, _ bool) {
-			for _, r := range rows {
-				if !r.Deleted {
-					s.state.applyConfiguration(r.Value, "store")
+		{store: s.store, table: Configuration, wait: func() time.Duration { return s.scaleToFleet(pollWait) }, log: s.log,
+			apply: func(rows []Row, _ bool) {
+				for _, r := range rows {
+					if !r.Deleted {
+						s.state.applyConfiguration(r.Value, "store")
+					}
 				}
-			}
-		}},
+			},
+			batchDelay: s.batchDelay,
+		},
 		{store: s.store, table: Endpoints, wait: func() time.Duration { return s.scaleToFleet(pollWait) }, log: s.log,
 			apply:      func(rows []Row, full bool) { s.state.applyEndpoints(time.Now(), rows, full) },
-			batchDelay: func() time.Duration { return min(maxBatchDelay, time.Duration(s.peers.fleetSize())*delayPerInstance) },
+			batchDelay: s.batchDelay,
 			onFailure: func() {
 				s.stats.storeFailures.Inc()
 				s.state.storeFailed(time.Now())
--- a/internal/gateway/updates.go
+++ b/internal/gateway/updates.go
@@ -222,6 +222,7 @@
 	if joined {
 		x = &peer{}
 		p.known[u.Instance] = x
+		p.requestRow()
 	}
 	if x.update != nil && !x.update.Before(u) {
 		p.mu.Unlock()
