window: claims wait until the other instances have heard of them

Cause, by a test: the callers of 20 streams return to 20 instances at the same moment when an account has room for one of them; each instance granted it before it had heard of the others, and the window had 15,000 tokens of 13,900 (updates take 100 ms, as in a large fleet).

Change: a claim waits for twice the transit of an update at least: 20 ms in small fleets, 200 ms with relays. Refused callers that return within 50 ms of each other are recorded together, so that a flood of small requests has few records.

TestClaimsAtManyInstancesAtOnceKeepTheLimit failed before.

--- a/internal/limit/window/claim.go
+++ b/internal/limit/window/claim.go
@@ -13,6 +13,11 @@
 const (
 	// returnGrace is how long after its time a caller that was told to return keeps its place.
 	returnGrace = 600 * time.Millisecond
+	// claimTransits is how many times the transit of an update a claim waits at least, as updates
+	// take longer at times.
+	claimTransits = 2
+	// returnStep is how far apart the times are at which refused callers are recorded to return.
+	returnStep = 50 * time.Millisecond
 	// maxReportedClaims bounds the claims on an account in an update; the oldest are reported.
 	maxReportedClaims = 32
 )
@@ -33,6 +38,8 @@
 	Tokens int
 	Since  int64     // first return of the caller, Unix ms by the clock of the instance where it came
 	Due    time.Time // when the caller was told to return; zero while its request waits
+
+	waitsSince time.Time // at this instance
 }
 
 // before reports whether the claim goes before another one. All instances agree on the order,
@@ -51,12 +58,24 @@
 
 func (c *Claim) expired(now time.Time) bool { return !c.Due.IsZero() && now.Sub(c.Due) > returnGrace }
 
-// returning is a caller of a new request that was told to return.
+// returning are callers of new requests that were told to return at a time.
 type returning struct {
 	at     time.Time
 	tokens float64
 }
 
+// addReturning records that the caller of a new request was told to return. Those who return at
+// about the same time are recorded together, so that a flood of small requests has few records.
+func (b *bucket) addReturning(at time.Time, tokens float64) {
+	if n := len(b.returning); n > 0 {
+		if last := &b.returning[n-1]; at.Sub(last.at).Abs() < returnStep {
+			last.tokens += tokens
+			return
+		}
+	}
+	b.returning = append(b.returning, returning{at, tokens})
+}
+
 // line is who waits for an account's tokens, as one instance reports it.
 type line struct {
 	claims    []Claim
@@ -81,6 +100,9 @@
 		})
 		b.claims = append(b.claims, c)
 	}
+	if c.waitsSince.IsZero() || !c.Due.IsZero() {
+		c.waitsSince = now
+	}
 	c.Tokens, c.Due = tokens, time.Time{}
 	ahead, expected := 0.0, 0.0
 	l.eachClaim(now, b, func(other *Claim) {
@@ -94,7 +116,10 @@
 	})
 	d, v := l.examine(now, b, float64(tokens), float64(tokens), Generation)
 	d.Ahead = expected
-	if missing := d.missing + ahead; missing <= 0 {
+	// Many callers return at once, to as many instances: those must have heard of each other's
+	// claims, or all of them grant what is left for one.
+	heard := now.Sub(c.waitsSince) >= claimTransits*l.transit
+	if missing := d.missing + ahead; missing <= 0 && heard {
 		l.charge(b, &d, tokens)
 		// Until it expires, the claim tells the others to give up its former place.
 		c.Tokens, c.Due = 0, now
--- a/internal/limit/window/claim_test.go
+++ b/internal/limit/window/claim_test.go
@@ -202,3 +202,48 @@
 		}
 	})
 }
+
+// The callers of many streams return to as many instances of a large fleet at the same moment, when
+// an account has room for one of them. Each instance granted it before it had heard of the others.
+func TestClaimsAtManyInstancesAtOnceKeepTheLimit(t *testing.T) {
+	const n, tokens = 20, 300
+	now := epoch
+	f := newTestFleet(n, now)
+	f.flood(now, 8*time.Second, 5*time.Millisecond)
+	f.delay = 100 * time.Millisecond
+	now = now.Add(8 * time.Second)
+	f.restartAll(now)
+	for _, l := range f.limiters {
+		l.transit = f.delay
+	}
+	granted := map[int]bool{}
+	for step := range 1500 {
+		at := now.Add(time.Duration(step) * 10 * time.Millisecond)
+		f.exchange(at)
+		if step < 400 { // until about the tokens of one stream have drained, and none is used
+			continue
+		}
+		for i := range n {
+			if !granted[i] {
+				granted[i], _ = f.claim(at, i, i, tokens)
+			}
+		}
+		f.request(at, step%n, tokens)
+	}
+	assert.Equal(t, len(granted), n)
+	for i := range n {
+		assert.Assert(t, granted[i], "stream %d did not go on", i)
+	}
+	got := maxWindowSum(f.charges)
+	assert.Assert(t, got <= allowedInWindow, "%d tokens in a window, %d are allowed", got, allowedInWindow)
+}
+
+// A flood of small generations is remembered in few records.
+func TestFloodOfRefusalsIsRememberedBriefly(t *testing.T) {
+	now := epoch
+	l := New(windowLength, testSlack, now)
+	for i := range 20000 {
+		l.Reserve(now.Add(time.Duration(i)*time.Microsecond*10), account, 1000, Generation)
+	}
+	assert.Assert(t, len(l.accounts[account.Name].returning) <= int(windowLength/returnStep)+1)
+}
--- a/internal/limit/window/window.go
+++ b/internal/limit/window/window.go
@@ -205,7 +205,7 @@
 	wait := clock.Seconds((d.missing + d.Ahead) / (d.Rate * v.reporting))
 	d.RetryAfter = min(max(minRetryAfter, wait), l.window)
 	if kind == Generation {
-		b.returning = append(b.returning, returning{now.Add(d.RetryAfter), float64(tokens)})
+		b.addReturning(now.Add(d.RetryAfter), float64(tokens))
 	}
 	return d
 }
