--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -18,6 +18,9 @@
 	// claimWaitRatio is the part of the caller's patience, less startMargin, for which a stream
 	// may wait for tokens. The rest is for a place at an engine.
 	claimWaitRatio = 0.5
+	// claimReturnAfter is the least time after which a caller that takes up a stream is told to
+	// return.
+	claimReturnAfter = 200 * time.Millisecond
 )
 
 // limit charges the request's tokens to the account.
@@ -43,7 +46,7 @@
 // while the caller is still there. Otherwise the caller is told when its turn is expected.
 func (x *exchange) claimTokens(ctx context.Context) error {
 	c := x.call
-	key := window.ClaimKey(origin.KeyOf(c.Account.Name, c.Resumes))
+	key := x.claimKey()
 	began := time.Now()
 	patience := time.Duration(claimWaitRatio * float64(x.callerTimeout()-startMargin))
 	latest := c.Arrived.Add(patience)
@@ -68,6 +71,16 @@
 	}
 }
 
+// claimKey identifies the stream over all attempts of its caller. A caller that does not name the
+// attempt with which it began has a new place with each one.
+func (x *exchange) claimKey() window.ClaimKey {
+	attempt := x.call.Resumes
+	if attempt == "" {
+		attempt = x.call.ID
+	}
+	return window.ClaimKey(origin.KeyOf(x.account(), attempt))
+}
+
 // tryClaim asks for the tokens once. If they cannot be had until the latest time, the claim is
 // postponed: the caller returns when there is about half of its patience left to wait here.
 func (x *exchange) tryClaim(key window.ClaimKey, latest time.Time, patience time.Duration) (d window.Decision, postponed bool) {
@@ -82,9 +95,6 @@
 	return d, postponed
 }
 
-// claimReturnAfter is the least time after which a caller that takes up a stream is told to return.
-const claimReturnAfter = 200 * time.Millisecond
-
 // finishLimit records the outcome of a reservation.
 func (x *exchange) finishLimit(d window.Decision, waited time.Duration) error {
 	c := x.call
