--- a/internal/limit/window/restart_test.go
+++ b/internal/limit/window/restart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -244,3 +245,32 @@
 	l.UpdatePeer(now, report, accounts)
 	assert.Assert(t, !l.Reserve(now, account, 4000, Generation).Allowed, "a full bucket was taken for an empty one")
 }
+
+// All instances of a large fleet restart and hear each other. Then each gets a request at the same time,
+// within the transit of an update: what has drained since the restart may be granted only once.
+func TestRequestsWithinATransitAfterARestartOfAllKeepTheLimit(t *testing.T) {
+	const n, tokens = 40, 300
+	now := epoch
+	f := newTestFleet(n, now)
+	f.flood(now, 8*time.Second, 5*time.Millisecond)
+	now = now.Add(8 * time.Second)
+	var names []string
+	for i := range n {
+		names = append(names, instanceName(i))
+	}
+	slices.Sort(names)
+	for i := range f.limiters {
+		f.limiters[i], f.births[i] = New(windowLength, testSlack, now), now
+		f.limiters[i].SetPeers(slices.DeleteFunc(slices.Clone(names), func(s string) bool { return s == instanceName(i) }), 100*time.Millisecond)
+	}
+	now = now.Add(550 * time.Millisecond)
+	f.exchange(now)
+	now = now.Add(50 * time.Millisecond)
+	for i := range f.limiters {
+		if f.limiters[i].Reserve(now, account, tokens, Generation).Allowed {
+			f.charges = append(f.charges, charge{now, tokens})
+		}
+	}
+	got := maxWindowSum(f.charges)
+	assert.Assert(t, got <= allowedInWindow, "%d tokens in a window, %d are allowed", got, allowedInWindow)
+}
