window: one walk over the claims for a refusal, one order of claims

Read again: a refused generation walked over the claims of all instances twice; the order of claims was written as a comparison and again as a sort function; the credit of idle time was a field that only one function used; the changes of a fleet were compared with the silent instances every second, also where nothing had changed. Behaviour is as before.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -91,12 +91,14 @@
 
 // logChanges logs the changes of a large fleet.
 func (p *peers) logChanges(now time.Time) {
-	silent, known := p.countSilent(now)
 	p.mu.Lock()
 	c := p.changes
 	p.changes = fleetChanges{}
 	p.mu.Unlock()
-	if c != (fleetChanges{}) && known >= maxDirectFleet {
+	if c == (fleetChanges{}) {
+		return
+	}
+	if silent, known := p.countSilent(now); known >= maxDirectFleet {
 		p.log.Info("instances.changed", "seen", c.seen, "heard", c.heard, "forgotten", c.forgotten, "known", known, "silent", silent)
 	}
 }
--- a/internal/limit/window/claim.go
+++ b/internal/limit/window/claim.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -42,13 +43,10 @@
 	waitsSince time.Time // at this instance
 }
 
-// before reports whether the claim goes before another one. All instances agree on the order,
-// whatever their clocks show.
-func (c *Claim) before(other *Claim) bool {
-	if c.Since != other.Since {
-		return c.Since < other.Since
-	}
-	return bytes.Compare(c.Key[:], other.Key[:]) < 0
+// compare orders claims: negative if c goes first. All instances agree on the order, whatever their
+// clocks show.
+func (c *Claim) compare(other *Claim) int {
+	return cmp.Or(cmp.Compare(c.Since, other.Since), bytes.Compare(c.Key[:], other.Key[:]))
 }
 
 // present reports whether the claim's request waits, or is expected now.
@@ -106,7 +104,7 @@
 	c.Tokens, c.Due = tokens, time.Time{}
 	ahead, expected := 0.0, 0.0
 	l.eachClaim(now, b, func(other *Claim) {
-		if other.Key == key || !other.before(c) {
+		if other.Key == key || other.compare(c) > 0 {
 			return
 		}
 		expected += float64(other.Tokens)
@@ -120,7 +118,7 @@
 	// claims, or all of them grant what is left for one.
 	heard := now.Sub(c.waitsSince) >= claimTransits*l.transit
 	if missing := d.missing + ahead; missing <= 0 && heard {
-		l.charge(b, &d, tokens)
+		b.charge(&d, tokens)
 		// Until it expires, the claim tells the others to give up its former place.
 		c.Tokens, c.Due = 0, now
 		return d
@@ -220,12 +218,7 @@
 func (b *bucket) reportLine(now time.Time) (claims []Claim, returning int) {
 	b.claims = slices.DeleteFunc(b.claims, func(c *Claim) bool { return c.expired(now) })
 	if len(b.claims) > 0 {
-		oldest := slices.SortedFunc(slices.Values(b.claims), func(x, y *Claim) int {
-			if x.before(y) {
-				return -1
-			}
-			return 1
-		})
+		oldest := slices.SortedFunc(slices.Values(b.claims), (*Claim).compare)
 		for _, c := range oldest[:min(len(oldest), maxReportedClaims)] {
 			claims = append(claims, *c)
 		}
--- a/internal/limit/window/window.go
+++ b/internal/limit/window/window.go
@@ -133,7 +133,6 @@
 	Ahead       float64       // tokens of those that go first
 
 	missing float64 // room that is missing below Limit
-	credit  float64 // of idle time, above the depth
 }
 
 // These factors limit how much of the slack is used. The rest covers late updates.
@@ -183,24 +182,23 @@
 	b := l.bucketOf(now, a)
 	l.drain(now, b)
 	need := float64(tokens)
-	ahead := 0.0
+	present, waiting := 0.0, 0.0
 	if kind == Generation {
 		// A generation of any size is admitted only if a large one would fit. Otherwise the
 		// small generations of a flood take all the capacity that becomes free, and the
 		// large ones are starved.
 		b.observeGeneration(now, l.window, need)
 		need = max(need, b.largest, b.largestBefore)
-		ahead, _ = l.waitingTokens(now, b)
+		present, waiting = l.waitingTokens(now, b)
 	}
 	d, v := l.examine(now, b, float64(tokens), need, kind)
-	d.Ahead = ahead
-	if d.missing+ahead <= 0 {
-		l.charge(b, &d, tokens)
+	d.Ahead = present
+	if d.missing+present <= 0 {
+		b.charge(&d, tokens)
 		return d
 	}
 	if kind == Generation {
-		_, all := l.waitingTokens(now, b)
-		d.Ahead = all + l.returningTokens(now, b)
+		d.Ahead = waiting + l.returningTokens(now, b)
 	}
 	wait := clock.Seconds((d.missing + d.Ahead) / (d.Rate * v.reporting))
 	d.RetryAfter = min(max(minRetryAfter, wait), l.window)
@@ -214,11 +212,12 @@
 func (l *Limiter) examine(now time.Time, b *bucket, tokens, need float64, kind RequestKind) (Decision, view) {
 	v := l.view(now, b)
 	d := Decision{OwnUsage: b.own, PeerUsage: v.level - b.own + v.silentUsage, Assumed: v.assumed, SilentPeers: v.silent, Rate: b.limits.rate}
+	credit := 0.0
 	if b.empty {
 		// A request larger than the bucket needs that much more idle time before it.
-		d.credit = v.reporting * min(b.limits.rate*now.Sub(b.emptySince).Seconds(), b.limits.window)
+		credit = v.reporting * min(b.limits.rate*now.Sub(b.emptySince).Seconds(), b.limits.window)
 	}
-	usable := b.limits.depth - v.silentUsage + d.credit
+	usable := b.limits.depth - v.silentUsage + credit
 	if kind == Generation {
 		need = max(tokens, min(need, b.limits.depth-v.silentUsage+v.reporting*b.limits.window))
 		usable -= min(plainCallReserve*v.reporting*l.windowLimit(b.account), max(0, usable-need))
@@ -226,12 +225,12 @@
 	level := max(0, v.level)
 	d.Limit, d.Needed, d.missing = usable+v.silentUsage, need, need+level-usable
 	a := b.account
-	d.UsedSlack = tokens+level+v.silentUsage > d.credit+max(a.Burst, a.Rate*minDepth.Seconds())
+	d.UsedSlack = tokens+level+v.silentUsage > credit+max(a.Burst, a.Rate*minDepth.Seconds())
 	return d, v
 }
 
-// charge adds a request's tokens to the bucket.
-func (l *Limiter) charge(b *bucket, d *Decision, tokens int) {
+// charge adds the tokens of a request that is allowed to the bucket.
+func (b *bucket) charge(d *Decision, tokens int) {
 	d.Allowed = true
 	b.own += float64(tokens)
 	b.empty = false
