--- a/internal/limit/window/claim_test.go
+++ b/internal/limit/window/claim_test.go
@@ -26,8 +26,10 @@
 	return d.Allowed, d.RetryAfter
 }
 
-// restartAll restarts all instances, which then assume a full bucket.
+// restartAll restarts all instances, which then assume a full bucket. Reports on their way are lost
+// with the sockets of the former processes.
 func (f *testFleet) restartAll(now time.Time) {
+	f.transit = nil
 	for i := range f.limiters {
 		f.kill(i)
 	}
