window: generations at an account's limit are announced before they are granted

After a restart of all 195 instances each saw the same room for a generation or two and granted it before it could hear of the others' grants. Claims of streams waited for twice the transit of updates; new generations did not.

Ruled out: a share of the room for each instance (less than one request, so that accounts with few requests are refused nearly everywhere).

A generation that fits, but would not at each instance, becomes a claim behind all streams and is decided once the others have heard of it: for a window after a restart of all, and while callers that were told to return would use up the room. With the first condition alone TestClaimsAtManyInstancesAtOnceKeepTheLimit failed (14,100 of 13,900).

--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// claimInterval is how often a stream that waits for its account's tokens is tried again:
+	// claimInterval is how often a request that waits for its account's tokens is tried again:
 	// an update of another instance may have changed its place.
 	claimInterval = 20 * time.Millisecond
 	// claimWaitRatio is the part of the caller's patience, less startMargin, for which a stream
@@ -39,31 +39,53 @@
 	}
 	var d window.Decision
 	x.s.withQuota(func(now time.Time, l *window.Limiter) { d = l.Reserve(now, c.Account, c.ChargedTokens, kind) })
+	if d.Announce {
+		return x.reserveAnnounced(ctx)
+	}
 	return x.finishLimit(d, 0)
 }
 
+// reserveAnnounced waits until the other instances have heard of the request.
+func (x *exchange) reserveAnnounced(ctx context.Context) error {
+	c := x.call
+	key := window.ClaimKey(origin.KeyOf(x.account(), c.ID))
+	return x.awaitTokens(ctx, key, func(now time.Time, l *window.Limiter) (window.Decision, bool) {
+		d, waits := l.ReserveAnnounced(now, c.Account, key, c.ChargedTokens)
+		return d, !waits
+	})
+}
+
 // claimTokens waits for the tokens of a stream that its caller takes up again, if they can be had
 // while the caller is still there. Otherwise the caller is told when its turn is expected.
 func (x *exchange) claimTokens(ctx context.Context) error {
-	c := x.call
 	key := x.claimKey()
-	began := time.Now()
 	patience := time.Duration(claimWaitRatio * float64(x.callerTimeout()-startMargin))
-	latest := c.Arrived.Add(patience)
+	latest := x.call.Arrived.Add(patience)
+	return x.awaitTokens(ctx, key, func(now time.Time, l *window.Limiter) (window.Decision, bool) {
+		return x.tryClaim(now, l, key, latest, patience)
+	})
+}
+
+// awaitTokens tries until the request's claim is decided. The other instances hear at once of the claim and
+// of its end.
+func (x *exchange) awaitTokens(ctx context.Context, key window.ClaimKey, try func(now time.Time, l *window.Limiter) (d window.Decision, decided bool)) error {
+	began := time.Now()
 	ticker := time.NewTicker(claimInterval)
 	defer ticker.Stop()
 	for first := true; ; first = false {
-		d, postponed := x.tryClaim(key, latest, patience)
-		if first || d.Allowed || postponed {
+		var d window.Decision
+		var decided bool
+		x.s.withQuota(func(now time.Time, l *window.Limiter) { d, decided = try(now, l) })
+		if first || decided {
 			x.s.peers.requestUpdate()
 		}
-		if d.Allowed || postponed {
+		if decided {
 			x.queueTime += time.Since(began)
 			return x.finishLimit(d, time.Since(began))
 		}
 		select {
 		case <-ctx.Done():
-			x.s.withQuota(func(_ time.Time, l *window.Limiter) { l.WithdrawClaim(c.Account.Name, key) })
+			x.s.withQuota(func(_ time.Time, l *window.Limiter) { l.WithdrawClaim(x.call.Account.Name, key) })
 			x.s.peers.requestUpdate()
 			return context.Cause(ctx)
 		case <-ticker.C:
@@ -81,18 +103,17 @@
 	return window.ClaimKey(origin.KeyOf(x.account(), attempt))
 }
 
-// tryClaim asks for the tokens once. If they cannot be had until the latest time, the claim is
-// postponed: the caller returns when there is about half of its patience left to wait here.
-func (x *exchange) tryClaim(key window.ClaimKey, latest time.Time, patience time.Duration) (d window.Decision, postponed bool) {
+// tryClaim asks for the tokens of a stream once. If they cannot be had until the latest time, the claim
+// is postponed: the caller returns when there is about half of its patience left to wait here.
+func (x *exchange) tryClaim(now time.Time, l *window.Limiter, key window.ClaimKey, latest time.Time, patience time.Duration) (d window.Decision, decided bool) {
 	a := x.call.Account
-	x.s.withQuota(func(now time.Time, l *window.Limiter) {
-		d = l.ClaimTokens(now, a, key, x.call.ChargedTokens)
-		if postponed = !d.Allowed && now.Add(d.RetryAfter).After(latest); postponed {
-			d.RetryAfter = max(d.RetryAfter-patience/2, claimReturnAfter)
-			l.PostponeClaim(now, a.Name, key, d.RetryAfter)
-		}
-	})
-	return d, postponed
+	d = l.ClaimTokens(now, a, key, x.call.ChargedTokens)
+	if d.Allowed || !now.Add(d.RetryAfter).After(latest) {
+		return d, d.Allowed
+	}
+	d.RetryAfter = max(d.RetryAfter-patience/2, claimReturnAfter)
+	l.PostponeClaim(now, a.Name, key, d.RetryAfter)
+	return d, true
 }
 
 // finishLimit records the outcome of a reservation.
@@ -124,7 +145,7 @@
 func encodeUsage(now time.Time, u window.Usage) gossip.AccountUsage {
 	out := gossip.AccountUsage{Account: u.Account, Tokens: u.Own, Level: u.Level, Returning: u.Returning}
 	for _, c := range u.Claims {
-		claim := gossip.Claim{Key: c.Key[:], Tokens: c.Tokens, Since: c.Since}
+		claim := gossip.Claim{Key: c.Key[:], New: c.New, Tokens: c.Tokens, Since: c.Since}
 		if !c.Due.IsZero() {
 			claim.Due = -gossip.AgeMillis(now, c.Due)
 			if claim.Due == 0 {
@@ -143,7 +164,7 @@
 		if len(c.Key) != len(window.ClaimKey{}) {
 			continue
 		}
-		claim := window.Claim{Key: window.ClaimKey(c.Key), Tokens: max(0, c.Tokens), Since: c.Since}
+		claim := window.Claim{Key: window.ClaimKey(c.Key), New: c.New, Tokens: max(0, c.Tokens), Since: c.Since}
 		if c.Due != 0 {
 			claim.Due = gossip.TimeOfAge(now, -c.Due)
 		}
--- a/internal/gateway/quota_test.go
+++ b/internal/gateway/quota_test.go
@@ -29,6 +29,7 @@
 		{Key: window.ClaimKey{1}, Tokens: 10, Since: now.UnixMilli()},
 		{Key: window.ClaimKey{2}, Tokens: 20, Since: 5, Due: now.Add(300 * time.Millisecond)},
 		{Key: window.ClaimKey{3}, Since: 6, Due: now},
+		{Key: window.ClaimKey{4}, New: true, Tokens: 30, Since: 7},
 	}}
 	got := decodeUsage(now, encodeUsage(now, u))
 	assert.Equal(t, got.Own, 5)
@@ -37,6 +38,7 @@
 	for i, c := range got.Claims {
 		want := u.Claims[i]
 		assert.Equal(t, c.Key, want.Key)
+		assert.Equal(t, c.New, want.New)
 		assert.Equal(t, c.Tokens, want.Tokens)
 		assert.Equal(t, c.Since, want.Since)
 		assert.Equal(t, c.Due.IsZero(), want.Due.IsZero(), "claim %d", i)
@@ -46,5 +48,5 @@
 	}
 	bad := encodeUsage(now, u)
 	bad.Claims[0].Key = []byte("short")
-	assert.Equal(t, len(decodeUsage(now, bad).Claims), 2, "a key of another length names no stream")
+	assert.Equal(t, len(decodeUsage(now, bad).Claims), len(u.Claims)-1, "a key of another length names no request")
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -134,11 +134,13 @@
 	Returning int // tokens of new requests of the instance whose callers were told to return
 }
 
-// Claim is a stream that its caller takes up again and that waits for its account's tokens.
+// Claim is a request that waits for its account's tokens: a stream that its caller takes up again, or a
+// generation that is announced.
 type Claim struct {
 	_ struct{} `cbor:",toarray"`
 
 	Key    []byte
+	New    bool // a generation that is announced
 	Tokens int
 	Since  int64 // first return of its caller, Unix ms by the clock of the instance where it came
 	Due    int64 // ms until its caller is to return, negative after that time; 0 while it waits
--- a/internal/limit/window/claim.go
+++ b/internal/limit/window/claim.go
@@ -23,11 +23,11 @@
 	maxReportedClaims = 32
 )
 
-// ClaimKey identifies a stream over all attempts of its caller.
+// ClaimKey identifies a request; a stream over all attempts of its caller.
 type ClaimKey [12]byte
 
-// Claim is the place of a stream that its caller takes up again in the line for an account's
-// tokens.
+// Claim is the place of a request in the line for an account's tokens: of a stream that its caller
+// takes up again, or of a generation that is announced.
 //
 // Claims answer the load after all instances have restarted: every stream has broken, its caller
 // returns within a second together with new requests, and the account's bucket must be assumed to
@@ -36,6 +36,7 @@
 // its place, whichever instance it comes to.
 type Claim struct {
 	Key    ClaimKey
+	New    bool // a generation that is announced; it goes behind all streams
 	Tokens int
 	Since  int64     // first return of the caller, Unix ms by the clock of the instance where it came
 	Due    time.Time // when the caller was told to return; zero while its request waits
@@ -46,6 +47,12 @@
 // compare orders claims: negative if c goes first. All instances agree on the order, whatever their
 // clocks show.
 func (c *Claim) compare(other *Claim) int {
+	if c.New != other.New {
+		if c.New {
+			return 1
+		}
+		return -1
+	}
 	return cmp.Or(cmp.Compare(c.Since, other.Since), bytes.Compare(c.Key[:], other.Key[:]))
 }
 
@@ -102,22 +109,10 @@
 		c.waitsSince = now
 	}
 	c.Tokens, c.Due = tokens, time.Time{}
-	ahead, expected := 0.0, 0.0
-	l.eachClaim(now, b, func(other *Claim) {
-		if other.Key == key || other.compare(c) > 0 {
-			return
-		}
-		expected += float64(other.Tokens)
-		if other.present(now) {
-			ahead += float64(other.Tokens)
-		}
-	})
+	ahead, expected := l.tokensAhead(now, b, c)
 	d, v := l.examine(now, b, float64(tokens), float64(tokens), Generation)
 	d.Ahead = expected
-	// Many callers return at once, to as many instances: those must have heard of each other's
-	// claims, or all of them grant what is left for one.
-	heard := now.Sub(c.waitsSince) >= claimTransits*l.transit
-	if missing := d.missing + ahead; missing <= 0 && heard {
+	if missing := d.missing + ahead; missing <= 0 && l.heard(now, c) {
 		b.charge(&d, tokens)
 		// Until it expires, the claim tells the others to give up its former place.
 		c.Tokens, c.Due = 0, now
@@ -127,6 +122,57 @@
 	return d
 }
 
+// ReserveAnnounced charges the tokens of a generation for which Reserve asked to announce it, if
+// they are still there once the other instances have heard of it. Until then waits is true.
+//
+// It answers the load of an account that is at its limit and has requests at all instances at the same
+// moment, most of all after these have restarted: each of them would grant what is left for one.
+func (l *Limiter) ReserveAnnounced(now time.Time, a *config.Account, key ClaimKey, tokens int) (d Decision, waits bool) {
+	b := l.bucketOf(now, a)
+	l.drain(now, b)
+	c := b.ownClaim(key)
+	if c == nil {
+		c = &Claim{Key: key, New: true, Tokens: tokens, Since: now.UnixMilli(), waitsSince: now}
+		b.claims = append(b.claims, c)
+	}
+	if !l.heard(now, c) {
+		return Decision{}, true
+	}
+	ahead, expected := l.tokensAhead(now, b, c)
+	b.dropClaim(key)
+	need := max(float64(tokens), b.largest, b.largestBefore)
+	d, v := l.examine(now, b, float64(tokens), need, Generation)
+	d.Ahead = expected
+	if d.missing+ahead <= 0 {
+		b.charge(&d, tokens)
+		return d, false
+	}
+	l.refuseGeneration(now, b, &d, v, tokens)
+	return d, false
+}
+
+// heard reports whether the other instances have heard of a claim. Many callers come at once, to
+// as many instances: if those have not heard of each other's claims, all of them grant what is left
+// for one.
+func (l *Limiter) heard(now time.Time, c *Claim) bool {
+	return now.Sub(c.waitsSince) >= claimTransits*l.transit
+}
+
+// tokensAhead returns the tokens of the claims that go before c: of those whose requests wait, and
+// of all.
+func (l *Limiter) tokensAhead(now time.Time, b *bucket, c *Claim) (present, all float64) {
+	l.eachClaim(now, b, func(other *Claim) {
+		if other.Key == c.Key || other.compare(c) > 0 {
+			return
+		}
+		all += float64(other.Tokens)
+		if other.present(now) {
+			present += float64(other.Tokens)
+		}
+	})
+	return present, all
+}
+
 // PostponeClaim records that the caller of a claim was told to return after a time.
 func (l *Limiter) PostponeClaim(now time.Time, account string, key ClaimKey, after time.Duration) {
 	if b := l.accounts[account]; b != nil {
--- a/internal/limit/window/restart_test.go
+++ b/internal/limit/window/restart_test.go
@@ -23,6 +23,16 @@
 	side     []int // instances on different sides of a network partition do not hear each other
 	delay    time.Duration
 	transit  []delivery // in the order of their arrival
+
+	announced []announcement // generations that wait until they are heard
+	keys      int            // generations that were announced
+}
+
+// announcement is a generation that waits at an instance.
+type announcement struct {
+	instance, tokens int
+	limiter          *Limiter // of the process to which it was sent
+	key              ClaimKey
 }
 
 // delivery is a report on its way to the others.
@@ -51,6 +61,7 @@
 		f.deliver(now, f.transit[0].from, f.transit[0].report)
 		f.transit = f.transit[1:]
 	}
+	f.decideAnnounced(now)
 	for j, from := range f.limiters {
 		if from != nil {
 			f.send(now, j)
@@ -58,6 +69,20 @@
 	}
 }
 
+// decideAnnounced tries the generations that wait. Those at instances that are down are lost.
+func (f *testFleet) decideAnnounced(now time.Time) {
+	f.announced = slices.DeleteFunc(f.announced, func(a announcement) bool {
+		if f.limiters[a.instance] != a.limiter {
+			return true
+		}
+		d, waits := a.limiter.ReserveAnnounced(now, account, a.key, a.tokens)
+		if d.Allowed {
+			f.charges = append(f.charges, charge{now, a.tokens})
+		}
+		return !waits
+	})
+}
+
 func (f *testFleet) send(now time.Time, j int) {
 	report := reportOf(now, instanceName(j), f.births[j].UnixNano(), f.limiters[j])
 	if f.delay > 0 {
@@ -102,9 +127,17 @@
 	}
 }
 
-// request sends a generation to an instance and reports whether it was allowed.
+// request sends a generation to an instance and reports whether it was allowed at once.
 func (f *testFleet) request(now time.Time, i, tokens int) bool {
-	if f.limiters[i] == nil || !f.limiters[i].Reserve(now, account, tokens, Generation).Allowed {
+	if f.limiters[i] == nil {
+		return false
+	}
+	d := f.limiters[i].Reserve(now, account, tokens, Generation)
+	if d.Announce {
+		f.keys++
+		f.announced = append(f.announced, announcement{i, tokens, f.limiters[i], announcedKey(f.keys)})
+	}
+	if !d.Allowed {
 		return false
 	}
 	f.charges = append(f.charges, charge{now, tokens})
@@ -112,6 +145,12 @@
 	return true
 }
 
+func announcedKey(i int) ClaimKey {
+	k := claimKey(i)
+	k[len(k)-1] = 1
+	return k
+}
+
 // flood sends a generation of 300 tokens every step to the instances in turn.
 func (f *testFleet) flood(from time.Time, length, step time.Duration) {
 	f.floodOf(300, from, length, step)
@@ -263,14 +302,21 @@
 		f.limiters[i], f.births[i] = New(windowLength, testSlack, now), now
 		f.limiters[i].SetPeers(slices.DeleteFunc(slices.Clone(names), func(s string) bool { return s == instanceName(i) }), 100*time.Millisecond)
 	}
-	now = now.Add(550 * time.Millisecond)
-	f.exchange(now)
-	now = now.Add(50 * time.Millisecond)
+	f.delay = 100 * time.Millisecond
+	for range 55 {
+		now = now.Add(10 * time.Millisecond)
+		f.exchange(now)
+	}
+	served := len(f.charges)
 	for i := range f.limiters {
-		if f.limiters[i].Reserve(now, account, tokens, Generation).Allowed {
-			f.charges = append(f.charges, charge{now, tokens})
-		}
+		f.request(now, i, tokens)
+	}
+	for range 100 {
+		now = now.Add(10 * time.Millisecond)
+		f.exchange(now)
 	}
 	got := maxWindowSum(f.charges)
 	assert.Assert(t, got <= allowedInWindow, "%d tokens in a window, %d are allowed", got, allowedInWindow)
+	assert.Assert(t, len(f.charges) > served, "what has drained is granted")
+	assert.Equal(t, len(f.announced), 0)
 }
--- a/internal/limit/window/window.go
+++ b/internal/limit/window/window.go
@@ -131,6 +131,9 @@
 	SilentPeers int           // other instances whose updates are overdue
 	Rate        float64       // at which the bucket drains, per second
 	Ahead       float64       // tokens of those that go first
+	// Announce is set for a generation that fits, but must be announced to the other instances
+	// first, with ReserveAnnounced.
+	Announce bool
 
 	missing float64 // room that is missing below Limit
 }
@@ -193,19 +196,44 @@
 	}
 	d, v := l.examine(now, b, float64(tokens), need, kind)
 	d.Ahead = present
-	if d.missing+present <= 0 {
-		b.charge(&d, tokens)
+	if room := -(d.missing + present); room >= 0 {
+		if d.Announce = kind == Generation && l.mustAnnounce(now, b, need, room, v); !d.Announce {
+			b.charge(&d, tokens)
+		}
 		return d
 	}
 	if kind == Generation {
-		d.Ahead = waiting + l.returningTokens(now, b)
+		d.Ahead = waiting
+		l.refuseGeneration(now, b, &d, v, tokens)
+		return d
 	}
+	d.RetryAfter = l.retryAfter(d, v)
+	return d
+}
+
+// retryAfter returns when the tokens of a refused request are expected to have drained.
+func (l *Limiter) retryAfter(d Decision, v view) time.Duration {
 	wait := clock.Seconds((d.missing + d.Ahead) / (d.Rate * v.reporting))
-	d.RetryAfter = min(max(minRetryAfter, wait), l.window)
-	if kind == Generation {
-		b.addReturning(now.Add(d.RetryAfter), float64(tokens))
+	return min(max(minRetryAfter, wait), l.window)
+}
+
+// refuseGeneration sets the time at which the caller of a generation is to return, behind those that
+// go first and those that were told to return before.
+func (l *Limiter) refuseGeneration(now time.Time, b *bucket, d *Decision, v view, tokens int) {
+	d.Ahead += l.returningTokens(now, b)
+	d.RetryAfter = l.retryAfter(*d, v)
+	b.addReturning(now.Add(d.RetryAfter), float64(tokens))
+}
+
+// mustAnnounce reports whether a generation that fits has to be announced first. It has if as many as there
+// are instances may arrive within the transit of an update, which the room is not enough for: while the
+// demand since a restart of the fleet is unknown, and in a flood.
+func (l *Limiter) mustAnnounce(now time.Time, b *bucket, need, room float64, v view) bool {
+	others := v.reporting*float64(len(l.peers)+1) - 1
+	if l.transit == 0 || room >= need*others {
+		return false
 	}
-	return d
+	return now.Sub(l.knownSince) < l.window || l.returningTokens(now, b) > room
 }
 
 // examine compares the bucket with a request of the given tokens that needs room for need.
