gateway: an instance that has not read the list of instances assumes a large fleet

After a restart of all 195 instances, each was ready once it had heard one other, and took that one for the only other instance until it had read the instances' rows, about a second later while all read them. As a fleet of two it drained an account's bucket at half the rate by itself: 620,000 tokens were granted in a second.

Ruled out: updates that take longer than assumed (the grants did not wait for relays at all); not being ready alone (callers come before the first probe).

The limiter and the retry budget count a fleet of 256 until the rows were read here or by an instance whose state was fetched; the instances that are not known count as silent. TestInstancesThatDoNotKnowTheFleetKeepTheLimit fails without it.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -74,6 +75,7 @@
 	updateNeeded chan struct{}
 	relayNeeded  chan struct{} // an update is waiting to be relayed
 	rowNeeded    chan struct{} // an instance was heard whose row is not known
+	listed       atomic.Bool   // the instances' rows have been read, here or by an instance whose state was fetched
 	sequence     uint64
 
 	mu     sync.Mutex
@@ -258,6 +260,7 @@
 	if err != nil {
 		return err
 	}
+	p.listed.Store(true)
 	p.applyRows(time.Now(), rows)
 	return nil
 }
@@ -316,13 +319,18 @@
 	p.s.setFleet(now, names)
 }
 
-// assumedFleetSize is used until the other instances are known.
-const assumedFleetSize = 12
+// assumedFleetSize is used until the instances' rows have been read: the largest fleet that is expected.
+// An instance that took the first instance it hears for the only other one would grant a large part of all
+// accounts' rates by itself.
+const assumedFleetSize = 256
 
 // setFleet tells the scheduler, the limiter and the retry budget which other instances there are.
 // The names are sorted.
 func (s *Server) setFleet(now time.Time, others []string) {
 	fleet := len(others) + 1
+	if !s.peers.listed.Load() {
+		fleet = max(fleet, assumedFleetSize)
+	}
 	s.budget.setFleet(fleet, s.peers.countRestarted(now))
 	rank, _ := slices.BinarySearch(others, s.settings.Instance)
 	s.admission.withScheduler(func(_ time.Time, p *placement.Scheduler) {
@@ -330,7 +338,7 @@
 	})
 	s.quotaMu.Lock()
 	defer s.quotaMu.Unlock()
-	s.quota.SetPeers(others, updateTransit(fleet))
+	s.quota.SetPeers(others, fleet, updateTransit(fleet))
 }
 
 func (p *peers) applyRow(now time.Time, r Row) {
--- a/internal/gateway/peerstate.go
+++ b/internal/gateway/peerstate.go
@@ -23,6 +23,7 @@
 	Retired              map[string]int64         `json:"retired"`
 	Secret               []byte                   `json:"secret"`
 	Instances            map[string]instanceRow   `json:"instances"`
+	Listed               bool                     `json:"listed"` // Instances are all that have rows
 	Streams              []gossip.BegunStreams    `json:"streams,omitempty"`
 	Software             []gossip.SoftwareVersion `json:"software,omitempty"`
 }
@@ -55,7 +56,7 @@
 		return
 	}
 	st := p.s.state.export()
-	st.Secret, st.Instances = secret, rows
+	st.Secret, st.Instances, st.Listed = secret, rows, p.listed.Load()
 	st.Streams, st.Software = p.s.origins.export(time.Now())
 	b, err := json.Marshal(st)
 	if err != nil {
@@ -138,7 +139,12 @@
 			p.known[name] = &peer{row: row, addr: updates, rowChangedAt: now}
 		}
 	}
+	names := p.activeNames()
 	p.mu.Unlock()
+	if st.Listed {
+		p.listed.Store(true)
+	}
+	p.s.setFleet(now, names)
 	p.s.state.merge(now, &st, addr)
 	p.s.origins.merge(now, st.Streams, st.Software)
 	p.requestUpdate()
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -105,6 +105,7 @@
 	}
 	g.budget = newRetryBudget(s.RetryRatio, s.RetryExtra, s.RetryWindow, start)
 	g.quota = window.New(s.QuotaWindow, window.Slack{Fraction: s.QuotaSlackRatio, Tokens: s.QuotaSlackTokens}, start)
+	g.quota.SetPeers(nil, assumedFleetSize, updateTransit(assumedFleetSize))
 	seed := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	scheduler := placement.New(s.DataCentre, seed)
 	scheduler.SetMember(time.Now(), pacing.Member{Rank: rand.IntN(assumedFleetSize), Count: assumedFleetSize})
@@ -293,7 +294,7 @@
 		return true
 	}
 	silent, known := s.peers.countSilent(now)
-	return known > 0 && 2*silent <= known
+	return s.peers.listed.Load() && known > 0 && 2*silent <= known
 }
 
 // housekeeping closes idle connections, drops endpoints that did not register again, and logs
--- a/internal/limit/window/restart_test.go
+++ b/internal/limit/window/restart_test.go
@@ -123,7 +123,7 @@
 				names = append(names, instanceName(k))
 			}
 		}
-		l.SetPeers(names, f.delay)
+		l.SetPeers(names, len(names)+1, f.delay)
 	}
 }
 
@@ -278,7 +278,7 @@
 	f.flood(now, 2*time.Second, 5*time.Millisecond)
 	now = now.Add(2 * time.Second)
 	l := New(windowLength, testSlack, now)
-	l.SetPeers([]string{instanceName(1)}, 0)
+	l.SetPeers([]string{instanceName(1)}, 2, 0)
 	report := reportOf(now, instanceName(1), f.births[1].UnixNano(), f.limiters[1])
 	report.Usage, report.Complete = nil, false
 	l.UpdatePeer(now, report, accounts)
@@ -300,7 +300,7 @@
 	slices.Sort(names)
 	for i := range f.limiters {
 		f.limiters[i], f.births[i] = New(windowLength, testSlack, now), now
-		f.limiters[i].SetPeers(slices.DeleteFunc(slices.Clone(names), func(s string) bool { return s == instanceName(i) }), 100*time.Millisecond)
+		f.limiters[i].SetPeers(slices.DeleteFunc(slices.Clone(names), func(s string) bool { return s == instanceName(i) }), n, 100*time.Millisecond)
 	}
 	f.delay = 100 * time.Millisecond
 	for range 55 {
@@ -320,3 +320,33 @@
 	assert.Assert(t, len(f.charges) > served, "what has drained is granted")
 	assert.Equal(t, len(f.announced), 0)
 }
+
+// All instances of a large fleet restart and do not know each other yet, or one other at most. None grants as
+// if it were alone.
+func TestInstancesThatDoNotKnowTheFleetKeepTheLimit(t *testing.T) {
+	for _, known := range []int{0, 1} {
+		const n, tokens = 200, 300
+		now := epoch
+		f := newTestFleet(2, now)
+		f.flood(now, 8*time.Second, 5*time.Millisecond)
+		now = now.Add(8 * time.Second)
+		f.limiters, f.births, f.side = make([]*Limiter, n), make([]time.Time, n), make([]int, n)
+		for i := range f.limiters {
+			f.limiters[i] = New(windowLength, testSlack, now)
+			f.limiters[i].SetPeers(nil, n, 100*time.Millisecond)
+			f.side[i] = i
+		}
+		for range 100 {
+			now = now.Add(10 * time.Millisecond)
+			for i, l := range f.limiters {
+				if other := (i + 1) % n; known > 0 {
+					l.UpdatePeer(now, reportOf(now, instanceName(other), 1, f.limiters[other]), accounts)
+				}
+				f.request(now, i, tokens)
+			}
+			f.decideAnnounced(now)
+		}
+		got := maxWindowSum(f.charges)
+		assert.Assert(t, got <= allowedInWindow, "%d others known: %d tokens in a window, %d are allowed", known, got, allowedInWindow)
+	}
+}
--- a/internal/limit/window/window.go
+++ b/internal/limit/window/window.go
@@ -52,6 +52,7 @@
 	accounts   map[string]*bucket
 	peers      map[string]*peer
 	slots      []*peer // nil for a free slot
+	fleet      int     // instances that may exist; those that are not in peers count as silent
 }
 
 // bucket is an account's usage that has not drained yet, in tokens.
@@ -229,7 +230,7 @@
 // are instances may arrive within the transit of an update, which the room is not enough for: while the
 // demand since a restart of the fleet is unknown, and in a flood.
 func (l *Limiter) mustAnnounce(now time.Time, b *bucket, need, room float64, v view) bool {
-	others := v.reporting*float64(len(l.peers)+1) - 1
+	others := v.reporting*float64(l.instances()) - 1
 	if l.transit == 0 || room >= need*others {
 		return false
 	}
@@ -320,7 +321,7 @@
 	// The usage in transit must not speed up the drain of the known one: in a flood the error
 	// would add up.
 	v := l.view(now, b)
-	share := b.limits.rate * elapsed / float64(len(l.peers)+1)
+	share := b.limits.rate * elapsed / float64(l.instances())
 	rate := b.limits.rate * v.reporting
 	factor := max(0, 1-rate*elapsed/(max(0, v.level)+rate*l.transit.Seconds()))
 	b.own *= factor
@@ -365,8 +366,11 @@
 
 func (l *Limiter) view(now time.Time, b *bucket) view {
 	v := view{level: b.own + b.ended + b.unknown}
-	instances := float64(len(l.peers) + 1)
+	instances := float64(l.instances())
 	share := b.limits.depth / instances
+	v.silent = l.instances() - len(l.peers) - 1
+	v.silentUsage = share * float64(v.silent)
+	v.assumed = v.silentUsage
 	for slot, p := range l.slots {
 		tokens := b.peers[slot]
 		age := p.age(now)
@@ -391,6 +395,9 @@
 	return v
 }
 
+// instances returns the size of the fleet.
+func (l *Limiter) instances() int { return max(l.fleet, len(l.peers)+1) }
+
 // age returns the time since the last update of the instance. A free slot has none and counts
 // as fresh: its usage is zero.
 func (p *peer) age(now time.Time) time.Duration {
@@ -540,10 +547,11 @@
 	}
 }
 
-// SetPeers replaces the sorted list of other instances and the time that their updates take. An
-// instance that has sent no update yet counts as silent.
-func (l *Limiter) SetPeers(names []string, transit time.Duration) {
-	l.transit = transit
+// SetPeers replaces the sorted list of other instances, the number of instances that may exist, this one
+// included, and the time that their updates take. An instance that has sent no update yet, or is not in
+// the list, counts as silent.
+func (l *Limiter) SetPeers(names []string, fleet int, transit time.Duration) {
+	l.fleet, l.transit = fleet, transit
 	for name, p := range l.peers {
 		if _, ok := slices.BinarySearch(names, name); !ok {
 			l.retain(p)
