gateway: the fleet is read and passed on under one lock

Cause: three callers took the list of instances, released the lock and passed the list on; an older list could arrive last, and then the limiter, the scheduler and the retry budget counted fewer instances until the next change. "listed" was set before the rows were applied, so that an update in between passed on a fleet of two.

Ruled out: ordering in the limiter only (the budget and the scheduler have the same list).

updateFleet reads the list itself and passes it on under one lock; the list and whether it is complete are one state. The callers no longer carry names.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -10,7 +10,6 @@
 	"net/netip"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -75,11 +74,13 @@
 	updateNeeded chan struct{}
 	relayNeeded  chan struct{} // an update is waiting to be relayed
 	rowNeeded    chan struct{} // an instance was heard whose row is not known
-	listed       atomic.Bool   // the instances' rows have been read, here or by an instance whose state was fetched
 	sequence     uint64
 
+	fleetMu sync.Mutex // held while the fleet is passed on, so that the last list is the last to arrive
+
 	mu     sync.Mutex
 	known  map[string]*peer
+	listed bool // the instances' rows have been read, here or by an instance whose state was fetched
 	secret []byte
 	outbox map[string]relayedUpdate // by instance
 
@@ -199,9 +200,18 @@
 	return n
 }
 
-// activeNames returns the names of the known instances that are not leaving. The caller holds
-// the lock.
-func (p *peers) activeNames() []string {
+// isListed reports whether the instances' rows have been read.
+func (p *peers) isListed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.listed
+}
+
+// activeNames returns the sorted names of the known instances that are not leaving, and whether these
+// are all that have rows.
+func (p *peers) activeNames() (names []string, listed bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	out := make([]string, 0, len(p.known))
 	for name, x := range p.known {
 		if !x.leaving {
@@ -209,7 +219,7 @@
 		}
 	}
 	slices.Sort(out)
-	return out
+	return out, p.listed
 }
 
 // registerLoop keeps the instance's row in the store and reads the rows of the others.
@@ -260,7 +270,6 @@
 	if err != nil {
 		return err
 	}
-	p.listed.Store(true)
 	p.applyRows(time.Now(), rows)
 	return nil
 }
@@ -307,16 +316,17 @@
 		}
 	}
 	p.changes.forgotten += len(gone)
-	names := p.activeNames()
+	p.listed = true
+	large := len(p.known) >= maxDirectFleet
 	p.mu.Unlock()
 	for _, name := range gone {
-		if len(names) < maxDirectFleet {
+		if !large {
 			p.log.Info("instance.forgotten", "instance", name)
 		}
 		p.s.admission.withScheduler(func(_ time.Time, s *placement.Scheduler) { s.SetPeer(name, nil) })
 		p.s.forgetQuarantinePeer(name)
 	}
-	p.s.setFleet(now, names)
+	p.s.updateFleet(now)
 }
 
 // assumedFleetSize is used until the instances' rows have been read: the largest fleet that is expected.
@@ -324,11 +334,13 @@
 // accounts' rates by itself.
 const assumedFleetSize = 256
 
-// setFleet tells the scheduler, the limiter and the retry budget which other instances there are.
-// The names are sorted.
-func (s *Server) setFleet(now time.Time, others []string) {
+// updateFleet tells the scheduler, the limiter and the retry budget which other instances there are.
+func (s *Server) updateFleet(now time.Time) {
+	s.peers.fleetMu.Lock()
+	defer s.peers.fleetMu.Unlock()
+	others, listed := s.peers.activeNames()
 	fleet := len(others) + 1
-	if !s.peers.listed.Load() {
+	if !listed {
 		fleet = max(fleet, assumedFleetSize)
 	}
 	s.budget.setFleet(fleet, s.peers.countRestarted(now))
--- a/internal/gateway/peerstate.go
+++ b/internal/gateway/peerstate.go
@@ -50,13 +50,14 @@
 			rows[name] = x.row
 		}
 	}
+	listed := p.listed
 	p.mu.Unlock()
 	if secret == nil || !member {
 		ctx.SetStatusCode(fasthttp.StatusForbidden)
 		return
 	}
 	st := p.s.state.export()
-	st.Secret, st.Instances, st.Listed = secret, rows, p.listed.Load()
+	st.Secret, st.Instances, st.Listed = secret, rows, listed
 	st.Streams, st.Software = p.s.origins.export(time.Now())
 	b, err := json.Marshal(st)
 	if err != nil {
@@ -139,12 +140,9 @@
 			p.known[name] = &peer{row: row, addr: updates, rowChangedAt: now}
 		}
 	}
-	names := p.activeNames()
+	p.listed = p.listed || st.Listed
 	p.mu.Unlock()
-	if st.Listed {
-		p.listed.Store(true)
-	}
-	p.s.setFleet(now, names)
+	p.s.updateFleet(now)
 	p.s.state.merge(now, &st, addr)
 	p.s.origins.merge(now, st.Streams, st.Software)
 	p.requestUpdate()
--- a/internal/gateway/probe_test.go
+++ b/internal/gateway/probe_test.go
@@ -99,7 +99,7 @@
 	assert.Assert(t, s.synced(now.Add(2*syncTimeout)))
 	s.peers.known["i1"].lastUpdateAt = now
 	assert.Assert(t, !s.synced(now), "it was heard before the rows of the instances were read: there may be others")
-	s.peers.listed.Store(true)
+	s.peers.listed = true
 	assert.Assert(t, s.synced(now) && s.ready())
 	delete(s.peers.known, "i1")
 	assert.Assert(t, !s.synced(now), "no other instance is known yet")
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -294,7 +294,7 @@
 		return true
 	}
 	silent, known := s.peers.countSilent(now)
-	return s.peers.listed.Load() && known > 0 && 2*silent <= known
+	return s.peers.isListed() && known > 0 && 2*silent <= known
 }
 
 // housekeeping closes idle connections, drops endpoints that did not register again, and logs
--- a/internal/gateway/storecalls_test.go
+++ b/internal/gateway/storecalls_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/netip"
 	"testing"
@@ -35,12 +34,7 @@
 	clear(p.known)
 	assert.Equal(t, p.registerInterval(), registerInterval)
 	now := time.Now()
-	rows := make([]Row, largeFleet)
-	for i := range rows {
-		value, err := json.Marshal(instanceRow{Incarnation: 1, State: "127.0.0.1:2", Updates: "127.0.0.1:3"})
-		assert.NilError(t, err)
-		rows[i] = Row{Key: fmt.Sprint("row-", i), Value: value, Version: 1}
-	}
+	rows := instanceRows(t, largeFleet)
 	p.applyRows(now, rows)
 	assert.Equal(t, p.registerInterval(), maxRegisterInterval)
 	p.applyRows(now.Add(2*maxRegisterInterval), rows)
--- a/internal/gateway/updates.go
+++ b/internal/gateway/updates.go
@@ -243,10 +243,6 @@
 		x.lastDirectAt, x.addr = now, from
 	}
 	x.row.State = u.StateAddr
-	var names []string
-	if changed {
-		names = p.activeNames()
-	}
 	p.mu.Unlock()
 
 	report := window.Report{Instance: u.Instance, Incarnation: u.Incarnation, KnownFor: time.Duration(u.KnownFor) * time.Millisecond, Complete: u.AllLevels, Usage: make([]window.Usage, len(u.Usage))}
@@ -257,7 +253,7 @@
 	p.s.quota.UpdatePeer(now, report, p.s.state.Current().Accounts)
 	p.s.quotaMu.Unlock()
 	if changed {
-		p.s.setFleet(now, names)
+		p.s.updateFleet(now)
 	}
 	if u.KnowsQuarantine {
 		p.s.quarantine.setKnown()
