window: one least Retry-After, one expected wait, one room that a generation needs

Behaviour as before. claimReturnAfter in the gateway had the value and the purpose of the limiter's minRetryAfter; the wait and the room were computed in two places each.

--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -18,9 +18,6 @@
 	// claimWaitRatio is the part of the caller's patience, less startMargin, for which a stream
 	// may wait for tokens. The rest is for a place at an engine.
 	claimWaitRatio = 0.5
-	// claimReturnAfter is the least time after which a caller that takes up a stream is told to
-	// return.
-	claimReturnAfter = 200 * time.Millisecond
 )
 
 // limit charges the request's tokens to the account.
@@ -111,7 +108,7 @@
 	if d.Allowed || !now.Add(d.RetryAfter).After(latest) {
 		return d, d.Allowed
 	}
-	d.RetryAfter = max(d.RetryAfter-patience/2, claimReturnAfter)
+	d.RetryAfter = max(d.RetryAfter-patience/2, window.MinRetryAfter)
 	l.PostponeClaim(now, a.Name, key, d.RetryAfter)
 	return d, true
 }
--- a/internal/limit/window/claim.go
+++ b/internal/limit/window/claim.go
@@ -7,7 +7,6 @@
 	"slices"
 	"time"
 
-	"carawayrouter.example/router/internal/clock"
 	"carawayrouter.example/router/internal/config"
 )
 
@@ -118,7 +117,7 @@
 		c.Tokens, c.Due = 0, now
 		return d
 	}
-	d.RetryAfter = max(minRetryAfter, clock.Seconds((d.missing+expected)/(b.limits.rate*v.reporting)))
+	d.RetryAfter = d.expectedWait(v)
 	return d
 }
 
@@ -140,8 +139,7 @@
 	}
 	ahead, expected := l.tokensAhead(now, b, c)
 	b.dropClaim(key)
-	need := max(float64(tokens), b.largest, b.largestBefore)
-	d, v := l.examine(now, b, float64(tokens), need, Generation)
+	d, v := l.examine(now, b, float64(tokens), b.generationNeed(tokens), Generation)
 	d.Ahead = expected
 	if d.missing+ahead <= 0 {
 		b.charge(&d, tokens)
--- a/internal/limit/window/window.go
+++ b/internal/limit/window/window.go
@@ -39,7 +39,8 @@
 	// drainInterval is how often an update of another instance drains a bucket; the cost grows
 	// with the fleet.
 	drainInterval = 10 * time.Millisecond
-	minRetryAfter = 200 * time.Millisecond // in refusals
+	// MinRetryAfter is the least time after which a refused caller is told to return.
+	MinRetryAfter = 200 * time.Millisecond
 )
 
 // Limiter tracks the usage of all accounts. It is not safe for concurrent use.
@@ -192,7 +193,7 @@
 		// small generations of a flood take all the capacity that becomes free, and the
 		// large ones are starved.
 		b.observeGeneration(now, l.window, need)
-		need = max(need, b.largest, b.largestBefore)
+		need = b.generationNeed(tokens)
 		present, waiting = l.waitingTokens(now, b)
 	}
 	d, v := l.examine(now, b, float64(tokens), need, kind)
@@ -208,21 +209,20 @@
 		l.refuseGeneration(now, b, &d, v, tokens)
 		return d
 	}
-	d.RetryAfter = l.retryAfter(d, v)
+	d.RetryAfter = min(d.expectedWait(v), l.window)
 	return d
 }
 
-// retryAfter returns when the tokens of a refused request are expected to have drained.
-func (l *Limiter) retryAfter(d Decision, v view) time.Duration {
-	wait := clock.Seconds((d.missing + d.Ahead) / (d.Rate * v.reporting))
-	return min(max(minRetryAfter, wait), l.window)
+// expectedWait returns the time until the tokens of a request are expected to have drained.
+func (d *Decision) expectedWait(v view) time.Duration {
+	return max(MinRetryAfter, clock.Seconds((d.missing+d.Ahead)/(d.Rate*v.reporting)))
 }
 
 // refuseGeneration sets the time at which the caller of a generation is to return, behind those that
 // go first and those that were told to return before.
 func (l *Limiter) refuseGeneration(now time.Time, b *bucket, d *Decision, v view, tokens int) {
 	d.Ahead += l.returningTokens(now, b)
-	d.RetryAfter = l.retryAfter(*d, v)
+	d.RetryAfter = min(d.expectedWait(v), l.window)
 	b.addReturning(now.Add(d.RetryAfter), float64(tokens))
 }
 
@@ -273,6 +273,11 @@
 	b.largest = max(b.largest, tokens)
 }
 
+// generationNeed returns the room that a generation of the given tokens needs.
+func (b *bucket) generationNeed(tokens int) float64 {
+	return max(float64(tokens), b.largest, b.largestBefore)
+}
+
 // bucketOf returns the account's bucket with its present limits.
 func (l *Limiter) bucketOf(now time.Time, a *config.Account) *bucket {
 	b := l.accounts[a.Name]
