--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -111,12 +111,7 @@
 }
 
 // requestStore asks for changed rows to be written soon.
-func (o *origins) requestStore() {
-	select {
-	case o.changed <- struct{}{}:
-	default:
-	}
-}
+func (o *origins) requestStore() { signal(o.changed) }
 
 // find returns where the stream of an account's attempt began, if that is known here or in the
 // store. Pool is the only one that the route may use, or empty.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -2,10 +2,9 @@
 
 import (
 	"context"
-	cryptorand "crypto/rand"
+	"crypto/rand"
 	"encoding/hex"
 	"encoding/json"
-	"math/rand/v2"
 	"net"
 	"net/netip"
 	"slices"
@@ -127,20 +126,7 @@
 }
 
 // requestUpdate asks for an update to be sent soon.
-func (p *peers) requestUpdate() {
-	select {
-	case p.updateNeeded <- struct{}{}:
-	default:
-	}
-}
-
-// requestRow asks for the rows of the instances to be read soon.
-func (p *peers) requestRow() {
-	select {
-	case p.rowNeeded <- struct{}{}:
-	default:
-	}
-}
+func (p *peers) requestUpdate() { signal(p.updateNeeded) }
 
 // listen opens the socket for datagrams.
 func (p *peers) listen() error {
@@ -224,8 +210,6 @@
 
 // registerLoop keeps the instance's row in the store and reads the rows of the others.
 func (p *peers) registerLoop(ctx context.Context) error {
-	timer := time.NewTimer(0)
-	defer timer.Stop()
 	failures := 0
 	for ctx.Err() == nil {
 		if err := p.register(ctx); err != nil {
@@ -236,11 +220,7 @@
 			continue
 		}
 		failures = 0
-		timer.Reset(p.registerInterval()/2 + rand.N(p.registerInterval()/2))
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		case <-p.rowNeeded:
+		if sleepJitterOr(ctx, p.registerInterval(), p.rowNeeded) {
 			sleepJitter(ctx, newRowDelay)
 		}
 	}
@@ -283,7 +263,7 @@
 		return nil
 	}
 	fresh := make([]byte, secretBytes)
-	if _, err := cryptorand.Read(fresh); err != nil {
+	if _, err := rand.Read(fresh); err != nil {
 		return errors.Wrap(err, "generate fleet secret")
 	}
 	value, err := p.s.store.Create(ctx, Fleet, secretKey, []byte(hex.EncodeToString(fresh)))
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -165,10 +165,7 @@
 func (s *Server) announceQuarantine(found []string) {
 	s.logQuarantined(found, s.settings.Instance)
 	if len(found) > 0 {
-		select {
-		case s.quarantine.changed <- struct{}{}:
-		default:
-		}
+		signal(s.quarantine.changed)
 	}
 	s.peers.requestUpdate()
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -71,10 +71,7 @@
 	p.mu.Lock()
 	p.outbox[r.instance] = r
 	p.mu.Unlock()
-	select {
-	case p.relayNeeded <- struct{}{}:
-	default:
-	}
+	signal(p.relayNeeded)
 }
 
 // flushRelay sends the enqueued updates in batches.
--- a/internal/gateway/updates.go
+++ b/internal/gateway/updates.go
@@ -222,7 +222,7 @@
 	if joined {
 		x = &peer{}
 		p.known[u.Instance] = x
-		p.requestRow()
+		signal(p.rowNeeded)
 	}
 	if x.update != nil && !x.update.Before(u) {
 		p.mu.Unlock()
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -86,11 +86,26 @@
 }
 
 // sleepJitter sleeps for a random time between d/2 and d, or until ctx ends.
-func sleepJitter(ctx context.Context, d time.Duration) {
+func sleepJitter(ctx context.Context, d time.Duration) { sleepJitterOr(ctx, d, nil) }
+
+// sleepJitterOr is sleepJitter that a signal ends too; it reports whether one did.
+func sleepJitterOr(ctx context.Context, d time.Duration, signalled <-chan struct{}) bool {
 	t := time.NewTimer(d/2 + rand.N(d/2+1))
 	defer t.Stop()
 	select {
 	case <-t.C:
 	case <-ctx.Done():
+	case <-signalled:
+		return true
+	}
+	return false
+}
+
+// signal wakes whoever waits for the channel, which has room for one signal. Signals that nobody has
+// waited for yet count once.
+func signal(ch chan<- struct{}) {
+	select {
+	case ch <- struct{}{}:
+	default:
 	}
 }
