store: answers carry the era of the store, and a new one is logged

Rows and Changes return the position (era, version); the watchers log store.restored. Nothing is decided by it yet.

--- a/internal/gateway/origins_test.go
+++ b/internal/gateway/origins_test.go
@@ -23,18 +23,18 @@
 	rows map[string][]byte
 }
 
-func (m *streamStore) Rows(_ context.Context, t Table) (rows []Row, version uint64, err error) {
+func (m *streamStore) Rows(_ context.Context, t Table) (rows []Row, at Position, err error) {
 	if t != Streams {
-		return nil, 1, nil
+		return nil, Position{Version: 1}, nil
 	}
 	for key, value := range m.rows {
 		rows = append(rows, Row{Key: key, Value: value})
 	}
-	return rows, 1, nil
+	return rows, Position{Version: 1}, nil
 }
 
-func (m *streamStore) Changes(context.Context, Table, uint64, time.Duration) ([]Row, uint64, error) {
-	return nil, 1, nil
+func (m *streamStore) Changes(context.Context, Table, uint64, time.Duration) ([]Row, Position, error) {
+	return nil, Position{Version: 1}, nil
 }
 
 func (m *streamStore) Put(_ context.Context, _ Table, key string, value []byte) error {
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -32,11 +32,11 @@
 	return nil
 }
 
-func (m *mapStore) Rows(context.Context, Table) (rows []Row, version uint64, err error) {
+func (m *mapStore) Rows(context.Context, Table) (rows []Row, at Position, err error) {
 	for key, value := range m.rows {
 		rows = append(rows, Row{Key: key, Value: value})
 	}
-	return rows, 1, m.failure()
+	return rows, Position{Version: 1}, m.failure()
 }
 
 func (m *mapStore) Create(_ context.Context, _ Table, key string, value []byte) ([]byte, error) {
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -15,6 +15,13 @@
 	Deleted bool
 }
 
+// Position is a moment in the life of the store. The store may be restored from an older copy of
+// itself: it then gives out versions once more, so those of different eras cannot be compared.
+type Position struct {
+	Era     uint64 // rises with every restore
+	Version uint64 // of the newest transaction
+}
+
 // ErrHistoryGone means that the store no longer has the requested changes, so the whole table
 // has to be read again.
 var ErrHistoryGone = errors.New("store no longer has the requested changes")
@@ -22,11 +29,11 @@
 // Store is what a gateway needs of the platform's store. Errors other than ErrHistoryGone mean
 // that the store is unavailable.
 type Store interface {
-	// Rows returns all rows of a table and the version they belong to.
-	Rows(ctx context.Context, table Table) ([]Row, uint64, error)
+	// Rows returns all rows of a table and the position they belong to.
+	Rows(ctx context.Context, table Table) ([]Row, Position, error)
 	// Changes returns the changes after a version, and waits for them for at most the given
 	// time.
-	Changes(ctx context.Context, table Table, after uint64, wait time.Duration) ([]Row, uint64, error)
+	Changes(ctx context.Context, table Table, after uint64, wait time.Duration) ([]Row, Position, error)
 	// Put writes a row, whether or not it exists.
 	Put(ctx context.Context, table Table, key string, value []byte) error
 	// Create writes a row unless it exists, and returns the value that the row has afterwards.
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -33,22 +33,22 @@
 
 // run follows the table until ctx ends.
 func (w *watcher) run(ctx context.Context) error {
-	var after uint64
+	var after Position
 	loaded := false
 	failures := 0
 	for ctx.Err() == nil {
 		var rows []Row
-		var version uint64
+		var at Position
 		var err error
 		full := !loaded
 		if full {
-			rows, version, err = w.store.Rows(ctx, w.table)
+			rows, at, err = w.store.Rows(ctx, w.table)
 		} else {
 			wait := w.wait()
 			if failures > 0 {
 				wait = recoveryPollWait
 			}
-			rows, version, err = w.store.Changes(ctx, w.table, after, wait)
+			rows, at, err = w.store.Changes(ctx, w.table, after.Version, wait)
 		}
 		if err == nil {
 			if failures > 0 {
@@ -57,7 +57,10 @@
 					w.onRecovery()
 				}
 			}
-			failures, loaded, after = 0, true, version
+			if at.Era != after.Era && after != (Position{}) {
+				w.log.Info("store.restored", "table", w.table.String(), "era", at.Era, "before", after.Era, "version", at.Version, "after", after.Version, "whole", full)
+			}
+			failures, loaded, after = 0, true, at
 			if full || len(rows) > 0 {
 				w.apply(rows, full)
 				if w.batchDelay != nil {
@@ -70,7 +73,7 @@
 			break
 		}
 		if errors.Is(err, ErrHistoryGone) {
-			w.log.Info("store.history_gone", "table", w.table.String(), "after", after)
+			w.log.Info("store.history_gone", "table", w.table.String(), "after", after.Version)
 			loaded = false
 			continue
 		}
