gateway: tables are read again after a restore of the store

What callers saw: a configuration that was confirmed was not in force at some instances until the next one was written.

Cause: a watch asked for the changes after a version of the store's former life. Once the restored store had given out that version again it answered with its later changes only, and those before were missed. A call in progress at the restore was even repeated by http.Transport, unseen, and waited its whole time. Ruled out: a store that is merely away (TestStartWithoutStore and the silent modes of the emulator pass before).

Now each answer's era decides: a newer one makes the table be read as a whole, an answer of an older one is dropped, and waits end as soon as any call, or another instance by its updates, has heard of the new era. Positions of the endpoint table are ordered by era and version; without restores they are the same numbers as before, so that older instances understand them. Entries that the copy lacks have the usual time to register again. An instance that starts while the store has an older configuration than the others is not ready before it has theirs.

--- a/internal/gateway/originrows.go
+++ b/internal/gateway/originrows.go
@@ -26,30 +26,31 @@
 // load merges all rows, and at the start those of this instance's earlier incarnation into its own.
 // It returns the keys of those that nobody will overwrite any more.
 func (o *origins) load(ctx context.Context, restoreOwn bool) (obsolete []string, err error) {
-	rows, _, err := o.store.Rows(ctx, Streams)
+	rows, at, err := o.store.Rows(ctx, Streams)
 	if err != nil {
 		return nil, errors.Wrap(err, "read the origins of streams")
 	}
 	o.mu.Lock()
 	loaded := o.loaded
 	o.mu.Unlock()
-	versions := make(map[string]uint64, len(rows))
+	positions := make(map[string]Position, len(rows))
 	var changed []decodedRow
 	for _, row := range rows {
-		if versions[row.Key] = row.Version; restoreOwn || loaded[row.Key] != row.Version || row.Version == 0 {
+		written := Position{Era: at.Era, Version: row.Version}
+		if positions[row.Key] = written; restoreOwn || loaded[row.Key] != written || row.Version == 0 {
 			changed = append(changed, decodeRow(row))
 		}
 	}
 	now := time.Now()
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.loaded = versions
+	o.loaded = positions
 	for _, row := range changed {
 		if !o.mergeRow(now, row, restoreOwn) {
 			obsolete = append(obsolete, row.key)
 		}
 	}
-	o.checkStored(versions)
+	o.checkStored(positions)
 	return obsolete, nil
 }
 
@@ -130,7 +131,7 @@
 
 // checkStored has the rows written again that the store lacks: it may have been restored from a
 // copy. The caller holds the lock.
-func (o *origins) checkStored(rows map[string]uint64) {
+func (o *origins) checkStored(rows map[string]Position) {
 	for key, v := range o.software {
 		_, v.stored = rows[softwareKey(key)]
 	}
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -54,8 +54,8 @@
 
 	mu       sync.Mutex
 	table    *origin.Table
-	dirty    map[int]bool      // rows of this instance that differ from the store's
-	loaded   map[string]uint64 // versions of the rows that were merged last
+	dirty    map[int]bool        // rows of this instance that differ from the store's
+	loaded   map[string]Position // at which the rows were written that were merged last
 	moved    map[string]*routeMove
 	software map[origin.Origin]*softwareVersion
 	read     *originRead // the last read of the rows
@@ -86,7 +86,7 @@
 func newOrigins(store Store, instance string, st *state) *origins {
 	return &origins{
 		store: store, instance: instance, state: st, synced: func(time.Time) bool { return true }, fleetSize: func() int { return 1 },
-		table: origin.New(), dirty: map[int]bool{}, loaded: map[string]uint64{}, moved: map[string]*routeMove{}, software: map[origin.Origin]*softwareVersion{},
+		table: origin.New(), dirty: map[int]bool{}, loaded: map[string]Position{}, moved: map[string]*routeMove{}, software: map[origin.Origin]*softwareVersion{},
 		changed: make(chan struct{}, 1),
 	}
 }
@@ -206,8 +206,9 @@
 // readNewEndpoints reads the software versions of the endpoints that the instance does not know
 // yet. Their rows are applied when the endpoints' watcher gets them.
 func (o *origins) readNewEndpoints(ctx context.Context) error {
-	rows, _, err := o.store.Changes(ctx, Endpoints, o.state.endpointsVersion(), 0)
-	if errors.Is(err, ErrHistoryGone) {
+	after := o.state.endpointsPosition()
+	rows, at, err := o.store.Changes(ctx, Endpoints, after.Version, 0)
+	if errors.Is(err, ErrHistoryGone) || err == nil && at.Era != after.Era {
 		rows, _, err = o.store.Rows(ctx, Endpoints)
 	}
 	if err != nil {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -193,6 +193,18 @@
 	return p.listed
 }
 
+// isBehind reports whether another instance has a newer configuration than the given version.
+func (p *peers) isBehind(version uint64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, x := range p.known {
+		if x.update != nil && x.update.ConfigurationVersion > version {
+			return true
+		}
+	}
+	return false
+}
+
 // activeNames returns the sorted names of the known instances that are not leaving, and whether these
 // are all that have rows.
 func (p *peers) activeNames() (names []string, listed bool) {
--- a/internal/gateway/peerstate.go
+++ b/internal/gateway/peerstate.go
@@ -18,7 +18,7 @@
 type peerState struct {
 	ConfigurationVersion uint64                   `json:"version"`
 	Configuration        []byte                   `json:"configuration,omitempty"`
-	EndpointsVersion     uint64                   `json:"directory"`
+	EndpointsVersion     uint64                   `json:"directory"` // a Position.order
 	Endpoints            []*config.Endpoint       `json:"endpoints"`
 	Retired              map[string]int64         `json:"retired"`
 	Secret               []byte                   `json:"secret"`
@@ -84,7 +84,7 @@
 
 // catchUpSource returns the address of the instance to ask, or "" if none is needed.
 func (p *peers) catchUpSource(now time.Time) string {
-	have, endpointsVersion := p.s.state.Current(), p.s.state.endpointsVersion()
+	have, endpointsVersion := p.s.state.Current(), p.s.state.endpointsPosition().order()
 	storeUnavailable := p.s.state.storeUnavailable()
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -64,6 +64,7 @@
 	budget     *retryBudget
 	reload     <-chan os.Signal
 	peers      *peers
+	era        storeEra
 
 	quotaMu sync.Mutex
 	quota   *window.Limiter
@@ -150,7 +151,11 @@
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	g, ctx := errgroup.WithContext(ctx)
-	for _, w := range s.watchers() {
+	watchers := s.watchers()
+	for _, w := range watchers {
+		s.era.onRaise = append(s.era.onRaise, w.endWait)
+	}
+	for _, w := range watchers {
 		g.Go(func() error { return w.run(ctx) })
 	}
 	g.Go(func() error { return s.serveReadiness(readiness) })
@@ -189,8 +194,8 @@
 
 func (s *Server) watchers() []*watcher {
 	return []*watcher{
-		{store: s.store, table: Configuration, wait: func() time.Duration { return s.scaleToFleet(pollWait) }, log: s.log,
-			apply: func(rows []Row, _ bool) {
+		{store: s.store, era: &s.era, table: Configuration, wait: func() time.Duration { return s.scaleToFleet(pollWait) }, log: s.log,
+			apply: func(rows []Row, _ Position, _ bool) {
 				for _, r := range rows {
 					if !r.Deleted {
 						s.state.applyConfiguration(r.Value, "store")
@@ -199,14 +204,15 @@
 			},
 			batchDelay: s.batchDelay,
 		},
-		{store: s.store, table: Endpoints, wait: func() time.Duration { return s.scaleToFleet(pollWait) }, log: s.log,
-			apply:      func(rows []Row, full bool) { s.state.applyEndpoints(time.Now(), rows, full) },
+		{store: s.store, era: &s.era, table: Endpoints, wait: func() time.Duration { return s.scaleToFleet(pollWait) }, log: s.log,
+			apply:      func(rows []Row, at Position, full bool) { s.state.applyEndpoints(time.Now(), rows, at, full) },
 			batchDelay: s.batchDelay,
 			onFailure: func() {
 				s.stats.storeFailures.Inc()
 				s.state.storeFailed(time.Now())
 			},
 			onRecovery: func() { s.state.storeRecovered(time.Now()) },
+			onRestore:  func() { s.state.storeRecovered(time.Now()) },
 		},
 	}
 }
@@ -286,15 +292,16 @@
 // idle update intervals.
 const syncTimeout = 1200 * time.Millisecond
 
-// synced reports whether the instance knows the load and the token usage of most others.
-// Without them it would refuse requests that it cannot prove to be within an account's rate,
-// and assume that engines are idle.
+// synced reports whether the instance knows the load and the token usage of most others, and has
+// their configuration. Without them it would refuse requests that it cannot prove to be within an
+// account's rate, assume that engines are idle, and go by the older configuration of a store that
+// was restored.
 func (s *Server) synced(now time.Time) bool {
 	if s.settings.Bootstrap || now.Sub(s.peers.started) > syncTimeout {
 		return true
 	}
 	silent, known := s.peers.countSilent(now)
-	return s.peers.isListed() && known > 0 && 2*silent <= known
+	return s.peers.isListed() && known > 0 && 2*silent <= known && !s.peers.isBehind(s.state.Current().Ticket)
 }
 
 // housekeeping closes idle connections, drops endpoints that did not register again, and logs
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -36,7 +36,7 @@
 	mu               sync.Mutex
 	directory        *directory
 	rawConfiguration []byte    // the configuration in force as encoded in the store
-	tableVersion     uint64    // last version read of the endpoint table
+	tablePosition    Position  // last position read of the endpoint table
 	storeFailedAt    time.Time // last time that reading the endpoint table failed
 }
 
@@ -81,12 +81,19 @@
 	s.admission.withScheduler(func(_ time.Time, p *placement.Scheduler) { p.SetEndpoints(next) })
 }
 
-// applyEndpoints applies rows of the endpoint table. With full, the rows are the whole table.
-func (s *state) applyEndpoints(now time.Time, rows []Row, full bool) {
+// applyEndpoints applies rows of the endpoint table, read at a position. With full, the rows are
+// the whole table.
+func (s *state) applyEndpoints(now time.Time, rows []Row, at Position, full bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if at.Era < s.tablePosition.Era {
+		return // another instance has already told of the restored store
+	}
+	if at.Era > s.tablePosition.Era {
+		s.tablePosition = Position{Era: at.Era}
+	}
 	for _, r := range rows {
-		s.tableVersion = max(s.tableVersion, r.Version)
+		s.tablePosition.Version = max(s.tablePosition.Version, r.Version)
 	}
 	changed := s.directory.expire(now)
 	var eps []*config.Endpoint
@@ -164,11 +171,11 @@
 	return time.Since(s.storeFailedAt) < storeDownTime
 }
 
-// endpointsVersion returns the version of the newest known endpoint entry.
-func (s *state) endpointsVersion() uint64 {
+// endpointsPosition returns the position of the newest known endpoint entry.
+func (s *state) endpointsPosition() Position {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.tableVersion
+	return s.tablePosition
 }
 
 // export returns the state for another instance.
@@ -178,7 +185,7 @@
 	return &peerState{
 		ConfigurationVersion: s.current.Load().Ticket,
 		Configuration:        s.rawConfiguration,
-		EndpointsVersion:     s.tableVersion,
+		EndpointsVersion:     s.tablePosition.order(),
 		Endpoints:            s.directory.known(),
 		Retired:              maps.Clone(s.directory.retired),
 	}
@@ -191,10 +198,10 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if p.EndpointsVersion <= s.tableVersion {
+	if p.EndpointsVersion <= s.tablePosition.order() {
 		return
 	}
-	s.tableVersion = p.EndpointsVersion
+	s.tablePosition = positionOf(p.EndpointsVersion)
 	changed := false
 	for _, ep := range p.Endpoints {
 		changed = s.directory.merge(ep) || changed
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -22,6 +22,18 @@
 	Version uint64 // of the newest transaction
 }
 
+// eraShift leaves room in Position.order for 2^44 versions of 2^20 eras.
+const eraShift = 44
+
+// order returns a number by which positions are compared: a later era is later than all versions of
+// an earlier one. Instances tell each other this number.
+func (p Position) order() uint64 { return p.Era<<eraShift | p.Version }
+
+// positionOf is the inverse of Position.order.
+func positionOf(order uint64) Position {
+	return Position{Era: order >> eraShift, Version: order & (1<<eraShift - 1)}
+}
+
 // ErrHistoryGone means that the store no longer has the requested changes, so the whole table
 // has to be read again.
 var ErrHistoryGone = errors.New("store no longer has the requested changes")
--- a/internal/gateway/updates.go
+++ b/internal/gateway/updates.go
@@ -108,7 +108,7 @@
 		Incarnation:          p.self.Incarnation,
 		StateAddr:            p.self.State,
 		ConfigurationVersion: s.state.Current().Ticket,
-		EndpointsVersion:     s.state.endpointsVersion(),
+		EndpointsVersion:     s.state.endpointsPosition().order(),
 	}
 	s.admission.inspect(func(now time.Time, scheduler *placement.Scheduler, queue *placement.Queue) {
 		scheduler.EachEndpointLoad(func(endpoint string, prefillTokens int, runs []placement.Generation) {
@@ -245,6 +245,7 @@
 	x.row.State = u.StateAddr
 	p.mu.Unlock()
 
+	p.s.era.raise(positionOf(u.EndpointsVersion).Era)
 	report := window.Report{Instance: u.Instance, Incarnation: u.Incarnation, KnownFor: time.Duration(u.KnownFor) * time.Millisecond, Complete: u.AllLevels, Usage: make([]window.Usage, len(u.Usage))}
 	for i, s := range u.Usage {
 		report.Usage[i] = decodeUsage(now, s)
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -29,7 +29,7 @@
 	Leaving     bool
 
 	ConfigurationVersion uint64 // version in force
-	EndpointsVersion     uint64 // last version read of the endpoint table
+	EndpointsVersion     uint64 // last position read of the endpoint table, as a number
 
 	Loads []EndpointLoad
 	Usage []AccountUsage
