gateway: silent connections to the store are noticed in time in any fleet

What callers saw: on large deployments a confirmed configuration was in force many seconds late, at all instances at once.

All instances begin their waits at the same moment, after the last change, so none of them ends earlier than the others. Class: an interval was scaled with the fleet to save calls, and with it the bound that it kept.

Now three instances wait for one second only. Which ones follows from who is heard, by the hashes of their names, so that others take over from those that end, freeze or are cut off. An instance that has been waiting while another one got newer state ends its wait and asks the store on a new connection, and fetches the state from the other one only after that.

--- a/internal/gateway/originrows.go
+++ b/internal/gateway/originrows.go
@@ -196,7 +196,7 @@
 		select {
 		case <-ctx.Done():
 		case <-o.changed:
-			sleepJitter(ctx, s.scaleToFleet(originStoreDelay))
+			sleepJitter(ctx, s.scaleToFleet(originStoreDelay, maxStoreInterval))
 		}
 	}
 	return nil
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 	"github.com/valyala/fasthttp"
@@ -193,6 +194,22 @@
 	return p.listed
 }
 
+// pollsOften reports whether this instance is one of those that ask the store for changes often. Which
+// instances these are follows from who is heard, so that others take over from those that end, freeze or
+// are cut off. Their names' hashes decide, as similar names are of one data centre.
+func (p *peers) pollsOften(now time.Time) bool {
+	own := xxhash.Sum64String(p.s.settings.Instance)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	before := 0
+	for name, x := range p.known {
+		if !x.leaving && now.Sub(x.lastUpdateAt) <= peerSilenceLimit && xxhash.Sum64String(name) < own {
+			before++
+		}
+	}
+	return before < frequentPollers
+}
+
 // isBehind reports whether another instance has a newer configuration than the given version.
 func (p *peers) isBehind(version uint64) bool {
 	p.mu.Lock()
--- a/internal/gateway/peerstate.go
+++ b/internal/gateway/peerstate.go
@@ -69,11 +69,13 @@
 }
 
 // catchUp fetches missing state from other instances: at startup without the store, and when
-// they have been ahead for longer than the store's change feed may lag.
+// they have been ahead for longer than the store's change feed may lag. If this instance has been waiting
+// for changes all the while, its connection to the store may be silent, so it asks the store once more first.
 func (p *peers) catchUp(ctx context.Context) error {
 	for ctx.Err() == nil {
 		sleepJitter(ctx, catchUpInterval)
-		if addr := p.catchUpSource(time.Now()); addr != "" {
+		addr, since := p.catchUpSource(time.Now())
+		if addr != "" && !p.s.endWaits(since) {
 			if err := p.fetchState(addr); err != nil {
 				p.log.V(1).Info("state.not_fetched", "addr", addr, "cause", err.Error())
 			}
@@ -82,13 +84,13 @@
 	return nil
 }
 
-// catchUpSource returns the address of the instance to ask, or "" if none is needed.
-func (p *peers) catchUpSource(now time.Time) string {
+// catchUpSource returns the address of the instance to ask, and since when it has been ahead, or "" if
+// none is needed.
+func (p *peers) catchUpSource(now time.Time) (addr string, since time.Time) {
 	have, endpointsVersion := p.s.state.Current(), p.s.state.endpointsPosition().order()
 	storeUnavailable := p.s.state.storeUnavailable()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	addr := ""
 	for _, x := range p.known {
 		if x.update == nil || now.Sub(x.lastUpdateAt) > peerTTL {
 			continue
@@ -102,16 +104,16 @@
 			x.aheadSince = now
 		}
 		if storeUnavailable || now.Sub(x.aheadSince) >= catchUpDelay {
-			addr = x.row.State
+			addr, since = x.row.State, x.aheadSince
 		}
 	}
 	if addr == "" && have.Ticket == 0 && len(p.s.settings.Seeds) > 0 {
 		addr = p.s.settings.Seeds[int(now.UnixMilli()/int64(catchUpInterval/time.Millisecond))%len(p.s.settings.Seeds)]
 		if addr == p.self.State {
-			return ""
+			return "", time.Time{}
 		}
 	}
-	return addr
+	return addr, since
 }
 
 // fetchState requests the state of the instance at addr and applies what is newer.
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -37,7 +37,7 @@
 	storeScaleFleet     = 8                      // largest fleet for which the intervals between store calls are not scaled
 	delayPerInstance    = 25 * time.Millisecond  // per instance, so that a series of row changes is read in few calls
 	maxBatchDelay       = 500 * time.Millisecond // well within the time that endpoints keep serving after they announce that they leave
-	maxPollWait         = 12 * time.Second       // a dead connection to the store is detected after this time
+	maxStoreInterval    = 12 * time.Second       // between store calls whose intervals are scaled
 	internalIdleTimeout = 10 * time.Second
 )
 
@@ -65,6 +65,7 @@
 	reload     <-chan os.Signal
 	peers      *peers
 	era        storeEra
+	following  []*watcher
 
 	quotaMu sync.Mutex
 	quota   *window.Limiter
@@ -151,11 +152,9 @@
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	g, ctx := errgroup.WithContext(ctx)
-	watchers := s.watchers()
-	for _, w := range watchers {
-		s.era.onRaise = append(s.era.onRaise, w.endWait)
-	}
-	for _, w := range watchers {
+	s.following = s.watchers()
+	s.era.onRaise = func() { s.endWaits(time.Now()) }
+	for _, w := range s.following {
 		g.Go(func() error { return w.run(ctx) })
 	}
 	g.Go(func() error { return s.serveReadiness(readiness) })
@@ -179,11 +178,30 @@
 }
 
 // scaleToFleet lengthens the interval between two calls to the store in proportion to the
-// fleet, so that the load on the store hardly depends on its size. Changes still arrive
-// promptly through whichever instance has a call in progress.
-func (s *Server) scaleToFleet(d time.Duration) time.Duration {
+// fleet, up to a limit, so that the load on the store hardly depends on its size.
+func (s *Server) scaleToFleet(d, limit time.Duration) time.Duration {
 	fleet := time.Duration(max(1, s.peers.fleetSize()))
-	return min(maxPollWait, max(d, d*fleet/storeScaleFleet))
+	return min(limit, max(d, d*fleet/storeScaleFleet))
+}
+
+// pollWait returns how long a call waits for changes. Open connections may fall silent, all of them
+// at once, right after a change has made all instances begin to wait for the next one: then a few
+// instances notice it early, and the others end their waits when these have newer state.
+func (s *Server) pollWait() time.Duration {
+	if s.peers.pollsOften(time.Now()) {
+		return frequentPollWait
+	}
+	return s.scaleToFleet(pollWait, maxPollWait)
+}
+
+// endWaits ends the calls that have been waiting for changes since before t, and reports whether there
+// were any.
+func (s *Server) endWaits(t time.Time) bool {
+	ended := false
+	for _, w := range s.following {
+		ended = w.endWait(t) || ended
+	}
+	return ended
 }
 
 // batchDelay returns how long after a change a table is not read again, so that a series of
@@ -194,7 +212,7 @@
 
 func (s *Server) watchers() []*watcher {
 	return []*watcher{
-		{store: s.store, era: &s.era, table: Configuration, wait: func() time.Duration { return s.scaleToFleet(pollWait) }, log: s.log,
+		{store: s.store, era: &s.era, table: Configuration, wait: s.pollWait, log: s.log,
 			apply: func(rows []Row, _ Position, _ bool) {
 				for _, r := range rows {
 					if !r.Deleted {
@@ -204,7 +222,7 @@
 			},
 			batchDelay: s.batchDelay,
 		},
-		{store: s.store, era: &s.era, table: Endpoints, wait: func() time.Duration { return s.scaleToFleet(pollWait) }, log: s.log,
+		{store: s.store, era: &s.era, table: Endpoints, wait: s.pollWait, log: s.log,
 			apply:      func(rows []Row, at Position, full bool) { s.state.applyEndpoints(time.Now(), rows, at, full) },
 			batchDelay: s.batchDelay,
 			onFailure: func() {
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -11,9 +11,14 @@
 )
 
 const (
-	// pollWait is how long one call waits for changes. A dead connection is detected after it,
-	// within the time in which a new configuration has to be applied.
-	pollWait         = 2 * time.Second
+	// pollWait is how long one call waits for changes in a small fleet. A silent connection is
+	// noticed after it, unless another instance notices first; see Server.pollWait.
+	pollWait    = 2 * time.Second
+	maxPollWait = 24 * time.Second // in large fleets; the store allows 30 s
+	// frequentPollWait is how long the calls of a few instances wait, so that the fleet notices a silence
+	// of all connections to the store, and has the next configuration in time.
+	frequentPollWait = time.Second
+	frequentPollers  = 3
 	recoveryPollWait = 200 * time.Millisecond // after a failure, so that a recovery of the store is noticed soon
 	minRetryDelay    = 80 * time.Millisecond
 	maxRetryDelay    = 700 * time.Millisecond // short enough that a recovered store is used again well before endpoints have to be registered again
@@ -38,8 +43,9 @@
 	onRestore  func() // called when the store was restored, before its rows are applied; may be nil
 	era        *storeEra
 
-	mu      sync.Mutex
-	endCall context.CancelCauseFunc // of a call that waits for changes; nil if there is none
+	mu        sync.Mutex
+	endCall   context.CancelCauseFunc // of a call that waits for changes; nil if there is none
+	callBegan time.Time
 }
 
 // run follows the table until ctx ends.
@@ -119,8 +125,8 @@
 	}
 	ctx, end := context.WithCancelCause(ctx)
 	defer end(nil)
-	w.setCall(end)
-	defer w.setCall(nil)
+	w.setCall(end, time.Now())
+	defer w.setCall(nil, time.Time{})
 	if w.era.newest() > after.Era {
 		return nil, Position{}, errCallEnded
 	}
@@ -131,19 +137,22 @@
 	return rows, at, err
 }
 
-func (w *watcher) setCall(end context.CancelCauseFunc) {
+func (w *watcher) setCall(end context.CancelCauseFunc, began time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.endCall = end
+	w.endCall, w.callBegan = end, began
 }
 
-// endWait ends a call that waits for changes, so that the next one begins at once.
-func (w *watcher) endWait() {
+// endWait ends a call that has been waiting for changes since before t, so that the next one begins
+// at once, and reports whether there was such a call.
+func (w *watcher) endWait(t time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.endCall != nil {
-		w.endCall(errCallEnded)
+	if w.endCall == nil || !w.callBegan.Before(t) {
+		return false
 	}
+	w.endCall(errCallEnded)
+	return true
 }
 
 // storeEra is the newest era of the store that this instance has heard of, by an answer of the store or from
@@ -152,7 +161,7 @@
 type storeEra struct {
 	mu      sync.Mutex
 	era     uint64
-	onRaise []func()
+	onRaise func()
 }
 
 func (e *storeEra) newest() uint64 {
@@ -167,10 +176,8 @@
 	newer := era > e.era
 	e.era = max(e.era, era)
 	e.mu.Unlock()
-	if newer {
-		for _, f := range e.onRaise {
-			f()
-		}
+	if newer && e.onRaise != nil {
+		e.onRaise()
 	}
 }
 
--- a/internal/gateway/watch_test.go
+++ b/internal/gateway/watch_test.go
@@ -106,7 +106,7 @@
 				applied <- r.Key
 			}
 		}}
-	w.era.onRaise = append(w.era.onRaise, w.endWait)
+	w.era.onRaise = func() { w.endWait(time.Now()) }
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -167,6 +167,57 @@
 	assert.Equal(t, <-applied, "whole")
 }
 
+// Another instance is ahead of one that has been waiting for changes all the while: the call may be at a
+// silent connection, so the next one begins at once. A call that began later is left alone.
+func TestWaitEndsWhenAnotherInstanceIsAhead(t *testing.T) {
+	s := newScriptedStore()
+	w, applied := followScript(t, s)
+	s.expect(t, "rows", answerWith(1, 10, "old"))
+	aheadSince := time.Now()
+	s.expect(t, "changes after 10", nil)
+	assert.Assert(t, !w.endWait(aheadSince))
+	assert.Assert(t, w.endWait(time.Now()))
+	s.expect(t, "changes after 10", answerWith(1, 11, "new"))
+	s.expect(t, "changes after 11", nil)
+	assert.Equal(t, <-applied, "old")
+	assert.Equal(t, <-applied, "new")
+}
+
+// Few instances ask often, others take over from those that fall silent, and an instance that hears nobody
+// asks often itself.
+func TestFewInstancesPollOften(t *testing.T) {
+	const n = 79
+	now := time.Now()
+	names := make([]string, n)
+	for i := range names {
+		names[i] = fmt.Sprintf("frontend-%03d", i)
+	}
+	often := func(silent map[string]bool) (out []string) {
+		for _, self := range names {
+			s := followerIn(now, self, names)
+			for name := range silent {
+				if x := s.peers.known[name]; x != nil {
+					x.lastUpdateAt = now.Add(-time.Minute)
+				}
+			}
+			if !silent[self] && s.pollWait() == frequentPollWait {
+				out = append(out, self)
+			}
+		}
+		return out
+	}
+	first := often(nil)
+	assert.Equal(t, len(first), frequentPollers)
+	silent := map[string]bool{}
+	for _, name := range first {
+		silent[name] = true
+	}
+	assert.Equal(t, len(often(silent)), frequentPollers)
+	alone := followerIn(now, names[0], names[:1])
+	assert.Equal(t, alone.pollWait(), frequentPollWait)
+	assert.Assert(t, followerIn(now, names[0], names).scaleToFleet(pollWait, maxPollWait) <= maxPollWait)
+}
+
 // Positions of a later era are later, whatever their versions.
 func TestPositionsAreOrdered(t *testing.T) {
 	assert.Assert(t, Position{Era: 2, Version: 1}.order() > Position{Era: 1, Version: 1 << 40}.order())
