--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -89,6 +89,7 @@
 	HasLoad       bool
 	Running       int
 	Queued        int
+	Leaving       bool // the endpoint announces that it leaves
 	Limit         AnnouncedLimit
 	Headers       http.Header // headers to forward
 }
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -284,7 +284,7 @@
 		x.uncountSend()
 	}
 	if p.resp != nil {
-		x.reportLimit(p.resp, endpointName)
+		x.reportAnnouncements(p.resp, endpointName)
 	}
 }
 
@@ -319,8 +319,11 @@
 	}
 }
 
-// reportLimit logs a limit that cannot be read.
-func (x *exchange) reportLimit(resp *endpointResponse, endpoint string) {
+// reportAnnouncements logs what a response announces and the request has to do with.
+func (x *exchange) reportAnnouncements(resp *endpointResponse, endpoint string) {
+	if resp.Leaving {
+		x.decision("endpoint_leaves", "endpoint", endpoint)
+	}
 	if resp.Limit.Malformed {
 		x.decision("limit_unreadable", "endpoint", endpoint)
 	}
