gateway: an endpoint that announces in a response that it leaves gets no further request

What the users saw: a request reached an endpoint some seconds after a response that its instance had passed on had said that the endpoint leaves.

Ruled out: requests that waited keep no place past it (a place is used at once, and a generation is moved if its engine is seen leaving during the prefill); an older entry cannot take it back, as an incarnation that is retired stays so.

Each response, also a refusal or one to a health check, now retires the incarnation that the request was placed at, before the caller gets it. Announcements that may be another endpoint's are left out.

--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -152,7 +152,7 @@
 	return d.put(ep)
 }
 
-// retire records that another instance saw an incarnation leaving or removed.
+// retire records that an incarnation was seen leaving, by a response or by another instance.
 func (d *directory) retire(name string, incarnation int64) bool {
 	if old, ok := d.retired[name]; ok && old >= incarnation {
 		return false
--- a/internal/gateway/directory_test.go
+++ b/internal/gateway/directory_test.go
@@ -195,3 +195,25 @@
 	}
 	assert.Assert(t, names["e5"] && !names["e0"] && len(names) == 7)
 }
+
+// A response announces leaving for the incarnation that the request was placed at: not for another endpoint
+// at its address, nor for a newer incarnation that has registered meanwhile.
+func TestAnnouncementOfLeavingIsTheIncarnations(t *testing.T) {
+	req := endpointRequest{endpoint: "i-1", placedAt: 5}
+	assert.Assert(t, req.announcesLeaving(ResponseInfo{Leaving: true}))
+	assert.Assert(t, req.announcesLeaving(ResponseInfo{Leaving: true, EndpointName: "i-1"}))
+	assert.Assert(t, !req.announcesLeaving(ResponseInfo{}))
+	assert.Assert(t, !req.announcesLeaving(ResponseInfo{Leaving: true, WrongEndpoint: true}))
+	assert.Assert(t, !req.announcesLeaving(ResponseInfo{Leaving: true, EndpointName: "i-2"}))
+
+	s := fleetServer()
+	s.state.directory.put(endpointEntry("i-1", 6, 1))
+	s.state.publish()
+	s.state.retire("i-1", 5)
+	assert.Assert(t, !s.state.Current().Endpoints["i-1"].Leaving)
+	s.state.retire("i-1", 6)
+	assert.Assert(t, s.state.Current().Endpoints["i-1"].Leaving)
+	s.state.directory.put(endpointEntry("i-1", 6, 2))
+	s.state.publish()
+	assert.Assert(t, s.state.Current().Endpoints["i-1"].Leaving, "a later entry of the same incarnation")
+}
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -451,7 +451,7 @@
 // sendRun sends the request to the lease's decode engine.
 func (g *generation) sendRun(l *placement.Lease, p *prefillResult) *engineRun {
 	g.countSend()
-	req := g.request(l.Target.Addr, RequestOptions{Endpoint: l.Target.Name, KVSource: p.source(), LastEventID: g.lastEventID})
+	req := g.request(l.Target, RequestOptions{KVSource: p.source(), LastEventID: g.lastEventID})
 	// The software version in an entry holds for its incarnation only.
 	req.incarnation, req.mustConfirm = l.Target.Incarnation, p != nil || g.softwareVersion != ""
 	return g.s.upstream.startRun(g.ctx, req, l, p)
--- a/internal/gateway/prefill.go
+++ b/internal/gateway/prefill.go
@@ -74,7 +74,7 @@
 	c := &prefillCall{lease: l, engine: l.Prefill}
 	ctx, c.cancel = context.WithCancelCause(ctx)
 	g.countSend()
-	req := g.request(c.engine.Addr, RequestOptions{Endpoint: c.engine.Name, PrefillOnly: true})
+	req := g.request(c.engine, RequestOptions{PrefillOnly: true})
 	req.incarnation, req.mustConfirm = c.engine.Incarnation, true
 	c.call = g.s.upstream.startCall(ctx, req)
 	return c
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -116,7 +116,12 @@
 		g.log.Info("endpoint.ejected", "endpoint", ep.Name, "addr", ep.Addr)
 	})
 	g.upstream = newUpstream(d.Wire, g.setUserTimeout)
-	g.upstream.onResponse = g.recordLimit
+	g.upstream.onResponse = func(req endpointRequest, sentAt time.Time, resp ResponseInfo) {
+		g.recordLimit(req, sentAt, resp)
+		if req.announcesLeaving(resp) {
+			g.state.retire(req.endpoint, req.placedAt)
+		}
+	}
 	g.upstream.mayAsk = g.admission.isUnlimited
 	g.state = newState(d.RowDecoder, g.admission, d.Log)
 	g.origins = newOrigins(d.Store, s.Instance, g.state)
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"carawayrouter.example/router/internal/config"
 	"carawayrouter.example/router/internal/endpoint"
 	"carawayrouter.example/router/internal/errkind"
 	"carawayrouter.example/router/internal/placement"
@@ -87,7 +88,7 @@
 	r := &callRun{lease: l}
 	ctx, r.cancel = context.WithCancelCause(ctx)
 	x.countSend()
-	r.call = x.s.upstream.startCall(ctx, x.request(l.Target.Addr, RequestOptions{Endpoint: l.Target.Name}))
+	r.call = x.s.upstream.startCall(ctx, x.request(l.Target, RequestOptions{}))
 	return r
 }
 
@@ -289,11 +290,12 @@
 }
 
 // request returns the request to an endpoint.
-func (x *exchange) request(addr string, opts RequestOptions) endpointRequest {
-	opts.Account, opts.Deadline = x.account(), x.deadline
+func (x *exchange) request(ep *config.Endpoint, opts RequestOptions) endpointRequest {
+	opts.Endpoint, opts.Account, opts.Deadline = ep.Name, x.account(), x.deadline
 	return endpointRequest{
-		endpoint:  opts.Endpoint,
-		addr:      addr,
+		endpoint:  ep.Name,
+		addr:      ep.Addr,
+		placedAt:  ep.Incarnation,
 		method:    x.call.Method,
 		uri:       x.call.URI,
 		host:      x.call.Host,
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -129,6 +129,17 @@
 	}
 }
 
+// retire records that an incarnation of an endpoint has announced in a response that it leaves. Like an
+// entry that says so this is final, also while the store is away.
+func (s *state) retire(name string, incarnation int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.directory.retire(name, incarnation) {
+		s.log.Info("endpoint.leaving", "endpoint", name, "incarnation", incarnation)
+		s.publish()
+	}
+}
+
 // publish puts the directory's endpoints in force. The caller holds the lock.
 func (s *state) publish() {
 	old := s.current.Load()
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -278,6 +278,7 @@
 	body      []byte
 	attemptID string // attempt that the response must belong to; empty accepts any
 	sendOnce  bool   // must not be sent on a connection that may be closing
+	placedAt  int64  // incarnation in the endpoint's entry when it was chosen
 
 	incarnation int64 // of the endpoint; 0 accepts any
 	mustConfirm bool  // is sent only to an endpoint that has said to be the incarnation, or says none
@@ -298,6 +299,12 @@
 	confirmed bool // it comes from the incarnation that the request was meant for, as far as endpoints say
 }
 
+// announcesLeaving reports whether the endpoint that the request was meant for has announced in its
+// response that it leaves.
+func (r endpointRequest) announcesLeaving(resp ResponseInfo) bool {
+	return resp.Leaving && r.endpoint != "" && !resp.WrongEndpoint && (resp.EndpointName == "" || resp.EndpointName == r.endpoint)
+}
+
 // do sends a request and reads the header of its response. Ctx applies until the response is
 // closed: when it ends, the connection is closed. Errors are marked with ErrNotSent if nothing
 // was sent.
