--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -97,8 +97,14 @@
 // readiness probe, so that callers reach instances that can serve them. If the other instances
 // are heard, the endpoints themselves are down, and leaving the balancer would not help.
 func (s *Server) updateCutOff(now time.Time) {
-	cutOff := false
-	s.admission.withScheduler(func(now time.Time, p *placement.Scheduler) { cutOff = p.CutOff(now) })
+	cutOff, here, onlyHere := false, 0, 0
+	s.admission.withScheduler(func(now time.Time, p *placement.Scheduler) {
+		cutOff = p.CutOff(now)
+		here, onlyHere = p.CountUnreachable(now)
+	})
+	if s.unreachable.Swap(int64(here)) != int64(here) {
+		s.log.Info("endpoints.unreachable", "endpoints", here, "only_here", onlyHere)
+	}
 	silent, known := s.peers.countSilent(now)
 	cutOff = cutOff && 2*silent > known
 	if s.cutOff.Swap(cutOff) != cutOff {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -73,10 +73,11 @@
 	quarantine *quarantineState
 	origins    *origins
 
-	active   atomic.Int64 // requests being read or answered
-	draining atomic.Bool
-	stopping atomic.Bool // requests are no longer forwarded to endpoints
-	cutOff   atomic.Bool // other instances serve callers better; see updateCutOff
+	active      atomic.Int64 // requests being read or answered
+	draining    atomic.Bool
+	stopping    atomic.Bool  // requests are no longer forwarded to endpoints
+	unreachable atomic.Int64 // endpoints to which no connection can be made
+	cutOff      atomic.Bool  // other instances serve callers better; see updateCutOff
 
 	exiting context.Context // ends when requests in progress have to be answered because of the exit
 	exit    context.CancelCauseFunc
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -407,6 +407,18 @@
 	}
 }
 
+// CountUnreachable returns how many endpoints are ejected until a connection to them succeeds, and how many of
+// these no other instance has ejected.
+func (s *Scheduler) CountUnreachable(now time.Time) (here, onlyHere int) {
+	s.EachUnreachable(now, func(ep *config.Endpoint) {
+		here++
+		if !s.endpoints[ep.Name].ejectedByPeer(now) {
+			onlyHere++
+		}
+	})
+	return here, onlyHere
+}
+
 // CutOff reports whether there is a pool whose decode engines or plain endpoints are all
 // unreachable.
 func (s *Scheduler) CutOff(now time.Time) bool {
