Known red: instances partitioned from all endpoints refuse their callers, and quarantine sound requests

Found on the way: a refused connection counts as the end of the endpoint's process, so that a sound call is quarantined everywhere.

--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -48,8 +48,12 @@
 	Store      Store
 	Log        logr.Logger
 	Reload     <-chan os.Signal
+	Dial       Dial // opens connections to endpoints; nil selects net.Dialer
 }
 
+// Dial opens a TCP connection to addr.
+type Dial func(ctx context.Context, addr string) (net.Conn, error)
+
 // Server is the gateway of one instance.
 type Server struct {
 	settings   Settings
@@ -123,6 +127,9 @@
 			g.state.retire(req.endpoint, req.placedAt)
 		}
 	}
+	if d.Dial != nil {
+		g.upstream.open = d.Dial
+	}
 	g.upstream.mayAsk = g.admission.isUnlimited
 	g.state = newState(d.RowDecoder, g.admission, d.Log)
 	g.origins = newOrigins(d.Store, s.Instance, g.state)
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -51,6 +51,7 @@
 // upstream is the connection pool for endpoints.
 type upstream struct {
 	wire       Wire
+	open       Dial
 	onOpen     func(net.Conn)                                                 // configures a new connection
 	onResponse func(req endpointRequest, sentAt time.Time, resp ResponseInfo) // observes every response
 	mayAsk     func(endpoint string) bool                                     // reports whether an endpoint may be asked for its incarnation
@@ -82,7 +83,13 @@
 var errIncarnationUnknown = errors.New("the endpoint's incarnation is not known")
 
 func newUpstream(w Wire, onOpen func(net.Conn)) *upstream {
-	return &upstream{wire: w, onOpen: onOpen, onResponse: func(endpointRequest, time.Time, ResponseInfo) {}, mayAsk: func(string) bool { return true }, idle: map[string][]*endpointConn{}}
+	return &upstream{wire: w, open: dialTCP, onOpen: onOpen, onResponse: func(endpointRequest, time.Time, ResponseInfo) {}, mayAsk: func(string) bool { return true }, idle: map[string][]*endpointConn{}}
+}
+
+// dialTCP is the usual Dial.
+func dialTCP(ctx context.Context, addr string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", addr)
 }
 
 // get returns a connection to addr that has been idle for at most maxAge, or a new one.
@@ -105,8 +112,7 @@
 func (u *upstream) dial(ctx context.Context, addr string) (*endpointConn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	var d net.Dialer
-	nc, err := d.DialContext(ctx, "tcp", addr)
+	nc, err := u.open(ctx, addr)
 	if err != nil {
 		return nil, errors.Mark(err, endpoint.ErrNotSent)
 	}
