gateway: an instance that is partitioned from endpoints serves its callers through the others

What callers saw: at instances that had lost their way to all endpoints, every request was refused at once (no_endpoint), for as long as the cut lasted, though the instance stayed in the balancer and other instances served.

Cause: an instance had no way to an endpoint but its own. Class: the only way to a resource was given up for, and nobody asked whether another one exists. Leaving the balancer is no cure: callers keep their connections, and where most of a data centre is cut off its instances get callers whether they are ready or not; so the readiness rule is unchanged.

Connections to endpoints are now opened in one place (paths). Where no direct one can be made, another instance that is heard is asked to connect to the endpoint, over its port for other instances, authenticated by the fleet's secret; all decisions stay where the request is. It is a pipe: closes and resets are passed on as such, so a broken response stays broken. An endpoint that is silent while it has a request is checked with a new connection after 400 ms, which finds ways that hang; the first cut way has the others checked. Direct ways are tried every 300 ms and used again at once. Where an endpoint has ended the others are asked once, then after 1 s to 8 s.

--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -130,6 +130,7 @@
 		return g.handleCurrent(r)
 	default:
 	}
+	go g.s.upstream.checkPath(context.WithoutCancel(g.ctx), g.current.lease.Target.Addr, false)
 	if g.standby != nil {
 		g.replaceCurrent()
 	} else {
--- /dev/null
+++ b/internal/gateway/path_test.go
@@ -0,0 +1,163 @@
+package gateway
+
+import (
+	"context"
+	"encoding/hex"
+	"io"
+	"net"
+	"strconv"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+)
+
+// fakeWay is a way to endpoints with a fixed result.
+type fakeWay struct {
+	err   error
+	calls int
+}
+
+func (w *fakeWay) dial(context.Context, string) (net.Conn, error) {
+	if w.calls++; w.err != nil {
+		return nil, w.err
+	}
+	a, _ := net.Pipe()
+	return a, nil
+}
+
+// An instance whose direct connections fail takes a detour as long as they do.
+func TestDetourIsTakenWhileTheDirectWayIsCut(t *testing.T) {
+	direct, detour := &fakeWay{err: syscall.ECONNREFUSED}, &fakeWay{}
+	p := newPaths(direct.dial, detour.dial)
+	cut, back := 0, 0
+	p.onCut, p.onBack = func(string) { cut++ }, func(string) { back++ }
+	for range 3 {
+		_, detoured, err := p.open(context.Background(), "e:1")
+		assert.Assert(t, err == nil && detoured)
+	}
+	assert.Equal(t, direct.calls, 1, "later connections do not try the cut way first")
+	assert.DeepEqual(t, p.detoured(), []string{"e:1"})
+	direct.err = nil
+	_, err := p.openDirect(context.Background(), "e:1")
+	assert.NilError(t, err)
+	_, detoured, err := p.open(context.Background(), "e:1")
+	assert.Assert(t, err == nil && !detoured)
+	assert.Assert(t, cut == 1 && back == 1)
+}
+
+// Where an endpoint has ended, the others are not asked at each attempt to connect to it.
+func TestEndpointThatHasEndedIsSeldomTriedThroughOthers(t *testing.T) {
+	direct, detour := &fakeWay{err: syscall.ECONNREFUSED}, &fakeWay{err: syscall.ECONNREFUSED}
+	p := newPaths(direct.dial, detour.dial)
+	for range 10 {
+		_, _, err := p.open(context.Background(), "e:1")
+		assert.Assert(t, errors.Is(err, syscall.ECONNREFUSED))
+	}
+	assert.Equal(t, detour.calls, 1)
+	p.at("e:1").failedAt = time.Now().Add(-maxDetourDelay)
+	detour.err = nil
+	_, detoured, err := p.open(context.Background(), "e:1")
+	assert.Assert(t, err == nil && detoured)
+}
+
+// A way is checked when nothing was heard from the endpoint while it had a request, once in a while.
+func TestSilentWayIsChecked(t *testing.T) {
+	p := newPaths(nil, nil)
+	now := time.Now()
+	p.heard(now, "e:1")
+	assert.Assert(t, !p.needsCheck(now.Add(pathSilence/2), "e:1", false), "another request was answered")
+	assert.Assert(t, p.needsCheck(now.Add(pathSilence), "e:1", false))
+	assert.Assert(t, !p.needsCheck(now.Add(pathSilence+pathCheckInterval/2), "e:1", true), "checked just before")
+	assert.Assert(t, p.needsCheck(now.Add(pathSilence+pathCheckInterval), "e:1", false))
+	p.setDetoured("e:1", true)
+	assert.Assert(t, !p.needsCheck(now.Add(time.Hour), "e:1", true))
+	p.keep(map[string]bool{})
+	assert.Equal(t, len(p.addrs), 0)
+}
+
+// The instances that are asked are near, have not ejected the endpoint and have not failed lately; the
+// endpoints' connections spread over those that are equally good.
+func TestDetoursAreOrdered(t *testing.T) {
+	now := time.Now()
+	order := func(target string, from ...detourCandidate) (names []string) {
+		for _, c := range orderDetours(now, "self", "a", target, "b", from) {
+			names = append(names, c.name)
+		}
+		return names
+	}
+	assert.DeepEqual(t, order("e:1",
+		detourCandidate{name: "failed", dataCentre: "a", failedAt: now},
+		detourCandidate{name: "ejects", dataCentre: "a", ejects: true},
+		detourCandidate{name: "far", dataCentre: "c"},
+		detourCandidate{name: "near", dataCentre: "b"},
+	), []string{"near", "far", "ejects", "failed"})
+	first := map[string]int{}
+	for i := range 300 {
+		first[order("e:"+strconv.Itoa(i), detourCandidate{name: "x", dataCentre: "a"}, detourCandidate{name: "y", dataCentre: "a"}, detourCandidate{name: "z", dataCentre: "b"})[0]]++
+	}
+	for name, n := range first {
+		assert.Assert(t, n > 50, "%s is first for %d of 300 endpoints", name, n)
+	}
+}
+
+// Only instances of the fleet are connected to endpoints.
+func TestTunnelsAreAuthenticated(t *testing.T) {
+	s := fleetServer()
+	s.peers.secret = []byte("secret")
+	now := time.Now()
+	sentAt := strconv.FormatInt(now.Unix(), 10)
+	mac := hex.EncodeToString(tunnelMAC(s.peers.secret, "e:1", sentAt))
+	assert.Assert(t, s.peers.allowsTunnel(now, "e:1", sentAt, mac))
+	assert.Assert(t, !s.peers.allowsTunnel(now, "e:2", sentAt, mac), "another endpoint")
+	assert.Assert(t, !s.peers.allowsTunnel(now.Add(2*tunnelClockSkew), "e:1", sentAt, mac), "a repeated request")
+	assert.Assert(t, !s.peers.allowsTunnel(now, "e:1", sentAt, hex.EncodeToString(tunnelMAC([]byte("other"), "e:1", sentAt))))
+	assert.Assert(t, !s.peers.allowsTunnel(now, "e:1", sentAt, "zz"))
+	s.peers.secret = nil
+	assert.Assert(t, !s.peers.allowsTunnel(now, "e:1", sentAt, hex.EncodeToString(tunnelMAC(nil, "e:1", sentAt))))
+}
+
+// tcpPair returns both ends of a connection.
+func tcpPair(t *testing.T) (a, b *net.TCPConn) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer ln.Close()
+	dialled, err := net.Dial("tcp", ln.Addr().String())
+	assert.NilError(t, err)
+	accepted, err := ln.Accept()
+	assert.NilError(t, err)
+	t.Cleanup(func() {
+		_ = dialled.Close()
+		_ = accepted.Close()
+	})
+	return dialled.(*net.TCPConn), accepted.(*net.TCPConn)
+}
+
+// A connection that goes through another instance ends as the endpoint ended it: a response that breaks off
+// does not look complete, one that ends with its connection does.
+func TestTunnelEndsLikeItsEndpoint(t *testing.T) {
+	for _, reset := range []bool{false, true} {
+		instance, served := tcpPair(t)
+		endpoint, dialled := tcpPair(t)
+		joined := make(chan struct{})
+		go func() {
+			defer close(joined)
+			joinConns(served, served, dialled)
+		}()
+		_, err := io.WriteString(endpoint, "response")
+		assert.NilError(t, err)
+		b := make([]byte, len("response"))
+		_, err = io.ReadFull(instance, b)
+		assert.NilError(t, err)
+		if reset {
+			assert.NilError(t, endpoint.SetLinger(0))
+		}
+		assert.NilError(t, endpoint.Close())
+		_, err = io.ReadAll(instance)
+		assert.Equal(t, errors.Is(err, syscall.ECONNRESET), reset, "%v", err)
+		<-joined
+	}
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -60,7 +61,9 @@
 	addr         netip.AddrPort
 	aheadSince   time.Time // since when it has newer state than this instance
 	leaving      bool
-	rowVersion   uint64
+
+	detourFailedAt time.Time // when it last failed to reach an endpoint for this instance
+	rowVersion     uint64
 }
 
 // peers tracks the other instances and exchanges updates with them.
@@ -71,6 +74,8 @@
 	started      time.Time
 	conn         *net.UDPConn
 	client       *fasthttp.Client
+	dialPeer     func(ctx context.Context, addr string) (net.Conn, error)
+	tunnels      atomic.Int64 // that this instance serves
 	updateNeeded chan struct{}
 	relayNeeded  chan struct{} // an update is waiting to be relayed
 	rowNeeded    chan struct{} // an instance was heard whose row is not known
@@ -147,7 +152,8 @@
 	// Other instances identify this one by its address, whichever interface routing would
 	// choose.
 	dialer := net.Dialer{Timeout: fetchTimeout, LocalAddr: &net.TCPAddr{IP: udp.IP}}
-	p.client.Dial = func(addr string) (net.Conn, error) { return dialer.Dial("tcp4", addr) }
+	p.dialPeer = func(ctx context.Context, addr string) (net.Conn, error) { return dialer.DialContext(ctx, "tcp4", addr) }
+	p.client.Dial = func(addr string) (net.Conn, error) { return p.dialPeer(context.Background(), addr) }
 	p.started = time.Now()
 	p.self = instanceRow{Incarnation: time.Now().UnixNano(), State: p.s.settings.PeerAddr, Updates: addr, DataCentre: p.s.settings.DataCentre, Rank: p.s.settings.RelayRank}
 	return nil
--- a/internal/gateway/peerstate.go
+++ b/internal/gateway/peerstate.go
@@ -28,14 +28,22 @@
 	Software             []gossip.SoftwareVersion `json:"software,omitempty"`
 }
 
+// serve responds to requests of other instances.
+func (p *peers) serve(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case statePath:
+		p.serveState(ctx)
+	case tunnelPath:
+		p.serveTunnel(ctx)
+	default:
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+	}
+}
+
 // serveState responds to instances of the fleet. One that starts during a store outage has no
 // secret yet; it is identified by its address, which only the fleet can have written to the
 // store.
 func (p *peers) serveState(ctx *fasthttp.RequestCtx) {
-	if string(ctx.Path()) != statePath {
-		ctx.SetStatusCode(fasthttp.StatusNotFound)
-		return
-	}
 	p.mu.Lock()
 	secret := p.secret
 	member := false
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -27,6 +27,7 @@
 func (s *Server) probeLoop(ctx context.Context) error {
 	for ctx.Err() == nil {
 		s.probeRound(ctx)
+		s.probePaths(ctx)
 		s.updateCutOff(time.Now())
 		sleepJitter(ctx, probeInterval)
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -128,8 +128,9 @@
 		}
 	}
 	if d.Dial != nil {
-		g.upstream.open = d.Dial
+		g.upstream.paths.direct = d.Dial
 	}
+	g.upstream.paths.detour, g.upstream.paths.onCut, g.upstream.paths.onBack = g.dialDetour, g.pathCut, g.pathBack
 	g.upstream.mayAsk = g.admission.isUnlimited
 	g.state = newState(d.RowDecoder, g.admission, d.Log)
 	g.origins = newOrigins(d.Store, s.Instance, g.state)
@@ -174,7 +175,7 @@
 	if metrics != nil {
 		g.Go(func() error { return newInternalServer(s.serveMetrics).Serve(metrics) })
 	}
-	g.Go(func() error { return newInternalServer(s.peers.serveState).Serve(state) })
+	g.Go(func() error { return newInternalServer(s.peers.serve).Serve(state) })
 	for _, loop := range []func(context.Context) error{s.peers.sendLoop, s.peers.receiveLoop, s.peers.relayLoop, s.peers.registerLoop, s.peers.catchUp, s.probeLoop, s.quarantineLoop, s.originsLoop} {
 		g.Go(func() error { return loop(ctx) })
 	}
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -83,6 +83,8 @@
 	set.NewGauge("caraway_requests_active", func() float64 { return float64(s.active.Load()) })
 	set.NewGauge("caraway_configuration_version", func() float64 { return float64(s.state.Current().Ticket) })
 	set.NewGauge("caraway_endpoints", func() float64 { return float64(len(s.state.Current().Endpoints)) })
+	set.NewGauge("caraway_endpoints_detoured", func() float64 { return float64(len(s.upstream.paths.detoured())) })
+	set.NewGauge("caraway_tunnels", func() float64 { return float64(s.peers.tunnels.Load()) })
 	set.NewGauge("caraway_endpoints_unreachable", func() float64 { return float64(s.unreachable.Load()) })
 	set.NewGauge("caraway_instances", func() float64 { return float64(s.peers.fleetSize()) })
 	set.NewGauge("caraway_waiting", func() float64 { return float64(s.admission.queueLength()) })
--- /dev/null
+++ b/internal/gateway/tunnel.go
@@ -0,0 +1,267 @@
+package gateway
+
+import (
+	"bufio"
+	"cmp"
+	"context"
+	"encoding/hex"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"crypto/hmac"
+
+	"carawayrouter.example/router/internal/gossip"
+)
+
+const (
+	tunnelPath     = "/v1/peer/tunnel"
+	headerTarget   = "Tunnel-Target" // address of the endpoint
+	headerSentAt   = "Tunnel-Sent"   // Unix s
+	headerMAC      = "Tunnel-Mac"    // of path, target and time, by the fleet's secret
+	headerRefused  = "Tunnel-Refused"
+	tunnelDialTime = 150 * time.Millisecond // for the other instance to reach the endpoint
+	tunnelTryTime  = 250 * time.Millisecond // for one instance that is asked
+	detourTimeout  = 550 * time.Millisecond // for all that are asked
+	// tunnelClockSkew is how far the clocks of two instances may differ.
+	tunnelClockSkew = time.Minute
+	maxTunnels      = 512                     // that an instance serves; each takes two descriptors
+	tunnelBuffer    = 4 << 10                 // bytes, for each direction
+	detourBackoff   = 1500 * time.Millisecond // for which an instance that did not reach an endpoint is asked last
+	detourAttempts  = 2
+)
+
+// errNoDetour means that there is no other instance to ask.
+var errNoDetour = errors.New("no other instance can be asked to reach the endpoint")
+
+// detourCandidate is an instance that may reach an endpoint for this one.
+type detourCandidate struct {
+	name       string
+	addr       string // for requests of other instances
+	dataCentre string
+	ejects     bool      // it has ejected the endpoint
+	failedAt   time.Time // when it last failed to reach an endpoint for this instance
+}
+
+// orderDetours returns the instances to ask, the best first: those that have not failed lately, that have not
+// ejected the endpoint, and that are in the data centre of this instance or of the endpoint. The others
+// take turns by a hash, so that the endpoints' connections spread over them.
+func orderDetours(now time.Time, self, dataCentre, target, targetDataCentre string, from []detourCandidate) []detourCandidate {
+	rank := func(c detourCandidate) (r int) {
+		if now.Sub(c.failedAt) < detourBackoff {
+			r += 4
+		}
+		if c.ejects {
+			r += 2
+		}
+		if c.dataCentre != dataCentre && c.dataCentre != targetDataCentre {
+			r++
+		}
+		return r
+	}
+	hash := func(c detourCandidate) uint64 { return xxhash.Sum64String(self + "\x00" + target + "\x00" + c.name) }
+	out := slices.Clone(from)
+	slices.SortFunc(out, func(a, b detourCandidate) int {
+		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(hash(a), hash(b)))
+	})
+	return out
+}
+
+// detourCandidates returns the instances that are heard.
+func (p *peers) detourCandidates(now time.Time, endpointName string) (out []detourCandidate) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name, x := range p.known {
+		if x.leaving || x.update == nil || now.Sub(x.lastUpdateAt) > peerSilenceLimit || x.row.State == "" {
+			continue
+		}
+		c := detourCandidate{name: name, addr: x.row.State, dataCentre: x.row.DataCentre, failedAt: x.detourFailedAt}
+		for _, e := range x.update.Ejected {
+			c.ejects = c.ejects || e.Endpoint == endpointName
+		}
+		out = append(out, c)
+	}
+	return out
+}
+
+func (p *peers) setDetourFailed(now time.Time, name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if x := p.known[name]; x != nil {
+		x.detourFailedAt = now
+	}
+}
+
+// dialDetour opens a connection to an endpoint through another instance. The error is ECONNREFUSED if all
+// that were asked say that the endpoint refuses.
+func (s *Server) dialDetour(ctx context.Context, addr string) (net.Conn, error) {
+	name, dataCentre := "", ""
+	for _, ep := range s.state.Current().Endpoints {
+		if ep.Addr == addr {
+			name, dataCentre = ep.Name, ep.DataCentre
+		}
+	}
+	now := time.Now()
+	order := orderDetours(now, s.settings.Instance, s.settings.DataCentre, addr, dataCentre, s.peers.detourCandidates(now, name))
+	failure, refused := error(nil), true
+	for _, c := range order[:min(len(order), detourAttempts)] {
+		nc, err := s.peers.openTunnel(ctx, c.addr, addr)
+		if err == nil {
+			return nc, nil
+		}
+		s.peers.setDetourFailed(time.Now(), c.name)
+		refused = refused && errors.Is(err, syscall.ECONNREFUSED)
+		if failure == nil || !errors.Is(err, syscall.ECONNREFUSED) {
+			failure = err
+		}
+	}
+	if failure == nil {
+		return nil, errNoDetour
+	}
+	return nil, failure
+}
+
+// tunnelMAC authenticates a request for a tunnel.
+func tunnelMAC(secret []byte, target, sentAt string) []byte {
+	return gossip.Sign([]byte(tunnelPath+"\n"+target+"\n"+sentAt), secret)
+}
+
+// openTunnel asks the instance at addr for a connection to an endpoint.
+func (p *peers) openTunnel(ctx context.Context, addr, target string) (net.Conn, error) {
+	p.mu.Lock()
+	secret := p.secret
+	p.mu.Unlock()
+	if secret == nil {
+		return nil, errNoDetour
+	}
+	ctx, cancel := context.WithTimeout(ctx, tunnelTryTime)
+	defer cancel()
+	nc, err := p.dialPeer(ctx, addr)
+	if err != nil {
+		return nil, errors.Newf("instance %s: %v", addr, err) // its refusal is not the endpoint's
+	}
+	stop := context.AfterFunc(ctx, func() { _ = nc.SetDeadline(time.Unix(1, 0)) })
+	err = requestTunnel(nc, secret, addr, target)
+	if !stop() && err == nil {
+		err = ctx.Err()
+	}
+	if err != nil {
+		_ = nc.Close()
+		return nil, err
+	}
+	return nc, nil
+}
+
+// requestTunnel makes a connection to another instance one to an endpoint.
+func requestTunnel(nc net.Conn, secret []byte, addr, target string) error {
+	sentAt := strconv.FormatInt(time.Now().Unix(), 10)
+	req := "POST " + tunnelPath + " HTTP/1.1\r\nHost: " + addr + "\r\n" +
+		headerTarget + ": " + target + "\r\n" + headerSentAt + ": " + sentAt + "\r\n" +
+		headerMAC + ": " + hex.EncodeToString(tunnelMAC(secret, target, sentAt)) + "\r\nContent-Length: 0\r\n\r\n"
+	if _, err := io.WriteString(nc, req); err != nil {
+		return errors.Wrap(err, "ask for a tunnel")
+	}
+	// Nothing follows the response before the endpoint has a request.
+	br := bufio.NewReader(nc)
+	resp, err := http.ReadResponse(br, nil)
+	if err != nil {
+		return errors.Newf("ask for a tunnel: %v", err)
+	}
+	defer resp.Body.Close()
+	switch {
+	case resp.StatusCode == http.StatusOK && br.Buffered() == 0:
+		return nil
+	case resp.Header.Get(headerRefused) != "":
+		return errors.Mark(errors.Newf("instance %s: the endpoint refuses connections", addr), syscall.ECONNREFUSED)
+	}
+	return errors.Newf("instance %s: no tunnel, status %d", addr, resp.StatusCode)
+}
+
+// serveTunnel connects another instance of the fleet, which cannot reach an endpoint, to it.
+func (p *peers) serveTunnel(ctx *fasthttp.RequestCtx) {
+	target, sentAt := string(ctx.Request.Header.Peek(headerTarget)), string(ctx.Request.Header.Peek(headerSentAt))
+	if !p.allowsTunnel(time.Now(), target, sentAt, string(ctx.Request.Header.Peek(headerMAC))) {
+		ctx.SetStatusCode(fasthttp.StatusForbidden)
+		return
+	}
+	if p.tunnels.Add(1) > maxTunnels || !p.s.mayTunnelTo(target) {
+		p.tunnels.Add(-1)
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		return
+	}
+	dialCtx, cancel := context.WithTimeout(context.Background(), tunnelDialTime)
+	defer cancel()
+	endpointConn, err := p.s.upstream.paths.direct(dialCtx, target)
+	if err != nil {
+		p.tunnels.Add(-1)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			ctx.Response.Header.Set(headerRefused, "1")
+		}
+		ctx.SetStatusCode(fasthttp.StatusBadGateway)
+		return
+	}
+	p.s.setUserTimeout(endpointConn)
+	caller := ctx.Conn()
+	p.s.setUserTimeout(caller)
+	ctx.Hijack(func(nc net.Conn) {
+		defer p.tunnels.Add(-1)
+		joinConns(nc, caller, endpointConn)
+	})
+}
+
+// allowsTunnel reports whether a request for a tunnel comes from an instance of the fleet.
+func (p *peers) allowsTunnel(now time.Time, target, sentAt, mac string) bool {
+	p.mu.Lock()
+	secret := p.secret
+	p.mu.Unlock()
+	given, err := hex.DecodeString(mac)
+	if secret == nil || err != nil || !hmac.Equal(given, tunnelMAC(secret, target, sentAt)) {
+		return false
+	}
+	seconds, err := strconv.ParseInt(sentAt, 10, 64)
+	return err == nil && now.Sub(time.Unix(seconds, 0)).Abs() <= tunnelClockSkew
+}
+
+// mayTunnelTo reports whether an address is that of an endpoint which this instance may use and reaches by
+// itself.
+func (s *Server) mayTunnelTo(addr string) bool {
+	if _, err := netip.ParseAddrPort(addr); err != nil || s.upstream.paths.isDetoured(addr) {
+		return false
+	}
+	for _, ep := range s.state.Current().Endpoints {
+		if ep.Addr == addr && !ep.Leaving {
+			return true
+		}
+	}
+	return false
+}
+
+// joinConns passes on bytes between an instance and an endpoint until one of them closes. A reset is passed on
+// as one, so that a response that breaks off does not look complete. Read is how the instance's connection
+// is read; raw is the connection itself.
+func joinConns(read io.Reader, raw, endpoint net.Conn) {
+	var wg sync.WaitGroup
+	pass := func(to, from net.Conn, r io.Reader) {
+		// Without the kernel's splice, which needs pipes.
+		_, err := io.CopyBuffer(struct{ io.Writer }{to}, struct{ io.Reader }{r}, make([]byte, tunnelBuffer))
+		for _, c := range []net.Conn{to, from} {
+			if tc, ok := c.(interface{ SetLinger(int) error }); ok && err != nil {
+				_ = tc.SetLinger(0)
+			}
+			_ = c.Close()
+		}
+	}
+	wg.Go(func() { pass(endpoint, raw, read) })
+	wg.Go(func() { pass(raw, endpoint, endpoint) })
+	wg.Wait()
+}
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -51,7 +51,7 @@
 // upstream is the connection pool for endpoints.
 type upstream struct {
 	wire       Wire
-	open       Dial
+	paths      *paths
 	onOpen     func(net.Conn)                                                 // configures a new connection
 	onResponse func(req endpointRequest, sentAt time.Time, resp ResponseInfo) // observes every response
 	mayAsk     func(endpoint string) bool                                     // reports whether an endpoint may be asked for its incarnation
@@ -69,10 +69,27 @@
 	br        *bufio.Reader
 	idleSince time.Time
 	idleTTL   time.Duration
+	detoured  bool // it goes through another instance
 
 	incarnation int64 // of the process at the other end, as it says itself; 0 if it was not asked
 }
 
+// setReader buffers what is read from the connection, and calls heard when something is.
+func (c *endpointConn) setReader(heard func()) {
+	c.limited = &io.LimitedReader{R: readerFunc(func(b []byte) (int, error) {
+		n, err := c.Conn.Read(b)
+		if n > 0 {
+			heard()
+		}
+		return n, err
+	})}
+	c.br = bufio.NewReaderSize(c.limited, readBuffer)
+}
+
+type readerFunc func(b []byte) (int, error)
+
+func (f readerFunc) Read(b []byte) (int, error) { return f(b) }
+
 // notStated is the incarnation of a process that does not state one.
 const notStated = -1
 
@@ -83,7 +100,7 @@
 var errIncarnationUnknown = errors.New("the endpoint's incarnation is not known")
 
 func newUpstream(w Wire, onOpen func(net.Conn)) *upstream {
-	return &upstream{wire: w, open: dialTCP, onOpen: onOpen, onResponse: func(endpointRequest, time.Time, ResponseInfo) {}, mayAsk: func(string) bool { return true }, idle: map[string][]*endpointConn{}}
+	return &upstream{wire: w, paths: newPaths(dialTCP, func(context.Context, string) (net.Conn, error) { return nil, errNoDetour }), onOpen: onOpen, onResponse: func(endpointRequest, time.Time, ResponseInfo) {}, mayAsk: func(string) bool { return true }, idle: map[string][]*endpointConn{}}
 }
 
 // dialTCP is the usual Dial.
@@ -110,15 +127,11 @@
 
 // dial opens a new connection to addr.
 func (u *upstream) dial(ctx context.Context, addr string) (*endpointConn, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	nc, err := u.open(ctx, addr)
+	nc, detoured, err := u.paths.open(ctx, addr)
 	if err != nil {
 		return nil, errors.Mark(err, endpoint.ErrNotSent)
 	}
-	u.onOpen(nc)
-	limited := &io.LimitedReader{R: nc}
-	return &endpointConn{Conn: nc, addr: addr, limited: limited, br: bufio.NewReaderSize(limited, readBuffer), idleTTL: defaultIdleTTL}, nil
+	return u.newConn(nc, addr, detoured), nil
 }
 
 // ensureConn makes sure that a connection to an endpoint is available, so that an unreachable one,
@@ -250,6 +263,7 @@
 		}
 	}
 	u.mu.Unlock()
+	u.paths.keep(inUse)
 	for _, c := range drop {
 		_ = c.Close()
 	}
@@ -258,7 +272,7 @@
 // reset closes a connection whose request is abandoned. Bytes that a broken link holds up are
 // dropped instead of being delivered when it heals.
 func (c *endpointConn) reset() {
-	if tc, ok := c.Conn.(*net.TCPConn); ok {
+	if tc, ok := c.Conn.(interface{ SetLinger(int) error }); ok {
 		_ = tc.SetLinger(0)
 	}
 	_ = c.Close()
@@ -332,7 +346,9 @@
 	}
 	sentAt := time.Now()
 	stopWatch := context.AfterFunc(ctx, c.reset)
+	silence := time.AfterFunc(pathSilence, func() { u.checkPath(context.WithoutCancel(ctx), req.addr, false) })
 	resp, err := u.roundTrip(c, req)
+	silence.Stop()
 	if err != nil {
 		stopWatch()
 		_ = c.Close()
