gateway: a refused connection is evidence of a crash only if other instances are refused too

Where new connections are refused by a cut link, each request that broke counted as one on which an endpoint crashes, and after three of them it was quarantined at all instances. With the detour the check usually reaches the endpoint; where the instances that are asked do not reach it either, for another reason than a refusal, the refusal counts as a failed connection now. An instance that hears no other one believes what it sees, as before.

TestUnconfirmedRefusalIsNoEvidence failed before ('not reached': taken for a refusal).

--- a/internal/gateway/path.go
+++ b/internal/gateway/path.go
@@ -4,8 +4,10 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -39,7 +41,8 @@
 // addrPath is what is known of the way to one address.
 type addrPath struct {
 	detoured  bool
-	failedAt  time.Time     // last attempt at a detour that failed
+	failure   error         // of the last attempt at a detour that failed
+	failedAt  time.Time     // of that attempt
 	delay     time.Duration // from then until the next one
 	heardAt   time.Time     // of the last bytes from there
 	checkedAt time.Time     // last check of the way because of silence
@@ -60,7 +63,7 @@
 }
 
 // open opens a connection to an address, and reports whether it takes a detour. The error is that of the
-// direct way.
+// direct way, but a refusal that no other instance confirms is only a failure: the way may be cut.
 func (p *paths) open(ctx context.Context, addr string) (nc net.Conn, detoured bool, err error) {
 	if p.isDetoured(addr) {
 		if nc, err := p.openDetour(ctx, addr); err == nil {
@@ -68,14 +71,20 @@
 		}
 	}
 	nc, err = p.openDirect(ctx, addr)
-	if err == nil || ctx.Err() != nil || !p.mayTryDetour(time.Now(), addr) {
+	if err == nil || ctx.Err() != nil {
 		return nc, false, err
 	}
-	if nc, detourErr := p.openDetour(ctx, addr); detourErr == nil {
-		p.setDetoured(addr, true)
-		return nc, true, nil
+	try, detourErr := p.mayTryDetour(time.Now(), addr)
+	if try {
+		if nc, detourErr = p.openDetour(ctx, addr); detourErr == nil {
+			p.setDetoured(addr, true)
+			return nc, true, nil
+		}
+		p.detourFailed(time.Now(), addr, detourErr)
+	}
+	if errors.Is(err, syscall.ECONNREFUSED) && !errors.IsAny(detourErr, syscall.ECONNREFUSED, errNoDetour) {
+		err = detourErr
 	}
-	p.detourFailed(time.Now(), addr)
 	return nil, false, err
 }
 
@@ -96,19 +105,20 @@
 	return p.detour(ctx, addr)
 }
 
-// mayTryDetour reports whether it is time to try a detour to an address.
-func (p *paths) mayTryDetour(now time.Time, addr string) bool {
+// mayTryDetour reports whether it is time to try a detour to an address; if not, err is that of the
+// last attempt.
+func (p *paths) mayTryDetour(now time.Time, addr string) (try bool, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	a := p.at(addr)
-	return now.Sub(a.failedAt) >= a.delay
+	return now.Sub(a.failedAt) >= a.delay, a.failure
 }
 
-func (p *paths) detourFailed(now time.Time, addr string) {
+func (p *paths) detourFailed(now time.Time, addr string, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	a := p.at(addr)
-	a.failedAt, a.delay = now, min(maxDetourDelay, max(minDetourDelay, 2*a.delay))
+	a.failure, a.failedAt, a.delay = err, now, min(maxDetourDelay, max(minDetourDelay, 2*a.delay))
 	a.detoured = false
 }
 
--- a/internal/gateway/path_test.go
+++ b/internal/gateway/path_test.go
@@ -63,6 +63,25 @@
 	assert.Assert(t, err == nil && detoured)
 }
 
+// A refusal that no other instance confirms is no evidence that the endpoint has ended: the instances that
+// were asked may be partitioned too.
+func TestUnconfirmedRefusalIsNoEvidence(t *testing.T) {
+	for name, c := range map[string]struct {
+		detour  error
+		refused bool
+	}{
+		"confirmed":         {syscall.ECONNREFUSED, true},
+		"no other instance": {errNoDetour, true},
+		"not reached":       {errors.New("the instance does not reach it either"), false},
+	} {
+		p := newPaths((&fakeWay{err: syscall.ECONNREFUSED}).dial, (&fakeWay{err: c.detour}).dial)
+		for range 2 { // the second time without a new attempt at a detour
+			_, _, err := p.open(context.Background(), "e:1")
+			assert.Equal(t, errors.Is(err, syscall.ECONNREFUSED), c.refused, name)
+		}
+	}
+}
+
 // A way is checked when nothing was heard from the endpoint while it had a request, once in a while.
 func TestSilentWayIsChecked(t *testing.T) {
 	p := newPaths(nil, nil)
