gateway: instances tell each other which endpoints have announced to leave

A connection of a partitioned instance goes through another one, which then passes on responses that announce leaving without reading them, and may be bound by them (DRAIN). What an endpoint announces is in the updates for 10 s and is final at all instances that hear them. TestAnnouncementOfLeavingReachesTheOthers.

--- a/internal/gateway/directory_test.go
+++ b/internal/gateway/directory_test.go
@@ -209,11 +209,30 @@
 	s := fleetServer()
 	s.state.directory.put(endpointEntry("i-1", 6, 1))
 	s.state.publish()
-	s.state.retire("i-1", 5)
+	s.state.retire("i-1", 5, "test")
 	assert.Assert(t, !s.state.Current().Endpoints["i-1"].Leaving)
-	s.state.retire("i-1", 6)
+	s.state.retire("i-1", 6, "test")
 	assert.Assert(t, s.state.Current().Endpoints["i-1"].Leaving)
 	s.state.directory.put(endpointEntry("i-1", 6, 2))
 	s.state.publish()
 	assert.Assert(t, s.state.Current().Endpoints["i-1"].Leaving, "a later entry of the same incarnation")
 }
+
+// The other instances learn what an endpoint has announced to one of them: a connection of that one may go
+// through them, and then they are bound by it too.
+func TestAnnouncementOfLeavingReachesTheOthers(t *testing.T) {
+	now := time.Now()
+	s, other := fleetServer(), fleetServer()
+	for _, x := range []*Server{s, other} {
+		x.state.directory.put(endpointEntry("i-1", 6, 1))
+		x.state.publish()
+	}
+	assert.Assert(t, s.state.announceLeaving(now, "i-1", 6))
+	assert.Assert(t, !s.state.announceLeaving(now, "i-1", 6), "known already")
+	u := s.peers.buildUpdate()
+	u.Instance, u.Sequence = "announcer", 1
+	other.peers.applyUpdate(now, u, netip.AddrPort{}, false)
+	assert.Assert(t, other.state.Current().Endpoints["i-1"].Leaving)
+	assert.Equal(t, len(other.peers.buildUpdate().EndpointsLeaving), 0, "only what an instance has heard itself is passed on")
+	assert.Equal(t, len(s.state.recentAnnouncements(now.Add(2*announcementReportTime))), 0)
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -124,7 +124,9 @@
 	g.upstream.onResponse = func(req endpointRequest, sentAt time.Time, resp ResponseInfo) {
 		g.recordLimit(req, sentAt, resp)
 		if req.announcesLeaving(resp) {
-			g.state.retire(req.endpoint, req.placedAt)
+			if g.state.announceLeaving(time.Now(), req.endpoint, req.placedAt) {
+				g.peers.requestUpdate()
+			}
 		}
 	}
 	if d.Dial != nil {
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -38,6 +39,7 @@
 	rawConfiguration []byte    // the configuration in force as encoded in the store
 	tablePosition    Position  // last position read of the endpoint table
 	storeFailedAt    time.Time // last time that reading the endpoint table failed
+	announced        []announcement
 }
 
 func newState(decoder RowDecoder, a *admission, log logr.Logger) *state {
@@ -129,15 +131,52 @@
 	}
 }
 
-// retire records that an incarnation of an endpoint has announced in a response that it leaves. Like an
-// entry that says so this is final, also while the store is away.
-func (s *state) retire(name string, incarnation int64) {
+// announcement is an endpoint's announcement in a response that it leaves.
+type announcement struct {
+	endpoint    string
+	incarnation int64
+	at          time.Time
+}
+
+const (
+	announcementReportTime = 10 * time.Second // for which an announcement is in the updates; many of them
+	maxAnnouncements       = 128
+)
+
+// announceLeaving records that an incarnation of an endpoint has announced in a response to this instance
+// that it leaves, and reports whether that is new.
+func (s *state) announceLeaving(now time.Time, name string, incarnation int64) bool {
+	if !s.retire(name, incarnation, "response") {
+		return false
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.directory.retire(name, incarnation) {
-		s.log.Info("endpoint.leaving", "endpoint", name, "incarnation", incarnation)
-		s.publish()
+	if len(s.announced) < maxAnnouncements {
+		s.announced = append(s.announced, announcement{name, incarnation, now})
+	}
+	return true
+}
+
+// recentAnnouncements returns the announcements to this instance that the others may not know yet.
+func (s *state) recentAnnouncements(now time.Time) []announcement {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.announced = slices.DeleteFunc(s.announced, func(a announcement) bool { return now.Sub(a.at) > announcementReportTime })
+	return slices.Clone(s.announced)
+}
+
+// retire records that an incarnation of an endpoint has announced in a response that it leaves, to this
+// instance or another one, and reports whether that is new. Like an entry that says so it is final, also
+// while the store is away.
+func (s *state) retire(name string, incarnation int64, source string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.directory.retire(name, incarnation) {
+		return false
 	}
+	s.log.Info("endpoint.leaving", "endpoint", name, "incarnation", incarnation, "source", source)
+	s.publish()
+	return true
 }
 
 // publish puts the directory's endpoints in force. The caller holds the lock.
--- a/internal/gateway/updates.go
+++ b/internal/gateway/updates.go
@@ -141,6 +141,9 @@
 	s.addQuarantine(now, u)
 	s.origins.addRecent(now, u)
 	u.KnowsQuarantine = s.quarantine.isKnown()
+	for _, a := range s.state.recentAnnouncements(now) {
+		u.EndpointsLeaving = append(u.EndpointsLeaving, gossip.LeavingEndpoint{Endpoint: a.endpoint, Incarnation: a.incarnation})
+	}
 	return u
 }
 
@@ -261,6 +264,9 @@
 	}
 	p.s.mergeQuarantine(now, u)
 	p.s.mergeLimits(u)
+	for _, e := range u.EndpointsLeaving {
+		p.s.state.retire(e.Endpoint, e.Incarnation, u.Instance)
+	}
 	p.s.origins.merge(now, u.Streams, u.Software)
 	p.s.admission.withScheduler(func(now time.Time, s *placement.Scheduler) { s.SetPeer(u.Instance, remoteOf(now, u)) })
 	return true
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -43,10 +43,19 @@
 	Begun       []BegunResponses
 	Quarantined []Quarantine
 	// KnowsQuarantine means that Quarantined has all causes that were quarantined before the start.
-	KnowsQuarantine bool
-	Limits          []EndpointLimit
-	Streams         []BegunStreams
-	Software        []SoftwareVersion
+	KnowsQuarantine  bool
+	Limits           []EndpointLimit
+	Streams          []BegunStreams
+	Software         []SoftwareVersion
+	EndpointsLeaving []LeavingEndpoint
+}
+
+// LeavingEndpoint is an endpoint that has announced to the instance, in a response, that it leaves.
+type LeavingEndpoint struct {
+	_ struct{} `cbor:",toarray"`
+
+	Endpoint    string
+	Incarnation int64
 }
 
 // EndpointLimit is the rate of requests that an endpoint has announced to accept from all
