Known red: a refusal that an endpoint writes once more is taken for the answer

Responses that name another attempt were skipped already; the same attempt can reach an endpoint twice on a connection (a generation whose engines were full), and a response without an attempt was believed.

--- a/internal/gateway/upstream_test.go
+++ b/internal/gateway/upstream_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -216,3 +217,93 @@
 	assert.ErrorIs(t, err, context.Canceled)
 	assert.ErrorIs(t, <-ended, syscall.ECONNRESET)
 }
+
+// repeatingEndpoint refuses the first request on each connection. Before each later answer on the connection
+// it writes that refusal once more. It returns its address and how many requests it has run.
+func repeatingEndpoint(t *testing.T) (addr string, ran func() int) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	var runs atomic.Int64
+	go func() {
+		for refuses := true; ; refuses = false {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				br := bufio.NewReader(c)
+				refusal := ""
+				for {
+					req, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					head := "\r\nId: " + req.Header.Get("Id") + "\r\nContent-Length: 0\r\n\r\n"
+					answer := refusal + "HTTP/1.1 200 OK" + head
+					if refuses && refusal == "" {
+						refusal = "HTTP/1.1 503 Full\r\nRefused: 1" + head
+						answer = refusal
+					} else {
+						runs.Add(1)
+					}
+					if _, err := io.WriteString(c, answer); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return ln.Addr().String(), func() int { return int(runs.Load()) }
+}
+
+// refusalWire decodes the attempt that a response belongs to, and refusals.
+type refusalWire struct{ Wire }
+
+func (refusalWire) ParseResponse(_ int, h http.Header) ResponseInfo {
+	return ResponseInfo{AttemptID: h.Get("Id"), NotRun: h.Get("Refused") != ""}
+}
+
+// An endpoint that refused a request writes the refusal once more where the answer to a later request on the
+// connection is due. It is the answer to none: neither to the same attempt, which has run now, nor to another.
+func TestRepeatedRefusalIsNotTheAnswer(t *testing.T) {
+	for _, second := range []string{"a", "b"} {
+		addr, ran := repeatingEndpoint(t)
+		u := newUpstream(refusalWire{}, func(net.Conn) {})
+		send := func(id string) *endpointResponse {
+			resp, err := u.do(context.Background(), endpointRequest{addr: addr, method: http.MethodGet, uri: "/", host: "h", attemptID: id, header: http.Header{"Id": {id}}})
+			assert.NilError(t, err)
+			_, err = resp.readAll()
+			assert.NilError(t, err)
+			resp.close()
+			return resp
+		}
+		assert.Assert(t, send("a").NotRun)
+		assert.Assert(t, !send(second).NotRun, "second attempt %s", second)
+		assert.Equal(t, ran(), 1)
+	}
+}
+
+// A response to a request with an ID that names no attempt may be a repeated one. It is not believed.
+func TestResponseWithoutItsAttemptIsNotBelieved(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer ln.Close()
+	go func() {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		_, _ = http.ReadRequest(bufio.NewReader(c))
+		_, _ = io.WriteString(c, "HTTP/1.1 503 Full\r\nRefused: 1\r\nContent-Length: 0\r\n\r\n")
+	}()
+	u := newUpstream(refusalWire{}, func(net.Conn) {})
+	resp, err := u.do(context.Background(), endpointRequest{addr: ln.Addr().String(), method: http.MethodGet, uri: "/", host: "h", attemptID: "a"})
+	if err == nil {
+		assert.Assert(t, !resp.NotRun)
+		resp.close()
+	}
+}
