gateway: a refusal that an endpoint writes once more is not taken for an answer

What callers saw elsewhere: 'not run, try again' for requests that an endpoint had run or was running, or a second run.

Cause: of the responses on a kept connection those that name another attempt were skipped, but the same attempt can come to an endpoint twice (a generation that found its engines full goes back to one of them), and then the repeated refusal names the right one. A refusal without an attempt was believed too. Ruled out: repeats that arrive before the next request (the connection is closed), and those of other attempts (skipped, both tested).

A connection on which an attempt was refused carries that attempt no more, and a refusal that names no attempt is a failed call of unknown outcome.

--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -7,6 +7,7 @@
 	"math"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -71,6 +72,10 @@
 	idleTTL   time.Duration
 	detoured  bool // it goes through another instance
 
+	// refused are the attempts that were refused on the connection, the latest last. A faulty endpoint may
+	// write a refusal once more where the answer to a later request is due.
+	refused []string
+
 	incarnation int64 // of the process at the other end, as it says itself; 0 if it was not asked
 }
 
@@ -109,15 +114,16 @@
 	return d.DialContext(ctx, "tcp", addr)
 }
 
-// get returns a connection to addr that has been idle for at most maxAge, or a new one.
-func (u *upstream) get(ctx context.Context, addr string, maxAge time.Duration) (*endpointConn, error) {
+// get returns a connection to addr that has been idle for at most maxAge, or a new one. It is one on which
+// the attempt was not refused.
+func (u *upstream) get(ctx context.Context, addr, attemptID string, maxAge time.Duration) (*endpointConn, error) {
 	for {
 		c := u.pop(addr)
 		if c == nil {
 			break
 		}
 		age := time.Since(c.idleSince)
-		if age < min(c.idleTTL, maxAge) && !c.stale() {
+		if age < min(c.idleTTL, maxAge) && !c.stale() && (attemptID == "" || !slices.Contains(c.refused, attemptID)) {
 			return c, nil
 		}
 		_ = c.Close()
@@ -125,6 +131,10 @@
 	return u.dial(ctx, addr)
 }
 
+// maxRefused bounds the refused attempts of a connection that are known. A connection with more is used
+// for no further request.
+const maxRefused = 64
+
 // dial opens a new connection to addr.
 func (u *upstream) dial(ctx context.Context, addr string) (*endpointConn, error) {
 	nc, detoured, err := u.paths.open(ctx, addr)
@@ -138,7 +148,7 @@
 // or another incarnation of it, is detected before work is done for it. With mustAnswer the
 // endpoint has to answer now, so that a silent one is detected too.
 func (u *upstream) ensureConn(ctx context.Context, ep *config.Endpoint, mustAnswer bool) error {
-	c, err := u.get(ctx, ep.Addr, defaultIdleTTL)
+	c, err := u.get(ctx, ep.Addr, "", defaultIdleTTL)
 	if err != nil {
 		return err
 	}
@@ -333,7 +343,7 @@
 	if req.sendOnce {
 		maxAge = sendOnceMaxIdle
 	}
-	c, err := u.get(ctx, req.addr, maxAge)
+	c, err := u.get(ctx, req.addr, req.attemptID, maxAge)
 	if err != nil {
 		return nil, err
 	}
@@ -388,9 +398,15 @@
 			c.limited.N = maxHeadBytes
 			continue
 		}
+		if info.NotRun && req.attemptID != "" {
+			if info.AttemptID == "" {
+				return nil, endpoint.ErrMismatch // it may be the refusal of another request
+			}
+			c.refused = append(c.refused, req.attemptID)
+		}
 		c.limited.N = math.MaxInt64
 		resp := &endpointResponse{ResponseInfo: info, Status: httpResp.StatusCode, body: httpResp.Body, conn: c, upstream: u}
-		resp.keepAlive = !httpResp.Close && skipped == 0
+		resp.keepAlive = !httpResp.Close && skipped == 0 && len(c.refused) <= maxRefused
 		resp.confirmed = c.incarnation != 0 || req.incarnation == 0 || !u.mayAsk(req.endpoint)
 		if ttl, ok := keepAliveTTL(httpResp.Header); ok {
 			c.idleTTL = ttl
