gateway: an endpoint whose entry lapsed is used again when it has registered again

Cause: 'was seen leaving' (final) and 'its entry was removed' (until it registers again) were one state, so an endpoint that was cut off from the store for longer than three heartbeats was never used again.

Class: a set that only grows.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -123,6 +123,7 @@
 
 	Incarnation int64         `json:"incarnation,omitempty"` // start of the process, Unix ms
 	Revision    uint64        `json:"revision,omitempty"`    // increases with every report of one incarnation
+	Written     uint64        `json:"written,omitempty"`     // position in the store at which the entry was written
 	WarmUp      time.Duration `json:"cold,omitempty"`        // remaining warm-up time after its start, during which it is slow
 }
 
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -15,11 +15,19 @@
 
 // directory is the instance's view of the endpoint table. It is not safe for concurrent use.
 //
-// Invariant: once an incarnation of an endpoint was seen leaving, it stays leaving.
+// It answers endpoints that are cut off from the store for longer than their entries last, and
+// come back: half of a fleet at once.
+//
+// Invariants: once an incarnation of an endpoint was seen leaving, it stays leaving. An endpoint whose entry
+// was removed is not used until an entry that was written after the removal, or of a newer incarnation, is
+// seen. Positions in the store decide which was first, so that stale reads, late changes and older
+// views of other instances bring no endpoint back that has left without a word. After a restore of the store, entries
+// of its copy are no proof either: they were written before its first answer.
 type directory struct {
 	entries       map[string]*directoryEntry
-	retired       map[string]int64 // newest incarnation seen leaving or removed, by name
-	removals      int              // entries removed since removalsSince
+	retired       map[string]int64        // newest incarnation seen leaving, by name
+	removed       map[string]removedEntry // entries that were removed and not written again, by name
+	removals      int                     // entries removed since removalsSince
 	removalsSince time.Time
 	graceUntil    time.Time // entries removed before this time may come back
 	burstUntil    time.Time // entries removed before this time may come back if a store outage was missed
@@ -28,13 +36,25 @@
 type directoryEntry struct {
 	ep             *config.Endpoint
 	removalPending bool      // the entry was removed during a store outage
+	removedAt      uint64    // position of a pending removal
 	removeAt       time.Time // when a pending removal takes effect
 	suspendAt      time.Time // when the endpoint gets no more requests until it registers again; zero for never
 	suspended      bool
+	withheld       bool // its incarnation was seen leaving, but the entry does not say so
+}
+
+// removedEntry says which entry was removed.
+type removedEntry struct {
+	Incarnation int64     `json:"incarnation"`
+	At          uint64    `json:"at"` // position in the store
+	seen        time.Time // when this instance learned of it
 }
 
+// removalMemory is how long removals are known: far longer than a read can be stale.
+const removalMemory = time.Hour
+
 func newDirectory() *directory {
-	return &directory{entries: map[string]*directoryEntry{}, retired: map[string]int64{}}
+	return &directory{entries: map[string]*directoryEntry{}, retired: map[string]int64{}, removed: map[string]removedEntry{}}
 }
 
 // storeFailed records that the store could not be used. Until shortly after its recovery,
@@ -45,12 +65,30 @@
 // the last failed call, so the full grace period starts now.
 func (d *directory) storeRecovered(now time.Time) { d.graceUntil = now.Add(reregistrationGrace) }
 
+// storeRestored records that the store was restored, and its first position since.
+func (d *directory) storeRestored(now time.Time, first uint64) {
+	d.storeRecovered(now)
+	for name, r := range d.removed {
+		r.At = max(r.At, first)
+		d.removed[name] = r
+	}
+}
+
 // put adds or updates an entry and reports whether anything changed. Entries of an older
-// incarnation, or of an older revision of the same incarnation, are ignored.
+// incarnation, of an older revision of the same incarnation, or that were written before their removal, are
+// ignored.
 func (d *directory) put(ep *config.Endpoint) bool {
+	if r, ok := d.removed[ep.Name]; ok {
+		if ep.Incarnation <= r.Incarnation && ep.Written <= r.At {
+			return false
+		}
+		delete(d.removed, ep.Name)
+	}
 	old := d.entries[ep.Name]
 	if old != nil {
 		switch {
+		case old.removalPending && ep.Incarnation <= old.ep.Incarnation && ep.Written <= old.removedAt:
+			return false
 		case ep.Incarnation < old.ep.Incarnation:
 			return false
 		case ep.Incarnation == old.ep.Incarnation && ep.Revision < old.ep.Revision:
@@ -65,7 +103,7 @@
 	if e.Leaving {
 		d.retired[e.Name] = max(d.retired[e.Name], e.Incarnation)
 	}
-	d.entries[e.Name] = &directoryEntry{ep: &e}
+	d.entries[e.Name] = &directoryEntry{ep: &e, withheld: e.Leaving && !ep.Leaving}
 	return old == nil || old.removalPending || !equalExceptRevision(old.ep, &e)
 }
 
@@ -88,14 +126,25 @@
 
 func equalExceptRevision(a, b *config.Endpoint) bool {
 	x, y := *a, *b
-	x.Revision, y.Revision = 0, 0
+	x.Revision, y.Revision, x.Written, y.Written = 0, 0, 0, 0
 	return x == y
 }
 
-// remove removes an entry that is no longer in the store.
-func (d *directory) remove(now time.Time, name string) bool {
+// remove removes an entry that is not in the store at a position.
+func (d *directory) remove(now time.Time, name string, at uint64) bool {
 	entry := d.entries[name]
-	if entry == nil || entry.removalPending {
+	if entry == nil {
+		if r, ok := d.removed[name]; ok {
+			r.At = max(r.At, at)
+			d.removed[name] = r
+		}
+		return false
+	}
+	if entry.ep.Written > at {
+		return false
+	}
+	entry.removedAt = max(entry.removedAt, at)
+	if entry.removalPending {
 		return false
 	}
 	if now.Before(d.graceUntil) {
@@ -109,7 +158,7 @@
 		entry.removalPending, entry.removeAt, entry.suspendAt = true, d.burstUntil, now.Add(suspendDelay)
 		return false
 	}
-	d.drop(name)
+	d.drop(now, name)
 	return true
 }
 
@@ -134,11 +183,27 @@
 	removalBurstMin     = 2
 )
 
-func (d *directory) drop(name string) {
-	d.retired[name] = max(d.retired[name], d.entries[name].ep.Incarnation)
+func (d *directory) drop(now time.Time, name string) {
+	entry := d.entries[name]
+	d.removed[name] = removedEntry{Incarnation: entry.ep.Incarnation, At: entry.removedAt, seen: now}
 	delete(d.entries, name)
 }
 
+// mergeRemoved applies a removal that another instance has seen.
+func (d *directory) mergeRemoved(now time.Time, name string, r removedEntry) bool {
+	entry := d.entries[name]
+	if entry != nil && (entry.ep.Incarnation > r.Incarnation || entry.ep.Written > r.At) {
+		return false
+	}
+	if old, ok := d.removed[name]; ok && old.At >= r.At {
+		return false
+	}
+	r.seen = now
+	d.removed[name] = r
+	delete(d.entries, name)
+	return entry != nil
+}
+
 // merge applies an entry from another instance. It may be older than what this instance has read;
 // then it does not restore an entry that was removed since.
 func (d *directory) merge(ep *config.Endpoint) bool {
@@ -152,7 +217,7 @@
 	return d.put(ep)
 }
 
-// retire records that an incarnation was seen leaving, by a response or by another instance.
+// retire records that an incarnation was seen leaving, by this instance or by another one.
 func (d *directory) retire(name string, incarnation int64) bool {
 	if old, ok := d.retired[name]; ok && old >= incarnation {
 		return false
@@ -161,14 +226,14 @@
 	if entry := d.entries[name]; entry != nil && entry.ep.Incarnation <= incarnation && !entry.ep.Leaving {
 		e := *entry.ep
 		e.Leaving = true
-		entry.ep = &e
+		entry.ep, entry.withheld = &e, true
 		return true
 	}
 	return false
 }
 
-// replace applies a full read of the table: entries that are missing from it are removed.
-func (d *directory) replace(now time.Time, eps []*config.Endpoint) bool {
+// replace applies a full read of the table at a position: entries that are missing from it are removed.
+func (d *directory) replace(now time.Time, eps []*config.Endpoint, at uint64) bool {
 	present := map[string]bool{}
 	changed := false
 	for _, ep := range eps {
@@ -177,7 +242,7 @@
 	}
 	for name := range d.entries {
 		if !present[name] {
-			changed = d.remove(now, name) || changed
+			changed = d.remove(now, name, at) || changed
 		}
 	}
 	return changed
@@ -187,11 +252,12 @@
 // may have left.
 func (d *directory) expire(now time.Time) bool {
 	changed := false
+	maps.DeleteFunc(d.removed, func(_ string, r removedEntry) bool { return now.Sub(r.seen) > removalMemory })
 	for name, entry := range d.entries {
 		switch {
 		case !entry.removalPending:
 		case !now.Before(entry.removeAt):
-			d.drop(name)
+			d.drop(now, name)
 			changed = true
 		case !entry.suspended && !entry.suspendAt.IsZero() && !now.Before(entry.suspendAt):
 			entry.suspended, changed = true, true
@@ -222,3 +288,19 @@
 	slices.SortFunc(out, func(a, b *config.Endpoint) int { return strings.Compare(a.Name, b.Name) })
 	return out
 }
+
+// withholds reports whether an endpoint is not used although its entry does not say that it leaves.
+func (d *directory) withholds(name string) bool {
+	entry := d.entries[name]
+	return entry != nil && (entry.withheld || entry.suspended)
+}
+
+// countWithheld returns how many endpoints are not used although their entries do not say that they leave.
+func (d *directory) countWithheld() (n int) {
+	for name := range d.entries {
+		if d.withholds(name) {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/gateway/peerstate.go
+++ b/internal/gateway/peerstate.go
@@ -21,6 +21,7 @@
 	EndpointsVersion     uint64                   `json:"directory"` // a Position.order
 	Endpoints            []*config.Endpoint       `json:"endpoints"`
 	Retired              map[string]int64         `json:"retired"`
+	Removed              map[string]removedEntry  `json:"removed,omitempty"`
 	Secret               []byte                   `json:"secret"`
 	Instances            map[string]instanceRow   `json:"instances"`
 	Listed               bool                     `json:"listed"` // Instances are all that have rows
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -246,7 +246,6 @@
 				s.state.storeFailed(time.Now())
 			},
 			onRecovery: func() { s.state.storeRecovered(time.Now()) },
-			onRestore:  func() { s.state.storeRecovered(time.Now()) },
 		},
 	}
 }
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -92,6 +92,9 @@
 		return // another instance has already told of the restored store
 	}
 	if at.Era > s.tablePosition.Era {
+		if s.tablePosition != (Position{}) {
+			s.directory.storeRestored(now, at.order())
+		}
 		s.tablePosition = Position{Era: at.Era}
 	}
 	for _, r := range rows {
@@ -100,8 +103,9 @@
 	changed := s.directory.expire(now)
 	var eps []*config.Endpoint
 	for _, r := range rows {
+		written := Position{Era: at.Era, Version: r.Version}.order()
 		if r.Deleted {
-			if s.directory.remove(now, r.Key) {
+			if s.directory.remove(now, r.Key, written) {
 				s.log.Info("endpoint.gone", "endpoint", r.Key, "version", r.Version)
 				changed = true
 			}
@@ -110,20 +114,21 @@
 		ep, err := s.decoder.DecodeEndpoint(r.Key, r.Value)
 		if err != nil {
 			s.log.Info("endpoint.unreadable", "endpoint", r.Key, "version", r.Version, "cause", err.Error())
-			changed = s.directory.remove(now, r.Key) || changed
+			changed = s.directory.remove(now, r.Key, written) || changed
 			continue
 		}
+		ep.Written = written
 		if full {
 			eps = append(eps, ep)
 			continue
 		}
 		if s.directory.put(ep) {
-			s.log.Info("endpoint.seen", "endpoint", ep.Name, "addr", ep.Addr, "pool", ep.Pool, "role", ep.Role, "software", ep.SoftwareVersion, "leaving", ep.Leaving, "incarnation", ep.Incarnation)
+			s.log.Info("endpoint.seen", "endpoint", ep.Name, "addr", ep.Addr, "pool", ep.Pool, "role", ep.Role, "software", ep.SoftwareVersion, "leaving", ep.Leaving, "withheld", s.directory.withholds(ep.Name), "incarnation", ep.Incarnation)
 			changed = true
 		}
 	}
 	if full {
-		changed = s.directory.replace(now, eps) || changed
+		changed = s.directory.replace(now, eps, at.order()) || changed
 		s.log.Info("endpoint.table", "endpoints", len(eps), "changed", changed)
 	}
 	if changed {
@@ -221,6 +226,13 @@
 	return time.Since(s.storeFailedAt) < storeDownTime
 }
 
+// countWithheld returns how many endpoints are not used although their entries do not say that they leave.
+func (s *state) countWithheld() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.directory.countWithheld()
+}
+
 // endpointsPosition returns the position of the newest known endpoint entry.
 func (s *state) endpointsPosition() Position {
 	s.mu.Lock()
@@ -238,6 +250,7 @@
 		EndpointsVersion:     s.tablePosition.order(),
 		Endpoints:            s.directory.known(),
 		Retired:              maps.Clone(s.directory.retired),
+		Removed:              maps.Clone(s.directory.removed),
 	}
 }
 
@@ -256,6 +269,9 @@
 	for _, ep := range p.Endpoints {
 		changed = s.directory.merge(ep) || changed
 	}
+	for name, r := range p.Removed {
+		changed = s.directory.mergeRemoved(now, name, r) || changed
+	}
 	for name, incarnation := range p.Retired {
 		changed = s.directory.retire(name, incarnation) || changed
 	}
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -88,6 +88,7 @@
 	set.NewGauge("caraway_endpoints_unreachable", func() float64 { return float64(s.unreachable.Load()) })
 	set.NewGauge("caraway_instances", func() float64 { return float64(s.peers.fleetSize()) })
 	set.NewGauge("caraway_waiting", func() float64 { return float64(s.admission.queueLength()) })
+	set.NewGauge("caraway_endpoints_withheld", func() float64 { return float64(s.state.countWithheld()) })
 	set.NewGauge("caraway_endpoints_limited", func() float64 { return float64(s.admission.countLimited()) })
 	set.NewGauge("caraway_quarantined_causes", func() float64 { return float64(s.quarantine.count()) })
 	set.NewGauge("caraway_store_away", func() float64 {
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -40,7 +40,6 @@
 	apply      func(rows []Row, at Position, full bool)
 	onFailure  func() // called after every failed call; may be nil
 	onRecovery func() // called after the first successful call that follows a failure, before its rows are applied; may be nil
-	onRestore  func() // called when the store was restored, before its rows are applied; may be nil
 	era        *storeEra
 
 	mu        sync.Mutex
@@ -91,9 +90,6 @@
 		w.era.raise(at.Era)
 		if at.Era > after.Era && after != (Position{}) {
 			w.log.Info("store.restored", "table", w.table.String(), "era", at.Era, "before", after.Era, "version", at.Version, "after", after.Version, "whole", full)
-			if w.onRestore != nil {
-				w.onRestore()
-			}
 			if !full {
 				after, loaded = Position{Era: at.Era}, false
 				sleepJitter(ctx, restoreReadDelay)
