gateway: an endpoint that refuses with Retry-After gets no request before that

An endpoint in a pause is given no request of any kind by this instance. A generation whose engine asks for one during its prefill is moved.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -45,11 +45,12 @@
 			return l, nil
 		}
 	}
-	if !a.sched.HasUsableEndpoint(now, w.Demand) {
+	pause := a.sched.PauseLeft(now, w.Demand.Pool) // for which a generation waits, if its caller does
+	if !a.sched.HasUsableEndpoint(now, w.Demand) && (pause == 0 || now.Add(pause).After(w.Deadline)) {
 		a.mu.Unlock()
-		return nil, refusal(errkind.NoEndpoint, "no engine can be used", time.Second)
+		return nil, refusal(errkind.NoEndpoint, "no engine can be used", max(pause, time.Second))
 	}
-	if wait := a.queue.PredictWait(now, a.sched, w); now.Add(wait).After(w.Deadline) {
+	if wait := a.queue.PredictWait(now, a.sched, w); pause == 0 && now.Add(wait).After(w.Deadline) {
 		a.mu.Unlock()
 		return nil, refusal(errkind.QueueFull, "the engines are full", wait)
 	}
@@ -104,7 +105,16 @@
 	if wait := a.sched.NextTurn(now, d.Pool); wait > 0 {
 		return nil, refusal(errkind.EndpointLimit, "the endpoints accept no more requests for now", wait+rand.N(limitRetrySpread))
 	}
-	return nil, refusal(errkind.NoEndpoint, "no endpoint can be used", endpointRetryAfter)
+	return nil, refusal(errkind.NoEndpoint, "no endpoint can be used", a.noEndpointRetryAfter(now, d.Pool))
+}
+
+// noEndpointRetryAfter returns when a pool without a usable endpoint is worth another try: when the first one
+// wants requests again, if that is known. The caller holds the lock.
+func (a *admission) noEndpointRetryAfter(now time.Time, pool string) time.Duration {
+	if left := a.sched.PauseLeft(now, pool); left > 0 {
+		return left + rand.N(limitRetrySpread)
+	}
+	return endpointRetryAfter
 }
 
 // limitRetrySpread is over how long the callers that are refused until the same time return, at
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -90,8 +90,10 @@
 	Running       int
 	Queued        int
 	Leaving       bool // the endpoint announces that it leaves
-	Limit         AnnouncedLimit
-	Headers       http.Header // headers to forward
+	// Pause is for how long the endpoint wants no request from this instance.
+	Pause   time.Duration
+	Limit   AnnouncedLimit
+	Headers http.Header // headers to forward
 }
 
 // AnnouncedLimit is the rate of requests that an endpoint accepts from all instances together,
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -431,7 +431,7 @@
 		err = context.Cause(ctx)
 	}
 	done = err != nil
-	if err == nil && p != nil && g.s.isLeaving(l.Target) && !g.redirect(l, g.demand(), sched.Abandoned, errEngineLeft) {
+	if err == nil && p != nil && !g.s.mayStillSend(l.Target) && !g.redirect(l, g.demand(), sched.Abandoned, errEngineLeft) {
 		err = errEngineLeft
 	}
 	if err != nil {
@@ -449,6 +449,11 @@
 	return now == nil || now.Leaving || now.Incarnation != ep.Incarnation
 }
 
+// mayStillSend reports whether a request may be sent to an endpoint that was chosen for it some time ago.
+func (s *Server) mayStillSend(ep *config.Endpoint) bool {
+	return !s.isLeaving(ep) && !s.admission.isPaused(ep.Name)
+}
+
 // sendRun sends the request to the lease's decode engine.
 func (g *generation) sendRun(l *placement.Lease, p *prefillResult) *engineRun {
 	g.countSend()
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -11,7 +11,7 @@
 // recordLimit records whether an endpoint's response announces a limit. Responses that may not be
 // the endpoint's, and refusals, do not end a limit.
 func (s *Server) recordLimit(req endpointRequest, sentAt time.Time, resp ResponseInfo) {
-	if req.endpoint == "" || resp.WrongEndpoint || (resp.EndpointName != "" && resp.EndpointName != req.endpoint) {
+	if !req.isAnsweredBy(resp) {
 		return
 	}
 	identified := resp.EndpointName != "" || (req.attemptID != "" && resp.AttemptID == req.attemptID)
@@ -30,6 +30,24 @@
 	}
 }
 
+// recordPause records that an endpoint wants no request from this instance for a time.
+func (s *Server) recordPause(req endpointRequest, resp ResponseInfo) {
+	if resp.Pause <= 0 || !req.isAnsweredBy(resp) {
+		return
+	}
+	began := false
+	s.admission.withScheduler(func(now time.Time, p *placement.Scheduler) { began = p.Pause(now, req.endpoint, resp.Pause) })
+	if began {
+		s.log.Info("endpoint.paused", "endpoint", req.endpoint, "ms", resp.Pause.Milliseconds())
+	}
+}
+
+// isPaused reports whether an endpoint wants no request from this instance now.
+func (a *admission) isPaused(endpoint string) (ok bool) {
+	a.withScheduler(func(now time.Time, s *placement.Scheduler) { ok = s.IsPaused(now, endpoint) })
+	return ok
+}
+
 func (s *Server) logLimit(endpoint string, limited bool, rate float64, source string) {
 	if limited {
 		s.log.Info("endpoint.limited", "endpoint", endpoint, "rate", rate, "source", source)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -123,6 +123,7 @@
 	g.upstream = newUpstream(d.Wire, g.setUserTimeout)
 	g.upstream.onResponse = func(req endpointRequest, sentAt time.Time, resp ResponseInfo) {
 		g.recordLimit(req, sentAt, resp)
+		g.recordPause(req, resp)
 		if req.announcesLeaving(resp) {
 			if g.state.announceLeaving(time.Now(), req.endpoint, req.placedAt) {
 				g.peers.requestUpdate()
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -202,7 +202,7 @@
 	}
 	if resp.NotRun {
 		outcome = refusedOutcome(resp)
-		return false, refusal(errkind.NoEndpoint, "the endpoint refused the request", endpointRetryAfter)
+		return false, refusal(errkind.NoEndpoint, "the endpoint refused the request", max(resp.Pause, endpointRetryAfter))
 	}
 	x.runs++
 	if err := checkResponse(resp); err != nil {
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -329,10 +329,15 @@
 	confirmed bool // it comes from the incarnation that the request was meant for, as far as endpoints say
 }
 
+// isAnsweredBy reports whether a response may be that of the endpoint that the request was meant for.
+func (r endpointRequest) isAnsweredBy(resp ResponseInfo) bool {
+	return r.endpoint != "" && !resp.WrongEndpoint && (resp.EndpointName == "" || resp.EndpointName == r.endpoint)
+}
+
 // announcesLeaving reports whether the endpoint that the request was meant for has announced in its
 // response that it leaves.
 func (r endpointRequest) announcesLeaving(resp ResponseInfo) bool {
-	return resp.Leaving && r.endpoint != "" && !resp.WrongEndpoint && (resp.EndpointName == "" || resp.EndpointName == r.endpoint)
+	return resp.Leaving && r.isAnsweredBy(resp)
 }
 
 // do sends a request and reads the header of its response. Ctx applies until the response is
--- a/internal/placement/endpoint.go
+++ b/internal/placement/endpoint.go
@@ -42,6 +42,7 @@
 	unreachable  bool // ejected because no connection could be made
 	replaced     bool // another endpoint answers at its address, so this incarnation has ended
 	fullUntil    time.Time
+	pausedUntil  time.Time // until when the endpoint wants no request from this instance
 
 	peerLoads     map[string]peerLoad  // by instance
 	peerEjections map[string]time.Time // end of the ejections in force at other instances, by instance
@@ -73,9 +74,12 @@
 
 // available reports whether the endpoint may be given new work.
 func (x *endpointState) available(now time.Time) bool {
-	return !x.ep.Leaving && !x.replaced && !now.Before(x.ejectedUntil)
+	return !x.ep.Leaving && !x.replaced && !now.Before(x.ejectedUntil) && !x.paused(now)
 }
 
+// paused reports whether the endpoint wants no request from this instance now.
+func (x *endpointState) paused(now time.Time) bool { return now.Before(x.pausedUntil) }
+
 // ejectedByPeer reports whether another instance has ejected the endpoint. The fault may be
 // in that instance's own connection, so the endpoint is only chosen last.
 func (x *endpointState) ejectedByPeer(now time.Time) bool {
--- a/internal/placement/limits.go
+++ b/internal/placement/limits.go
@@ -38,7 +38,7 @@
 	if x == nil {
 		return true
 	}
-	if !s.ready(now, x) {
+	if x.paused(now) || !s.ready(now, x) {
 		return false
 	}
 	x.pacer.Take(now, s.member)
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -293,7 +293,7 @@
 	var available, failing []*endpointState
 	for _, x := range s.rotatedPool(d.Pool) {
 		switch {
-		case x.ep.Leaving || x.replaced || slices.Contains(d.Exclude, x.ep.Name):
+		case x.ep.Leaving || x.replaced || x.paused(now) || slices.Contains(d.Exclude, x.ep.Name):
 		case x.available(now):
 			available = append(available, x)
 		case !x.unreachable:
@@ -387,7 +387,7 @@
 // succeeds.
 func (s *Scheduler) EachUnreachable(now time.Time, visit func(*config.Endpoint)) {
 	for _, x := range s.endpoints {
-		if x.unreachable && !x.replaced && now.Before(x.ejectedUntil) {
+		if x.unreachable && !x.replaced && now.Before(x.ejectedUntil) && !x.paused(now) {
 			visit(x.ep)
 		}
 	}
