gateway: tunnels are given up for an instance that drains

An instance that drains serves the tunnels that it has until its process ends, which breaks requests of the instance behind them. It takes no new ones now, and a tunnel carries new requests for two seconds only, so that the last ones end before the exit.

--- a/internal/gateway/path.go
+++ b/internal/gateway/path.go
@@ -30,9 +30,9 @@
 // make one, and until a direct connection succeeds again.
 type paths struct {
 	direct Dial
-	detour Dial           // through another instance; an endpoint that refuses there too gives ECONNREFUSED
-	onCut  func(a string) // called when connections to an address begin to take a detour
-	onBack func(a string) // called when they no longer do
+	detour Dial              // through another instance; an endpoint that refuses there too gives ECONNREFUSED
+	onCut  func(addr string) // called when connections to an address begin to take a detour
+	onBack func(addr string) // called when they no longer do
 
 	mu    sync.Mutex
 	addrs map[string]*addrPath
@@ -261,7 +261,7 @@
 // newConn returns an open connection to an endpoint's address.
 func (u *upstream) newConn(nc net.Conn, addr string, detoured bool) *endpointConn {
 	u.onOpen(nc)
-	c := &endpointConn{Conn: nc, addr: addr, detoured: detoured, idleTTL: defaultIdleTTL}
+	c := &endpointConn{Conn: nc, addr: addr, detoured: detoured, openedAt: time.Now(), idleTTL: defaultIdleTTL}
 	c.setReader(func() { u.paths.heard(time.Now(), addr) })
 	return c
 }
--- a/internal/gateway/path_test.go
+++ b/internal/gateway/path_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
 )
 
@@ -180,3 +181,29 @@
 		<-joined
 	}
 }
+
+// A tunnel is not used for new requests for long, as the instance that serves it may drain; that one takes no new
+// ones then.
+func TestTunnelsAreGivenUpForAnInstanceThatDrains(t *testing.T) {
+	a, _ := tcpPair(t)
+	u := testUpstream()
+	direct, tunnel := u.newConn(a, "e:1", false), u.newConn(a, "e:1", true)
+	assert.Assert(t, !direct.outdated() && !tunnel.outdated())
+	direct.openedAt, tunnel.openedAt = time.Time{}, time.Time{}
+	assert.Assert(t, !direct.outdated() && tunnel.outdated())
+
+	s := newTestServer("127.0.0.1:1", time.Now())
+	s.peers.secret = []byte("secret")
+	sentAt := strconv.FormatInt(time.Now().Unix(), 10)
+	var ctx fasthttp.RequestCtx
+	ctx.Request.Header.Set(headerTarget, "127.0.0.1:1")
+	ctx.Request.Header.Set(headerSentAt, sentAt)
+	ctx.Request.Header.Set(headerMAC, hex.EncodeToString(tunnelMAC(s.peers.secret, "127.0.0.1:1", sentAt)))
+	s.peers.serveTunnel(&ctx)
+	assert.Equal(t, ctx.Response.StatusCode(), fasthttp.StatusBadGateway, "nothing listens there")
+	assert.Equal(t, string(ctx.Response.Header.Peek(headerRefused)), "1")
+	s.draining.Store(true)
+	s.peers.serveTunnel(&ctx)
+	assert.Equal(t, ctx.Response.StatusCode(), fasthttp.StatusServiceUnavailable)
+	assert.Equal(t, s.peers.tunnels.Load(), int64(0))
+}
--- a/internal/gateway/tunnel.go
+++ b/internal/gateway/tunnel.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"cmp"
 	"context"
+	"crypto/hmac"
 	"encoding/hex"
 	"io"
 	"net"
@@ -19,8 +20,6 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
-	"crypto/hmac"
-
 	"carawayrouter.example/router/internal/gossip"
 )
 
@@ -39,6 +38,9 @@
 	tunnelBuffer    = 4 << 10                 // bytes, for each direction
 	detourBackoff   = 1500 * time.Millisecond // for which an instance that did not reach an endpoint is asked last
 	detourAttempts  = 2
+	// maxTunnelAge is how long a tunnel is used for new requests: an instance that drains serves the tunnels that
+	// it has until its end, and no new ones.
+	maxTunnelAge = 2 * time.Second
 )
 
 // errNoDetour means that there is no other instance to ask.
@@ -194,7 +196,7 @@
 		ctx.SetStatusCode(fasthttp.StatusForbidden)
 		return
 	}
-	if p.tunnels.Add(1) > maxTunnels || !p.s.mayTunnelTo(target) {
+	if p.tunnels.Add(1) > maxTunnels || p.s.draining.Load() || !p.s.mayTunnelTo(target) {
 		p.tunnels.Add(-1)
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		return
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -71,6 +71,7 @@
 	idleSince time.Time
 	idleTTL   time.Duration
 	detoured  bool // it goes through another instance
+	openedAt  time.Time
 
 	// refused are the attempts that were refused on the connection, the latest last. A faulty endpoint may
 	// write a refusal once more where the answer to a later request is due.
@@ -123,7 +124,7 @@
 			break
 		}
 		age := time.Since(c.idleSince)
-		if age < min(c.idleTTL, maxAge) && !c.stale() && (attemptID == "" || !slices.Contains(c.refused, attemptID)) {
+		if age < min(c.idleTTL, maxAge) && !c.outdated() && !c.stale() && (attemptID == "" || !slices.Contains(c.refused, attemptID)) {
 			return c, nil
 		}
 		_ = c.Close()
@@ -288,6 +289,9 @@
 	_ = c.Close()
 }
 
+// outdated reports whether the connection is a tunnel that is not used any more.
+func (c *endpointConn) outdated() bool { return c.detoured && time.Since(c.openedAt) > maxTunnelAge }
+
 // stale reports whether the endpoint has closed the idle connection or sent unsolicited bytes.
 func (c *endpointConn) stale() bool {
 	if c.br.Buffered() > 0 {
