gateway: each response is read for a pause, and none is overlooked before a send

An endpoint that had asked for a pause got requests in it (BUDGET) where its refusal was one of a request for its incarnation, did not name the attempt, or came late: such responses did not pass the place where pauses are recorded. Now every response on a connection does, before anything decides whose it is. And a request that was placed before the pause could be sent in it, after a slow connection; the pause is asked right before each request is written.

The log line says what was refused; a counter counts pauses.

--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -35,17 +35,23 @@
 	if resp.Pause <= 0 || !req.isAnsweredBy(resp) {
 		return
 	}
+	s.pause(req.endpoint, resp.Pause, req.sender)
+}
+
+// pause records that an endpoint wants no request from this instance for a time. Cause says what it has refused.
+func (s *Server) pause(endpoint string, d time.Duration, cause string) {
 	began := false
-	s.admission.withScheduler(func(now time.Time, p *placement.Scheduler) { began = p.Pause(now, req.endpoint, resp.Pause) })
+	s.admission.withScheduler(func(now time.Time, p *placement.Scheduler) { began = p.Pause(now, endpoint, d) })
 	if began {
-		s.log.Info("endpoint.paused", "endpoint", req.endpoint, "ms", resp.Pause.Milliseconds())
+		s.stats.pauses.Inc()
+		s.log.Info("endpoint.paused", "endpoint", endpoint, "ms", d.Milliseconds(), "refused", cause)
 	}
 }
 
-// isPaused reports whether an endpoint wants no request from this instance now.
-func (a *admission) isPaused(endpoint string) (ok bool) {
-	a.withScheduler(func(now time.Time, s *placement.Scheduler) { ok = s.IsPaused(now, endpoint) })
-	return ok
+// pausedFor returns for how long an endpoint wants no request from this instance, or 0.
+func (a *admission) pausedFor(endpoint string) (left time.Duration) {
+	a.withScheduler(func(now time.Time, s *placement.Scheduler) { left = s.PausedFor(now, endpoint) })
+	return left
 }
 
 func (s *Server) logLimit(endpoint string, limited bool, rate float64, source string) {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -123,6 +123,8 @@
 	g.upstream = newUpstream(d.Wire, g.setUserTimeout)
 	g.upstream.onResponse = func(req endpointRequest, sentAt time.Time, resp ResponseInfo) {
 		g.recordLimit(req, sentAt, resp)
+	}
+	g.upstream.onAnnouncement = func(req endpointRequest, resp ResponseInfo) {
 		g.recordPause(req, resp)
 		if req.announcesLeaving(resp) {
 			if g.state.announceLeaving(time.Now(), req.endpoint, req.placedAt) {
@@ -135,6 +137,7 @@
 	}
 	g.upstream.paths.detour, g.upstream.paths.onCut, g.upstream.paths.onBack = g.dialDetour, g.pathCut, g.pathBack
 	g.upstream.mayAsk = g.admission.isUnlimited
+	g.upstream.pausedFor = g.admission.pausedFor
 	g.state = newState(d.RowDecoder, g.admission, d.Log)
 	g.origins = newOrigins(d.Store, s.Instance, g.state)
 	g.state.onEndpoint, g.state.onMove, g.origins.synced = g.origins.seeSoftware, g.origins.routesMoved, g.synced
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -34,6 +34,7 @@
 	omitted           *metrics.Counter
 	tokensCharged     *metrics.Counter
 	crashes           *metrics.Counter
+	pauses            *metrics.Counter
 
 	callLatency *metrics.PrometheusHistogram
 	firstEvent  *metrics.PrometheusHistogram
@@ -69,6 +70,7 @@
 		omitted:           set.NewCounter("caraway_log_requests_omitted_total"),
 		tokensCharged:     set.NewCounter("caraway_tokens_charged_total"),
 		crashes:           set.NewCounter("caraway_endpoint_crashes_total"),
+		pauses:            set.NewCounter("caraway_endpoint_pauses_total"),
 		callLatency:       set.NewPrometheusHistogramExt("caraway_plain_request_seconds", latencyBounds),
 		firstEvent:        set.NewPrometheusHistogramExt("caraway_first_event_seconds", latencyBounds),
 		longestGap:        set.NewPrometheusHistogramExt("caraway_longest_pause_seconds", latencyBounds),
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -54,8 +54,12 @@
 	wire       Wire
 	paths      *paths
 	onOpen     func(net.Conn)                                                 // configures a new connection
-	onResponse func(req endpointRequest, sentAt time.Time, resp ResponseInfo) // observes every response
-	mayAsk     func(endpoint string) bool                                     // reports whether an endpoint may be asked for its incarnation
+	onResponse func(req endpointRequest, sentAt time.Time, resp ResponseInfo) // observes the response to every request
+	// onAnnouncement observes whatever else an endpoint responds too: to requests for its incarnation, late
+	// responses, and those that another instance receives through this one.
+	onAnnouncement func(req endpointRequest, resp ResponseInfo)
+	mayAsk         func(endpoint string) bool          // reports whether an endpoint may be asked for its incarnation
+	pausedFor      func(endpoint string) time.Duration // returns for how long an endpoint wants no request
 
 	buffered atomic.Int64 // bytes of response bodies in memory
 
@@ -102,11 +106,15 @@
 // errOtherIncarnation means that the process at an endpoint's address is not the one in its entry.
 var errOtherIncarnation = errors.New("another incarnation of the endpoint answers at its address")
 
+// errPaused means that an endpoint wants no request now.
+var errPaused = errors.New("the endpoint has asked for a pause")
+
 // errIncarnationUnknown means that an endpoint did not say which incarnation it is.
 var errIncarnationUnknown = errors.New("the endpoint's incarnation is not known")
 
 func newUpstream(w Wire, onOpen func(net.Conn)) *upstream {
-	return &upstream{wire: w, paths: newPaths(dialTCP, func(context.Context, string) (net.Conn, error) { return nil, errNoDetour }), onOpen: onOpen, onResponse: func(endpointRequest, time.Time, ResponseInfo) {}, mayAsk: func(string) bool { return true }, idle: map[string][]*endpointConn{}}
+	return &upstream{wire: w, paths: newPaths(dialTCP, func(context.Context, string) (net.Conn, error) { return nil, errNoDetour }), onOpen: onOpen, onResponse: func(endpointRequest, time.Time, ResponseInfo) {}, onAnnouncement: func(endpointRequest, ResponseInfo) {},
+		mayAsk: func(string) bool { return true }, pausedFor: func(string) time.Duration { return 0 }, idle: map[string][]*endpointConn{}}
 }
 
 // dialTCP is the usual Dial.
@@ -174,6 +182,10 @@
 	if c.incarnation == 0 && !u.mayAsk(req.endpoint) {
 		return c, nil
 	}
+	if c.incarnation == 0 && u.pausedFor(req.endpoint) > 0 {
+		u.put(c)
+		return nil, errors.Mark(errPaused, endpoint.ErrNotSent)
+	}
 	if c.incarnation == 0 {
 		if err := u.askIncarnation(ctx, c, req); err != nil {
 			_ = c.Close()
@@ -200,7 +212,7 @@
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	defer context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })()
-	resp, err := u.roundTrip(c, endpointRequest{method: http.MethodGet, uri: u.wire.ReportPath(), host: req.addr})
+	resp, err := u.roundTrip(c, endpointRequest{endpoint: req.endpoint, placedAt: req.incarnation, sender: "incarnation", method: http.MethodGet, uri: u.wire.ReportPath(), host: req.addr})
 	if err != nil {
 		return err
 	}
@@ -313,6 +325,7 @@
 	attemptID string // attempt that the response must belong to; empty accepts any
 	sendOnce  bool   // must not be sent on a connection that may be closing
 	placedAt  int64  // incarnation in the endpoint's entry when it was chosen
+	sender    string // what sends it, for the log; empty for a caller's request
 
 	incarnation int64 // of the endpoint; 0 accepts any
 	mustConfirm bool  // is sent only to an endpoint that has said to be the incarnation, or says none
@@ -363,6 +376,11 @@
 		u.put(c)
 		return nil, errors.Mark(context.Cause(ctx), endpoint.ErrNotSent)
 	}
+	// The endpoint may have asked for a pause since the request was placed.
+	if u.pausedFor(req.endpoint) > 0 {
+		u.put(c)
+		return nil, errors.Mark(errPaused, endpoint.ErrNotSent)
+	}
 	sentAt := time.Now()
 	stopWatch := context.AfterFunc(ctx, c.reset)
 	silence := time.AfterFunc(pathSilence, func() { u.checkPath(context.WithoutCancel(ctx), req.addr, false) })
@@ -395,6 +413,7 @@
 			continue
 		}
 		info := u.wire.ParseResponse(httpResp.StatusCode, httpResp.Header)
+		u.onAnnouncement(req, info)
 		if req.attemptID != "" && info.AttemptID != "" && info.AttemptID != req.attemptID {
 			// A late response to an earlier request on this connection.
 			if skipped++; skipped > maxSkipped {
--- a/internal/gateway/upstream_test.go
+++ b/internal/gateway/upstream_test.go
@@ -13,7 +13,10 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
+
+	"carawayrouter.example/router/internal/endpoint"
 )
 
 // endless serves one connection after the other: it sends start and then filler until the
@@ -307,3 +310,53 @@
 		resp.close()
 	}
 }
+
+// An endpoint that asks for a pause while the connection for a request is opened, or its incarnation is asked
+// for, does not get the request.
+func TestRequestPlacedBeforeAPauseIsNotSentInIt(t *testing.T) {
+	for name, incarnation := range map[string]int64{"connecting": 0, "asking for the incarnation": 7} {
+		t.Run(name, func(t *testing.T) {
+			var paused atomic.Bool
+			requests := make(chan string, 10)
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			defer ln.Close()
+			go func() {
+				for {
+					nc, err := ln.Accept()
+					if err != nil {
+						return
+					}
+					paused.Store(true)
+					go func() {
+						req, err := http.ReadRequest(bufio.NewReader(nc))
+						if err == nil {
+							requests <- req.URL.Path
+						}
+						_ = nc.Close()
+					}()
+				}
+			}()
+			u := testUpstream()
+			u.paths.direct = func(ctx context.Context, addr string) (net.Conn, error) {
+				nc, err := dialTCP(ctx, addr)
+				paused.Store(true)
+				return nc, err
+			}
+			u.pausedFor = func(string) time.Duration {
+				if paused.Load() {
+					return time.Second
+				}
+				return 0
+			}
+			_, err = u.do(context.Background(), endpointRequest{endpoint: "e", addr: ln.Addr().String(), method: http.MethodGet, uri: "/", host: "h", incarnation: incarnation})
+			assert.ErrorIs(t, err, errPaused)
+			assert.Assert(t, errors.Is(err, endpoint.ErrNotSent))
+			select {
+			case path := <-requests:
+				t.Fatalf("%s was sent", path)
+			case <-time.After(50 * time.Millisecond):
+			}
+		})
+	}
+}
--- a/internal/placement/pause.go
+++ b/internal/placement/pause.go
@@ -21,10 +21,13 @@
 	return began
 }
 
-// IsPaused reports whether an endpoint wants no request from this instance now.
-func (s *Scheduler) IsPaused(now time.Time, endpoint string) bool {
+// PausedFor returns for how long an endpoint wants no request from this instance, or 0.
+func (s *Scheduler) PausedFor(now time.Time, endpoint string) time.Duration {
 	x := s.endpoints[endpoint]
-	return x != nil && x.paused(now)
+	if x == nil {
+		return 0
+	}
+	return max(0, x.pausedUntil.Sub(now))
 }
 
 // PauseLeft returns how long it takes until an endpoint that is needed for a pool's requests wants requests
