placement: what an endpoint's incarnation has announced outlives its entry

A pause, and a limit, lived in the record of the endpoint that goes with its entry. The record is kept while there is no entry, for a minute or until the pause ends, and goes on if the same incarnation comes back; after a move or another role only what it has announced does.

--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -80,7 +80,7 @@
 		s.onEndpoint(time.Now(), ep)
 	}
 	s.current.Store(next)
-	s.admission.withScheduler(func(_ time.Time, p *placement.Scheduler) { p.SetEndpoints(next) })
+	s.admission.withScheduler(func(now time.Time, p *placement.Scheduler) { p.SetEndpoints(now, next) })
 }
 
 // applyEndpoints applies rows of the endpoint table, read at a position. With full, the rows are
--- a/internal/placement/limits.go
+++ b/internal/placement/limits.go
@@ -34,7 +34,7 @@
 // TakeTurn uses a turn of this instance at an endpoint for a request without a lease, and reports
 // whether there was one. Endpoints without a limit always have one.
 func (s *Scheduler) TakeTurn(now time.Time, endpoint string) bool {
-	x := s.endpoints[endpoint]
+	x := s.known(endpoint)
 	if x == nil {
 		return true
 	}
@@ -48,14 +48,14 @@
 // RecordLimit records a response of an endpoint that announces a limit, in requests per second.
 // It reports whether the limit has changed.
 func (s *Scheduler) RecordLimit(now time.Time, endpoint string, rate float64) (changed bool) {
-	x := s.endpoints[endpoint]
+	x := s.known(endpoint)
 	return x != nil && x.pacer.Announced(now, rate)
 }
 
 // RecordNoLimit records a response of an endpoint that announces no limit, to a request sent at
 // the given time. It reports whether the limit has changed.
 func (s *Scheduler) RecordNoLimit(now, sentAt time.Time, endpoint string) (changed bool) {
-	x := s.endpoints[endpoint]
+	x := s.known(endpoint)
 	return x != nil && x.pacer.Unannounced(now, sentAt)
 }
 
@@ -69,7 +69,7 @@
 // MergeLimit applies what another instance has observed of a limit, and reports whether the limit
 // has changed.
 func (s *Scheduler) MergeLimit(now time.Time, l EndpointLimit) (changed bool) {
-	x := s.endpoints[l.Endpoint]
+	x := s.known(l.Endpoint)
 	return x != nil && x.ep.Incarnation == l.Incarnation && x.pacer.Merge(now, l.Limit)
 }
 
@@ -84,7 +84,7 @@
 
 // IsLimited reports whether the endpoint announces a limit.
 func (s *Scheduler) IsLimited(endpoint string) bool {
-	x := s.endpoints[endpoint]
+	x := s.known(endpoint)
 	return x != nil && x.pacer.Limit().Limited
 }
 
--- a/internal/placement/limits_test.go
+++ b/internal/placement/limits_test.go
@@ -151,7 +151,7 @@
 	for i := range 3 {
 		o.Endpoints = append(o.Endpoints, &config.Endpoint{Name: fmt.Sprintf("plain-%d", i), Pool: servicePool, Addr: "10.0.0.1:1", Role: config.Plain, Incarnation: 2, Slots: 6})
 	}
-	s.SetEndpoints(config.Build(2, o))
+	s.SetEndpoints(start, config.Build(2, o))
 	assert.Assert(t, s.AcquireService(start, Demand{Pool: servicePool}) != nil)
 	assert.Assert(t, s.TakeTurn(start, "plain-0") && s.TakeTurn(start, "unknown"))
 }
--- a/internal/placement/pause.go
+++ b/internal/placement/pause.go
@@ -10,7 +10,7 @@
 // answers endpoints in an overload that each instance would try again every few milliseconds. It reports
 // whether a pause has begun; a shorter one does not end a longer one.
 func (s *Scheduler) Pause(now time.Time, endpoint string, d time.Duration) (began bool) {
-	x := s.endpoints[endpoint]
+	x := s.known(endpoint)
 	if x == nil {
 		return false
 	}
@@ -23,7 +23,7 @@
 
 // PausedFor returns for how long an endpoint wants no request from this instance, or 0.
 func (s *Scheduler) PausedFor(now time.Time, endpoint string) time.Duration {
-	x := s.endpoints[endpoint]
+	x := s.known(endpoint)
 	if x == nil {
 		return 0
 	}
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -69,6 +69,7 @@
 	dataCentre string
 	rand       *rand.Rand
 	endpoints  map[string]*endpointState
+	absent     map[string]absentEndpoint // without an entry
 	pools      map[string][]*endpointState
 	peers      map[string]*PeerState
 	member     pacing.Member // this instance's place in the fleet
@@ -76,12 +77,12 @@
 
 // New returns a Scheduler without endpoints, for an instance in the given data centre.
 func New(dataCentre string, r *rand.Rand) *Scheduler {
-	return &Scheduler{dataCentre: dataCentre, rand: r, endpoints: map[string]*endpointState{}, pools: map[string][]*endpointState{}, peers: map[string]*PeerState{}, member: pacing.Member{Count: 1}}
+	return &Scheduler{dataCentre: dataCentre, rand: r, endpoints: map[string]*endpointState{}, absent: map[string]absentEndpoint{}, pools: map[string][]*endpointState{}, peers: map[string]*PeerState{}, member: pacing.Member{Count: 1}}
 }
 
-// SetEndpoints replaces the endpoints. The state of an endpoint is kept while its name,
-// address, incarnation and role stay the same.
-func (s *Scheduler) SetEndpoints(state *config.State) {
+// SetEndpoints replaces the endpoints. What is known of an endpoint's incarnation outlives its entry; see
+// entered.
+func (s *Scheduler) SetEndpoints(now time.Time, state *config.State) {
 	old := s.endpoints
 	s.endpoints = make(map[string]*endpointState, len(state.Endpoints))
 	s.pools = map[string][]*endpointState{}
@@ -90,14 +91,25 @@
 		if pool == nil {
 			continue
 		}
-		x := old[name]
-		if x == nil || x.ep.Addr != ep.Addr || x.ep.Incarnation != ep.Incarnation || x.ep.Role != ep.Role {
-			x = newEndpointState(ep, pool.Engine)
+		x, present := old[name]
+		if !present {
+			x = s.absent[name].endpointState
 		}
-		x.ep, x.spec = ep, pool.Engine
+		delete(s.absent, name)
+		x = entered(x, ep, pool.Engine, !present)
 		s.endpoints[name] = x
 		s.pools[ep.Pool] = append(s.pools[ep.Pool], x)
 	}
+	for name, x := range old {
+		if s.endpoints[name] == nil {
+			s.absent[name] = absentEndpoint{x, now}
+		}
+	}
+	for name, x := range s.absent {
+		if now.Sub(x.since) > absentRetention && !x.paused(now) {
+			delete(s.absent, name)
+		}
+	}
 	for name, peer := range s.peers {
 		s.SetPeer(name, peer)
 	}
--- a/internal/placement/scheduler_test.go
+++ b/internal/placement/scheduler_test.go
@@ -40,7 +40,7 @@
 
 func newScheduler(seed uint64, st *config.State) *Scheduler {
 	s := New("a", rand.New(rand.NewPCG(seed, 1)))
-	s.SetEndpoints(st)
+	s.SetEndpoints(start, st)
 	return s
 }
 
@@ -289,6 +289,6 @@
 	}
 	restarted := *old
 	restarted.Incarnation++
-	s.SetEndpoints(st.Replace(2, &config.Objects{Endpoints: []*config.Endpoint{&restarted}}))
+	s.SetEndpoints(start, st.Replace(2, &config.Objects{Endpoints: []*config.Endpoint{&restarted}}))
 	assert.Equal(t, s.AcquireService(start, Demand{Pool: servicePool}).Target.Name, old.Name)
 }
