gateway: a pause binds the instance that the endpoint sees

A request of an instance that is partitioned from an endpoint reaches it from the instance that serves the tunnel. Now it reads the responses that it passes on, opens no tunnel to an endpoint that wants nothing from it, and says for how long; a tunnel is used for new requests for 300 ms. An instance of the former build is refused as before and tries another one. Weighed: telling pauses by updates, which the former build would refuse.

--- a/internal/gateway/path.go
+++ b/internal/gateway/path.go
@@ -66,8 +66,9 @@
 // direct way, but a refusal that no other instance confirms is only a failure: the way may be cut.
 func (p *paths) open(ctx context.Context, addr string) (nc net.Conn, detoured bool, err error) {
 	if p.isDetoured(addr) {
-		if nc, err := p.openDetour(ctx, addr); err == nil {
-			return nc, true, nil
+		nc, err := p.openDetour(ctx, addr)
+		if err == nil || errors.Is(err, errPaused) {
+			return nc, true, err
 		}
 	}
 	nc, err = p.openDirect(ctx, addr)
@@ -80,6 +81,9 @@
 			p.setDetoured(addr, true)
 			return nc, true, nil
 		}
+		if errors.Is(detourErr, errPaused) {
+			return nil, false, detourErr
+		}
 		p.detourFailed(time.Now(), addr, detourErr)
 	}
 	if errors.Is(err, syscall.ECONNREFUSED) && !errors.IsAny(detourErr, syscall.ECONNREFUSED, errNoDetour) {
--- a/internal/gateway/path_test.go
+++ b/internal/gateway/path_test.go
@@ -165,7 +165,7 @@
 		joined := make(chan struct{})
 		go func() {
 			defer close(joined)
-			joinConns(served, served, dialled)
+			joinConns(served, served, dialled, io.Discard)
 		}()
 		_, err := io.WriteString(endpoint, "response")
 		assert.NilError(t, err)
--- a/internal/gateway/tunnel.go
+++ b/internal/gateway/tunnel.go
@@ -7,6 +7,7 @@
 	"crypto/hmac"
 	"encoding/hex"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/netip"
@@ -20,6 +21,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"carawayrouter.example/router/internal/config"
 	"carawayrouter.example/router/internal/gossip"
 )
 
@@ -29,6 +31,7 @@
 	headerSentAt   = "Tunnel-Sent"   // Unix s
 	headerMAC      = "Tunnel-Mac"    // of path, target and time, by the fleet's secret
 	headerRefused  = "Tunnel-Refused"
+	headerPaused   = "Tunnel-Paused"        // ms for which the endpoint wants no request from the instance
 	tunnelDialTime = 150 * time.Millisecond // for the other instance to reach the endpoint
 	tunnelTryTime  = 250 * time.Millisecond // for one instance that is asked
 	detourTimeout  = 550 * time.Millisecond // for all that are asked
@@ -38,9 +41,10 @@
 	tunnelBuffer    = 4 << 10                 // bytes, for each direction
 	detourBackoff   = 1500 * time.Millisecond // for which an instance that did not reach an endpoint is asked last
 	detourAttempts  = 2
-	// maxTunnelAge is how long a tunnel is used for new requests: an instance that drains serves the tunnels that
-	// it has until its end, and no new ones.
-	maxTunnelAge = 2 * time.Second
+	// maxTunnelAge is how long a tunnel is used for new requests: an instance that drains, or that the endpoint has
+	// asked for a pause, serves the tunnels that it has, and no new ones. It is shorter than the time in which
+	// requests may still reach an endpoint that has asked for a pause.
+	maxTunnelAge = 300 * time.Millisecond
 )
 
 // errNoDetour means that there is no other instance to ask.
@@ -115,24 +119,40 @@
 	}
 	now := time.Now()
 	order := orderDetours(now, s.settings.Instance, s.settings.DataCentre, addr, dataCentre, s.peers.detourCandidates(now, name))
-	failure, refused := error(nil), true
+	failure, refused, pause := error(nil), true, time.Duration(0)
 	for _, c := range order[:min(len(order), detourAttempts)] {
 		nc, err := s.peers.openTunnel(ctx, c.addr, addr)
 		if err == nil {
 			return nc, nil
 		}
+		var paused *pausedElsewhere
+		if errors.As(err, &paused) {
+			if pause == 0 || paused.left < pause {
+				pause = paused.left
+			}
+			continue
+		}
 		s.peers.setDetourFailed(time.Now(), c.name)
 		refused = refused && errors.Is(err, syscall.ECONNREFUSED)
 		if failure == nil || !errors.Is(err, syscall.ECONNREFUSED) {
 			failure = err
 		}
 	}
+	if pause > 0 {
+		s.pause(name, pause, "tunnel")
+		return nil, errPaused
+	}
 	if failure == nil {
 		return nil, errNoDetour
 	}
 	return nil, failure
 }
 
+// pausedElsewhere means that an endpoint wants no request from the instance that was asked for a tunnel.
+type pausedElsewhere struct{ left time.Duration }
+
+func (p *pausedElsewhere) Error() string { return "the endpoint has asked the instance for a pause" }
+
 // tunnelMAC authenticates a request for a tunnel.
 func tunnelMAC(secret []byte, target, sentAt string) []byte {
 	return gossip.Sign([]byte(tunnelPath+"\n"+target+"\n"+sentAt), secret)
@@ -183,6 +203,12 @@
 	switch {
 	case resp.StatusCode == http.StatusOK && br.Buffered() == 0:
 		return nil
+	case resp.Header.Get(headerPaused) != "":
+		ms, err := strconv.ParseInt(resp.Header.Get(headerPaused), 10, 64)
+		if err != nil || ms <= 0 {
+			return errors.Newf("instance %s: bad pause of the endpoint", addr)
+		}
+		return &pausedElsewhere{left: time.Duration(ms) * time.Millisecond}
 	case resp.Header.Get(headerRefused) != "":
 		return errors.Mark(errors.Newf("instance %s: the endpoint refuses connections", addr), syscall.ECONNREFUSED)
 	}
@@ -196,11 +222,18 @@
 		ctx.SetStatusCode(fasthttp.StatusForbidden)
 		return
 	}
-	if p.tunnels.Add(1) > maxTunnels || p.s.draining.Load() || !p.s.mayTunnelTo(target) {
+	ep := p.s.tunnelTarget(target)
+	if p.tunnels.Add(1) > maxTunnels || p.s.draining.Load() || ep == nil {
 		p.tunnels.Add(-1)
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		return
 	}
+	if left := p.s.admission.pausedFor(ep.Name); left > 0 {
+		p.tunnels.Add(-1)
+		ctx.Response.Header.Set(headerPaused, strconv.FormatInt(max(1, left.Milliseconds()), 10))
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		return
+	}
 	dialCtx, cancel := context.WithTimeout(context.Background(), tunnelDialTime)
 	defer cancel()
 	endpointConn, err := p.s.upstream.paths.direct(dialCtx, target)
@@ -217,7 +250,10 @@
 	p.s.setUserTimeout(caller)
 	ctx.Hijack(func(nc net.Conn) {
 		defer p.tunnels.Add(-1)
-		joinConns(nc, caller, endpointConn)
+		responses, observed := io.Pipe()
+		go p.s.upstream.observeResponses(responses, endpointRequest{endpoint: ep.Name, placedAt: ep.Incarnation, sender: "tunnel"})
+		joinConns(nc, caller, endpointConn, observed)
+		_ = observed.Close()
 	})
 }
 
@@ -234,24 +270,46 @@
 	return err == nil && now.Sub(time.Unix(seconds, 0)).Abs() <= tunnelClockSkew
 }
 
-// mayTunnelTo reports whether an address is that of an endpoint which this instance may use and reaches by
-// itself.
-func (s *Server) mayTunnelTo(addr string) bool {
+// tunnelTarget returns the endpoint at an address which this instance may use and reaches by itself, or nil.
+func (s *Server) tunnelTarget(addr string) *config.Endpoint {
 	if _, err := netip.ParseAddrPort(addr); err != nil || s.upstream.paths.isDetoured(addr) {
-		return false
+		return nil
 	}
 	for _, ep := range s.state.Current().Endpoints {
 		if ep.Addr == addr && !ep.Leaving {
-			return true
+			return ep
+		}
+	}
+	return nil
+}
+
+// observeResponses reads the responses that an endpoint sends through a tunnel. The endpoint knows only the
+// instance that serves the tunnel, and means it with what it announces.
+func (u *upstream) observeResponses(r io.Reader, req endpointRequest) {
+	limited := &io.LimitedReader{R: r}
+	br := bufio.NewReaderSize(limited, tunnelBuffer)
+	for {
+		limited.N = maxHeadBytes
+		resp, err := http.ReadResponse(br, nil)
+		limited.N = math.MaxInt64
+		if err != nil {
+			_, _ = io.Copy(io.Discard, r) // the tunnel goes on
+			return
+		}
+		if resp.StatusCode >= http.StatusOK {
+			u.onAnnouncement(req, u.wire.ParseResponse(resp.StatusCode, resp.Header))
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			_, _ = io.Copy(io.Discard, r)
+			return
 		}
 	}
-	return false
 }
 
 // joinConns passes on bytes between an instance and an endpoint until one of them closes. A reset is passed on
 // as one, so that a response that breaks off does not look complete. Read is how the instance's connection
-// is read; raw is the connection itself.
-func joinConns(read io.Reader, raw, endpoint net.Conn) {
+// is read; raw is the connection itself. What the endpoint sends is written to observer before it is passed on.
+func joinConns(read io.Reader, raw, endpoint net.Conn, observer io.Writer) {
 	var wg sync.WaitGroup
 	pass := func(to, from net.Conn, r io.Reader) {
 		// Without the kernel's splice, which needs pipes.
@@ -264,6 +322,6 @@
 		}
 	}
 	wg.Go(func() { pass(endpoint, raw, read) })
-	wg.Go(func() { pass(raw, endpoint, endpoint) })
+	wg.Go(func() { pass(raw, endpoint, io.TeeReader(endpoint, observer)) })
 	wg.Wait()
 }
