--- a/internal/gateway/upstream_test.go
+++ b/internal/gateway/upstream_test.go
@@ -360,3 +360,38 @@
 		})
 	}
 }
+
+// A response that breaks off anywhere, in its head, its body or the framing of it, is an error.
+func TestResponseThatBreaksOffIsAnError(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nId: mine\r\nX: y\r\n"
+	for name, response := range map[string]string{
+		"with a length": head + "Content-Length: 4\r\n\r\nbody",
+		"in chunks":     head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+		"interim":       "HTTP/1.1 100 Continue\r\n\r\n" + head + "Content-Length: 4\r\n\r\nbody",
+	} {
+		t.Run(name, func(t *testing.T) {
+			for end := range len(response) + 1 {
+				server, client := net.Pipe()
+				go func() {
+					_, _ = http.ReadRequest(bufio.NewReader(server))
+					_, _ = io.WriteString(server, response[:end])
+					_ = server.Close()
+				}()
+				u := newUpstream(idWire{}, func(net.Conn) {})
+				u.paths.direct = func(context.Context, string) (net.Conn, error) { return client, nil }
+				var body []byte
+				resp, err := u.do(context.Background(), endpointRequest{addr: "a", method: http.MethodGet, uri: "/", host: "h", attemptID: "mine"})
+				if err == nil {
+					body, err = resp.readAll()
+					resp.close()
+				}
+				if end < len(response) {
+					assert.Assert(t, err != nil, "no error after %q", response[:end])
+					continue
+				}
+				assert.NilError(t, err)
+				assert.Equal(t, string(body), "body")
+			}
+		})
+	}
+}
