gateway: an instance that stops accepts what ends before it does

Calls that arrived late in the grace period of a planned stop were passed on and ran, and got 502 when the process ended; those that may not be repeated were lost to their callers. Streams were refused from 2.9 s on, whether they would end in time or not. The cause: whether a request is accepted went by fixed times, not by how long it takes. Now by the longest of the last requests of its pool, for streams by their length, with a margin, or the caller's own deadline; asked at arrival and again when it gets an engine. What is refused has not run, and its caller goes elsewhere. The end of the grace period goes by the steady clock there too.

--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -11,7 +11,6 @@
 
 	"carawayrouter.example/router/internal/config"
 	"carawayrouter.example/router/internal/endpoint"
-	"carawayrouter.example/router/internal/errkind"
 	"carawayrouter.example/router/internal/placement"
 	"carawayrouter.example/router/internal/sched"
 )
@@ -58,9 +57,6 @@
 }
 
 func (x *exchange) generation(ctx context.Context) error {
-	if x.s.refusesStreams() {
-		return refusal(errkind.ShuttingDown, "this instance is shutting down", shutdownRetryAfter)
-	}
 	g := &generation{exchange: x, ctx: ctx, silence: time.NewTimer(x.engineTimeout())}
 	defer g.silence.Stop()
 	defer g.abandonAll()
@@ -403,7 +399,11 @@
 			g.s.admission.release(l, outcome)
 		}
 	}()
-	if err := g.admit(); err != nil {
+	err = g.admit()
+	if err == nil && g.sends == 0 {
+		err = g.endsBeforeExit() // it may have waited for the lease
+	}
+	if err != nil {
 		return nil, true, err
 	}
 	// A standby is worth nothing at an engine that is silent too.
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -76,6 +76,9 @@
 	if err := x.route(); err != nil {
 		return err
 	}
+	if err := x.endsBeforeExit(); err != nil {
+		return err
+	}
 	if err := x.admit(); err != nil {
 		return err
 	}
@@ -255,6 +258,7 @@
 func (x *exchange) report(err error) {
 	c, r := x.call, x.resp
 	took := time.Since(c.Arrived)
+	x.observeTime(took)
 	outcome := x.outcome(err)
 	x.s.stats.requests[outcome].Inc()
 	switch {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -26,10 +26,7 @@
 	sweepInterval = time.Second // for idle connections
 	// balancerDelay is how long the balancer may keep sending callers after the instance has
 	// stopped being ready: two readiness probes, one per second, and their responses.
-	balancerDelay = 3200 * time.Millisecond
-	// streamStartLimit is how long after the start of a drain new streams are accepted: they
-	// take some seconds, and the platform kills the process after the grace period.
-	streamStartLimit    = 2900 * time.Millisecond
+	balancerDelay       = 3200 * time.Millisecond
 	callDrainTime       = 800 * time.Millisecond // before exit, for running service calls to end
 	exitMargin          = 400 * time.Millisecond // before the platform kills the process
 	exitAnswerTime      = 150 * time.Millisecond // before exit, to answer the requests that are still in progress
@@ -89,7 +86,8 @@
 	connMu sync.Mutex
 	conns  map[net.Conn]struct{}
 
-	drainStartedAt atomic.Int64 // start of the drain, Unix ns
+	drainStartedAt atomic.Pointer[time.Time] // set before draining
+	times          requestTimes
 }
 
 // New returns a Server that has no configuration yet.
@@ -377,10 +375,10 @@
 // running ones.
 func (s *Server) shutDown(ln net.Listener) {
 	began := time.Now()
-	s.drainStartedAt.Store(began.UnixNano())
+	s.drainStartedAt.Store(&began)
 	s.draining.Store(true)
 	s.log.Info("process.drain", "active", s.active.Load())
-	deadline := began.Add(s.settings.GracePeriod - exitMargin)
+	deadline := s.exitAt()
 	for time.Now().Before(deadline.Add(-callDrainTime)) {
 		deregistered := time.Since(began) >= balancerDelay
 		if deregistered && s.active.Load() == 0 {
@@ -392,7 +390,7 @@
 	// none.
 	s.stopping.Store(true)
 	_ = ln.Close()
-	answerAll := time.AfterFunc(time.Until(deadline.Add(-exitAnswerTime)), func() {
+	answerAll := time.AfterFunc(time.Until(s.answerBy()), func() {
 		s.exit(refusal(errkind.ShuttingDown, "this instance is shutting down", shutdownRetryAfter))
 	})
 	defer answerAll.Stop()
@@ -402,9 +400,3 @@
 	}
 	s.log.Info("process.stop", "cut", s.active.Load(), "ms", time.Since(began).Milliseconds())
 }
-
-// refusesStreams reports whether a stream that starts now might be interrupted by the end of
-// the process.
-func (s *Server) refusesStreams() bool {
-	return s.draining.Load() && time.Since(time.Unix(0, s.drainStartedAt.Load())) > streamStartLimit
-}
