gateway: instances of a build without tunnels are no witnesses of a refused connection

An instance that cannot connect asks others whether they can; one of a build without tunnels answers 404, which counted as not confirming the refusal, so that crashes were taken for partitions and no request was quarantined. Such an instance is passed over now, and another one is asked.

TestInstancesWithoutTunnelsAreNotEvidence failed before (in two of its four cases).

--- a/internal/gateway/path_test.go
+++ b/internal/gateway/path_test.go
@@ -1,10 +1,12 @@
 package gateway
 
 import (
+	"bufio"
 	"context"
 	"encoding/hex"
 	"io"
 	"net"
+	"net/http"
 	"strconv"
 	"syscall"
 	"testing"
@@ -13,6 +15,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
+
+	"carawayrouter.example/router/internal/gossip"
 )
 
 // fakeWay is a way to endpoints with a fixed result.
@@ -207,3 +211,45 @@
 	assert.Equal(t, ctx.Response.StatusCode(), fasthttp.StatusServiceUnavailable)
 	assert.Equal(t, s.peers.tunnels.Load(), int64(0))
 }
+
+// Instances of a build that serves no tunnels say nothing about an endpoint: another one is asked, and a refused
+// connection is evidence if there is none.
+func TestInstancesWithoutTunnelsAreNotEvidence(t *testing.T) {
+	const refused = "HTTP/1.1 502 Bad Gateway\r\n" + headerRefused + ": 1\r\nContent-Length: 0\r\n\r\n"
+	const unreached = "HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\n\r\n"
+	const noTunnels = "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
+	for name, c := range map[string]struct {
+		answers []string
+		want    error
+	}{
+		"one of them refuses":    {[]string{noTunnels, noTunnels, noTunnels, refused}, syscall.ECONNREFUSED},
+		"none serves tunnels":    {[]string{noTunnels, noTunnels, noTunnels}, errNoDetour},
+		"one does not reach it":  {[]string{noTunnels, noTunnels, unreached}, nil},
+		"two of them are enough": {[]string{refused, noTunnels, refused, noTunnels}, syscall.ECONNREFUSED},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := fleetServer()
+			s.peers.secret = []byte("secret")
+			now := time.Now()
+			for i := range c.answers {
+				addr := strconv.Itoa(i)
+				s.peers.known[addr] = &peer{row: instanceRow{State: addr}, update: &gossip.Update{Instance: addr}, lastUpdateAt: now}
+			}
+			s.peers.dialPeer = func(_ context.Context, addr string) (net.Conn, error) {
+				i, err := strconv.Atoi(addr)
+				assert.NilError(t, err)
+				server, client := net.Pipe()
+				go func() {
+					_, _ = http.ReadRequest(bufio.NewReader(server))
+					_, _ = io.WriteString(server, c.answers[i])
+					_ = server.Close()
+				}()
+				return client, nil
+			}
+			_, err := s.dialDetour(context.Background(), "e:1")
+			assert.Assert(t, err != nil)
+			assert.Equal(t, errors.Is(err, syscall.ECONNREFUSED), c.want == syscall.ECONNREFUSED, "%v", err)
+			assert.Equal(t, errors.Is(err, errNoDetour), c.want == errNoDetour, "%v", err)
+		})
+	}
+}
--- a/internal/gateway/tunnel.go
+++ b/internal/gateway/tunnel.go
@@ -50,6 +50,10 @@
 // errNoDetour means that there is no other instance to ask.
 var errNoDetour = errors.New("no other instance can be asked to reach the endpoint")
 
+// errNoTunnels means that an instance is of a build that serves no tunnels. Whether it reaches the endpoint is
+// not known.
+var errNoTunnels = errors.New("the instance serves no tunnels")
+
 // detourCandidate is an instance that may reach an endpoint for this one.
 type detourCandidate struct {
 	name       string
@@ -120,11 +124,17 @@
 	now := time.Now()
 	order := orderDetours(now, s.settings.Instance, s.settings.DataCentre, addr, dataCentre, s.peers.detourCandidates(now, name))
 	failure, refused, pause := error(nil), true, time.Duration(0)
-	for _, c := range order[:min(len(order), detourAttempts)] {
+	for attempts := 0; attempts < detourAttempts && len(order) > 0 && ctx.Err() == nil; order = order[1:] {
+		c := order[0]
 		nc, err := s.peers.openTunnel(ctx, c.addr, addr)
 		if err == nil {
 			return nc, nil
 		}
+		if errors.Is(err, errNoTunnels) {
+			s.peers.setDetourFailed(time.Now(), c.name)
+			continue
+		}
+		attempts++
 		var paused *pausedElsewhere
 		if errors.As(err, &paused) {
 			if pause == 0 || paused.left < pause {
@@ -142,10 +152,13 @@
 		s.pause(name, pause, "tunnel")
 		return nil, errPaused
 	}
-	if failure == nil {
-		return nil, errNoDetour
+	switch {
+	case failure != nil:
+		return nil, failure
+	case ctx.Err() != nil:
+		return nil, ctx.Err()
 	}
-	return nil, failure
+	return nil, errNoDetour
 }
 
 // pausedElsewhere means that an endpoint wants no request from the instance that was asked for a tunnel.
@@ -209,6 +222,8 @@
 			return errors.Newf("instance %s: bad pause of the endpoint", addr)
 		}
 		return &pausedElsewhere{left: time.Duration(ms) * time.Millisecond}
+	case resp.StatusCode == http.StatusNotFound:
+		return errNoTunnels
 	case resp.Header.Get(headerRefused) != "":
 		return errors.Mark(errors.Newf("instance %s: the endpoint refuses connections", addr), syscall.ECONNREFUSED)
 	}
