--- a/cmd/caraway-soak/main.go
+++ b/cmd/caraway-soak/main.go
@@ -17,6 +17,7 @@
 
 type args struct {
 	Binary    string `arg:"--binary" default:"target/caraway-entry" placeholder:"FILE" help:"router daemon to run"`
+	Former    string `arg:"--former" placeholder:"FILE" help:"daemon of another build; each start of an instance has one of the two"`
 	Seed      uint64 `arg:"--seed" default:"1" help:"first seed"`
 	Seeds     int    `arg:"--seeds" default:"1" help:"number of consecutive seeds to run"`
 	Instances int    `arg:"--instances" default:"4" help:"number of daemons"`
@@ -61,7 +62,13 @@
 	if err != nil {
 		return false, err
 	}
-	r, err := soak.Run(ctx, soak.Options{Binary: binary, Dir: dir, Seed: seed, Instances: a.Instances, Rounds: a.Rounds, Timed: !a.Untimed, Releases: a.Releases, LowRate: a.LowRate, Log: func(format string, args ...any) {
+	former := a.Former
+	if former != "" {
+		if former, err = filepath.Abs(former); err != nil {
+			return false, err
+		}
+	}
+	r, err := soak.Run(ctx, soak.Options{Binary: binary, Former: former, Dir: dir, Seed: seed, Instances: a.Instances, Rounds: a.Rounds, Timed: !a.Untimed, Releases: a.Releases, LowRate: a.LowRate, Log: func(format string, args ...any) {
 		if a.Verbose {
 			fmt.Printf(format+"\n", args...)
 		}
