placement: a pause ends with its time, not with the endpoint's restart

The users' rule excuses a restart of the instance, not one of the endpoint. An endpoint that comes back under its name in an overload has not said that its pause is over.

--- a/internal/placement/absent.go
+++ b/internal/placement/absent.go
@@ -29,15 +29,21 @@
 // nothing is, and returned says that it had no entry meanwhile. It answers endpoints whose entries lapse in an
 // overload: what they have asked for must not be forgotten with the entry.
 //
-//   - A former incarnation leaves nothing behind.
-//   - What the incarnation has announced (its pause, its limit) outlives its entry, its address and its role.
+//   - A pause ends with its time only: who restarts in an overload has not said that it is over.
+//   - A limit that the incarnation has announced outlives its entry, its address and its role. Besides the pause, a
+//     former incarnation leaves nothing behind.
 //   - What was measured and which requests it has belong to the address and the role.
 //   - An entry that comes back ends what was concluded from the address alone: that nothing, or another endpoint,
 //     answers there.
 func entered(x *endpointState, ep *config.Endpoint, spec *config.EngineSpec, returned bool) *endpointState {
-	if x == nil || x.ep.Incarnation != ep.Incarnation {
+	if x == nil {
 		return newEndpointState(ep, spec)
 	}
+	if x.ep.Incarnation != ep.Incarnation {
+		restarted := newEndpointState(ep, spec)
+		restarted.pausedUntil = x.pausedUntil
+		return restarted
+	}
 	if x.ep.Addr != ep.Addr || x.ep.Role != ep.Role {
 		moved := newEndpointState(ep, spec)
 		moved.pausedUntil, moved.pacer = x.pausedUntil, x.pacer
