--- a/internal/gateway/updates.go
+++ b/internal/gateway/updates.go
@@ -68,7 +68,7 @@
 		return false, fleet
 	}
 	if asRelay {
-		to[gossip.CurrentForm] = append(to[gossip.CurrentForm], netip.AddrPort{})
+		to[gossip.CurrentForm] = nil // for the batch
 	}
 	for form, addrs := range to {
 		b, err := gossip.EncodeForm(u, form, secret)
@@ -76,11 +76,10 @@
 			p.log.Error(err, "update.not_sent")
 			return false, fleet
 		}
+		if asRelay {
+			p.enqueueRelay(relayedUpdate{instance: u.Instance, datagram: b, form: form, crossDataCentre: true})
+		}
 		for _, addr := range addrs {
-			if !addr.IsValid() {
-				p.enqueueRelay(relayedUpdate{instance: u.Instance, datagram: b, form: form, crossDataCentre: true})
-				continue
-			}
 			// A datagram that cannot be sent counts as lost; the next one makes up for it.
 			_, _ = p.conn.WriteToUDPAddrPort(b, addr)
 		}
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -55,8 +55,8 @@
 	paths      *paths
 	onOpen     func(net.Conn)                                                 // configures a new connection
 	onResponse func(req endpointRequest, sentAt time.Time, resp ResponseInfo) // observes the response to every request
-	// onAnnouncement observes whatever else an endpoint responds too: to requests for its incarnation, late
-	// responses, and those that another instance receives through this one.
+	// onAnnouncement observes what an endpoint announces in any response: also to a request for its incarnation,
+	// in a late one, and in one that another instance receives through this one.
 	onAnnouncement func(req endpointRequest, resp ResponseInfo)
 	mayAsk         func(endpoint string) bool          // reports whether an endpoint may be asked for its incarnation
 	pausedFor      func(endpoint string) time.Duration // returns for how long an endpoint wants no request
--- a/internal/gossip/forms.go
+++ b/internal/gossip/forms.go
@@ -3,9 +3,8 @@
 import (
 	"reflect"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
 )
 
 // Form is the form of an update: the number of its fields. Instances of two builds exchange updates while the
@@ -28,11 +27,13 @@
 // maxForm bounds the fields of an update, so that garbage is not taken for a later form.
 const maxForm Form = 64
 
+const cborNull = 0xf6
+
 // errNoForm means that bytes are no update of any form.
 var errNoForm = errors.New("update has a form that no build sends")
 
-// formOf returns the form of an encoded update and the length of what precedes its fields.
-func formOf(payload []byte) (form Form, head int, err error) {
+// formOf returns the form of an encoded update.
+func formOf(payload []byte) (form Form, err error) {
 	const (
 		array      = 0x80 // CBOR: an array with up to 23 elements
 		longArray  = 0x98 // an array whose number of elements is in the next byte
@@ -40,14 +41,14 @@
 	)
 	switch {
 	case len(payload) > 0 && payload[0] >= array && payload[0] <= array+mostInHead:
-		form, head = Form(payload[0]-array), 1
+		form = Form(payload[0] - array)
 	case len(payload) > 1 && payload[0] == longArray:
-		form, head = Form(payload[1]), 2
+		form = Form(payload[1])
 	}
 	if form < FormSoftware || form > maxForm {
-		return 0, 0, errNoForm
+		return 0, errNoForm
 	}
-	return form, head, nil
+	return form, nil
 }
 
 // convert returns an encoded update in another form: fields that it does not have are left out, and those that are
@@ -66,8 +67,6 @@
 	return cbor.Marshal(fields)
 }
 
-const cborNull = 0xf6
-
 // convertedMAC stands in place of the signature of an update that a relay has converted.
 var convertedMAC [macBytes]byte
 
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -282,7 +282,7 @@
 // decodeUpdate decodes the part of a datagram that its signature covers.
 func decodeUpdate(body []byte) (*Update, error) {
 	payload := body[1:]
-	form, _, err := formOf(payload)
+	form, err := formOf(payload)
 	if err != nil {
 		return nil, err
 	}
