--- a/internal/gateway/upstream_test.go
+++ b/internal/gateway/upstream_test.go
@@ -105,11 +105,14 @@
 		t.Run(name, func(t *testing.T) {
 			addr, taken := endless(t, start, "a", limit)
 			u := testUpstream()
-			var wg sync.WaitGroup
+			var wg, ended sync.WaitGroup
+			ended.Add(calls)
 			for range calls {
 				wg.Add(1)
 				go func() {
 					defer wg.Done()
+					end := sync.OnceFunc(ended.Done)
+					defer end()
 					ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 					defer cancel()
 					resp, err := u.do(ctx, endpointRequest{addr: addr, method: http.MethodGet, uri: "/", host: "h"})
@@ -121,6 +124,9 @@
 					if _, err := resp.readAll(); err == nil || ctx.Err() != nil {
 						t.Errorf("the body was read to its end: %v, %v", err, ctx.Err())
 					}
+					// No call gives back its memory before all have taken theirs.
+					end()
+					ended.Wait()
 				}()
 			}
 			wg.Wait()
--- a/internal/gateway/watch_test.go
+++ b/internal/gateway/watch_test.go
@@ -194,6 +194,7 @@
 	}
 	often := func(silent map[string]bool) (out []string) {
 		for _, self := range names {
+			now := time.Now() // those that are heard count as silent after 0.9 s
 			s := followerIn(now, self, names)
 			for name := range silent {
 				if x := s.peers.known[name]; x != nil {
