peer/rpc: calls that were given up count against the limit of a connection at the client too

Cause, from a trace of the calls: 640 requests of a flood each call the home, give up after 500 ms and call again. The home, slowed by the load, serves 1,200 calls a second and gets 2,100, in the order of their arrival, so that each call is served after its caller has left: 15 calls in a row of the account without a flood timed out, and the flood got no further either. That state lasts.

Ruled out: calls of one request that block each other (0 of 600 to 900 calls between two lines of the trace had another one of the same request beside them); the limit of polling calls (0 to 17 of 32).

Fix: the client keeps to MaxCallsPerConn as the server does, and a call that was given up counts until its answer is there. What waits for its turn is not sent and costs the home nothing. Waiting calls go over to the next connection if theirs is retired. A daemon gives client and server the same options; the test now does so as well.

--- a/internal/limit/escrow/rpc_test.go
+++ b/internal/limit/escrow/rpc_test.go
@@ -21,8 +21,9 @@
 	c.newTransport = func() (peer.Caller, peer.Registrar, string) {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		assert.NilError(t, err)
-		rpcServer := rpc.NewServer(rpc.Options{MaxCallsPerConn: maxCalls})
-		rpcClient := rpc.NewClient(rpc.Options{})
+		options := rpc.Options{MaxCallsPerConn: maxCalls}
+		rpcServer := rpc.NewServer(options)
+		rpcClient := rpc.NewClient(options)
 		served := make(chan error, 1)
 		go func() { served <- rpcServer.Serve(ln) }()
 		t.Cleanup(func() {
--- a/internal/peer/rpc/client.go
+++ b/internal/peer/rpc/client.go
@@ -46,9 +46,11 @@
 	addr       string
 	socket     *instrumentedConn
 	rpc        *netrpc.Client
-	generation uint64 // generation of the Identity used in the handshake
+	generation uint64        // generation of the Identity used in the handshake
+	callSlots  chan struct{} // one element for each unanswered call
 	inUse      int
 	retired    bool
+	noNewCalls chan struct{} // closed when retired is set
 	lastUse    time.Time
 }
 
@@ -119,8 +121,19 @@
 }
 
 // send performs one call over conn. It returns net/rpc's ErrShutdown if the connection was
-// closed before the call was sent.
+// closed or retired before the call was sent.
+//
+// A call that was given up counts as unanswered until its reply arrives, as the remote
+// instance still serves it. Without this limit, callers that repeat their calls can keep the
+// remote instance busy with calls that nobody waits for.
 func (c *Client) send(ctx context.Context, conn *clientConn, method string, args, reply any) error {
+	select {
+	case conn.callSlots <- struct{}{}:
+	case <-conn.noNewCalls:
+		return netrpc.ErrShutdown
+	case <-ctx.Done():
+		return errors.Wrapf(ctx.Err(), "waiting to call %s at %s", method, conn.addr)
+	}
 	start := time.Now().UnixNano()
 	// Decode into a separate value: a reply that arrives after the deadline must not
 	// modify the caller's reply.
@@ -137,8 +150,13 @@
 	sent.Store(true)
 	select {
 	case <-call.Done:
+		<-conn.callSlots
 		return c.handleReply(conn, call, reply, result)
 	case <-ctx.Done():
+		go func() {
+			<-call.Done
+			<-conn.callSlots
+		}()
 		if conn.socket.lastRead.Load() < start && errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			c.retire(conn)
 		}
@@ -257,7 +275,13 @@
 	}
 	setSocketOptions(raw, c.opts.TCPUserTimeout)
 	instrumented := &instrumentedConn{Conn: raw, traffic: &c.traffic, linkState: linkState}
-	conn := &clientConn{addr: addr, socket: instrumented, lastUse: time.Now()}
+	conn := &clientConn{
+		addr:       addr,
+		socket:     instrumented,
+		callSlots:  make(chan struct{}, c.opts.MaxCallsPerConn),
+		noNewCalls: make(chan struct{}),
+		lastUse:    time.Now(),
+	}
 	var stream io.ReadWriteCloser = instrumented
 	if id := c.opts.Identity; id != nil {
 		conn.generation = id.Generation()
@@ -293,7 +317,10 @@
 	if cc := c.conns[conn.addr]; cc != nil && cc.conn == conn {
 		delete(c.conns, conn.addr)
 	}
-	conn.retired = true
+	if !conn.retired {
+		conn.retired = true
+		close(conn.noNewCalls)
+	}
 	if conn.inUse == 0 {
 		c.closeLocked(conn)
 	}
--- a/internal/peer/rpc/options.go
+++ b/internal/peer/rpc/options.go
@@ -41,7 +41,7 @@
 
 	MaxMessageBytes int // largest request or reply in bytes
 	MaxConns        int
-	MaxCallsPerConn int // calls in progress on one connection; server only
+	MaxCallsPerConn int // calls in progress on one connection
 	DialTimeout     time.Duration
 	IdleTimeout     time.Duration
 	TCPUserTimeout  time.Duration
--- a/internal/peer/rpc/rpc_test.go
+++ b/internal/peer/rpc/rpc_test.go
@@ -120,6 +120,73 @@
 	assert.Equal(t, len(c.openConns), 1)
 }
 
+// Calls that were given up are still served; further ones must not queue up behind them at the
+// server, where they would be served after their callers have left.
+func TestCallsGivenUpCountAsInProgress(t *testing.T) {
+	const maxCalls = 2
+	o := Options{MaxCallsPerConn: maxCalls}
+	echo, _, c, addr := startServerAndClient(t, o, o)
+	ctx, giveUp := context.WithCancel(context.Background())
+	results := make(chan error)
+	wait := func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, time.Minute)
+		defer cancel()
+		results <- c.Call(ctx, addr, "Echo.Wait", "x", new(string))
+	}
+	for range maxCalls {
+		go wait(ctx)
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if n := echo.runs.Load(); n < maxCalls {
+			return poll.Continue("%d calls are served", n)
+		}
+		return poll.Success()
+	})
+	giveUp()
+	for range maxCalls {
+		assert.ErrorIs(t, <-results, context.Canceled)
+	}
+	sent := c.Calls()
+	for range 3 {
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		assert.ErrorIs(t, c.Call(ctx, addr, "Echo.Say", "y", new(string)), context.DeadlineExceeded)
+		cancel()
+	}
+	assert.Equal(t, c.Calls(), sent)
+	for range maxCalls {
+		echo.block <- struct{}{}
+	}
+	out, err := call(c, addr, "Echo.Say", "z", false)
+	assert.NilError(t, err)
+	assert.Equal(t, out, "z")
+	assert.Equal(t, c.Calls(), sent+1)
+}
+
+// A call that has not been sent goes on over a new connection if the old one is silent.
+func TestWaitingCallMovesToANewConnection(t *testing.T) {
+	_, _, c, addr := startServerAndClient(t, Options{}, Options{MaxCallsPerConn: 1})
+	_, err := call(c, addr, "Echo.Say", "first", false)
+	assert.NilError(t, err)
+	c.SilenceOpenConns(addr)
+	lost := make(chan error)
+	go func() {
+		_, err := call(c, addr, "Echo.Say", "lost", false)
+		lost <- err
+	}()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if n := c.Calls(); n < 2 {
+			return poll.Continue("%d calls were sent", n)
+		}
+		return poll.Success()
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	var out string
+	assert.NilError(t, c.Call(ctx, addr, "Echo.Say", "second", &out))
+	assert.Equal(t, out, "second")
+	assert.ErrorIs(t, <-lost, context.DeadlineExceeded)
+}
+
 func TestServerRestartAtSameAddress(t *testing.T) {
 	_, s, c, addr := startServerAndClient(t, Options{}, Options{})
 	_, err := call(c, addr, "Echo.Say", "a", false)
