quarantine: a crash is weighed when all requests that it affected are known

Cause: the requests at a crashed endpoint become known one by one, at one or more instances, and the evidence was weighed after each. A sound request that was at two crashes before and is known first at the third was blamed alone, and then explained the crash, so that the deadly one went on.

Fix: causes with enough evidence are held at first: refused, with the time until they are weighed again (at most 250 ms) as Retry-After. 250 ms after the crash, the time of the check of a crash and of an update, what the evidence names then is quarantined, told and stored; the rest is served again. The deadly request is refused as early as before.

The new test failed before (the sound request is quarantined). Tests of the gateway now let the crash settle before they look at the store, as the new loop does; they check in addition that it is asked to. New line quarantine.held.

--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -33,10 +33,11 @@
 	known   bool            // the quarantined causes of the time before the start are known
 	stored  map[string]bool // quarantined causes that have a row in the store
 	changed chan struct{}   // a cause was quarantined by this instance
+	crashed chan struct{}   // there is a crash of which not all requests are known
 }
 
 func newQuarantineState() *quarantineState {
-	return &quarantineState{tracker: quarantine.New(), stored: map[string]bool{}, changed: make(chan struct{}, 1)}
+	return &quarantineState{tracker: quarantine.New(), stored: map[string]bool{}, changed: make(chan struct{}, 1), crashed: make(chan struct{}, 1)}
 }
 
 // count returns the number of quarantined causes.
@@ -132,9 +133,9 @@
 	r := x.identity()
 	q := s.quarantine
 	q.mu.Lock()
-	added := q.tracker.Crashed(time.Now(), ep.Name, r)
+	refused := q.tracker.Crashed(time.Now(), ep.Name, r)
 	q.mu.Unlock()
-	s.announceQuarantine(added)
+	s.announceEvidence(refused)
 }
 
 // recordAbandoned records that the response to the request is no longer awaited.
@@ -154,22 +155,55 @@
 	}
 	q := s.quarantine
 	q.mu.Lock()
-	found := q.tracker.Ended(time.Now(), ep.Name)
+	refused := q.tracker.Ended(time.Now(), ep.Name)
 	q.mu.Unlock()
-	if len(found) > 0 {
-		s.announceQuarantine(found)
+	if len(refused) > 0 {
+		s.announceEvidence(refused)
 	}
 }
 
-// announceQuarantine passes on new evidence and stores the causes that were found by it.
-func (s *Server) announceQuarantine(found []string) {
-	s.logQuarantined(found, s.settings.Instance)
-	if len(found) > 0 {
-		signal(s.quarantine.changed)
+// announceEvidence passes on new evidence, and has it weighed again when all of its crash is known.
+func (s *Server) announceEvidence(refused []string) {
+	for _, cause := range refused {
+		s.log.Info("quarantine.held", "cause", cause)
 	}
+	signal(s.quarantine.crashed)
 	s.peers.requestUpdate()
 }
 
+// settleLoop quarantines the causes of crashes when all of these is known.
+func (s *Server) settleLoop(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-s.quarantine.crashed:
+		}
+		for next := s.settleQuarantine(time.Now()); next > 0; next = s.settleQuarantine(time.Now()) {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-time.After(next):
+			}
+		}
+	}
+}
+
+// settleQuarantine passes on and stores the causes that are quarantined by now. It returns the time
+// until it is to be called again, or zero.
+func (s *Server) settleQuarantine(now time.Time) time.Duration {
+	q := s.quarantine
+	q.mu.Lock()
+	found, next := q.tracker.Settle(now)
+	q.mu.Unlock()
+	if len(found) > 0 {
+		s.logQuarantined(found, s.settings.Instance)
+		signal(q.changed)
+		s.peers.requestUpdate()
+	}
+	return next
+}
+
 // suspected reports whether the last endpoint crashed on the request and another one is likely to.
 func (x *exchange) suspected() bool {
 	if !x.crashed {
@@ -240,11 +274,13 @@
 	}
 	q := s.quarantine
 	q.mu.Lock()
-	learned, found := q.tracker.Merge(now, u.Instance, r)
+	learned, refused := q.tracker.Merge(now, u.Instance, r)
 	q.mu.Unlock()
 	s.logQuarantined(learned, u.Instance)
-	if len(found) > 0 {
-		s.announceQuarantine(found)
+	if len(refused) > 0 {
+		s.announceEvidence(refused)
+	} else if len(r.Crashes) > 0 {
+		signal(q.crashed)
 	}
 }
 
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -94,6 +94,8 @@
 	crash(t, s, "first", "deadly")
 	assert.Assert(t, errors.Is(promptExchange(s, "first", "deadly").admit(), errQuarantined))
 	assert.NilError(t, promptExchange(s, "first").admit())
+	s.settleQuarantine(time.Now().Add(time.Second))
+	assert.Equal(t, len(s.quarantine.changed), 1, "the store is compared at once")
 	assert.ErrorContains(t, s.storeQuarantine(ctx), "down")
 	store.down = false
 	assert.NilError(t, s.storeQuarantine(ctx))
@@ -179,7 +181,16 @@
 	for i := range 3 {
 		update.Crashes = append(update.Crashes, gossip.Crash{Endpoint: fmt.Sprint("e", i), Requests: []gossip.CrashedRequest{deadly}})
 	}
-	s.mergeQuarantine(time.Now(), update)
+	now := time.Now()
+	s.mergeQuarantine(now, update)
+	select {
+	case <-s.quarantine.crashed:
+	default:
+		t.Fatal("the evidence is not weighed again")
+	}
+	next := s.settleQuarantine(now)
+	assert.Assert(t, next > 0)
+	assert.Equal(t, s.settleQuarantine(now.Add(next)), time.Duration(0))
 	assert.Equal(t, s.quarantine.count(), 1)
 	select {
 	case <-s.quarantine.changed:
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -180,7 +180,7 @@
 		g.Go(func() error { return newInternalServer(s.serveMetrics).Serve(metrics) })
 	}
 	g.Go(func() error { return newInternalServer(s.peers.serve).Serve(state) })
-	for _, loop := range []func(context.Context) error{s.peers.sendLoop, s.peers.receiveLoop, s.peers.relayLoop, s.peers.registerLoop, s.peers.catchUp, s.probeLoop, s.quarantineLoop, s.originsLoop} {
+	for _, loop := range []func(context.Context) error{s.peers.sendLoop, s.peers.receiveLoop, s.peers.relayLoop, s.peers.registerLoop, s.peers.catchUp, s.probeLoop, s.settleLoop, s.quarantineLoop, s.originsLoop} {
 		g.Go(func() error { return loop(ctx) })
 	}
 	g.Go(func() error { return s.accept(ctx, callers) })
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -1,8 +1,12 @@
 // Package quarantine finds the requests and the parts of prompts on which endpoints crash. It
 // relates every crash to the requests whose responses the endpoint was about to begin, over all
 // instances. A request that comes again, or a part that requests share, is quarantined if it was
-// in several crashes and in hardly any response that began. The package opens no sockets; the
-// current time is an argument.
+// in several crashes and in hardly any response that began.
+//
+// The requests that a crash affected become known one after the other. Until all of them can be
+// known, causes with enough evidence are only held: they are refused, but the evidence is weighed
+// again with each request that becomes known. The package opens no sockets; the current time is an
+// argument.
 package quarantine
 
 import (
@@ -29,6 +33,9 @@
 	// crashWindow is how long reports of one endpoint's failure belong to the same crash. A
 	// crashed endpoint takes some seconds to restart.
 	crashWindow = time.Second
+	// settleTime is how long after a crash the requests that it affected become known: the time
+	// to tell a crash from a lost connection, and that of an update from another instance.
+	settleTime = 250 * time.Millisecond
 	// abandonedTime is how long a request may work on at an endpoint, and the end of the endpoint
 	// stay unnoticed, after nobody waits for the response any more.
 	abandonedTime = 2 * time.Second
@@ -80,6 +87,9 @@
 	periodStart time.Time
 	peerBegun   map[string]map[string]int // by instance
 	quarantined map[string]time.Time      // end of the quarantine
+	held        map[string]bool           // causes that are refused until the crashes are settled
+	settlesAt   time.Time                 // of the first crash that is not settled; zero without one
+	found       []string                  // quarantined since the last call of Settle
 }
 
 // New returns a Tracker without evidence.
@@ -109,7 +119,7 @@
 }
 
 // Crashed records that an endpoint crashed as it was about to begin the response to a request. It
-// returns the causes that are quarantined because of it.
+// returns the causes that are refused because of it.
 func (t *Tracker) Crashed(now time.Time, endpoint string, r Request) []string {
 	c := Crash{Endpoint: endpoint, At: now, Requests: []Request{r}}
 	t.addOwn(c)
@@ -132,7 +142,7 @@
 }
 
 // Ended records that the process of an endpoint has ended, without a request that was awaited
-// there. It returns the causes that are quarantined because of it.
+// there. It returns the causes that are refused because of it.
 func (t *Tracker) Ended(now time.Time, endpoint string) []string {
 	if !t.blameAbandoned(endpoint, now) {
 		return nil
@@ -157,8 +167,8 @@
 }
 
 // Merge applies the report of another instance. It returns the causes that the instance has
-// quarantined, and those that are found because of the report.
-func (t *Tracker) Merge(now time.Time, instance string, r Report) (learned, found []string) {
+// quarantined, and the others that are refused because of the report.
+func (t *Tracker) Merge(now time.Time, instance string, r Report) (learned, refused []string) {
 	for _, c := range r.Crashes {
 		t.crashes = insert(t.crashes, c, maxCrashes)
 		t.blameAbandoned(c.Endpoint, c.At)
@@ -221,22 +231,72 @@
 	t.rotate(now)
 }
 
-// evaluate quarantines the causes with enough evidence and returns them.
+// evaluate quarantines the causes with enough evidence in settled crashes and holds those with
+// enough evidence in all crashes. It returns the causes that were not refused before.
 func (t *Tracker) evaluate(now time.Time) []string {
 	t.expire(now)
-	var added []string
+	settled := make([]Crash, 0, len(t.crashes))
+	t.settlesAt = time.Time{}
+	for _, c := range t.crashes {
+		at := c.At.Add(settleTime)
+		if !now.Before(at) {
+			settled = append(settled, c)
+		} else if t.settlesAt.IsZero() || at.Before(t.settlesAt) {
+			t.settlesAt = at
+		}
+	}
+	var refused []string
+	for _, cause := range t.explain(settled) {
+		if t.add(now, cause, now.Add(ttl)) {
+			t.found = append(t.found, cause)
+			refused = append(refused, cause)
+		}
+	}
+	before := t.held
+	t.held = map[string]bool{}
+	if !t.settlesAt.IsZero() {
+		for _, cause := range t.explain(t.crashes) {
+			t.held[cause] = true
+			refused = append(refused, cause)
+		}
+	}
+	return slices.DeleteFunc(refused, func(cause string) bool { return before[cause] })
+}
+
+// explain returns the causes that have enough evidence in the crashes, the most likely first.
+func (t *Tracker) explain(crashes []Crash) []string {
+	var causes []string
+	explained := func(cause string) bool { return t.isQuarantined(cause) || slices.Contains(causes, cause) }
 	for {
 		best, found := "", false
-		evidence := t.evidence()
+		evidence := t.evidence(crashes, explained)
 		for cause, e := range evidence {
 			if e.net() >= minCrashes && (!found || e.stronger(evidence[best]) || (!evidence[best].stronger(e) && cause < best)) {
 				best, found = cause, true
 			}
 		}
-		if !found || !t.add(now, best, now.Add(ttl)) {
-			return added
+		if !found || explained(best) {
+			return causes
 		}
-		added = append(added, best)
+		causes = append(causes, best)
+	}
+}
+
+// Settle returns the causes that were quarantined since the last call, and the time until it is to
+// be called again: until the next crash is settled, or zero.
+func (t *Tracker) Settle(now time.Time) (found []string, next time.Duration) {
+	t.settle(now)
+	found, t.found = t.found, nil
+	if !t.settlesAt.IsZero() {
+		next = t.settlesAt.Sub(now)
+	}
+	return found, next
+}
+
+// settle weighs the evidence again if a crash has settled meanwhile.
+func (t *Tracker) settle(now time.Time) {
+	if !t.settlesAt.IsZero() && !now.Before(t.settlesAt) {
+		t.evaluate(now)
 	}
 }
 
@@ -255,17 +315,17 @@
 	return cmp.Or(cmp.Compare(e.net(), other.net()), cmp.Compare(other.begun, e.begun), cmp.Compare(e.specificity, other.specificity)) > 0
 }
 
-// evidence returns the evidence of the causes of recent crashes. Crashes that a quarantined part
-// explains count for no other cause. Those that a quarantined request explains count for no other
+// evidence returns the evidence of the causes of crashes. Crashes that a known cause explains, if it
+// is a part, count for no other cause. Those that a known request explains count for no other
 // request, but for the parts of that request: one of them may be why it crashes its endpoints.
-func (t *Tracker) evidence() map[string]evidence {
+func (t *Tracker) evidence(crashes []Crash, explained func(cause string) bool) map[string]evidence {
 	out := map[string]evidence{}
 	counted := map[string]map[string]int{} // crashes by part and fingerprint
-	for _, c := range t.crashes {
-		if slices.ContainsFunc(c.Requests, func(r Request) bool { return slices.ContainsFunc(r.Parts, t.isQuarantined) }) {
+	for _, c := range crashes {
+		if slices.ContainsFunc(c.Requests, func(r Request) bool { return slices.ContainsFunc(r.Parts, explained) }) {
 			continue
 		}
-		suspects := slices.DeleteFunc(slices.Clone(c.Requests), func(r Request) bool { return !t.isQuarantined(r.Fingerprint) })
+		suspects := slices.DeleteFunc(slices.Clone(c.Requests), func(r Request) bool { return !explained(r.Fingerprint) })
 		if len(suspects) == 0 {
 			suspects = c.Requests
 			for _, r := range suspects {
@@ -367,19 +427,25 @@
 	return ok
 }
 
+func (t *Tracker) isRefused(cause string) bool { return t.isQuarantined(cause) || t.held[cause] }
+
 // Len returns the number of quarantined causes.
 func (t *Tracker) Len() int { return len(t.quarantined) }
 
-// Refuses returns the first quarantined cause of the request and the time until its quarantine
-// ends.
+// Refuses returns the first quarantined or held cause of the request and the time until its
+// quarantine ends or its evidence is weighed again.
 func (t *Tracker) Refuses(now time.Time, r Request) (cause string, left time.Duration, refused bool) {
-	if len(t.quarantined) == 0 {
+	t.settle(now)
+	if len(t.quarantined)+len(t.held) == 0 {
 		return "", 0, false
 	}
 	for _, cause := range r.causes() {
 		if until, ok := t.quarantined[cause]; ok && now.Before(until) {
 			return cause, until.Sub(now), true
 		}
+		if t.held[cause] {
+			return cause, t.settlesAt.Sub(now), true
+		}
 	}
 	return "", 0, false
 }
@@ -388,7 +454,8 @@
 // and in more than one crash, so that another attempt is likely to crash another endpoint.
 func (t *Tracker) Suspected(now time.Time, r Request) bool {
 	t.expire(now)
-	evidence := t.evidence()
+	t.settle(now)
+	evidence := t.evidence(t.crashes, t.isRefused)
 	return slices.ContainsFunc(r.causes(), func(cause string) bool { return evidence[cause].net() > 1 })
 }
 
@@ -408,8 +475,9 @@
 // Report returns what this instance tells the others.
 func (t *Tracker) Report(now time.Time) Report {
 	t.expire(now)
+	t.settle(now)
 	r := Report{Crashes: slices.Clone(t.own), Begun: map[string]int{}, Quarantined: maps.Clone(t.quarantined)}
-	evidence := t.evidence()
+	evidence := t.evidence(t.crashes, t.isQuarantined)
 	byCrashes := slices.SortedFunc(maps.Keys(evidence), func(a, b string) int {
 		return cmp.Or(cmp.Compare(evidence[b].crashes, evidence[a].crashes), cmp.Compare(a, b))
 	})
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -318,6 +318,44 @@
 	})
 }
 
+// The requests that a crash affected become known in any order and at several instances. A sound
+// one that is known before the deadly one is refused until all are known, and not longer.
+func TestSoundRequestKnownBeforeTheDeadlyOneIsNotQuarantined(t *testing.T) {
+	for _, atOtherInstance := range []bool{false, true} {
+		x, other := New(), New()
+		deadlyAt := x
+		if atOtherInstance {
+			deadlyAt = other
+		}
+		for i := range 3 {
+			now, endpoint := after(float64(2*i)), fmt.Sprint("e", i)
+			x.Crashed(now, endpoint, call("sound"))
+			if i == 2 {
+				assert.Assert(t, refuses(x, now, call("sound")))
+				_, left, _ := x.Refuses(now, call("sound"))
+				assert.Equal(t, left, settleTime)
+				assert.Assert(t, !x.Suspected(now, call("sound")), "it is refused")
+			}
+			deadlyAt.Crashed(now, endpoint, call("deadly"))
+			x.Merge(now.Add(settleTime-time.Millisecond), "other", other.Report(now.Add(settleTime-time.Millisecond)))
+		}
+		crashedAt := after(4)
+		assert.Assert(t, refuses(x, crashedAt, call("deadly")))
+		found, next := x.Settle(crashedAt)
+		assert.Equal(t, len(found), 0)
+		assert.Equal(t, next, settleTime)
+		found, next = x.Settle(crashedAt.Add(settleTime))
+		assert.DeepEqual(t, found, []string{"deadly"})
+		assert.Equal(t, next, time.Duration(0))
+		assert.Assert(t, !refuses(x, crashedAt.Add(settleTime), call("sound")))
+		_, left, refused := x.Refuses(crashedAt.Add(settleTime), call("deadly"))
+		assert.Assert(t, refused)
+		assert.Equal(t, left, ttl)
+		found, _ = x.Settle(after(5))
+		assert.Equal(t, len(found), 0, "told once")
+	}
+}
+
 // A request that was abandoned shortly before its endpoint crashed counts as much as one that was
 // awaited, whoever noticed the crash.
 func TestAbandonedRequestIsBlamed(t *testing.T) {
