gateway: a restored store that is learnt from another instance is treated as one that is read

An instance that merges the state of another one into an older era raised its own position without the rest of what a restore needs: the copy of the store could bring back an endpoint that had left without a word (its entry in the copy is of the new era, and so counted as written after the removal), and an endpoint that the copy lacks was dropped at once.

Cause: two ways into an era, one of which did not tell the directory. Both now go through enterEra. The other instance tells the first position of the era that was read; for former builds, which do not, its position serves.

--- a/internal/gateway/peerstate.go
+++ b/internal/gateway/peerstate.go
@@ -18,7 +18,8 @@
 type peerState struct {
 	ConfigurationVersion uint64                   `json:"version"`
 	Configuration        []byte                   `json:"configuration,omitempty"`
-	EndpointsVersion     uint64                   `json:"directory"` // a Position.order
+	EndpointsVersion     uint64                   `json:"directory"`           // a Position.order
+	EraStart             uint64                   `json:"era_start,omitempty"` // the first position that was read of its era; 0 if not known
 	Endpoints            []*config.Endpoint       `json:"endpoints"`
 	Retired              map[string]int64         `json:"retired"`
 	Removed              map[string]removedEntry  `json:"removed,omitempty"`
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -38,6 +39,7 @@
 	directory        *directory
 	rawConfiguration []byte    // the configuration in force as encoded in the store
 	tablePosition    Position  // last position read of the endpoint table
+	eraStart         uint64    // order of the first position of its era that was read, here or by another instance
 	storeFailedAt    time.Time // last time that reading the endpoint table failed
 	announced        []announcement
 }
@@ -92,10 +94,7 @@
 		return // another instance has already told of the restored store
 	}
 	if at.Era > s.tablePosition.Era {
-		if s.tablePosition != (Position{}) {
-			s.directory.storeRestored(now, at.order())
-		}
-		s.tablePosition = Position{Era: at.Era}
+		s.enterEra(now, at.Era, at.order())
 	}
 	for _, r := range rows {
 		s.tablePosition.Version = max(s.tablePosition.Version, r.Version)
@@ -136,6 +135,15 @@
 	}
 }
 
+// enterEra records that the store was restored, and the order of the first position that was read since. The caller
+// holds the lock.
+func (s *state) enterEra(now time.Time, era, first uint64) {
+	if s.tablePosition != (Position{}) {
+		s.directory.storeRestored(now, first)
+	}
+	s.tablePosition, s.eraStart = Position{Era: era}, first
+}
+
 // announcement is an endpoint's announcement in a response that it leaves.
 type announcement struct {
 	endpoint    string
@@ -248,6 +256,7 @@
 		ConfigurationVersion: s.current.Load().Ticket,
 		Configuration:        s.rawConfiguration,
 		EndpointsVersion:     s.tablePosition.order(),
+		EraStart:             s.eraStart,
 		Endpoints:            s.directory.known(),
 		Retired:              maps.Clone(s.directory.retired),
 		Removed:              maps.Clone(s.directory.removed),
@@ -264,7 +273,13 @@
 	if p.EndpointsVersion <= s.tablePosition.order() {
 		return
 	}
-	s.tablePosition = positionOf(p.EndpointsVersion)
+	at := positionOf(p.EndpointsVersion)
+	if at.Era > s.tablePosition.Era {
+		// The start is not told by former builds. Their position is not before it; endpoints that have registered
+		// in between are used when they write their entries again.
+		s.enterEra(now, at.Era, cmp.Or(p.EraStart, p.EndpointsVersion))
+	}
+	s.tablePosition = at
 	changed := false
 	for _, ep := range p.Endpoints {
 		changed = s.directory.merge(ep) || changed
