placement: requests, measured times and an ejection outlive an endpoint's move to another address

Known before: a pause and a limit outlive entry, address and role; what was measured, the requests in progress and an ejection outlived a lapse of the entry, but not a changed address of the same incarnation, and an ejection not a changed role. The endpoint is the same process.

Now only what was concluded from the address ends with it (nothing, or another endpoint, answers there), and what belongs to a role with the role. The comment at entered says for each field what ends it. Evidence of crashes is kept by name, and leaving and removal by the directory: no entry ends them.

--- a/internal/placement/absent.go
+++ b/internal/placement/absent.go
@@ -30,11 +30,13 @@
 // overload: what they have asked for must not be forgotten with the entry.
 //
 //   - A pause ends with its time only: who restarts in an overload has not said that it is over.
-//   - A limit that the incarnation has announced outlives its entry, its address and its role. Besides the pause, a
-//     former incarnation leaves nothing behind.
-//   - What was measured and which requests it has belong to the address and the role.
-//   - An entry that comes back ends what was concluded from the address alone: that nothing, or another endpoint,
-//     answers there.
+//   - A limit that the incarnation has announced outlives its entry, its address and its role, and so does an
+//     ejection because of its failures, which ends with its time or a success. Besides the pause, a former incarnation
+//     leaves nothing behind.
+//   - What was measured and which requests it has outlive its entry and its address, and belong to the role.
+//   - An entry that comes back, or names another address, ends what was concluded from the address alone: that
+//     nothing, or another endpoint, answers there.
+//   - What other instances have told of it ends with its entry; they tell it again.
 func entered(x *endpointState, ep *config.Endpoint, spec *config.EngineSpec, returned bool) *endpointState {
 	if x == nil {
 		return newEndpointState(ep, spec)
@@ -44,14 +46,18 @@
 		restarted.pausedUntil = x.pausedUntil
 		return restarted
 	}
-	if x.ep.Addr != ep.Addr || x.ep.Role != ep.Role {
-		moved := newEndpointState(ep, spec)
-		moved.pausedUntil, moved.pacer = x.pausedUntil, x.pacer
-		return moved
-	}
-	if returned {
+	if returned || x.ep.Addr != ep.Addr {
 		x.replaced = false
 		x.markReachable()
+	}
+	if x.ep.Role != ep.Role {
+		changed := newEndpointState(ep, spec)
+		changed.pausedUntil, changed.pacer = x.pausedUntil, x.pacer
+		changed.failures, changed.ejections = x.failures, x.ejections
+		changed.unreachable, changed.ejectedUntil = x.unreachable, x.ejectedUntil
+		return changed
+	}
+	if returned {
 		clear(x.peerLoads) // the instances' present loads are applied next
 		clear(x.peerEjections)
 	}
