gateway, gossip: instances of the last landing refuse no update in an upgrade

In a fleet with a relay of this build the sender's form was lost when the relay converted an update, so that its form stayed unknown.

Tried first and given up: to send nothing until the other instance is heard.

Now the latest form that such a build may have is sent alone for 0.1 s, which is answered at once by one that reads it; a converted update says in which form it was sent; and a row of a later incarnation without a form ends what was known of the former one.

--- a/internal/gateway/forms_test.go
+++ b/internal/gateway/forms_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"encoding/json"
 	"net/netip"
 	"slices"
 	"testing"
@@ -14,23 +15,25 @@
 
 // Instances of former builds decode one form of updates only, and are sent that one.
 func TestUpdatesAreSentInTheFormOfTheirReceivers(t *testing.T) {
+	now := time.Now()
 	addr := func(i byte) netip.AddrPort { return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, i}), 1) }
 	p := &peers{known: map[string]*peer{
 		"older":                  {addr: addr(1), form: gossip.FormSoftware},
 		"old":                    {addr: addr(2), form: gossip.FormLeaving},
 		"later":                  {addr: addr(3), form: gossip.CurrentForm + 1},
 		"of this build, unheard": {addr: addr(4), row: instanceRow{Updates: "x", Form: gossip.CurrentForm}},
-		"unknown build, unheard": {addr: addr(5), row: instanceRow{Updates: "x"}},
+		"unknown build, unheard": {addr: addr(5), row: instanceRow{Updates: "x"}, foundAt: now.Add(-latestFormTime)},
+		"unknown build, found":   {addr: addr(7), row: instanceRow{Updates: "x"}, foundAt: now.Add(time.Millisecond - latestFormTime)},
 		"leaving":                {addr: addr(6), form: gossip.FormSoftware, leaving: true},
 		"without an address":     {form: gossip.FormSoftware},
 	}}
-	to, _ := p.destinations(time.Now(), len(p.known)+1)
+	to, _ := p.destinations(now, len(p.known)+1)
 	for _, list := range to {
 		slices.SortFunc(list, netip.AddrPort.Compare)
 	}
 	assert.Equal(t, len(to), 2)
 	assert.Assert(t, slices.Equal(to[gossip.FormSoftware], []netip.AddrPort{addr(1), addr(5)}), "%v", to)
-	assert.Assert(t, slices.Equal(to[gossip.FormLeaving], []netip.AddrPort{addr(2), addr(3), addr(4), addr(5)}), "%v", to)
+	assert.Assert(t, slices.Equal(to[gossip.FormLeaving], []netip.AddrPort{addr(2), addr(3), addr(4), addr(5), addr(7)}), "%v", to)
 }
 
 // A relay passes on the updates of each build to the instances of each build: one that cannot be read costs a former
@@ -51,7 +54,7 @@
 			u, err := gossip.DecodeRelayed(d)
 			assert.NilError(t, err)
 			assert.Equal(t, u.Form, form)
-			assert.Equal(t, u.Converted, updates[u.Instance].form != form)
+			assert.Equal(t, u.SentForm, updates[u.Instance].form)
 		}
 	}
 	assert.Equal(t, len(p.batch(updates, gossip.FormLeaving, true).Datagrams), 0, "what another data centre has sent is not sent on to others")
@@ -74,3 +77,27 @@
 		assert.Assert(t, len(l) <= maxRefusalLog)
 	}
 }
+
+// An instance that comes back with another build is sent the form of that one, whichever of its row and its update
+// arrives first.
+func TestFormIsThatOfTheIncarnation(t *testing.T) {
+	now := time.Unix(1000, 0)
+	row := func(incarnation int64) Row {
+		b, err := json.Marshal(instanceRow{Incarnation: incarnation, Updates: "10.0.0.1:1"})
+		assert.NilError(t, err)
+		return Row{Key: "i1", Value: b, Version: uint64(incarnation)}
+	}
+	s := newTestServer("127.0.0.1:1", now)
+	p := s.peers
+	p.applyRow(now, row(1))
+	p.applyUpdate(now, &gossip.Update{Instance: "i1", Incarnation: 1, Sequence: 1, SentForm: gossip.FormLeaving}, netip.AddrPort{}, false)
+	assert.Equal(t, p.known["i1"].form, gossip.FormLeaving)
+	p.applyRow(now, row(2))
+	assert.DeepEqual(t, p.known["i1"].formsFor(now), []gossip.Form{gossip.FormLeaving})
+	assert.DeepEqual(t, p.known["i1"].formsFor(now.Add(latestFormTime)), []gossip.Form{gossip.FormLeaving, gossip.FormSoftware})
+	p.applyUpdate(now, &gossip.Update{Instance: "i1", Incarnation: 2, Sequence: 1, SentForm: gossip.FormSoftware}, netip.AddrPort{}, false)
+	assert.DeepEqual(t, p.known["i1"].formsFor(now), []gossip.Form{gossip.FormSoftware})
+	p.applyUpdate(now, &gossip.Update{Instance: "i1", Incarnation: 3, Sequence: 1, SentForm: gossip.FormLeaving}, netip.AddrPort{}, false)
+	p.applyRow(now, row(3))
+	assert.DeepEqual(t, p.known["i1"].formsFor(now), []gossip.Form{gossip.FormLeaving})
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -60,6 +60,7 @@
 	update       *gossip.Update
 	lastUpdateAt time.Time
 	lastDirectAt time.Time // last datagram sent by the peer itself
+	foundAt      time.Time // when this incarnation's row was first seen
 	rowChangedAt time.Time
 	addr         netip.AddrPort
 	aheadSince   time.Time // since when it has newer state than this instance
@@ -400,6 +401,12 @@
 	if x.row.Incarnation != row.Incarnation || x.rowVersion != r.Version {
 		x.rowChangedAt, x.rowVersion = now, r.Version
 	}
+	if row.Incarnation > x.row.Incarnation {
+		x.foundAt = now
+		if x.update == nil || x.update.Incarnation < row.Incarnation {
+			x.form = 0 // it may run another build
+		}
+	}
 	if row.Incarnation >= x.row.Incarnation {
 		x.row, x.addr = row, addr
 	}
--- a/internal/gateway/peerstate.go
+++ b/internal/gateway/peerstate.go
@@ -149,7 +149,7 @@
 	}
 	for name, row := range st.Instances {
 		if updates, err := netip.ParseAddrPort(row.Updates); err == nil && name != p.s.settings.Instance && p.known[name] == nil {
-			p.known[name] = &peer{row: row, addr: updates, rowChangedAt: now}
+			p.known[name] = &peer{row: row, addr: updates, foundAt: now, rowChangedAt: now}
 		}
 	}
 	p.listed = p.listed || st.Listed
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -93,7 +93,7 @@
 	out := p.outbox
 	p.outbox = map[string]relayedUpdate{}
 	local, remote := map[gossip.Form][]netip.AddrPort{}, map[gossip.Form][]netip.AddrPort{}
-	for dc, members := range p.candidatesByDataCentre() {
+	for dc, members := range p.candidatesByDataCentre(now) {
 		if dc == p.s.settings.DataCentre {
 			for _, m := range members {
 				if !m.self {
@@ -158,13 +158,13 @@
 
 // candidatesByDataCentre groups the instances that may relay, including this one. The caller
 // holds the lock.
-func (p *peers) candidatesByDataCentre() map[string][]relayCandidate {
+func (p *peers) candidatesByDataCentre(now time.Time) map[string][]relayCandidate {
 	out := map[string][]relayCandidate{
 		p.self.DataCentre: {{name: p.s.settings.Instance, rank: p.self.Rank, self: true}},
 	}
 	for name, x := range p.known {
 		if !x.leaving {
-			out[x.row.DataCentre] = append(out[x.row.DataCentre], relayCandidate{name: name, rank: x.row.Rank, lastDirectAt: x.lastDirectAt, addr: x.addr, forms: x.formsFor()})
+			out[x.row.DataCentre] = append(out[x.row.DataCentre], relayCandidate{name: name, rank: x.row.Rank, lastDirectAt: x.lastDirectAt, addr: x.addr, forms: x.formsFor(now)})
 		}
 	}
 	return out
--- a/internal/gateway/updates.go
+++ b/internal/gateway/updates.go
@@ -87,14 +87,20 @@
 	return len(u.Queued) > 0, fleet
 }
 
-// formsFor returns the forms in which another instance is sent updates. One whose build does not tell its form
-// is sent all that it may have until it is heard.
-func (x *peer) formsFor() []gossip.Form {
+// latestFormTime is how long an instance whose build does not tell its form is sent the latest that it may have, and
+// only that: one that reads it answers at once, as the sender is new to it.
+const latestFormTime = relayTransit
+
+// formsFor returns the forms in which another instance is sent updates. One whose build does not tell its form and
+// that is not heard is sent all that it may have; it refuses one of them.
+func (x *peer) formsFor(now time.Time) []gossip.Form {
 	switch {
 	case x.form != 0:
 		return []gossip.Form{min(x.form, gossip.CurrentForm)}
 	case x.row.Form != 0 || x.row.Updates == "":
 		return []gossip.Form{gossip.CurrentForm}
+	case now.Sub(x.foundAt) < latestFormTime:
+		return []gossip.Form{gossip.FormLeaving}
 	}
 	return []gossip.Form{gossip.FormLeaving, gossip.FormSoftware}
 }
@@ -104,7 +110,7 @@
 func (p *peers) destinations(now time.Time, fleet int) (to map[gossip.Form][]netip.AddrPort, asRelay bool) {
 	to = map[gossip.Form][]netip.AddrPort{}
 	if fleet > maxDirectFleet {
-		m, ok := chooseRelay(now, p.candidatesByDataCentre()[p.self.DataCentre])
+		m, ok := chooseRelay(now, p.candidatesByDataCentre(now)[p.self.DataCentre])
 		if ok && !m.self {
 			m.addTo(to)
 		}
@@ -112,7 +118,7 @@
 	}
 	for _, x := range p.known {
 		if !x.leaving {
-			relayCandidate{addr: x.addr, forms: x.formsFor()}.addTo(to)
+			relayCandidate{addr: x.addr, forms: x.formsFor(now)}.addTo(to)
 		}
 	}
 	return to, false
@@ -291,10 +297,10 @@
 	}
 	changed := started || joined || x.leaving != u.Leaving
 	x.update, x.lastUpdateAt, x.leaving = u, now, u.Leaving
-	if !u.Converted && x.form != u.Form {
-		x.form = u.Form
-		if u.Form != gossip.CurrentForm {
-			p.log.Info("instance.form", "instance", u.Instance, "form", u.Form, "own", gossip.CurrentForm)
+	if u.SentForm != 0 && x.form != u.SentForm {
+		x.form = u.SentForm
+		if x.form != gossip.CurrentForm {
+			p.log.Info("instance.form", "instance", u.Instance, "form", x.form, "own", gossip.CurrentForm)
 		}
 	}
 	if direct {
--- a/internal/gossip/forms.go
+++ b/internal/gossip/forms.go
@@ -67,21 +67,36 @@
 	return cbor.Marshal(fields)
 }
 
-// convertedMAC stands in place of the signature of an update that a relay has converted.
-var convertedMAC [macBytes]byte
-
 // ConvertRelayed returns a datagram of a batch in another form. It keeps no signature of its own: that of the batch
-// vouches for it.
+// vouches for it. In its place is the form in which the sender encoded the update.
 func ConvertRelayed(datagram []byte, to Form) ([]byte, error) {
 	if len(datagram) <= macBytes || datagram[0] != kindUpdate {
 		return nil, errors.New("datagram in a batch is no update")
 	}
-	payload, err := convert(datagram[1:len(datagram)-macBytes], to)
+	body, mac := datagram[:len(datagram)-macBytes], datagram[len(datagram)-macBytes:]
+	sent, converted := convertedFrom(mac)
+	if !converted {
+		var err error
+		if sent, err = formOf(body[1:]); err != nil {
+			return nil, err
+		}
+	}
+	payload, err := convert(body[1:], to)
 	if err != nil {
 		return nil, err
 	}
+	mark := conversionMark(sent)
 	b := append(make([]byte, 0, 1+len(payload)+macBytes), kindUpdate)
-	return append(append(b, payload...), convertedMAC[:]...), nil
+	return append(append(b, payload...), mark[:]...), nil
+}
+
+// conversionMark stands in place of the signature of an update that a relay has converted.
+func conversionMark(sent Form) [macBytes]byte { return [macBytes]byte{byte(sent)} }
+
+// convertedFrom returns the form in which the sender encoded an update that a relay has converted.
+func convertedFrom(mac []byte) (sent Form, converted bool) {
+	sent = Form(mac[0])
+	return sent, [macBytes]byte(mac) == conversionMark(sent)
 }
 
 // EncodeForm returns the datagram of u in a form, signed with the fleet's secret.
--- a/internal/gossip/forms_test.go
+++ b/internal/gossip/forms_test.go
@@ -84,28 +84,33 @@
 			u, _, err := Decode(want, []byte(recordedSecret))
 			assert.NilError(t, err)
 			expected := filledUpdate(form)
-			expected.Form = form
+			expected.Form, expected.SentForm = form, form
 			assert.DeepEqual(t, u, expected)
 		})
 	}
 }
 
-// A relay passes on an update in the form of its receivers, and it is known that the form is not its sender's.
+// A relay passes on an update in the form of its receivers, which learn the form of its sender, also if the update
+// passes two relays.
 func TestRelayedUpdatesAreConverted(t *testing.T) {
 	for from := FormSoftware; from <= CurrentForm; from++ {
-		for to := FormSoftware; to <= CurrentForm; to++ {
-			b, err := ConvertRelayed(recorded(t, from), to)
-			assert.NilError(t, err)
-			u, err := DecodeRelayed(b)
-			assert.NilError(t, err)
-			expected := filledUpdate(min(from, to))
-			expected.Form, expected.Converted = to, true
-			assert.DeepEqual(t, u, expected)
+		for by := FormSoftware; by <= CurrentForm; by++ {
+			for to := FormSoftware; to <= CurrentForm; to++ {
+				b, err := ConvertRelayed(recorded(t, from), by)
+				assert.NilError(t, err)
+				b, err = ConvertRelayed(b, to)
+				assert.NilError(t, err)
+				u, err := DecodeRelayed(b)
+				assert.NilError(t, err)
+				expected := filledUpdate(min(from, by, to))
+				expected.Form, expected.SentForm = to, from
+				assert.DeepEqual(t, u, expected)
+			}
 		}
 	}
 	u, err := DecodeRelayed(recorded(t, CurrentForm))
 	assert.NilError(t, err)
-	assert.Assert(t, !u.Converted)
+	assert.Equal(t, u.SentForm, CurrentForm)
 }
 
 // Updates of later builds have more fields. Those that are known are read, whatever the others hold.
@@ -131,6 +136,7 @@
 		assert.NilError(t, err)
 		expected := filledUpdate(Form(count))
 		expected.Form = Form(count)
+		expected.SentForm = expected.Form
 		assert.DeepEqual(t, u, expected)
 	})
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -49,10 +49,10 @@
 	Software         []SoftwareVersion
 	EndpointsLeaving []LeavingEndpoint
 
-	// Form is the one in which the update was received. Converted means that a relay has changed it, so that it
-	// says nothing about the instance's build.
-	Form      Form `cbor:"-"`
-	Converted bool `cbor:"-"`
+	// Form is the one in which the update was received, SentForm that in which the instance encoded it. They
+	// differ if a relay has converted the update.
+	Form     Form `cbor:"-"`
+	SentForm Form `cbor:"-"`
 }
 
 // LeavingEndpoint is an endpoint that has announced to the instance, in a response, that it leaves.
@@ -275,7 +275,9 @@
 	if err != nil {
 		return nil, err
 	}
-	u.Converted = [macBytes]byte(mac) == convertedMAC
+	if sent, converted := convertedFrom(mac); converted {
+		u.SentForm = sent
+	}
 	return u, nil
 }
 
@@ -291,7 +293,7 @@
 			return nil, err
 		}
 	}
-	u := Update{Form: form}
+	u := Update{Form: form, SentForm: form}
 	if err := cbor.Unmarshal(payload, &u); err != nil {
 		return nil, errors.Wrap(err, "decode update")
 	}
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -24,7 +24,7 @@
 	assert.NilError(t, err)
 	assert.Assert(t, batch == nil)
 	want := sampleUpdate()
-	want.Form = CurrentForm
+	want.Form, want.SentForm = CurrentForm, CurrentForm
 	assert.DeepEqual(t, got, want)
 
 	batchDatagrams, err := EncodeBatches(&Batch{Relay: "north-2", Forward: true, Datagrams: [][]byte{b}}, secret)
