escrow: an account that no home has open is not refused by its rate

Nothing is known about the rate then; the error is store_unavailable, as when no home answers.

Replies now say whether the share is known; the client goes on to ask until its wait ends.

--- a/internal/limit/escrow/client.go
+++ b/internal/limit/escrow/client.go
@@ -130,7 +130,7 @@
 	need      int64
 	startedAt time.Time
 	wait      limit.Wait
-	queuedAt  time.Time // time of the call that a home first answered with Queued; zero before
+	queuedAt  time.Time // time of the call that a home with the account open first answered with Queued; zero before
 	loan      bucket.LoanID
 	homeAddr  string // home that was called last and may have the request in its queue
 	failures  int
@@ -167,10 +167,14 @@
 			if ctx.Err() != nil {
 				continue
 			}
+			if reply.Opening {
+				t.sleep(ctx, t.retryDelay())
+				continue
+			}
 			return nil, errkind.New(errkind.OverRate, "client account is above its rate").WithRetryAfter(reply.RetryAfter)
 		case Queued:
 			t.failures = 0
-			if t.queuedAt.IsZero() {
+			if t.queuedAt.IsZero() && !reply.Opening {
 				t.queuedAt = sent
 			}
 			t.sleep(ctx, reply.Again)
--- a/internal/limit/escrow/fault_test.go
+++ b/internal/limit/escrow/fault_test.go
@@ -13,6 +13,8 @@
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"carawayrouter.example/router/internal/errkind"
 )
 
 // loadGenerator sends open-loop requests to the nodes and counts the outcomes.
@@ -304,6 +306,26 @@
 	})
 }
 
+// As long as no home has read the account's share, nothing is known about its rate.
+func TestAccountThatIsNotOpenIsNotOverItsRate(t *testing.T) {
+	runInBubble(t, func(t *testing.T) {
+		c := newCluster(threeDCs, 2, testAccount("acme", 10, 1000))
+		defer c.stop()
+		c.table.set(func(m *memTable) { m.down = true })
+		for range 5 {
+			_, _, err := c.nodesIn("a")[0].reserve("acme", 30, time.Second)
+			assert.Equal(t, errkind.From(err).Kind, errkind.StoreUnavailable, "%v", err)
+		}
+		go func() {
+			time.Sleep(500 * time.Millisecond)
+			c.table.set(func(m *memTable) { m.down = false })
+		}()
+		_, _, err := c.nodesIn("a")[0].reserve("acme", 30, 2*time.Second)
+		assert.NilError(t, err)
+		c.assertRecovered(t, "acme", 10, 1000)
+	})
+}
+
 func TestHandOver(t *testing.T) {
 	for _, lost := range []bool{false, true} {
 		runInBubble(t, func(t *testing.T) {
--- a/internal/limit/escrow/home.go
+++ b/internal/limit/escrow/home.go
@@ -240,12 +240,12 @@
 	if estimate > maxPollEstimate || slices.Index(a.queue, w) >= maxPollingCalls {
 		again := min(max(estimate/2, minQueuedDelay), maxQueuedDelay)
 		w.placeExpires = now.Add(again + placeGrace)
-		return TakeReply{Status: Queued, Again: again}, true
+		return TakeReply{Status: Queued, Opening: !a.opened, Again: again}, true
 	}
 	if !now.Before(end) {
 		w.placeExpires = now.Add(placeGrace)
 		w.nextCallBy = now.Add(repollWindow)
-		return TakeReply{Status: Queued}, true
+		return TakeReply{Status: Queued, Opening: !a.opened}, true
 	}
 	return TakeReply{}, false
 }
@@ -274,7 +274,7 @@
 		a.lastRefusalEvent = now
 		h.opts.Events.Add(event.Event{Kind: "limit.refuse", Account: a.name})
 	}
-	return TakeReply{Status: Refused, RetryAfter: min(max(a.estimateWait(now, w), time.Millisecond), maxRetryAfter)}
+	return TakeReply{Status: Refused, Opening: !a.opened, RetryAfter: min(max(a.estimateWait(now, w), time.Millisecond), maxRetryAfter)}
 }
 
 // pollInterval returns the time until the next check of the queue.
--- a/internal/limit/escrow/messages.go
+++ b/internal/limit/escrow/messages.go
@@ -46,6 +46,7 @@
 	Parts      []Part        // Granted: loans of at least Need
 	Life       time.Duration // Granted: lifetime, counted from before the call
 	Again      time.Duration // Queued: delay before the next call
+	Opening    bool          // Queued, Refused: the account's share is not known yet
 	RetryAfter time.Duration // Refused: estimated time until the tokens are available
 }
 
