--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -11,6 +11,7 @@
 // cases are the scripts' cases by number.
 var cases = map[string]func(*bench) error{
 	"1": unframedStream,
+	"2": lateHealthAnswer,
 }
 
 // Exit codes of a case.
