--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -12,6 +12,7 @@
 var cases = map[string]func(*bench) error{
 	"1": unframedStream,
 	"2": lateHealthAnswer,
+	"3": burstOfUsers,
 }
 
 // Exit codes of a case.
