--- a/review/stand/bench.go
+++ b/review/stand/bench.go
@@ -24,6 +24,7 @@
 	modelService = "caption-models"
 	plainService = "submission-app"
 	draftPath    = "/draft/"
+	screenPath   = "/screen/"
 	recordPath   = "/record/"
 	checkPath    = "/check/"
 	tenant       = "member-paper"
@@ -142,6 +143,8 @@
 		"routes": []any{
 			route("caption-draft", draftPath, "streaming", modelService, map[string]any{"session-affinity": true, "resumable": true,
 				"target-gap-ms": 300, "timeout-ms": 14000, "target-latency-ms": 900, "priority": 1, "max-attempts": 2}),
+			route("guideline-screen", screenPath, "streaming", modelService, map[string]any{"session-affinity": true,
+				"target-gap-ms": 300, "timeout-ms": 14000, "target-latency-ms": 900, "priority": 1}),
 			route("consent-record", recordPath, "non_idempotent", plainService, nil),
 			route("status-check", checkPath, "idempotent", plainService, map[string]any{"max-attempts": 2}),
 		},
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -13,6 +13,7 @@
 	"1": unframedStream,
 	"2": lateHealthAnswer,
 	"3": burstOfUsers,
+	"4": lateStreams,
 }
 
 // Exit codes of a case.
