--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -14,6 +14,7 @@
 	"2": lateHealthAnswer,
 	"3": burstOfUsers,
 	"4": lateStreams,
+	"5": photographs,
 }
 
 // Exit codes of a case.
