--- a/review/stand/bench.go
+++ b/review/stand/bench.go
@@ -48,6 +48,7 @@
 	file       *os.File
 	violations int
 	runs       []run
+	processes  []*os.Process
 }
 
 // run is one execution of a request at a server.
@@ -113,6 +114,16 @@
 	return out
 }
 
+// abort ends all processes at once. It is for a case that is interrupted or takes too long.
+func (b *bench) abort() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, p := range b.processes {
+		_ = p.Kill() // does nothing for one that has ended and was waited for
+	}
+	_ = os.RemoveAll(b.dir)
+}
+
 // close ends all processes and returns how often the rule was broken.
 func (b *bench) close() int {
 	for _, x := range b.instances {
@@ -289,6 +300,9 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
+	x.b.mu.Lock()
+	x.b.processes = append(x.b.processes, cmd.Process)
+	x.b.mu.Unlock()
 	x.cmd, x.exited = cmd, make(chan struct{})
 	go func(ended chan struct{}) {
 		_ = cmd.Wait()
--- a/review/stand/case3.go
+++ b/review/stand/case3.go
@@ -12,13 +12,14 @@
 )
 
 const (
-	usualUsers   = 1880 // of an instance, each with a channel that it keeps
+	usualRate    = 250.0 // requests a second at an instance, each of another user
 	burstFactor  = 2.2
 	burstTime    = 4 * time.Second
-	arrivalTime  = 8 * time.Second // in which the usual users come
-	returnTime   = 8 * time.Second // between two requests of a user
+	returnTime   = 12 * time.Second // between two requests of a user: four fifths of the limit for idle channels
+	keepTime     = 8 * time.Second  // for which the users of the burst keep their channels after it
 	recoveryTime = 12 * time.Second
 	probes       = 40 // requests to an instance after the recovery
+	appSlots     = 32 // of each server
 )
 
 // user sends requests on a channel that it keeps.
@@ -95,7 +96,7 @@
 // whether the instance is ready.
 func burstOfUsers(b *bench) error {
 	for i := range 3 {
-		if _, err := b.startServer(fmt.Sprintf("i-app-%d", i+1), plainService, zoneName(i), "", nil, func(s *server) { s.quiet = true }); err != nil {
+		if _, err := b.startServer(fmt.Sprintf("i-app-%d", i+1), plainService, zoneName(i), "", nil, func(s *server) { s.quiet, s.slots = true, appSlots }); err != nil {
 			return err
 		}
 	}
@@ -121,13 +122,13 @@
 			})
 		}
 	}
-	arrive(usualUsers, arrivalTime, stop, &usual)
-	time.Sleep(arrivalTime + 2*time.Second)
+	arrive(int(usualRate*returnTime.Seconds()), returnTime, stop, &usual)
+	time.Sleep(returnTime + 2*time.Second)
 	b.note("usual    %v", &usual)
 	if b.trouble {
-		more := burstFactor - 1
-		arrive(int(more*usualUsers), burstTime/2, leave, &extra)
-		time.Sleep(burstTime)
+		more := (burstFactor - 1) * usualRate
+		arrive(int(more*burstTime.Seconds()), burstTime, leave, &extra)
+		time.Sleep(burstTime + keepTime)
 		b.note("burst    %v, usual %v", &extra, &usual)
 	}
 	close(leave)
--- a/review/stand/case4.go
+++ b/review/stand/case4.go
@@ -11,7 +11,8 @@
 const (
 	screenEvents   = 110
 	screenInterval = 15 * time.Millisecond
-	longEvents     = 260                     // of the stream that runs when the instance is stopped
+	longEvents     = 130 // of the stream that runs when the instance is stopped
+	longInterval   = 30 * time.Millisecond
 	preempted      = "late 2"                // the newest stream
 	preemptedAfter = 40                      // events
 	preemptedFor   = 3400 * time.Millisecond // shorter than clients wait for an event
@@ -78,27 +79,36 @@
 	if r.URL.Path == "/health" {
 		return false, true
 	}
-	attempt := r.Header.Get(headerAttempt)
-	events := screenEvents
 	if body == "long" {
-		events = longEvents
+		return true, s.stream(c, r, longEvents, longInterval, nil)
 	}
+	return true, s.stream(c, r, screenEvents, screenInterval, func(i int) {
+		if i == preemptedAfter && body == preempted {
+			s.b.note("preempt  attempt=%s", r.Header.Get(headerAttempt))
+			time.Sleep(preemptedFor)
+			s.b.note("resume   attempt=%s", r.Header.Get(headerAttempt))
+		}
+	})
+}
+
+// stream answers with a stream in chunks and reports whether the channel stays open. Before is called before
+// each event.
+func (s *server) stream(c *channel, r *http.Request, events int, interval time.Duration, before func(i int)) (open bool) {
+	attempt := r.Header.Get(headerAttempt)
 	if _, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"+headerAttempt+": "+attempt+"\r\n"+signature(attempt)+"Transfer-Encoding: chunked\r\n\r\n"); err != nil {
-		return true, false
+		return false
 	}
 	for i := 1; i <= events; i++ {
-		time.Sleep(screenInterval)
-		if i == preemptedAfter && body == preempted {
-			s.b.note("preempt  attempt=%s", attempt)
-			time.Sleep(preemptedFor)
-			s.b.note("resume   attempt=%s", attempt)
+		time.Sleep(interval)
+		if before != nil {
+			before(i)
 		}
 		event := fmt.Sprintf("id: %d\ndata: %s %d\n\n", i, attempt, i)
 		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event); err != nil {
 			s.b.note("closed   attempt=%s server=%s after=%d %v", attempt, s.id, i, err)
-			return true, false
+			return false
 		}
 	}
 	_, err := io.WriteString(c, "0\r\n\r\n")
-	return true, err == nil
+	return err == nil
 }
--- a/review/stand/case5.go
+++ b/review/stand/case5.go
@@ -19,10 +19,10 @@
 const (
 	memoryLimitKB   = 134 << 10
 	photographBytes = 4_000_000 // the configuration allows 4,194,304
-	uploadTime      = 10 * time.Second
+	uploadTime      = 11 * time.Second
 	uploadSteps     = 80
 	uploadRate      = 2.0 // requests a second at each instance
-	uploadBurst     = 2.2
+	uploadBurst     = 2.0
 	uploadBurstTime = 5 * time.Second
 	uploadBursts    = 3
 	burstInterval   = 22 * time.Second
@@ -85,7 +85,7 @@
 	}
 	defer nc.Close()
 	_ = nc.SetDeadline(time.Now().Add(14 * time.Second))
-	head := "POST " + screenPath + "1 HTTP/1.1\r\nHost: " + host + "\r\n" + headerAttempt + ": " + newAttempt() +
+	head := "POST " + draftPath + "1 HTTP/1.1\r\nHost: " + host + "\r\n" + headerAttempt + ": " + newAttempt() +
 		"\r\nCarawayrouter-Deadline-Ms: 14000\r\nCarawayrouter-Key: " + apiKey + "\r\nCarawayrouter-Model: m\r\nCarawayrouter-Token-Counts: 5000,5040\r\n" +
 		"Carawayrouter-Prompt-Prefix: 5c1e07a2:200,91bd3f06:4800\r\nContent-Length: " + strconv.Itoa(photographBytes) + "\r\n\r\n"
 	if _, err := io.WriteString(nc, head); err != nil {
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -5,7 +5,10 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
+	"time"
 )
 
 // cases are the scripts' cases by number.
@@ -24,6 +27,9 @@
 	notRun = 2
 )
 
+// longest is the longest time that a case may take.
+const longest = 115 * time.Second
+
 func main() {
 	if len(os.Args) != 4 {
 		fmt.Fprintln(os.Stderr, "usage: stand CASE REPOSITORY FOLDER")
@@ -44,6 +50,17 @@
 		fmt.Fprintln(os.Stderr, "stand:", err)
 		return notRun
 	}
+	go func() {
+		interrupt := make(chan os.Signal, 1)
+		signal.Notify(interrupt, os.Interrupt, syscall.SIGTERM)
+		select {
+		case <-interrupt:
+		case <-time.After(longest):
+		}
+		b.abort()
+		fmt.Fprintln(os.Stderr, "stand: the case was interrupted")
+		os.Exit(notRun)
+	}()
 	err = run(b)
 	violations := b.close()
 	switch {
--- a/review/stand/server.go
+++ b/review/stand/server.go
@@ -28,6 +28,7 @@
 	id, service, zone, stage string
 	ln                       net.Listener
 	born                     int64
+	slots                    int
 	work                     time.Duration // of a plain request or a prefill
 
 	quiet bool // its runs are not recorded
@@ -62,7 +63,7 @@
 			return nil, err
 		}
 	}
-	s := &server{b: b, id: id, service: service, zone: zone, stage: stage, ln: ln, born: time.Now().UnixMilli(), work: 30 * time.Millisecond,
+	s := &server{b: b, id: id, service: service, zone: zone, stage: stage, ln: ln, born: time.Now().UnixMilli(), slots: 6, work: 30 * time.Millisecond,
 		unhealthy: func() bool { return false }, ended: make(chan struct{}), channels: map[net.Conn]bool{}}
 	s.spoil = func(*channel, *http.Request, string) (bool, bool) { return false, true }
 	if change != nil {
@@ -89,7 +90,7 @@
 func (s *server) register() {
 	for {
 		s.sequence++
-		entry := map[string]any{"service": s.service, "address": s.ln.Addr().String(), "zone": s.zone, "version": "v1", "slots": 6,
+		entry := map[string]any{"service": s.service, "address": s.ln.Addr().String(), "zone": s.zone, "version": "v1", "slots": s.slots,
 			"state": "ready", "cold-remaining-ms": 0, "sequence": s.sequence, "born": s.born}
 		if s.stage != "" {
 			entry["stage"] = s.stage
