--- a/review/stand/bench.go
+++ b/review/stand/bench.go
@@ -36,7 +36,7 @@
 	repository string
 	dir        string
 	trouble    bool
-	network    byte // instances listen on 127.network.0.N
+	network    [2]int // instances listen on 127.network.N
 	store      *emulator.Store
 	instances  []*instance
 	servers    []*server
@@ -73,7 +73,7 @@
 	if err != nil {
 		return nil, errors.Join(err, f.Close())
 	}
-	b := &bench{repository: repository, dir: dir, trouble: trouble, store: store, file: f, began: time.Now(), network: byte(10 + rand.IntN(200))}
+	b := &bench{repository: repository, dir: dir, trouble: trouble, store: store, file: f, began: time.Now(), network: [2]int{10 + rand.IntN(200), rand.IntN(250)}}
 	b.note("trouble=%v", trouble)
 	b.configure(1)
 	return b, nil
@@ -185,7 +185,7 @@
 func (b *bench) startInstances(n int) error {
 	var seeds []string
 	for i := range n {
-		x := &instance{b: b, name: fmt.Sprintf("frontend-%d", i+1), zone: zoneName(i), host: fmt.Sprintf("127.%d.0.%d", b.network, i+1)}
+		x := &instance{b: b, name: fmt.Sprintf("frontend-%d", i+1), zone: zoneName(i), host: fmt.Sprintf("127.%d.%d.%d", b.network[0], b.network[1], i+1)}
 		base, err := emulator.FreePorts(x.host, 24)
 		if err != nil {
 			return err
