--- a/review/stand/bench.go
+++ b/review/stand/bench.go
@@ -42,6 +42,7 @@
 	servers    []*server
 	// descriptors is the limit of each process, 0 for that of the machine.
 	descriptors int
+	rate        int // the tenant's limit in tokens a second, 0 for none
 
 	mu         sync.Mutex
 	began      time.Time
@@ -165,7 +166,7 @@
 			map[string]any{"name": plainService, "health-path": "/health", "connection-limit": 110},
 		},
 		"limits":  map[string]any{"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
-		"tenants": []any{map[string]any{"name": tenant, "api-keys": []string{apiKey}, "priority": 1, "unit": "tokens", "uncached-tokens": 200, "rate-per-s": 0, "burst": 0}},
+		"tenants": []any{map[string]any{"name": tenant, "api-keys": []string{apiKey}, "priority": 1, "unit": "tokens", "uncached-tokens": 200, "rate-per-s": b.rate, "burst": 0}},
 	})
 }
 
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -13,11 +13,12 @@
 
 // cases are the scripts' cases by number.
 var cases = map[string]func(*bench) error{
-	"1": unframedStream,
-	"2": lateHealthAnswer,
-	"3": burstOfUsers,
-	"4": lateStreams,
-	"5": photographs,
+	"1":      unframedStream,
+	"2":      lateHealthAnswer,
+	"3":      burstOfUsers,
+	"4":      lateStreams,
+	"5":      photographs,
+	"events": longEventsOfStreams,
 }
 
 // Exit codes of a case.
--- a/review/stand/server.go
+++ b/review/stand/server.go
@@ -79,7 +79,11 @@
 func (s *server) close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	close(s.ended)
+	select {
+	case <-s.ended: // it has crashed
+	default:
+		close(s.ended)
+	}
 	_ = s.ln.Close()
 	for c := range s.channels {
 		_ = c.Close()
@@ -249,6 +253,8 @@
 	b    *bench
 	x    *instance
 	http *http.Client
+
+	brief bool // its requests have one short line each in the record
 }
 
 func (b *bench) newClient(x *instance) *client {
@@ -270,7 +276,9 @@
 	for name, value := range more {
 		req.Header.Set(name, value)
 	}
-	c.b.note("sent     attempt=%s instance=%s %s %s body=%q", a.attempt, c.x.name, method, path, body)
+	if !c.brief {
+		c.b.note("sent     attempt=%s instance=%s %s %s body=%q", a.attempt, c.x.name, method, path, body)
+	}
 	resp, err := c.http.Do(req)
 	if err != nil {
 		a.err = err
@@ -281,6 +289,10 @@
 	content, err := io.ReadAll(resp.Body)
 	a.status, a.body, a.complete, a.err = resp.StatusCode, string(content), err == nil, err
 	a.signed = resp.Header.Get("Carawayrouter-Server-Signature") != ""
+	if c.brief {
+		c.b.note("%s %d %v", a.attempt, a.status, a.complete)
+		return a
+	}
 	c.b.note("answered attempt=%s status=%d signed=%v bytes=%d complete=%v", a.attempt, a.status, a.signed, len(content), a.complete)
 	return a
 }
