--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -19,6 +19,7 @@
 	"4":      lateStreams,
 	"5":      photographs,
 	"events": longEventsOfStreams,
+	"guide":  editedGuidelines,
 }
 
 // Exit codes of a case.
--- a/review/stand/server.go
+++ b/review/stand/server.go
@@ -32,6 +32,7 @@
 	work                     time.Duration // of a plain request or a prefill
 
 	quiet bool // its runs are not recorded
+	brief bool // its runs have one short line each in the record
 
 	// spoil may answer a request in another way; it reports whether it has, and whether the channel stays open.
 	// It is called with the requests that the server does not reject.
@@ -200,7 +201,10 @@
 		_, _ = io.WriteString(c, formatAnswer(http.StatusOK, head+"Content-Type: application/json\r\n", handle))
 		return true
 	}
-	if !s.quiet {
+	switch {
+	case s.brief:
+		s.b.note("%s run %s", attempt, s.id)
+	case !s.quiet:
 		s.b.recordRun(run{attempt: attempt, server: s.id, path: r.URL.Path, body: body, at: time.Now()})
 	}
 	if answered, open := s.spoil(c, r, body); answered {
@@ -245,6 +249,7 @@
 	body     string
 	complete bool
 	signed   bool
+	closed   bool // the instance has said that it closes the channel, or has closed it
 	err      error
 }
 
@@ -281,14 +286,14 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		a.err = err
+		a.err, a.closed = err, true
 		c.b.note("answered attempt=%s error=%v", a.attempt, err)
 		return a
 	}
 	defer resp.Body.Close()
 	content, err := io.ReadAll(resp.Body)
 	a.status, a.body, a.complete, a.err = resp.StatusCode, string(content), err == nil, err
-	a.signed = resp.Header.Get("Carawayrouter-Server-Signature") != ""
+	a.signed, a.closed = resp.Header.Get("Carawayrouter-Server-Signature") != "", resp.Close || err != nil
 	if c.brief {
 		c.b.note("%s %d %v", a.attempt, a.status, a.complete)
 		return a
