--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -13,13 +13,14 @@
 
 // cases are the scripts' cases by number.
 var cases = map[string]func(*bench) error{
-	"1":      unframedStream,
-	"2":      lateHealthAnswer,
-	"3":      burstOfUsers,
-	"4":      lateStreams,
-	"5":      photographs,
-	"events": longEventsOfStreams,
-	"guide":  editedGuidelines,
+	"1":       unframedStream,
+	"2":       lateHealthAnswer,
+	"3":       burstOfUsers,
+	"4":       lateStreams,
+	"5":       photographs,
+	"events":  longEventsOfStreams,
+	"replace": replaceMachines,
+	"guide":   editedGuidelines,
 }
 
 // Exit codes of a case.
