--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -19,6 +19,7 @@
 	"4":       lateStreams,
 	"5":       photographs,
 	"events":  longEventsOfStreams,
+	"relayed": relayedRequests,
 	"reload":  shorterGracePeriod,
 	"replace": replaceMachines,
 	"guide":   editedGuidelines,
