--- a/review/stand/case6.go
+++ b/review/stand/case6.go
@@ -14,7 +14,7 @@
 const (
 	listEvents   = 70
 	listInterval = 30 * time.Millisecond
-	listed       = 410 // submissions that an event names
+	listed       = 682 // submissions that an event names
 	listClients  = 12
 	crashTime    = 4500 * time.Millisecond
 )
@@ -103,9 +103,9 @@
 		if n > 0 {
 			list.WriteByte(' ')
 		}
-		fmt.Fprintf(&list, "id:%06d", (i*7+n*3)%60+1)
+		fmt.Fprintf(&list, "id:%d", (i*7+n*3)%60+10)
 	}
-	return fmt.Sprintf("id: %d\ndata: %s\n\n", i, list.String())
+	return fmt.Sprintf("id: %d\ndata: ids %s\n\n", i, list.String())
 }
 
 // streamFrom answers with the events from first on, in chunks, and reports whether the channel stays open.
