--- a/review/stand/bench.go
+++ b/review/stand/bench.go
@@ -43,6 +43,7 @@
 	// descriptors is the limit of each process, 0 for that of the machine.
 	descriptors int
 	rate        int // the tenant's limit in tokens a second, 0 for none
+	grace       int // grace period in the settings, s
 
 	mu         sync.Mutex
 	began      time.Time
@@ -74,7 +75,7 @@
 	if err != nil {
 		return nil, errors.Join(err, f.Close())
 	}
-	b := &bench{repository: repository, dir: dir, trouble: trouble, store: store, file: f, began: time.Now(), network: [2]int{10 + rand.IntN(200), rand.IntN(250)}}
+	b := &bench{repository: repository, dir: dir, trouble: trouble, grace: 8, store: store, file: f, began: time.Now(), network: [2]int{10 + rand.IntN(200), rand.IntN(250)}}
 	b.note("trouble=%v", trouble)
 	b.configure(1)
 	return b, nil
@@ -261,7 +262,7 @@
 [bounds]
 contact-ms = 3000
 drain-ms = 2000
-grace-period-s = 8
+grace-period-s = %d
 loss-slack-ms = 200
 config-apply-ms = 2000
 retry-budget-ratio = 0.2
@@ -277,7 +278,7 @@
 writes-per-s = 400
 reads-per-s = 2000
 `, x.name, x.host, x.zone, x.base+internalPort, x.base+internalPort+15, strings.Join(quoted, ","), bootstrap,
-		x.addr(frontendPort), x.addr(readinessPort), x.addr(controlPort), x.b.store.Addr())
+		x.addr(frontendPort), x.addr(readinessPort), x.addr(controlPort), x.b.grace, x.b.store.Addr())
 }
 
 // start starts the process with the command of the deploy file.
--- a/review/stand/grace.go
+++ b/review/stand/grace.go
@@ -6,20 +6,19 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
 )
 
 const (
-	usualGrace   = 8 * time.Second
-	shorterGrace = 4 * time.Second
-	reloadTime   = 5 * time.Second // from SIGHUP to SIGTERM
-	keptClients  = 60              // on kept channels
-	keptReturn   = 6 * time.Second // between two requests of a client; half of what the limit for idle channels allows
-	keptEvents   = 40
-	keptInterval = 15 * time.Millisecond
+	formerGrace  = 12               // s
+	sheetGrace   = 8                // s, on the sheet
+	reloadTime   = 5 * time.Second  // from SIGHUP to SIGTERM
+	keptClients  = 110              // on kept channels
+	keptReturn   = 11 * time.Second // between two requests of a client; four fifths of the limit for idle channels are 12 s
+	keptEvents   = 70
+	keptInterval = 25 * time.Millisecond
 )
 
 // shorterGracePeriod: the settings file gives a shorter grace period, the instance gets SIGHUP, and later SIGTERM.
@@ -42,6 +41,7 @@
 			return err
 		}
 	}
+	b.grace = formerGrace
 	if err := b.startInstances(2); err != nil {
 		return err
 	}
@@ -84,19 +84,17 @@
 			}
 		})
 	}
-	time.Sleep(keptReturn + 2*time.Second)
-	grace := usualGrace
+	time.Sleep(keptReturn + time.Second)
 	if b.trouble {
-		grace = shorterGrace
+		b.grace = sheetGrace
 		file := filepath.Join(b.dir, x.name+".toml")
-		settings := strings.Replace(x.settings(false), "grace-period-s = 8", "grace-period-s = 4", 1)
-		if err := os.WriteFile(file+".new", []byte(settings), 0o600); err != nil {
+		if err := os.WriteFile(file+".new", []byte(x.settings(false)), 0o600); err != nil {
 			return err
 		}
 		if err := os.Rename(file+".new", file); err != nil {
 			return err
 		}
-		b.note("settings instance=%s grace-period-s=4", x.name)
+		b.note("settings instance=%s grace-period-s=%d", x.name, b.grace)
 		x.signal(syscall.SIGHUP)
 	}
 	time.Sleep(reloadTime)
@@ -106,7 +104,7 @@
 	x.signal(syscall.SIGTERM)
 	select {
 	case <-x.exited:
-	case <-time.After(grace):
+	case <-time.After(time.Duration(b.grace) * time.Second):
 		x.signal(syscall.SIGKILL)
 		<-x.exited
 	}
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -11,18 +11,19 @@
 	"time"
 )
 
-// cases are the scripts' cases by number.
+// cases are what can be played, by name: those of the scripts review/1 to review/5, and others.
 var cases = map[string]func(*bench) error{
-	"1":       unframedStream,
-	"2":       lateHealthAnswer,
-	"3":       burstOfUsers,
-	"4":       lateStreams,
-	"5":       photographs,
-	"events":  longEventsOfStreams,
-	"relayed": relayedRequests,
-	"reload":  shorterGracePeriod,
-	"replace": replaceMachines,
-	"guide":   editedGuidelines,
+	"health":      lateHealthAnswer,
+	"events":      longEventsOfStreams,
+	"descriptors": burstOfUsers,
+	"grace":       shorterGracePeriod,
+	"guidelines":  editedGuidelines,
+
+	"bodies":   photographs,
+	"late":     lateStreams,
+	"relayed":  relayedRequests,
+	"replaced": replaceMachines,
+	"unframed": unframedStream,
 }
 
 // Exit codes of a case.
