--- a/review/stand/descriptors.go
+++ b/review/stand/descriptors.go
@@ -40,8 +40,9 @@
 }
 
 // check sends a status check and returns the status of the answer, 0 without one.
-func (u *user) check() int {
+func (u *user) check() (status int) {
 	attempt := newAttempt()
+	defer func() { u.b.note("%s sent to %s, answered %d", attempt, u.x.name, status) }()
 	_ = u.nc.SetDeadline(time.Now().Add(1500 * time.Millisecond))
 	if _, err := io.WriteString(u.nc, "GET "+checkPath+"2f HTTP/1.1\r\nHost: "+host+"\r\n"+headerAttempt+": "+attempt+
 		"\r\nCarawayrouter-Deadline-Ms: 1500\r\nCarawayrouter-Key: "+apiKey+"\r\n\r\n"); err != nil {
@@ -96,7 +97,7 @@
 // whether the instance is ready.
 func burstOfUsers(b *bench) error {
 	for i := range 3 {
-		if _, err := b.startServer(fmt.Sprintf("i-app-%d", i+1), plainService, zoneName(i), "", nil, func(s *server) { s.quiet, s.slots = true, appSlots }); err != nil {
+		if _, err := b.startServer(fmt.Sprintf("i-app-%d", i+1), plainService, zoneName(i), "", nil, func(s *server) { s.brief, s.slots = true, appSlots }); err != nil {
 			return err
 		}
 	}
--- a/review/stand/grace.go
+++ b/review/stand/grace.go
@@ -12,13 +12,14 @@
 )
 
 const (
-	formerGrace  = 12               // s
-	sheetGrace   = 8                // s, on the sheet
-	reloadTime   = 5 * time.Second  // from SIGHUP to SIGTERM
-	keptClients  = 110              // on kept channels
-	keptReturn   = 11 * time.Second // between two requests of a client; four fifths of the limit for idle channels are 12 s
-	keptEvents   = 70
-	keptInterval = 25 * time.Millisecond
+	graceInstances = 4                // one of them is a share of 0.25
+	formerGrace    = 12               // s
+	sheetGrace     = 8                // s, on the sheet
+	reloadTime     = 5 * time.Second  // from SIGHUP to SIGTERM
+	keptClients    = 110              // on kept channels
+	keptReturn     = 11 * time.Second // between two requests of a client; four fifths of the limit for idle channels are 12 s
+	keptEvents     = 70
+	keptInterval   = 25 * time.Millisecond
 )
 
 // shorterGracePeriod: the settings file gives a shorter grace period, the instance gets SIGHUP, and later SIGTERM.
@@ -42,7 +43,7 @@
 		}
 	}
 	b.grace = formerGrace
-	if err := b.startInstances(2); err != nil {
+	if err := b.startInstances(graceInstances); err != nil {
 		return err
 	}
 	x := b.instances[0]
--- a/review/stand/server.go
+++ b/review/stand/server.go
@@ -295,7 +295,7 @@
 	a.status, a.body, a.complete, a.err = resp.StatusCode, string(content), err == nil, err
 	a.signed, a.closed = resp.Header.Get("Carawayrouter-Server-Signature") != "", resp.Close || err != nil
 	if c.brief {
-		c.b.note("%s %d %v", a.attempt, a.status, a.complete)
+		c.b.note("%s %d %v %s", a.attempt, a.status, a.complete, resp.Header.Get("Retry-After"))
 		return a
 	}
 	c.b.note("answered attempt=%s status=%d signed=%v bytes=%d complete=%v", a.attempt, a.status, a.signed, len(content), a.complete)
