gateway: log what ended an endpoint's answer, and by which way it came

A request whose answer ended with the connection is logged even if it was complete: until now a stream that ended early and looked complete left no line at all, and no line told a length, chunks and the end of the connection apart, nor a direct connection and a tunnel.

--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -52,6 +52,8 @@
 	crashed         bool      // the endpoint of the last attempt crashed before its response began
 	excluded        []string  // endpoints that failed the request
 	lastEndpoint    string    // endpoint of the last attempt
+	lastFraming     framing   // of the last response; empty before the first one
+	lastDetoured    bool      // the last response came through another instance
 	queueTime       time.Duration
 	relayedTokens   int               // output tokens relayed
 	priorTokens     int               // output tokens that the caller received in an earlier attempt
@@ -269,7 +271,7 @@
 	case outcome == outcomeComplete:
 		x.s.stats.callLatency.Update(took.Seconds())
 	}
-	routine := outcome == outcomeComplete && r.status < 400 && x.sends <= 1 && !x.missedTarget(took)
+	routine := outcome == outcomeComplete && r.status < 400 && x.sends <= 1 && !x.missedTarget(took) && x.lastFraming != framedByClose
 	if !x.logNow && routine {
 		x.s.stats.omitted.Inc()
 		return
@@ -285,6 +287,9 @@
 	if c.Route != nil {
 		fields = append(fields, "route", c.Route.Name)
 	}
+	if x.lastFraming != "" {
+		fields = append(fields, "framing", string(x.lastFraming), "detoured", x.lastDetoured)
+	}
 	if x.relayedTokens > 0 {
 		fields = append(fields, "output_tokens", x.relayedTokens, "last_event", x.lastEventID, "hint", c.OutputHint, "first_ms", x.firstEventDelay.Milliseconds(), "pause_ms", x.longestGap.Milliseconds())
 	}
--- a/internal/gateway/runresult.go
+++ b/internal/gateway/runresult.go
@@ -51,7 +51,7 @@
 // receiveHead handles the head of a response, or the whole response if it is not a stream.
 func (g *generation) receiveHead(run *engineRun, r runResult) (runVerdict, sched.Outcome, error) {
 	resp := r.resp
-	g.reportAnnouncements(resp, run.lease.Target.Name)
+	g.observeResponse(resp, run.lease.Target.Name)
 	if resp.NotRun {
 		return runRefused, refusedOutcome(resp), refusal(errkind.QueueFull, "the engine refused the request", endpointRetryAfter)
 	}
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -285,7 +285,7 @@
 		x.uncountSend()
 	}
 	if p.resp != nil {
-		x.reportAnnouncements(p.resp, endpointName)
+		x.observeResponse(p.resp, endpointName)
 	}
 }
 
@@ -321,8 +321,9 @@
 	}
 }
 
-// reportAnnouncements logs what a response announces and the request has to do with.
-func (x *exchange) reportAnnouncements(resp *endpointResponse, endpoint string) {
+// observeResponse records how a response came, and logs what it announces and the request has to do with.
+func (x *exchange) observeResponse(resp *endpointResponse, endpoint string) {
+	x.lastFraming, x.lastDetoured = resp.framing, resp.conn.detoured
 	if resp.Leaving {
 		x.decision("endpoint_leaves", "endpoint", endpoint)
 	}
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -342,10 +342,30 @@
 	stopWatch func() bool
 	buffered  int64 // bytes of the body in memory
 	bodyRead  bool  // the body was read completely
+	framing   framing
 	keepAlive bool
 	confirmed bool // it comes from the incarnation that the request was meant for, as far as endpoints say
 }
 
+// framing says what ends the body of a response.
+type framing string
+
+const (
+	framedByLength framing = "length"
+	framedByChunks framing = "chunks"
+	framedByClose  framing = "close" // the end of the connection
+)
+
+func framingOf(r *http.Response) framing {
+	switch {
+	case len(r.TransferEncoding) > 0:
+		return framedByChunks
+	case r.ContentLength >= 0 || r.Body == http.NoBody:
+		return framedByLength
+	}
+	return framedByClose
+}
+
 // isAnsweredBy reports whether a response may be that of the endpoint that the request was meant for.
 func (r endpointRequest) isAnsweredBy(resp ResponseInfo) bool {
 	return r.endpoint != "" && !resp.WrongEndpoint && (resp.EndpointName == "" || resp.EndpointName == r.endpoint)
@@ -433,7 +453,7 @@
 			c.refused = append(c.refused, req.attemptID)
 		}
 		c.limited.N = math.MaxInt64
-		resp := &endpointResponse{ResponseInfo: info, Status: httpResp.StatusCode, body: httpResp.Body, conn: c, upstream: u}
+		resp := &endpointResponse{ResponseInfo: info, Status: httpResp.StatusCode, body: httpResp.Body, framing: framingOf(httpResp), conn: c, upstream: u}
 		resp.keepAlive = !httpResp.Close && skipped == 0 && len(c.refused) <= maxRefused
 		resp.confirmed = c.incarnation != 0 || req.incarnation == 0 || !u.mayAsk(req.endpoint)
 		if ttl, ok := keepAliveTTL(httpResp.Header); ok {
