gateway: an answer without a length is whole once its process has outlived it

Cause: the end of the connection was taken for the end of an answer that has no length. The kernel ends the connections of a process that is gone with a FIN, like those that the process closes. Class: an end that anyone on the way can make is taken for the sender's word.

After such an end the endpoint's process has to answer a request that was sent after it (its report, or a health check), on a kept connection if there is one; connections are only opened to endpoints that limit requests or want none. If nothing listens, another incarnation answers or none does within a second, the answer has broken off: the stream goes on at another engine where it may, else the caller's connection ends without its last chunk, and a plain call is no success.

Ruled out: chunked bodies and bodies with a length, whose early end was an error before.

--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -303,6 +303,9 @@
 		body:      x.call.Body,
 		attemptID: x.call.ID,
 		sendOnce:  !x.call.Route.Idempotent && !opts.PrefillOnly,
+
+		forCaller:  !opts.PrefillOnly,
+		healthPath: x.call.Pool.HealthPath,
 	}
 }
 
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -35,6 +35,7 @@
 	tokensCharged     *metrics.Counter
 	crashes           *metrics.Counter
 	pauses            *metrics.Counter
+	closedAnswers     map[bool]*metrics.Counter // answers without a length, by whether their end was confirmed
 
 	callLatency *metrics.PrometheusHistogram
 	firstEvent  *metrics.PrometheusHistogram
@@ -76,6 +77,10 @@
 		longestGap:        set.NewPrometheusHistogramExt("caraway_longest_pause_seconds", latencyBounds),
 		queueWait:         set.NewPrometheusHistogramExt("caraway_place_wait_seconds", latencyBounds),
 	}
+	m.closedAnswers = map[bool]*metrics.Counter{
+		true:  set.NewCounter(`caraway_answers_without_length_total{end="confirmed"}`),
+		false: set.NewCounter(`caraway_answers_without_length_total{end="broken"}`),
+	}
 	for _, o := range []string{outcomeComplete, outcomeRefused, outcomeFailed, outcomeTruncated, outcomeCallerGone} {
 		m.requests[o] = set.NewCounter(`caraway_requests_total{outcome="` + o + `"}`)
 	}
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -60,6 +60,7 @@
 	onAnnouncement func(req endpointRequest, resp ResponseInfo)
 	mayAsk         func(endpoint string) bool          // reports whether an endpoint may be asked for its incarnation
 	pausedFor      func(endpoint string) time.Duration // returns for how long an endpoint wants no request
+	onEndByClose   func(confirmed bool)                // observes the end of an answer without a length
 
 	buffered atomic.Int64 // bytes of response bodies in memory
 
@@ -114,7 +115,7 @@
 
 func newUpstream(w Wire, onOpen func(net.Conn)) *upstream {
 	return &upstream{wire: w, paths: newPaths(dialTCP, func(context.Context, string) (net.Conn, error) { return nil, errNoDetour }), onOpen: onOpen, onResponse: func(endpointRequest, time.Time, ResponseInfo) {}, onAnnouncement: func(endpointRequest, ResponseInfo) {},
-		mayAsk: func(string) bool { return true }, pausedFor: func(string) time.Duration { return 0 }, idle: map[string][]*endpointConn{}}
+		mayAsk: func(string) bool { return true }, pausedFor: func(string) time.Duration { return 0 }, onEndByClose: func(bool) {}, idle: map[string][]*endpointConn{}}
 }
 
 // dialTCP is the usual Dial.
@@ -187,11 +188,17 @@
 		return nil, errors.Mark(errPaused, endpoint.ErrNotSent)
 	}
 	if c.incarnation == 0 {
-		if err := u.askIncarnation(ctx, c, req); err != nil {
+		incarnation, reusable, err := u.askIncarnation(ctx, c, req)
+		switch {
+		case !reusable:
 			_ = c.Close()
 			if c, err = u.dial(ctx, req.addr); err != nil {
 				return nil, err
 			}
+		case incarnation == 0:
+			c.incarnation = notStated
+		default:
+			c.incarnation = incarnation
 		}
 	}
 	err := error(nil)
@@ -207,34 +214,26 @@
 	return nil, errors.Mark(err, endpoint.ErrNotSent)
 }
 
-// askIncarnation asks the process at the other end of an idle connection for its incarnation.
-func (u *upstream) askIncarnation(ctx context.Context, c *endpointConn, req endpointRequest) error {
+// askIncarnation asks the process at the other end of an idle connection for its incarnation, 0 if it states none.
+// Reusable says that the connection may carry another request; it is not after an error.
+func (u *upstream) askIncarnation(ctx context.Context, c *endpointConn, req endpointRequest) (incarnation int64, reusable bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	defer context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })()
 	resp, err := u.roundTrip(c, endpointRequest{endpoint: req.endpoint, placedAt: req.incarnation, sender: "incarnation", method: http.MethodGet, uri: u.wire.ReportPath(), host: req.addr})
 	if err != nil {
-		return err
+		return 0, false, err
 	}
 	body, err := resp.readAll()
 	u.buffered.Add(-resp.buffered)
 	if err != nil {
-		return err
-	}
-	if !resp.keepAlive || ctx.Err() != nil {
-		return errors.New("the endpoint closes the connection")
+		return 0, false, err
 	}
 	if resp.Status != http.StatusOK {
-		return errors.Newf("the endpoint's report has status %d", resp.Status)
-	}
-	incarnation, err := u.wire.ReportedIncarnation(body)
-	if err != nil {
-		return err
-	}
-	if c.incarnation = incarnation; incarnation == 0 {
-		c.incarnation = notStated
+		return 0, false, errors.Newf("the endpoint's report has status %d", resp.Status)
 	}
-	return nil
+	incarnation, err = u.wire.ReportedIncarnation(body)
+	return incarnation, err == nil && resp.keepAlive && ctx.Err() == nil, err
 }
 
 func (u *upstream) pop(addr string) *endpointConn {
@@ -327,6 +326,9 @@
 	placedAt  int64  // incarnation in the endpoint's entry when it was chosen
 	sender    string // what sends it, for the log; empty for a caller's request
 
+	forCaller  bool   // the response is passed on to a caller
+	healthPath string // of the endpoint; empty if it has none
+
 	incarnation int64 // of the endpoint; 0 accepts any
 	mustConfirm bool  // is sent only to an endpoint that has said to be the incarnation, or says none
 }
@@ -415,6 +417,9 @@
 		return nil, errors.Mark(err, endpoint.ErrCallFailed)
 	}
 	resp.stopWatch = stopWatch
+	if req.forCaller && resp.framing == framedByClose {
+		resp.body = &confirmedBody{ReadCloser: resp.body, confirm: func() error { return u.confirmEnd(ctx, c, req) }}
+	}
 	u.onResponse(req, sentAt, resp.ResponseInfo)
 	return resp, nil
 }
