gateway: a tunnel says that the endpoint has closed its connection

Cause: bytes were passed on raw, and the kernel ends a tunnel's connections with a FIN when its instance ends, as if the endpoint had closed them.

An instance that asks for a tunnel says that it reads frames; one that serves frames ends them with an empty one when the endpoint has closed its connection. Without it a tunnel's end is an error. A former build on the other side gets and sends what it did; through it an answer without a length counts as broken off.

--- a/internal/gateway/path_test.go
+++ b/internal/gateway/path_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -161,28 +162,49 @@
 }
 
 // A connection that goes through another instance ends as the endpoint ended it: a response that breaks off
-// does not look complete, one that ends with its connection does.
+// does not look complete, one that ends with its connection does. If the instance itself ends, it never does.
 func TestTunnelEndsLikeItsEndpoint(t *testing.T) {
-	for _, reset := range []bool{false, true} {
-		instance, served := tcpPair(t)
-		endpoint, dialled := tcpPair(t)
-		joined := make(chan struct{})
-		go func() {
-			defer close(joined)
-			joinConns(served, served, dialled, io.Discard)
-		}()
-		_, err := io.WriteString(endpoint, "response")
-		assert.NilError(t, err)
-		b := make([]byte, len("response"))
-		_, err = io.ReadFull(instance, b)
-		assert.NilError(t, err)
-		if reset {
-			assert.NilError(t, endpoint.SetLinger(0))
+	const response = "a response"
+	for name, c := range map[string]struct {
+		end     func(endpoint, served *net.TCPConn) error
+		framed  error // what the reader of frames gets
+		unknown error // what an instance gets that is not sent frames
+		raw     error // what an instance gets that reads none
+	}{
+		"closed":            {func(endpoint, _ *net.TCPConn) error { return endpoint.Close() }, nil, errTunnelEnded, nil},
+		"reset":             {func(endpoint, _ *net.TCPConn) error { _ = endpoint.SetLinger(0); return endpoint.Close() }, syscall.ECONNRESET, syscall.ECONNRESET, syscall.ECONNRESET},
+		"the instance ends": {func(_, served *net.TCPConn) error { return served.CloseWrite() }, errTunnelEnded, errTunnelEnded, nil},
+	} {
+		for form, want := range map[string]error{"frames": c.framed, "no frames": c.unknown, "former build": c.raw} {
+			t.Run(name+", "+form, func(t *testing.T) {
+				instance, served := tcpPair(t)
+				endpoint, dialled := tcpPair(t)
+				joined := make(chan struct{})
+				go func() {
+					defer close(joined)
+					joinConns(served, served, dialled, io.Discard, form == "frames")
+				}()
+				var reader io.Reader = &tunnelConn{TCPConn: instance, framed: form == "frames"}
+				if form == "former build" {
+					reader = instance
+				}
+				for i := range 3 { // longer than a frame
+					_, err := io.WriteString(endpoint, strings.Repeat(response, i*tunnelBuffer/len(response)+1))
+					assert.NilError(t, err)
+					b := make([]byte, len(response)*(i*tunnelBuffer/len(response)+1))
+					_, err = io.ReadFull(reader, b)
+					assert.NilError(t, err)
+					assert.Equal(t, strings.Count(string(b), response)*len(response), len(b))
+				}
+				assert.NilError(t, c.end(endpoint, served))
+				rest, err := io.ReadAll(reader)
+				assert.Equal(t, len(rest), 0)
+				assert.Assert(t, errors.Is(err, want) && (err == nil) == (want == nil), "%v", err)
+				_ = instance.Close()
+				_ = endpoint.Close()
+				<-joined
+			})
 		}
-		assert.NilError(t, endpoint.Close())
-		_, err = io.ReadAll(instance)
-		assert.Equal(t, errors.Is(err, syscall.ECONNRESET), reset, "%v", err)
-		<-joined
 	}
 }
 
--- a/internal/gateway/tunnel.go
+++ b/internal/gateway/tunnel.go
@@ -26,11 +26,13 @@
 )
 
 const (
-	tunnelPath     = "/v1/peer/tunnel"
-	headerTarget   = "Tunnel-Target" // address of the endpoint
-	headerSentAt   = "Tunnel-Sent"   // Unix s
-	headerMAC      = "Tunnel-Mac"    // of path, target and time, by the fleet's secret
-	headerRefused  = "Tunnel-Refused"
+	tunnelPath    = "/v1/peer/tunnel"
+	headerTarget  = "Tunnel-Target" // address of the endpoint
+	headerSentAt  = "Tunnel-Sent"   // Unix s
+	headerMAC     = "Tunnel-Mac"    // of path, target and time, by the fleet's secret
+	headerRefused = "Tunnel-Refused"
+	// headerFrames is 1 in a request of an instance that reads frames, and in the response if they are sent.
+	headerFrames   = "Tunnel-Frames"
 	headerPaused   = "Tunnel-Paused"        // ms for which the endpoint wants no request from the instance
 	tunnelDialTime = 150 * time.Millisecond // for the other instance to reach the endpoint
 	tunnelTryTime  = 250 * time.Millisecond // for one instance that is asked
@@ -186,48 +188,53 @@
 		return nil, errors.Newf("instance %s: %v", addr, err) // its refusal is not the endpoint's
 	}
 	stop := context.AfterFunc(ctx, func() { _ = nc.SetDeadline(time.Unix(1, 0)) })
-	err = requestTunnel(nc, secret, addr, target)
+	framed, err := requestTunnel(nc, secret, addr, target)
 	if !stop() && err == nil {
 		err = ctx.Err()
 	}
+	tc, ok := nc.(*net.TCPConn)
+	if err == nil && !ok {
+		err = errors.Newf("instance %s: the connection is a %T", addr, nc)
+	}
 	if err != nil {
 		_ = nc.Close()
 		return nil, err
 	}
-	return nc, nil
+	return &tunnelConn{TCPConn: tc, framed: framed}, nil
 }
 
-// requestTunnel makes a connection to another instance one to an endpoint.
-func requestTunnel(nc net.Conn, secret []byte, addr, target string) error {
+// requestTunnel makes a connection to another instance one to an endpoint, and reports whether the instance sends
+// frames. One of a former build does not.
+func requestTunnel(nc net.Conn, secret []byte, addr, target string) (framed bool, err error) {
 	sentAt := strconv.FormatInt(time.Now().Unix(), 10)
 	req := "POST " + tunnelPath + " HTTP/1.1\r\nHost: " + addr + "\r\n" +
 		headerTarget + ": " + target + "\r\n" + headerSentAt + ": " + sentAt + "\r\n" +
-		headerMAC + ": " + hex.EncodeToString(tunnelMAC(secret, target, sentAt)) + "\r\nContent-Length: 0\r\n\r\n"
+		headerMAC + ": " + hex.EncodeToString(tunnelMAC(secret, target, sentAt)) + "\r\n" + headerFrames + ": 1\r\nContent-Length: 0\r\n\r\n"
 	if _, err := io.WriteString(nc, req); err != nil {
-		return errors.Wrap(err, "ask for a tunnel")
+		return false, errors.Wrap(err, "ask for a tunnel")
 	}
 	// Nothing follows the response before the endpoint has a request.
 	br := bufio.NewReader(nc)
 	resp, err := http.ReadResponse(br, nil)
 	if err != nil {
-		return errors.Newf("ask for a tunnel: %v", err)
+		return false, errors.Newf("ask for a tunnel: %v", err)
 	}
 	defer resp.Body.Close()
 	switch {
 	case resp.StatusCode == http.StatusOK && br.Buffered() == 0:
-		return nil
+		return resp.Header.Get(headerFrames) != "", nil
 	case resp.Header.Get(headerPaused) != "":
 		ms, err := strconv.ParseInt(resp.Header.Get(headerPaused), 10, 64)
 		if err != nil || ms <= 0 {
-			return errors.Newf("instance %s: bad pause of the endpoint", addr)
+			return false, errors.Newf("instance %s: bad pause of the endpoint", addr)
 		}
-		return &pausedElsewhere{left: time.Duration(ms) * time.Millisecond}
+		return false, &pausedElsewhere{left: time.Duration(ms) * time.Millisecond}
 	case resp.StatusCode == http.StatusNotFound:
-		return errNoTunnels
+		return false, errNoTunnels
 	case resp.Header.Get(headerRefused) != "":
-		return errors.Mark(errors.Newf("instance %s: the endpoint refuses connections", addr), syscall.ECONNREFUSED)
+		return false, errors.Mark(errors.Newf("instance %s: the endpoint refuses connections", addr), syscall.ECONNREFUSED)
 	}
-	return errors.Newf("instance %s: no tunnel, status %d", addr, resp.StatusCode)
+	return false, errors.Newf("instance %s: no tunnel, status %d", addr, resp.StatusCode)
 }
 
 // serveTunnel connects another instance of the fleet, which cannot reach an endpoint, to it.
@@ -263,11 +270,15 @@
 	p.s.setUserTimeout(endpointConn)
 	caller := ctx.Conn()
 	p.s.setUserTimeout(caller)
+	framed := len(ctx.Request.Header.Peek(headerFrames)) > 0
+	if framed {
+		ctx.Response.Header.Set(headerFrames, "1")
+	}
 	ctx.Hijack(func(nc net.Conn) {
 		defer p.tunnels.Add(-1)
 		responses, observed := io.Pipe()
 		go p.s.upstream.observeResponses(responses, endpointRequest{endpoint: ep.Name, placedAt: ep.Incarnation, sender: "tunnel"})
-		joinConns(nc, caller, endpointConn, observed)
+		joinConns(nc, caller, endpointConn, observed, framed)
 		_ = observed.Close()
 	})
 }
@@ -323,20 +334,28 @@
 
 // joinConns passes on bytes between an instance and an endpoint until one of them closes. A reset is passed on
 // as one, so that a response that breaks off does not look complete. Read is how the instance's connection
-// is read; raw is the connection itself. What the endpoint sends is written to observer before it is passed on.
-func joinConns(read io.Reader, raw, endpoint net.Conn, observer io.Writer) {
+// is read; raw is the connection itself. What the endpoint sends is written to observer before it is passed on, in
+// frames if the instance reads them.
+func joinConns(read io.Reader, raw, endpoint net.Conn, observer io.Writer, framed bool) {
 	var wg sync.WaitGroup
-	pass := func(to, from net.Conn, r io.Reader) {
+	pass := func(to io.Writer, r io.Reader) {
 		// Without the kernel's splice, which needs pipes.
 		_, err := io.CopyBuffer(struct{ io.Writer }{to}, struct{ io.Reader }{r}, make([]byte, tunnelBuffer))
-		for _, c := range []net.Conn{to, from} {
+		if f, ok := to.(*frameWriter); ok && err == nil {
+			err = f.end()
+		}
+		for _, c := range []net.Conn{raw, endpoint} {
 			if tc, ok := c.(interface{ SetLinger(int) error }); ok && err != nil {
 				_ = tc.SetLinger(0)
 			}
 			_ = c.Close()
 		}
 	}
-	wg.Go(func() { pass(endpoint, raw, read) })
-	wg.Go(func() { pass(raw, endpoint, io.TeeReader(endpoint, observer)) })
+	var toInstance io.Writer = raw
+	if framed {
+		toInstance = newFrameWriter(raw)
+	}
+	wg.Go(func() { pass(endpoint, read) })
+	wg.Go(func() { pass(toInstance, io.TeeReader(endpoint, observer)) })
 	wg.Wait()
 }
