gateway: a response that names no attempt answers no caller's request

Cause: a response without an attempt id was taken for that of a request that has one, unless it said that it was not run, although endpoints echo the id; and connections of health checks and reports, whose answers name none, carry callers' requests afterwards. Class: an answer is matched by its place and not by what it says.

A response without an id is now read past where a request without an id went before on the connection, at most two as with other late ones, and is an error elsewhere. A request without an id takes no response that names an attempt.

--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -78,6 +78,10 @@
 	detoured  bool // it goes through another instance
 	openedAt  time.Time
 
+	// carriedUnnamed says that a request without an attempt ID was sent on the connection. Its response, which names
+	// no attempt either, may come a second time where that of a later request is due.
+	carriedUnnamed bool
+
 	// refused are the attempts that were refused on the connection, the latest last. A faulty endpoint may
 	// write a refusal once more where the answer to a later request is due.
 	refused []string
@@ -321,7 +325,7 @@
 	host      string
 	header    http.Header
 	body      []byte
-	attemptID string // attempt that the response must belong to; empty accepts any
+	attemptID string // attempt that the response must belong to; empty accepts one that names none
 	sendOnce  bool   // must not be sent on a connection that may be closing
 	placedAt  int64  // incarnation in the endpoint's entry when it was chosen
 	sender    string // what sends it, for the log; empty for a caller's request
@@ -428,6 +432,7 @@
 	if err := writeRequest(c, req); err != nil {
 		return nil, err
 	}
+	defer func() { c.carriedUnnamed = c.carriedUnnamed || req.attemptID == "" }()
 	c.limited.N = maxHeadBytes
 	for skipped := 0; ; {
 		httpResp, err := http.ReadResponse(c.br, &http.Request{Method: req.method})
@@ -439,7 +444,7 @@
 		}
 		info := u.wire.ParseResponse(httpResp.StatusCode, httpResp.Header)
 		u.onAnnouncement(req, info)
-		if req.attemptID != "" && info.AttemptID != "" && info.AttemptID != req.attemptID {
+		if info.AttemptID != req.attemptID && (info.AttemptID != "" || c.carriedUnnamed) {
 			// A late response to an earlier request on this connection.
 			if skipped++; skipped > maxSkipped {
 				return nil, endpoint.ErrMismatch
@@ -451,10 +456,10 @@
 			c.limited.N = maxHeadBytes
 			continue
 		}
+		if info.AttemptID != req.attemptID {
+			return nil, endpoint.ErrMismatch // it names no attempt and may answer any request
+		}
 		if info.NotRun && req.attemptID != "" {
-			if info.AttemptID == "" {
-				return nil, endpoint.ErrMismatch // it may be the refusal of another request
-			}
 			c.refused = append(c.refused, req.attemptID)
 		}
 		c.limited.N = math.MaxInt64
--- a/internal/gateway/upstream_test.go
+++ b/internal/gateway/upstream_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -401,3 +402,78 @@
 		})
 	}
 }
+
+// answering serves connections on which the n-th request is answered with answers[n].
+func answering(t *testing.T, answers ...string) (addr string) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				br := bufio.NewReader(c)
+				for _, a := range answers {
+					if _, err := http.ReadRequest(br); err != nil {
+						return
+					}
+					if _, err := io.WriteString(c, a); err != nil {
+						return
+					}
+				}
+				_, _ = io.Copy(io.Discard, br)
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// A response that names no attempt is taken for that of no request that has one, whatever came before on the connection.
+func TestResponseWithoutAnAttemptIsNoCallersResponse(t *testing.T) {
+	const unnamed = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 7\r\n\r\nunnamed"
+	named := func(id, body string) string {
+		return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
+	}
+	for name, c := range map[string]struct {
+		answers []string
+		ids     []string // of the requests before the last, whose id is "mine"
+		want    string   // body of the last one; empty if there has to be an error
+	}{
+		"on a new connection":              {[]string{unnamed}, nil, ""},
+		"after another caller's":           {[]string{named("a", "a"), unnamed + named("mine", "mine")}, []string{"a"}, ""},
+		"a second answer to a probe":       {[]string{unnamed, unnamed + named("mine", "mine")}, []string{""}, "mine"},
+		"three second answers":             {[]string{unnamed, unnamed + unnamed + unnamed + named("mine", "mine")}, []string{""}, ""},
+		"a probe gets a caller's":          {[]string{named("a", "a"), named("a", "a") + unnamed, named("mine", "mine")}, []string{"a", ""}, "mine"},
+		"both second answers":              {[]string{named("a", "a"), unnamed, unnamed + named("a", "a") + named("mine", "mine")}, []string{"a", ""}, "mine"},
+		"probe on a connection of its own": {[]string{named("mine", "mine")}, nil, "mine"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			u := newUpstream(idWire{}, func(net.Conn) {})
+			nc, err := net.Dial("tcp", answering(t, c.answers...))
+			assert.NilError(t, err)
+			conn := u.newConn(nc, "e:1", false)
+			defer conn.Close()
+			send := func(id string) (string, error) {
+				resp, err := u.roundTrip(conn, endpointRequest{method: http.MethodGet, uri: "/", host: "h", attemptID: id})
+				if err != nil {
+					return "", err
+				}
+				b, err := io.ReadAll(resp.body)
+				return string(b), err
+			}
+			for _, id := range c.ids {
+				b, err := send(id)
+				assert.NilError(t, err)
+				assert.Equal(t, b, map[string]string{"a": "a", "": "unnamed"}[id])
+			}
+			b, err := send("mine")
+			assert.Equal(t, b, c.want)
+			assert.Equal(t, err == nil, c.want != "", "%v", err)
+		})
+	}
+}
