limit: a refund returns nothing that has drained meanwhile

Cause: requests are charged at arrival, wait for full engines and are refunded in full when they are refused. While they wait the bucket drains, partly in their place; a refund up to the bucket's level gave that room to others once more. Class: what is given back is taken for unused, although time has passed.

A refund now returns at most what the instance's own usage has had left at every moment since the charge, less what was refunded of it before: the usage of the requests that run is never below zero, so that each window stays within drain and depth, whatever the other instances refund.

--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -118,7 +118,7 @@
 	c := x.call
 	c.OverLimit = d.UsedSlack
 	if d.Allowed {
-		x.chargedAt = time.Now()
+		x.chargedAt = d.ChargedAt
 		x.s.stats.tokensCharged.Add(c.ChargedTokens)
 		return nil
 	}
--- a/internal/limit/window/claim.go
+++ b/internal/limit/window/claim.go
@@ -90,7 +90,7 @@
 // waits, until it is asked for again, postponed or withdrawn, and RetryAfter is the expected wait.
 func (l *Limiter) ClaimTokens(now time.Time, a *config.Account, key ClaimKey, tokens int) Decision {
 	if a.Rate <= 0 {
-		return Decision{Allowed: true}
+		return Decision{Allowed: true, ChargedAt: now}
 	}
 	b := l.bucketOf(now, a)
 	l.drain(now, b)
@@ -112,7 +112,7 @@
 	d, v := l.examine(now, b, float64(tokens), float64(tokens), Generation)
 	d.Ahead = expected
 	if missing := d.missing + ahead; missing <= 0 && l.heard(now, c) {
-		b.charge(&d, tokens)
+		b.charge(now, &d, tokens)
 		// Until it expires, the claim tells the others to give up its former place.
 		c.Tokens, c.Due = 0, now
 		return d
@@ -142,7 +142,7 @@
 	d, v := l.examine(now, b, float64(tokens), b.generationNeed(tokens), Generation)
 	d.Ahead = expected
 	if d.missing+ahead <= 0 {
-		b.charge(&d, tokens)
+		b.charge(now, &d, tokens)
 		return d, false
 	}
 	l.refuseGeneration(now, b, &d, v, tokens)
--- a/internal/limit/window/window.go
+++ b/internal/limit/window/window.go
@@ -58,7 +58,8 @@
 
 // bucket is an account's usage that has not drained yet, in tokens.
 type bucket struct {
-	own        float64         // of this instance; negative after refunds of drained tokens
+	own        float64         // of this instance
+	periods    []period        // between the last charges of this instance, in order
 	peers      []float64       // of the other instances, by slot
 	lines      []line          // who waits at the other instances, by slot
 	claims     []*Claim        // of this instance
@@ -123,6 +124,7 @@
 // Decision is the outcome of one reservation, with the quantities behind it in tokens.
 type Decision struct {
 	Allowed     bool
+	ChargedAt   time.Time     // for Refund, if it was allowed
 	UsedSlack   bool          // above the account's burst, within the slack if it was allowed
 	RetryAfter  time.Duration // time until the request is expected to fit, if it was not allowed
 	Limit       float64       // usable depth of the bucket
@@ -182,7 +184,7 @@
 // their limits.
 func (l *Limiter) Reserve(now time.Time, a *config.Account, tokens int, kind RequestKind) Decision {
 	if a.Rate <= 0 {
-		return Decision{Allowed: true}
+		return Decision{Allowed: true, ChargedAt: now}
 	}
 	b := l.bucketOf(now, a)
 	l.drain(now, b)
@@ -200,7 +202,7 @@
 	d.Ahead = present
 	if room := -(d.missing + present); room >= 0 {
 		if d.Announce = kind == Generation && l.mustAnnounce(now, b, need, room, v); !d.Announce {
-			b.charge(&d, tokens)
+			b.charge(now, &d, tokens)
 		}
 		return d
 	}
@@ -259,8 +261,9 @@
 }
 
 // charge adds the tokens of a request that is allowed to the bucket.
-func (b *bucket) charge(d *Decision, tokens int) {
-	d.Allowed = true
+func (b *bucket) charge(now time.Time, d *Decision, tokens int) {
+	d.Allowed, d.ChargedAt = true, now
+	b.beginPeriod(now)
 	b.own += float64(tokens)
 	b.empty = false
 }
@@ -297,6 +300,7 @@
 			// it takes to drain a full bucket.
 			factor := limits.depth / b.limits.depth
 			b.own, b.ended, b.unknown = b.own*factor, b.ended*factor, b.unknown*factor
+			b.scalePeriods(factor)
 			for slot := range b.peers {
 				b.peers[slot] *= factor
 			}
@@ -412,20 +416,6 @@
 	return now.Sub(p.updatedAt)
 }
 
-// Refund returns the tokens of a request that was charged at the given time and did not run.
-// Nothing is returned if the bucket has been empty since: the charge has drained.
-func (l *Limiter) Refund(now, chargedAt time.Time, account string, tokens int) {
-	b := l.accounts[account]
-	if b == nil {
-		return
-	}
-	l.drain(now, b)
-	if b.emptySince.After(chargedAt) {
-		return
-	}
-	b.own -= min(float64(tokens), max(0, l.view(now, b).level))
-}
-
 // Usage returns what this instance reports to the others, and forgets the accounts that have
 // not been used for a window. With allLevels it reports the accounts that other instances use too.
 func (l *Limiter) Usage(now time.Time, allLevels bool) []Usage {
