gateway: text of a long event is neither its id nor its end

Cause: readEvent took the parts in which ReadSlice returns a line longer than its buffer for lines. A part that began with "id:" became the event's id, with which the next engine was asked to go on; the last part of a line whose length is a multiple of the buffer's is an empty line, and ended the event early. Class: a buffer's edge taken for an edge of the protocol. Looked for elsewhere: ReadSlice and ReadLine are used nowhere else outside tests, and the other reader of events (endpoint/httpendpoint) uses a Scanner, which returns whole lines or an error.

A line is now looked at where the event's bytes hold it whole. An error returns no part of an event, and so no id. Lines end with "\n" and any "\r" before it, as before; a "\r" elsewhere stays part of its line. Memory is bounded by maxEventBytes as before, now checked with every part.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -14,36 +14,38 @@
 	id  string
 }
 
-var errTruncatedEvent = errors.New("stream ended in the middle of an event")
+var (
+	errTruncatedEvent = errors.New("stream ended in the middle of an event")
+	errLargeEvent     = errors.New("event is too large")
+)
 
-// readEvent reads one complete event. It returns io.EOF only between two events.
+// readEvent reads one complete event. It returns io.EOF only between two events, and no part of an
+// event with an error. Lines end with "\n" and any "\r" before it; an event ends with an empty line.
+// A "\r" elsewhere is part of its line: taken for its end, text of the engine could end an event
+// that the engine has not finished.
 func readEvent(br *bufio.Reader) (streamEvent, error) {
 	var e streamEvent
+	lineStart := 0 // in e.raw
 	for {
-		line, err := br.ReadSlice('\n')
-		e.raw = append(e.raw, line...)
+		// The slice may be a part of a line that is longer than the buffer.
+		part, err := br.ReadSlice('\n')
+		e.raw = append(e.raw, part...)
 		switch {
+		case len(e.raw) > maxEventBytes:
+			return streamEvent{}, errLargeEvent
 		case errors.Is(err, bufio.ErrBufferFull):
-			if len(e.raw) > maxEventBytes {
-				return e, errors.New("event is too large")
-			}
 			continue
-		case errors.Is(err, io.EOF):
-			if len(e.raw) > 0 {
-				return e, errTruncatedEvent
-			}
-			return e, io.EOF
+		case errors.Is(err, io.EOF) && len(e.raw) > 0:
+			return streamEvent{}, errTruncatedEvent
 		case err != nil:
-			return e, err
-		}
-		if len(e.raw) > maxEventBytes {
-			return e, errors.New("event is too large")
+			return streamEvent{}, err
 		}
-		trimmed := bytes.TrimRight(line, "\r\n")
-		if len(trimmed) == 0 {
+		line := bytes.TrimRight(e.raw[lineStart:], "\r\n")
+		lineStart = len(e.raw)
+		if len(line) == 0 {
 			return e, nil
 		}
-		if v, ok := bytes.CutPrefix(trimmed, []byte("id:")); ok {
+		if v, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			e.id = string(bytes.TrimSpace(v))
 		}
 	}
