quarantine: what many requests share is not refused for a crash

Cause: begun responses speak against a cause, but were counted for the first 4,096 causes of a minute only, of which every request's fingerprint is one. At 250 requests a second the count is full within seconds, and a part that comes later has no responses, however many there are. Responses that began after the quarantine, or that another instance told of late, were not weighed at all. Class: a bound on memory that is reached by what is common at a high rate and then drops evidence for the defence only. The other bounds of the package drop crashes, or the oldest quarantine, which errs the other way; what is reported to others (128 causes) is chosen by crashes, and now has the quarantined causes in it.

Responses are now counted in a count-min sketch with conservative update, two periods of 2 MiB: no count is too low, so a shared part cannot look guilty; a count that is too high by collisions costs a further crash. Crashes of the time before it was lifted no longer count for that cause. The others are told by a quarantine that has ended, which a former build passes over.

Nothing is sent to find out whether a cause still crashes engines: it costs some of them. A part of which nothing was on its way and nothing had begun for a minute or two stays refused.

--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -106,8 +106,21 @@
 	r := x.identity()
 	q := x.s.quarantine
 	q.mu.Lock()
-	defer q.mu.Unlock()
 	q.tracker.Begun(time.Now(), r)
+	lifted := q.tracker.Lifted()
+	q.mu.Unlock()
+	if len(lifted) > 0 {
+		x.s.announceLifted(lifted)
+		x.s.peers.requestUpdate()
+	}
+}
+
+// announceLifted has the rows of causes deleted whose quarantine responses have lifted.
+func (s *Server) announceLifted(causes []string) {
+	for _, cause := range causes {
+		s.log.Info("quarantine.lifted", "cause", cause)
+	}
+	signal(s.quarantine.changed)
 }
 
 // recordBreak records a request that broke before its response had begun, if the endpoint
@@ -248,7 +261,13 @@
 		u.Begun = append(u.Begun, gossip.BegunResponses{Cause: cause, Count: n})
 	}
 	for cause, until := range r.Quarantined {
-		u.Quarantined = append(u.Quarantined, gossip.Quarantine{Cause: cause, Remaining: until.Sub(now).Milliseconds()})
+		if left := until.Sub(now).Milliseconds(); left > 0 {
+			u.Quarantined = append(u.Quarantined, gossip.Quarantine{Cause: cause, Remaining: left})
+		}
+	}
+	// A quarantine that has ended tells of a lifted one; former builds pass it over.
+	for cause, at := range r.Lifted {
+		u.Quarantined = append(u.Quarantined, gossip.Quarantine{Cause: cause, Remaining: min(0, at.Sub(now).Milliseconds())})
 	}
 }
 
@@ -258,7 +277,7 @@
 		s.forgetQuarantinePeer(u.Instance)
 		return
 	}
-	r := quarantine.Report{Begun: make(map[string]int, len(u.Begun)), Quarantined: make(map[string]time.Time, len(u.Quarantined))}
+	r := quarantine.Report{Begun: make(map[string]int, len(u.Begun)), Quarantined: make(map[string]time.Time, len(u.Quarantined)), Lifted: map[string]time.Time{}}
 	for _, c := range u.Crashes {
 		crash := quarantine.Crash{Endpoint: c.Endpoint, At: gossip.TimeOfAge(now, c.Age)}
 		for _, request := range c.Requests {
@@ -270,13 +289,22 @@
 		r.Begun[b.Cause] = b.Count
 	}
 	for _, q := range u.Quarantined {
-		r.Quarantined[q.Cause] = now.Add(time.Duration(q.Remaining) * time.Millisecond)
+		at := now.Add(time.Duration(q.Remaining) * time.Millisecond)
+		if q.Remaining > 0 {
+			r.Quarantined[q.Cause] = at
+		} else {
+			r.Lifted[q.Cause] = at
+		}
 	}
 	q := s.quarantine
 	q.mu.Lock()
 	learned, refused := q.tracker.Merge(now, u.Instance, r)
+	lifted := q.tracker.Lifted()
 	q.mu.Unlock()
 	s.logQuarantined(learned, u.Instance)
+	if len(lifted) > 0 {
+		s.announceLifted(lifted)
+	}
 	if len(refused) > 0 {
 		s.announceEvidence(refused)
 	} else if len(r.Crashes) > 0 {
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -47,6 +47,14 @@
 	return value, nil
 }
 
+func (m *mapStore) Delete(_ context.Context, _ Table, key string) error {
+	if err := m.failure(); err != nil {
+		return err
+	}
+	delete(m.rows, key)
+	return nil
+}
+
 func newQuarantineServer(store Store) *Server {
 	s := newTestServer("127.0.0.1:1", time.Now())
 	s.store = store
@@ -235,9 +243,63 @@
 		r := quarantine.Request{Fingerprint: fmt.Sprintf("%s%032x", fingerprintPrefix, i), Parts: parts}
 		s.quarantine.tracker.Begun(now, r)
 		s.quarantine.tracker.Crashed(now, fmt.Sprint("endpoint-", i/40), r)
+		lifted := quarantine.Request{Fingerprint: fmt.Sprintf("%s%032x", fingerprintPrefix, 1000+i)}
+		s.quarantine.tracker.Restore(now, lifted.Fingerprint, now.Add(time.Hour))
+		s.quarantine.tracker.Begun(now, lifted)
 		s.quarantine.tracker.Restore(now, id(i), now.Add(time.Hour))
 	}
 	datagram, err := gossip.Encode(s.peers.buildUpdate(), []byte("secret"))
 	assert.NilError(t, err)
 	assert.Assert(t, len(datagram) <= gossip.MaxDatagramBytes*2/3, "%d bytes", len(datagram))
 }
+
+// tell passes an update of one instance on to another.
+func tell(t *testing.T, from, to *Server) *gossip.Update {
+	t.Helper()
+	secret := []byte("secret")
+	datagram, err := gossip.Encode(from.peers.buildUpdate(), secret)
+	assert.NilError(t, err)
+	u, _, err := gossip.Decode(datagram, secret)
+	assert.NilError(t, err)
+	to.mergeQuarantine(time.Now(), u)
+	return u
+}
+
+// Where the response to a request that was on its way begins, the quarantine of its part is lifted at
+// all instances, and its row is deleted, also when the store is away for a time.
+func TestLiftedQuarantineReachesInstancesAndStore(t *testing.T) {
+	ctx := context.Background()
+	store := &mapStore{rows: map[string][]byte{}}
+	a, b := newQuarantineServer(store), newQuarantineServer(store)
+	onItsWay := promptExchange(b, "sound")
+	crash(t, a, "sound")
+	a.settleQuarantine(time.Now().Add(time.Second))
+	tell(t, a, b)
+	for _, s := range []*Server{a, b} {
+		assert.NilError(t, s.storeQuarantine(ctx))
+		assert.Assert(t, errors.Is(promptExchange(s, "sound").admit(), errQuarantined))
+		for len(s.quarantine.changed) > 0 {
+			<-s.quarantine.changed
+		}
+	}
+	assert.Equal(t, len(store.rows), 1)
+	store.down = true
+	onItsWay.recordBegun()
+	u := tell(t, b, a)
+	for _, q := range u.Quarantined {
+		assert.Assert(t, q.Remaining <= 0, "a former build would take it for a quarantine")
+	}
+	tell(t, a, b)
+	for _, s := range []*Server{a, b} {
+		assert.NilError(t, promptExchange(s, "sound").admit())
+		assert.Equal(t, len(s.quarantine.changed), 1, "the store is compared at once")
+		assert.ErrorContains(t, s.storeQuarantine(ctx), "down")
+	}
+	store.down = false
+	assert.NilError(t, a.storeQuarantine(ctx))
+	assert.NilError(t, b.storeQuarantine(ctx))
+	assert.Equal(t, len(store.rows), 0)
+	started := newQuarantineServer(store)
+	assert.NilError(t, started.restoreQuarantine(ctx))
+	assert.NilError(t, promptExchange(started, "sound").admit())
+}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -1,7 +1,8 @@
 // Package quarantine finds the requests and the parts of prompts on which endpoints crash. It
 // relates every crash to the requests whose responses the endpoint was about to begin, over all
 // instances. A request that comes again, or a part that requests share, is quarantined if it was
-// in several crashes and in hardly any response that began.
+// in several crashes and in hardly any response that began. Responses that begin later, at any
+// instance, lift the quarantine again.
 //
 // The requests that a crash affected become known one after the other. Until all of them can be
 // known, causes with enough evidence are only held: they are refused, but the evidence is weighed
@@ -41,15 +42,15 @@
 	abandonedTime = 2 * time.Second
 
 	// Bounds of the evidence; a report with all of it fits in a datagram with other state.
-	maxOwnCrashes    = 12   // the oldest is dropped
-	maxCrashes       = 64   // of all instances; the oldest is dropped
-	maxCrashRequests = 32   // that a crash affected
-	maxCrashParts    = 32   // of all requests that a crash affected
-	maxParts         = 12   // of a request
-	maxQuarantined   = 64   // the one that expires first is dropped
-	maxAbandoned     = 256  // requests; the oldest is dropped
-	maxBegun         = 4096 // causes whose begun responses are counted in a period
-	maxReportedBegun = 128  // causes whose begun responses are reported: those in most crashes
+	maxOwnCrashes    = 12  // the oldest is dropped
+	maxCrashes       = 64  // of all instances; the oldest is dropped
+	maxCrashRequests = 32  // that a crash affected
+	maxCrashParts    = 32  // of all requests that a crash affected
+	maxParts         = 12  // of a request
+	maxQuarantined   = 64  // the one that expires first is dropped
+	maxAbandoned     = 256 // requests; the oldest is dropped
+	maxLifted        = 32  // causes whose lifting is remembered; the oldest is dropped
+	maxReportedBegun = 128 // causes whose begun responses are reported: those in most crashes
 )
 
 // Request is what may make a request crash its endpoint. Both the fingerprint and each part are
@@ -76,17 +77,29 @@
 	Crashes     []Crash        // observed by the instance itself
 	Begun       map[string]int // responses begun at the instance, for the causes in most crashes
 	Quarantined map[string]time.Time
+	Lifted      map[string]time.Time // when responses lifted the quarantine
+}
+
+// watch is what lifts the quarantine of a cause. Its responses are counted apart from the sketch:
+// no collision may lift a quarantine in the course of a day.
+type watch struct {
+	begun   int // responses at this instance, with those of the time before the quarantine
+	crashes int // that speak for the quarantine, if known; zero otherwise
+	least   int // begun responses, of all instances, that lift it at any rate
 }
 
 // Tracker holds the evidence and the quarantined causes. It is not safe for concurrent use.
 type Tracker struct {
 	own         []Crash
-	crashes     []Crash // of all instances, merged by endpoint
-	abandoned   []Crash // of this instance, each with one request: crashes if the endpoint ends soon
-	begun       [2]map[string]int
+	crashes     []Crash    // of all instances, merged by endpoint
+	abandoned   []Crash    // of this instance, each with one request: crashes if the endpoint ends soon
+	begun       [2]*sketch // of this period and the one before
 	periodStart time.Time
 	peerBegun   map[string]map[string]int // by instance
 	quarantined map[string]time.Time      // end of the quarantine
+	watched     map[string]*watch         // of each quarantined cause
+	lifted      map[string]time.Time      // causes whose quarantine responses have lifted, and when
+	justLifted  []string                  // since the last call of Lifted
 	held        map[string]bool           // causes that are refused until the crashes are settled
 	settlesAt   time.Time                 // of the first crash that is not settled; zero without one
 	found       []string                  // quarantined since the last call of Settle
@@ -95,9 +108,11 @@
 // New returns a Tracker without evidence.
 func New() *Tracker {
 	return &Tracker{
-		begun:       [2]map[string]int{{}, {}},
+		begun:       [2]*sketch{newSketch(), newSketch()},
 		peerBegun:   map[string]map[string]int{},
 		quarantined: map[string]time.Time{},
+		watched:     map[string]*watch{},
+		lifted:      map[string]time.Time{},
 	}
 }
 
@@ -105,8 +120,10 @@
 func (t *Tracker) Begun(now time.Time, r Request) {
 	t.rotate(now)
 	for _, cause := range r.causes() {
-		if n, ok := t.begun[0][cause]; ok || len(t.begun[0]) < maxBegun {
-			t.begun[0][cause] = n + 1
+		t.begun[0].add(cause)
+		if w := t.watched[cause]; w != nil {
+			w.begun++
+			t.weighAgain(now, cause, w)
 		}
 	}
 }
@@ -114,7 +131,8 @@
 // rotate starts a new period of begun responses when the present one is over.
 func (t *Tracker) rotate(now time.Time) {
 	if now.Sub(t.periodStart) > memory {
-		t.begun[0], t.begun[1], t.periodStart = map[string]int{}, t.begun[0], now
+		t.begun[0], t.begun[1], t.periodStart = t.begun[1], t.begun[0], now
+		t.begun[0].clear()
 	}
 }
 
@@ -178,11 +196,17 @@
 	} else {
 		delete(t.peerBegun, instance)
 	}
+	for cause, at := range r.Lifted {
+		t.learnLifted(cause, earlier(at, now))
+	}
 	for cause, until := range r.Quarantined {
-		if t.add(now, cause, until) {
+		if !t.endedBefore(cause, until) && t.add(now, cause, until) {
 			learned = append(learned, cause)
 		}
 	}
+	for cause, w := range t.watched {
+		t.weighAgain(now, cause, w)
+	}
 	return learned, t.evaluate(now)
 }
 
@@ -329,10 +353,16 @@
 		if len(suspects) == 0 {
 			suspects = c.Requests
 			for _, r := range suspects {
+				if t.liftedSince(r.Fingerprint, c.At) {
+					continue
+				}
 				out[r.Fingerprint] = evidence{crashes: out[r.Fingerprint].crashes + 1, specificity: math.MaxInt}
 			}
 		}
 		for part, position := range partsOf(suspects) {
+			if t.liftedSince(part, c.At) {
+				continue
+			}
 			e := out[part]
 			if countCrash(counted, part, suspects) {
 				e.crashes++
@@ -384,19 +414,103 @@
 // begunResponses returns the responses to requests with the cause that have begun lately, at all
 // instances.
 func (t *Tracker) begunResponses(cause string) int {
-	n := t.begun[0][cause] + t.begun[1][cause]
+	n := t.ownBegun(cause)
 	for _, begun := range t.peerBegun {
 		n += begun[cause]
 	}
 	return n
 }
 
+// ownBegun returns the part of this instance.
+func (t *Tracker) ownBegun(cause string) int {
+	if w := t.watched[cause]; w != nil {
+		return w.begun
+	}
+	return t.begun[0].count(cause) + t.begun[1].count(cause)
+}
+
+// newWatch returns what lifts the quarantine of a cause that begins now. Where its crashes are not
+// known, as after a restart, one response that begins from now on does.
+func (t *Tracker) newWatch(cause string) *watch {
+	w := &watch{begun: t.ownBegun(cause), crashes: t.evidence(t.crashes, t.isQuarantined)[cause].crashes, least: 1}
+	if w.crashes < minCrashes {
+		w.least = t.begunResponses(cause) + 1
+	}
+	return w
+}
+
+// weighAgain lifts the quarantine of a cause if its crashes no longer outweigh the begun responses:
+// if it would not begin with what is known by now.
+func (t *Tracker) weighAgain(now time.Time, cause string, w *watch) {
+	begun := t.begunResponses(cause)
+	enough := func() bool { return begun >= max(w.crashes-minCrashes+1, w.least) }
+	if !enough() {
+		return
+	}
+	others := func(other string) bool { return other != cause && t.isQuarantined(other) }
+	w.crashes = max(w.crashes, t.evidence(t.crashes, others)[cause].crashes)
+	if enough() {
+		t.learnLifted(cause, now)
+	}
+}
+
+// learnLifted ends the quarantine of a cause, if it began before the given time.
+func (t *Tracker) learnLifted(cause string, at time.Time) {
+	if old, known := t.lifted[cause]; known && !at.After(old) {
+		return
+	}
+	t.lifted[cause] = at
+	if len(t.lifted) > maxLifted {
+		first := cause
+		for other, at := range t.lifted {
+			if at.Before(t.lifted[first]) {
+				first = other
+			}
+		}
+		delete(t.lifted, first)
+	}
+	delete(t.held, cause)
+	if until, ok := t.quarantined[cause]; ok && t.endedBefore(cause, until) {
+		t.remove(cause)
+		t.found = slices.DeleteFunc(t.found, func(other string) bool { return other == cause })
+		t.justLifted = append(t.justLifted, cause)
+	}
+}
+
+// endedBefore reports whether the quarantine that lasts until the given time began before it was
+// lifted. Instances find the same cause at slightly different times.
+func (t *Tracker) endedBefore(cause string, until time.Time) bool {
+	at, ok := t.lifted[cause]
+	return ok && !until.Add(-ttl).After(at.Add(crashWindow))
+}
+
+// liftedSince reports whether a quarantine of the cause was lifted after a crash. Such a crash no
+// longer counts, as the responses against it are forgotten in time.
+func (t *Tracker) liftedSince(cause string, crashedAt time.Time) bool {
+	at, ok := t.lifted[cause]
+	return ok && !crashedAt.After(at)
+}
+
+// Lifted returns the causes whose quarantine responses have lifted since the last call.
+func (t *Tracker) Lifted() (causes []string) {
+	causes, t.justLifted = t.justLifted, nil
+	return causes
+}
+
+func (t *Tracker) remove(cause string) {
+	delete(t.quarantined, cause)
+	delete(t.watched, cause)
+}
+
 // add quarantines a cause until the given time and reports whether it was not quarantined yet.
 func (t *Tracker) add(now time.Time, cause string, until time.Time) bool {
 	old, known := t.quarantined[cause]
 	if !until.After(now) || (known && !until.After(old)) {
 		return false
 	}
+	if !known {
+		t.watched[cause] = t.newWatch(cause)
+	}
 	t.quarantined[cause] = until
 	if len(t.quarantined) > maxQuarantined {
 		first := cause
@@ -405,14 +519,16 @@
 				first = other
 			}
 		}
-		delete(t.quarantined, first)
+		t.remove(first)
 	}
 	return !known
 }
 
 // Restore quarantines a cause that was quarantined before this instance started.
 func (t *Tracker) Restore(now time.Time, cause string, until time.Time) {
-	t.add(now, cause, earlier(until, now.Add(ttl)))
+	if until = earlier(until, now.Add(ttl)); !t.endedBefore(cause, until) {
+		t.add(now, cause, until)
+	}
 }
 
 func earlier(a, b time.Time) time.Time {
@@ -462,11 +578,13 @@
 // Expired removes and returns the causes whose quarantine has ended.
 func (t *Tracker) Expired(now time.Time) []string {
 	var out []string
+	maps.DeleteFunc(t.lifted, func(_ string, at time.Time) bool { return now.Sub(at) > ttl+crashWindow })
 	maps.DeleteFunc(t.quarantined, func(cause string, until time.Time) bool {
 		if now.Before(until) {
 			return false
 		}
 		out = append(out, cause)
+		delete(t.watched, cause)
 		return true
 	})
 	return out
@@ -476,13 +594,14 @@
 func (t *Tracker) Report(now time.Time) Report {
 	t.expire(now)
 	t.settle(now)
-	r := Report{Crashes: slices.Clone(t.own), Begun: map[string]int{}, Quarantined: maps.Clone(t.quarantined)}
-	evidence := t.evidence(t.crashes, t.isQuarantined)
+	r := Report{Crashes: slices.Clone(t.own), Begun: map[string]int{}, Quarantined: maps.Clone(t.quarantined), Lifted: maps.Clone(t.lifted)}
+	// Responses of quarantined causes are reported too: they lift the quarantine elsewhere.
+	evidence := t.evidence(t.crashes, func(string) bool { return false })
 	byCrashes := slices.SortedFunc(maps.Keys(evidence), func(a, b string) int {
 		return cmp.Or(cmp.Compare(evidence[b].crashes, evidence[a].crashes), cmp.Compare(a, b))
 	})
 	for _, cause := range byCrashes {
-		if n := t.begun[0][cause] + t.begun[1][cause]; n > 0 && len(r.Begun) < maxReportedBegun {
+		if n := t.ownBegun(cause); n > 0 && len(r.Begun) < maxReportedBegun {
 			r.Begun[cause] = n
 		}
 	}
