ctl: show and lift quarantines of requests and prompt parts

Instances that have anything quarantined read the rows whenever they compare theirs with the store; one that reads the mark lifts the quarantine, tells the others as after begun responses, and deletes the row. A mark lifts no quarantine that begins after it. A row that is only missing lifts nothing: the store may have been restored from an older copy.

--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -41,6 +41,8 @@
 	Ticket   *TicketCmd `arg:"subcommand:ticket" help:"submit, show, wait for, compare and check tickets"`
 	Key      *KeyCmd    `arg:"subcommand:key" help:"issue and withdraw keys"`
 	Status   *StatusCmd `arg:"subcommand:status" help:"show the newest ticket and where it is in force"`
+
+	Quarantine *QuarantineCmd `arg:"subcommand:quarantine" help:"show and lift quarantines of requests and prompt parts"`
 }
 
 // TicketCmd groups the ticket subcommands.
@@ -131,8 +133,8 @@
 
 // Run executes the command selected by the arguments.
 func Run(ctx context.Context, a Args, out io.Writer) error {
-	if !a.Check && a.Ticket == nil && a.Key == nil && a.Status == nil {
-		return newUsageError(errors.New("a command is required: ticket, key or status"))
+	if !a.Check && a.Ticket == nil && a.Key == nil && a.Status == nil && a.Quarantine == nil {
+		return newUsageError(errors.New("a command is required: ticket, key, status or quarantine"))
 	}
 	c, err := newCommand(a, out)
 	if err != nil {
@@ -146,6 +148,8 @@
 		return c.ticket(ctx, a.Ticket)
 	case a.Key != nil:
 		return c.key(ctx, a.Key)
+	case a.Quarantine != nil:
+		return c.quarantine(ctx, a.Quarantine)
 	}
 	return c.status(ctx)
 }
@@ -169,6 +173,9 @@
 	if a.Ticket != nil && a.Ticket.Check != nil && a.Ticket.Check.Offline {
 		return c, nil
 	}
+	if a.Quarantine != nil {
+		return c, nil // its store is an argument
+	}
 	if err := settings.Load(a.Settings, &c.settings); err != nil {
 		return nil, err
 	}
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -368,13 +368,17 @@
 		if !ok {
 			continue
 		}
-		until, err := time.Parse(time.RFC3339, string(r.Value))
+		until, lifted, err := parseQuarantine(r.Value)
 		if err != nil {
 			s.log.Info("quarantine.unreadable", "row", r.Key, "cause", err.Error())
 			continue
 		}
-		q.tracker.Restore(now, cause, until)
 		q.stored[cause] = true
+		if lifted {
+			q.tracker.Lift(now, cause, until)
+			continue
+		}
+		q.tracker.Restore(now, cause, until)
 		causes = append(causes, cause)
 	}
 	q.known = true
@@ -383,9 +387,38 @@
 	return nil
 }
 
+// liftByRows lifts the quarantines whose rows an operator has marked.
+func (s *Server) liftByRows(ctx context.Context) error {
+	q := s.quarantine
+	if q.count() == 0 {
+		return nil
+	}
+	rows, err := QuarantineRows(ctx, s.store)
+	if err != nil {
+		return err
+	}
+	q.mu.Lock()
+	for _, r := range rows {
+		if r.Lifted {
+			q.stored[r.Cause] = true
+			q.tracker.Lift(time.Now(), r.Cause, r.At)
+		}
+	}
+	lifted := q.tracker.Lifted()
+	q.mu.Unlock()
+	if len(lifted) > 0 {
+		s.announceLifted(lifted)
+		s.peers.requestUpdate()
+	}
+	return nil
+}
+
 // storeQuarantine writes the rows of newly quarantined causes and deletes those of causes whose
 // quarantine has ended.
 func (s *Server) storeQuarantine(ctx context.Context) error {
+	if err := s.liftByRows(ctx); err != nil {
+		return err
+	}
 	q := s.quarantine
 	q.mu.Lock()
 	now := time.Now()
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -47,6 +47,14 @@
 	return value, nil
 }
 
+func (m *mapStore) Put(_ context.Context, _ Table, key string, value []byte) error {
+	if err := m.failure(); err != nil {
+		return err
+	}
+	m.rows[key] = value
+	return nil
+}
+
 func (m *mapStore) Delete(_ context.Context, _ Table, key string) error {
 	if err := m.failure(); err != nil {
 		return err
@@ -303,3 +311,42 @@
 	assert.NilError(t, started.restoreQuarantine(ctx))
 	assert.NilError(t, promptExchange(started, "sound").admit())
 }
+
+// An operator lifts a quarantine while the instances run. One reads the store, tells the others and
+// deletes the row; the mark lifts no quarantine that begins later.
+func TestOperatorLiftsAQuarantine(t *testing.T) {
+	ctx := context.Background()
+	store := &mapStore{rows: map[string][]byte{}}
+	a, b := newQuarantineServer(store), newQuarantineServer(store)
+	crash(t, a, "mended")
+	a.settleQuarantine(time.Now().Add(time.Second))
+	tell(t, a, b)
+	assert.NilError(t, a.storeQuarantine(ctx))
+	assert.NilError(t, b.storeQuarantine(ctx))
+	assert.ErrorContains(t, LiftQuarantine(ctx, store, time.Now(), "other"), "not quarantined")
+	now := time.Now().Add(2 * time.Second)
+	behind := now.Add(-time.Hour) // the operator's clock
+	assert.NilError(t, LiftQuarantine(ctx, store, behind, "mended"))
+	marked := store.rows[quarantineKeyPrefix+"mended"]
+	rows, err := QuarantineRows(ctx, store)
+	assert.NilError(t, err)
+	assert.Equal(t, len(rows), 1)
+	assert.Assert(t, rows[0].Lifted)
+
+	started := newQuarantineServer(store)
+	assert.NilError(t, started.restoreQuarantine(ctx))
+	assert.NilError(t, promptExchange(started, "mended").admit())
+
+	assert.NilError(t, a.storeQuarantine(ctx))
+	assert.Equal(t, len(store.rows), 0)
+	tell(t, a, b)
+	for _, s := range []*Server{a, b} {
+		assert.NilError(t, promptExchange(s, "mended").admit())
+	}
+	assert.NilError(t, b.storeQuarantine(ctx))
+
+	a.quarantine.tracker.Restore(now.Add(time.Minute), "mended", now.Add(time.Minute+quarantine.Duration))
+	store.rows[quarantineKeyPrefix+"mended"] = marked
+	assert.NilError(t, a.liftByRows(ctx))
+	assert.Assert(t, errors.Is(promptExchange(a, "mended").admit(), errQuarantined))
+}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -18,6 +18,10 @@
 	"time"
 )
 
+// Duration is how long a quarantine lasts unless it is lifted. Finding out whether the cause still
+// crashes endpoints costs some of them.
+const Duration = 24 * time.Hour
+
 const (
 	// minCrashes is how many more crashes than begun responses quarantine a cause. One request
 	// and its retry can take two endpoints with them, together with a second request that is
@@ -28,9 +32,7 @@
 	maxCrashesOfRequest = 2
 	// memory is how long crashes and begun responses count.
 	memory = time.Minute
-	// ttl is how long a quarantine lasts. Finding out whether the cause still crashes endpoints
-	// costs some of them.
-	ttl = 24 * time.Hour
+	ttl    = Duration
 	// crashWindow is how long reports of one endpoint's failure belong to the same crash. A
 	// crashed endpoint takes some seconds to restart.
 	crashWindow = time.Second
@@ -77,7 +79,7 @@
 	Crashes     []Crash        // observed by the instance itself
 	Begun       map[string]int // responses begun at the instance, for the causes in most crashes
 	Quarantined map[string]time.Time
-	Lifted      map[string]time.Time // when responses lifted the quarantine
+	Lifted      map[string]time.Time // when the quarantine was lifted
 }
 
 // watch is what lifts the quarantine of a cause. Its responses are counted apart from the sketch:
@@ -98,7 +100,7 @@
 	peerBegun   map[string]map[string]int // by instance
 	quarantined map[string]time.Time      // end of the quarantine
 	watched     map[string]*watch         // of each quarantined cause
-	lifted      map[string]time.Time      // causes whose quarantine responses have lifted, and when
+	lifted      map[string]time.Time      // causes whose quarantine was lifted, and when
 	justLifted  []string                  // since the last call of Lifted
 	held        map[string]bool           // causes that are refused until the crashes are settled
 	settlesAt   time.Time                 // of the first crash that is not settled; zero without one
@@ -454,6 +456,12 @@
 	}
 }
 
+// Lift ends the quarantine of a cause, if it began before the given time, and has the other instances
+// do so.
+func (t *Tracker) Lift(now time.Time, cause string, at time.Time) {
+	t.learnLifted(cause, earlier(at, now))
+}
+
 // learnLifted ends the quarantine of a cause, if it began before the given time.
 func (t *Tracker) learnLifted(cause string, at time.Time) {
 	if old, known := t.lifted[cause]; known && !at.After(old) {
@@ -491,7 +499,7 @@
 	return ok && !crashedAt.After(at)
 }
 
-// Lifted returns the causes whose quarantine responses have lifted since the last call.
+// Lifted returns the causes whose quarantine was lifted since the last call.
 func (t *Tracker) Lifted() (causes []string) {
 	causes, t.justLifted = t.justLifted, nil
 	return causes
