gateway: a refusal without a length needs no confirmation

Callers of endpoints that refuse with answers that end with their connection would have waited up to a second for each, and got 502 instead of another endpoint's answer, when the endpoint was too busy for a health check or gone.

Cause: since the end of every answer without a length that goes to a caller is confirmed, also of one that says that the request was not run; its failure counted as a run. What a refusal says is in its head.

Evidence: both cases of TestRefusalWithoutALengthIsOne failed before, after a second. TestUnconfirmedEndWasSent passed before and keeps an unconfirmed end from counting as not sent.

--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -421,7 +421,7 @@
 		return nil, errors.Mark(err, endpoint.ErrCallFailed)
 	}
 	resp.stopWatch = stopWatch
-	if req.forCaller && resp.framing == framedByClose {
+	if req.forCaller && !resp.NotRun && resp.framing == framedByClose {
 		resp.body = &confirmedBody{ReadCloser: resp.body, confirm: func() error { return u.confirmEnd(ctx, c, req) }}
 	}
 	u.onResponse(req, sentAt, resp.ResponseInfo)
