gateway: an end that comes as a frame shows no process

An answer without a length could count as whole although its process had ended, if its endpoint limits requests or wants none and is reached through another instance.

Cause: a connection that stays open shows that a process listens; through a tunnel the endpoint's end comes as a frame, which the check took for unread data of a connection that is open.

Evidence: TestClosedTunnelShowsNoLife failed before.

--- a/internal/gateway/answerend.go
+++ b/internal/gateway/answerend.go
@@ -10,7 +10,6 @@
 	"github.com/cockroachdb/errors"
 
 	"carawayrouter.example/router/internal/endpoint"
-	"carawayrouter.example/router/internal/tcp"
 )
 
 const (
@@ -137,7 +136,7 @@
 	if ctx.Err() != nil {
 		return context.Cause(ctx)
 	}
-	if sc, ok := c.Conn.(syscall.Conn); ok && tcp.Peek(sc) == tcp.Closed {
+	if c.stale() { // through a tunnel, an end comes as a frame
 		return errors.Mark(errors.New("the connection was closed"), endpoint.ErrCallFailed)
 	}
 	return nil
--- a/internal/gateway/answerend_test.go
+++ b/internal/gateway/answerend_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
@@ -92,3 +93,17 @@
 	assert.Assert(t, !errors.Is(call.err, endpoint.ErrNotSent) && !call.refused())
 	call.resp.close()
 }
+
+// The other instance accepts a connection to a process that ends at once, and says that the endpoint has closed it. That
+// shows no process.
+func TestClosedTunnelShowsNoLife(t *testing.T) {
+	u := newUpstream(refusingWire{}, func(net.Conn) {})
+	u.paths = newPaths((&fakeWay{err: context.DeadlineExceeded}).dial, func(context.Context, string) (net.Conn, error) {
+		instance, served := tcpPair(t)
+		end, dialled := tcpPair(t)
+		go joinConns(served, served, dialled, io.Discard, true)
+		time.AfterFunc(5*time.Millisecond, func() { _ = end.Close() })
+		return &tunnelConn{TCPConn: instance, framed: true}, nil
+	})
+	assert.Assert(t, u.accepts(context.Background(), "e:1") != nil)
+}
