gateway: a busy service has outlived its answer

Callers of services whose answers have no length would have got 502, after a second, whenever the service was too busy to answer a health check.

Cause: since such an answer counts as broken off if the health check that confirms its end is not answered within a second. Health checks wait for a slot like requests; the check itself made a busy service look gone.

Evidence: TestAnswerOfABusyEndpointIsWhole failed before, after a second; the tests of ended processes in platform pass.

--- a/internal/gateway/answerend.go
+++ b/internal/gateway/answerend.go
@@ -100,17 +100,23 @@
 	return u.checkHealth(ctx, c, req)
 }
 
-// checkHealth returns nil if the endpoint answers a health check on c, healthy or not.
+// checkHealth returns nil if the endpoint answers a health check on c, healthy or not, or if it listens: health checks
+// wait for a slot like requests.
 func (u *upstream) checkHealth(ctx context.Context, c *endpointConn, req endpointRequest) error {
 	if req.healthPath == "" {
 		_ = c.Close()
 		return u.accepts(ctx, req.addr)
 	}
-	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	checkCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	stop := context.AfterFunc(checkCtx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	resp, err := u.roundTrip(c, endpointRequest{endpoint: req.endpoint, placedAt: req.placedAt, sender: "end of an answer", method: http.MethodGet, uri: req.healthPath, host: req.addr})
 	if err != nil {
 		_ = c.Close()
+		if checkCtx.Err() != nil {
+			return u.accepts(ctx, req.addr)
+		}
 		return err
 	}
 	resp.stopWatch = stop
--- a/internal/gateway/answerend_test.go
+++ b/internal/gateway/answerend_test.go
@@ -107,3 +107,14 @@
 	})
 	assert.Assert(t, u.accepts(context.Background(), "e:1") != nil)
 }
+
+// A process that lives has outlived its answer, also if it is too busy to answer a health check in time.
+func TestAnswerOfABusyEndpointIsWhole(t *testing.T) {
+	addr, _ := unframedEndpoint(t, "HTTP/1.1 200 OK\r\nId: mine\r\n\r\nwhole", func(nc net.Conn) { _, _ = io.Copy(io.Discard, nc) })
+	u := newUpstream(refusingWire{}, func(net.Conn) {})
+	call := u.startCall(context.Background(), endpointRequest{addr: addr, method: http.MethodGet, uri: "/", host: "h", attemptID: "mine", forCaller: true, healthPath: "/health"})
+	<-call.answered
+	assert.NilError(t, call.err)
+	call.resp.close()
+	assert.Equal(t, string(call.body), "whole")
+}
