gateway: a tunnel tells a reset from an end while it writes

An answer without a length that an endpoint resets while the request's body is still being passed on could look whole to the instance at the other end of a tunnel: it got the frame that says that the endpoint closed its connection.

Cause: Linux reports a connection's error once; the tunnel's writer took the reset, and its reader then saw an ordinary end. Connections that are not tunnels are not concerned: a request is written before its response is read.

What ended the connection is read from its state: after a FIN it waits for the close of this side, after a reset it is closed. An end that is followed by a reset counts as one.

--- a/internal/gateway/answerend_test.go
+++ b/internal/gateway/answerend_test.go
@@ -118,3 +118,39 @@
 	call.resp.close()
 	assert.Equal(t, string(call.body), "whole")
 }
+
+// The endpoint resets its connection while the instance still sends: the writer may take the connection's error, and the
+// reader then sees an ordinary end.
+func TestTunnelPassesOnAResetWhileItWrites(t *testing.T) {
+	const resets = 300
+	block := make([]byte, 256<<10)
+	for range resets {
+		instance, served := tcpPair(t)
+		end, dialled := tcpPair(t)
+		joined := make(chan struct{})
+		go func() {
+			defer close(joined)
+			joinConns(served, served, dialled, io.Discard, true)
+		}()
+		sent := make(chan struct{})
+		go func() {
+			defer close(sent)
+			for {
+				if _, err := instance.Write(block); err != nil {
+					return
+				}
+			}
+		}()
+		_, err := io.WriteString(end, "half an answer")
+		assert.NilError(t, err)
+		_, err = io.CopyN(io.Discard, end, 32<<10)
+		assert.NilError(t, err)
+		_ = end.SetLinger(0)
+		_ = end.Close()
+		_, err = io.ReadAll(&tunnelConn{TCPConn: instance, framed: true})
+		assert.Assert(t, err != nil, "the answer looks whole")
+		_ = instance.Close()
+		<-sent
+		<-joined
+	}
+}
--- a/internal/tcp/tcp.go
+++ b/internal/tcp/tcp.go
@@ -4,6 +4,8 @@
 import (
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // tcpUserTimeout is the Linux socket option TCP_USER_TIMEOUT, which package syscall lacks.
@@ -57,3 +59,18 @@
 	}
 	return state
 }
+
+// ClosedByPeer reports whether the remote side of a connection has closed it, and not reset it. A read gives io.EOF after a
+// reset too, if a write at the same time has taken the connection's error.
+func ClosedByPeer(c syscall.Conn) bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	closed := false
+	err = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		closed = err == nil && info.State == unix.BPF_TCP_CLOSE_WAIT
+	})
+	return err == nil && closed
+}
