--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -192,13 +192,15 @@
 		return nil, errors.Mark(errPaused, endpoint.ErrNotSent)
 	}
 	if c.incarnation == 0 {
-		incarnation, reusable, err := u.askIncarnation(ctx, c, req)
+		incarnation, reusable, _ := u.askIncarnation(ctx, c, req) // an error leaves it unknown
 		switch {
 		case !reusable:
 			_ = c.Close()
-			if c, err = u.dial(ctx, req.addr); err != nil {
+			next, err := u.dial(ctx, req.addr)
+			if err != nil {
 				return nil, err
 			}
+			c = next
 		case incarnation == 0:
 			c.incarnation = notStated
 		default:
