gateway: shutdown waits for the requests on tunnels

Cause: shutdown waited only for the requests of the instance's own callers; the tunnels that it serves ended with the process, in the middle of their requests. Class: work that is accepted and not counted.

The requests on tunnels are now counted from the bytes that pass, and shutdown waits for them up to the same deadline. An idle tunnel is not waited for. New requests on it need no word to the other instance: it uses no tunnel that is older than maxTunnelAge, which is shorter than the drain's first wait, and a draining instance opens none. process.stop says how many were cut.

Ruled out: counting tunnels instead of requests. Idle ones are kept by the other instance for as long as other idle connections, and would hold up the exit.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -96,6 +96,8 @@
 
 	newcomerAt time.Time    // when an instance was last seen to start
 	changes    fleetChanges // since they were logged
+
+	tunnelRequests atomic.Int64 // in progress on the tunnels that this instance serves
 }
 
 // fleetChanges counts changes of the fleet. In a large fleet they are logged together: after a
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -372,6 +372,9 @@
 	}
 }
 
+// busy reports whether there are requests in progress: of callers, or of other instances through tunnels.
+func (s *Server) busy() bool { return s.active.Load() > 0 || s.peers.tunnelRequests.Load() > 0 }
+
 // shutDown makes the instance not ready, serves the requests that still arrive, and waits for
 // running ones.
 func (s *Server) shutDown(ln net.Listener) {
@@ -382,7 +385,7 @@
 	deadline := s.exitAt()
 	for time.Now().Before(deadline.Add(-callDrainTime)) {
 		deregistered := time.Since(began) >= balancerDelay
-		if deregistered && s.active.Load() == 0 {
+		if deregistered && !s.busy() {
 			break
 		}
 		time.Sleep(drainPollInterval)
@@ -396,8 +399,8 @@
 	})
 	defer answerAll.Stop()
 	s.peers.leave()
-	for s.active.Load() > 0 && time.Now().Before(deadline) {
+	for s.busy() && time.Now().Before(deadline) {
 		time.Sleep(drainPollInterval)
 	}
-	s.log.Info("process.stop", "cut", s.active.Load(), "ms", time.Since(began).Milliseconds())
+	s.log.Info("process.stop", "cut", s.active.Load(), "tunnels_cut", s.peers.tunnelRequests.Load(), "ms", time.Since(began).Milliseconds())
 }
--- a/internal/gateway/tunnel.go
+++ b/internal/gateway/tunnel.go
@@ -276,9 +276,11 @@
 	}
 	ctx.Hijack(func(nc net.Conn) {
 		defer p.tunnels.Add(-1)
+		requests := &tunnelRequests{total: &p.tunnelRequests}
+		defer requests.closed()
 		responses, observed := io.Pipe()
-		go p.s.upstream.observeResponses(responses, endpointRequest{endpoint: ep.Name, placedAt: ep.Incarnation, sender: "tunnel"})
-		joinConns(nc, caller, endpointConn, observed, framed)
+		go p.s.upstream.observeResponses(responses, endpointRequest{endpoint: ep.Name, placedAt: ep.Incarnation, sender: "tunnel"}, requests.answered)
+		joinConns(onRead{nc, requests.sent}, caller, endpointConn, onWrite{observed, requests.responds}, framed)
 		_ = observed.Close()
 	})
 }
@@ -310,8 +312,8 @@
 }
 
 // observeResponses reads the responses that an endpoint sends through a tunnel. The endpoint knows only the
-// instance that serves the tunnel, and means it with what it announces.
-func (u *upstream) observeResponses(r io.Reader, req endpointRequest) {
+// instance that serves the tunnel, and means it with what it announces. It calls answered at the end of each response.
+func (u *upstream) observeResponses(r io.Reader, req endpointRequest, answered func()) {
 	limited := &io.LimitedReader{R: r}
 	br := bufio.NewReaderSize(limited, tunnelBuffer)
 	for {
@@ -329,6 +331,9 @@
 			_, _ = io.Copy(io.Discard, r)
 			return
 		}
+		if resp.StatusCode >= http.StatusOK {
+			answered()
+		}
 	}
 }
 
