gateway: late in a stop, accept no stream that a preemption would carry past the exit

Cause: a stream was accepted if it would end in time at 1.25 times the longest of the last ones. An engine that runs out of memory pauses its newest stream for seconds, which no estimate from undisturbed streams contains. Class: an estimate stands in for a bound where an error loses work and caution costs a round trip.

Once refused callers reach another instance, 2.8 s after the start of the stop, a stream is accepted only if it also ends after a pause of as long as two of the pool's last requests take, at most as long as its caller waits for an event; without a declared length only if its caller's deadline comes first. Earlier the balancer may send a refused caller back, so that the estimate goes on to decide. Plain calls are not preempted and are expected as before.

Ruled out: a pause of as long as callers wait for every stream. It would also refuse streams of a tenth of a second half a grace period before the exit, whose pools have nothing that an engine could prefer for seconds (TestShortStreamsAreAcceptedInAStop).

What remains: a pause that is longer than two of the pool's last requests, in a pool of short streams, may still be cut.

--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -37,9 +37,16 @@
 	}
 	t := &x.s.times
 	t.mu.Lock()
+	now := time.Now()
 	expected := t.times.Expect(x.call.Pool.Name, tokens, x.callerTimeout())
+	if x.call.Pool.Engine != nil {
+		margin := t.times.StreamMargin(x.call.Pool.Name, now.Sub(*x.s.drainStartedAt.Load()), x.callerTimeout())
+		if expected += margin; margin > 0 && !x.call.HasTokenCounts {
+			expected = x.deadline.Sub(now) // its length is not known
+		}
+	}
 	t.mu.Unlock()
-	if placement.EndsBefore(time.Now(), x.s.answerBy(), x.deadline, expected) {
+	if placement.EndsBefore(now, x.s.answerBy(), x.deadline, expected) {
 		return nil
 	}
 	x.decision("no_time", "expected_ms", expected.Milliseconds(), "left_ms", time.Until(x.s.answerBy()).Milliseconds())
