gateway: read the settings again at SIGHUP and at the start of a drain

Cause: the settings file was read once; SIGHUP wrote a log line, and a change without a signal was never seen. Class: a value that the platform changes is kept as if it were constant.

The grace period, the retry budget's ratio and extra, and the slack of quotas take effect when the file is read again. That is at SIGHUP, and at SIGTERM for a file that changed without a signal; the reads are beside the drain, so that a slow disk does not delay the exit. settings.read says what is in force and names the changed fields that only another start reads. A file that cannot be decoded, lacks a field, has a bound that is no number from 0 up, or has lost its grace period is refused with settings.refused, and the settings in force stay. The start refuses such bounds too.

Not changed while running: the windows of the retry budget and of quotas, whose counts are kept by them; addresses, memory and link limits.

--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -21,12 +21,12 @@
 // retryBudget limits what this instance sends beyond the first attempt of each request, per
 // pool over a sliding window.
 type retryBudget struct {
-	ratio  float64
-	extra  float64 // for the whole fleet
 	window time.Duration
 	start  time.Time // start time of an instance that may have used budget before; zero for a new fleet
 
 	mu        sync.Mutex
+	ratio     float64
+	extra     float64 // for the whole fleet
 	fleetSize int
 	restarted int // instances that have restarted within the last window
 	pools     map[string]*[budgetBuckets]budgetBucket
@@ -44,6 +44,13 @@
 	return &retryBudget{ratio: ratio, extra: extra, window: window, start: start, fleetSize: assumedFleetSize, pools: map[string]*[budgetBuckets]budgetBucket{}}
 }
 
+// setLimits replaces the ratio and what is allowed beyond it.
+func (b *retryBudget) setLimits(ratio, extra float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ratio, b.extra = ratio, extra
+}
+
 // setFleet sets the number of instances, and how many of them have restarted within the last
 // window.
 func (b *retryBudget) setFleet(n, restarted int) {
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -58,7 +58,7 @@
 	return s.exitAt().Add(-exitAnswerTime)
 }
 
-// exitAt returns when an instance that drains exits at the latest.
+// exitAt returns when an instance that drains exits at the latest. It changes when settings are read again.
 func (s *Server) exitAt() time.Time {
-	return s.drainStartedAt.Load().Add(s.settings.GracePeriod - exitMargin)
+	return s.drainStartedAt.Load().Add(s.grace.get() - exitMargin)
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -44,8 +44,9 @@
 	RowDecoder RowDecoder
 	Store      Store
 	Log        logr.Logger
-	Reload     <-chan os.Signal
-	Dial       Dial // opens connections to endpoints; nil selects net.Dialer
+	Reload     <-chan os.Signal // the settings have changed
+	Load       LoadSettings     // nil if settings cannot be read again
+	Dial       Dial             // opens connections to endpoints; nil selects net.Dialer
 }
 
 // Dial opens a TCP connection to addr.
@@ -64,10 +65,14 @@
 	upstream   *upstream
 	budget     *retryBudget
 	reload     <-chan os.Signal
+	load       LoadSettings
 	peers      *peers
 	era        storeEra
 	following  []*watcher
 
+	reloadMu sync.Mutex // held while settings are read and applied
+	grace    gracePeriod
+
 	quotaMu sync.Mutex
 	quota   *window.Limiter
 
@@ -102,7 +107,9 @@
 
 		conns:  map[net.Conn]struct{}{},
 		reload: d.Reload,
+		load:   d.Load,
 	}
+	g.grace.set(s.GracePeriod)
 	g.exiting, g.exit = context.WithCancelCause(context.Background())
 	var start time.Time
 	if !s.Bootstrap {
@@ -340,8 +347,8 @@
 	return s.peers.isListed() && known > 0 && 2*silent <= known && !s.peers.isBehind(s.state.Current().Ticket)
 }
 
-// housekeeping closes idle connections, drops endpoints that did not register again, and logs
-// how many routine requests were not logged.
+// housekeeping closes idle connections, drops endpoints that did not register again, reads changed
+// settings, and logs how many routine requests were not logged.
 func (s *Server) housekeeping(ctx context.Context) error {
 	omitted := uint64(0)
 	expire := time.NewTicker(expireInterval)
@@ -368,6 +375,7 @@
 			}
 		case <-s.reload:
 			s.log.Info("process.reload")
+			go s.reloadSettings() // the read may be slow
 		}
 	}
 }
@@ -382,8 +390,9 @@
 	s.drainStartedAt.Store(&began)
 	s.draining.Store(true)
 	s.log.Info("process.drain", "active", s.active.Load())
-	deadline := s.exitAt()
-	for time.Now().Before(deadline.Add(-callDrainTime)) {
+	// The settings may have changed without a signal. A slow read must not delay the exit.
+	go s.reloadSettings()
+	for time.Now().Before(s.exitAt().Add(-callDrainTime)) {
 		deregistered := time.Since(began) >= balancerDelay
 		if deregistered && !s.busy() {
 			break
@@ -399,7 +408,7 @@
 	})
 	defer answerAll.Stop()
 	s.peers.leave()
-	for s.busy() && time.Now().Before(deadline) {
+	for s.busy() && time.Now().Before(s.exitAt()) {
 		time.Sleep(drainPollInterval)
 	}
 	s.log.Info("process.stop", "cut", s.active.Load(), "tunnels_cut", s.peers.tunnelRequests.Load(), "ms", time.Since(began).Milliseconds())
--- a/internal/limit/window/window.go
+++ b/internal/limit/window/window.go
@@ -120,6 +120,9 @@
 	}
 }
 
+// SetSlack replaces the slack given to New.
+func (l *Limiter) SetSlack(s Slack) { l.slack = s }
+
 // Decision is the outcome of one reservation, with the quantities behind it in tokens.
 type Decision struct {
 	Allowed     bool
