gateway: bodies and events stay within a share of the instance's memory

Callers on an instance lost their requests when the process ran out of memory: an endpoint that answers with large error responses, which are kept for the case that all retries fail, filled it. The bytes that such an answer takes were given back to the count of buffered bodies as soon as its connection was, while the body stayed in memory until the request had ended or its caller had read it. Error responses of engines were not counted while they were relayed, and the events of streams never were.

Class: memory that a peer fills and that is not counted for as long as it is held. Looked for on every connection that reads answers: heads, interim responses, extensions and trailers of chunks, endless bodies of any framing and endless lines of events were bounded before; the cases of the test show it.

All bodies of responses and all events that are read and not yet relayed now share 0.4 of the memory of the settings; the buffers' capacity counts, also that of the smaller buffer that a growing one is copied from, until nothing refers to the body. A fifth of the share is for small bodies only, so that endpoints with large ones do not fail the calls of others.

TestEndlessAnswersStayWithinTheMemory failed before, in "large errors": 165 and 173 MB in two runs, of 134 MB. With the change no case of a run took more than 90 MB. The other cases did not exceed the limit before; events in memory were not shown to run out, as the number of streams is bounded by the engines' slots.

TestEndlessBodiesShareABuffer and TestSmallBodyIsReadWhenTheBuffersAreFull read the new count; what they check is the same.

--- a/internal/gateway/enginerun.go
+++ b/internal/gateway/enginerun.go
@@ -93,7 +93,8 @@
 	}
 	if !startsStream(resp) {
 		body, err := resp.readAll()
-		resp.close()
+		resp.closeConn()
+		context.AfterFunc(ctx, resp.held.release)
 		r.deliver(ctx, runResult{resp: resp, body: body, err: err})
 		return
 	}
@@ -101,7 +102,9 @@
 		resp.close()
 		return
 	}
-	br := bufio.NewReaderSize(resp.body, eventBufferBytes)
+	memory := &eventMemory{Reader: resp.body, held: u.memory.hold()}
+	context.AfterFunc(ctx, memory.held.release)
+	br := bufio.NewReaderSize(memory, eventBufferBytes)
 	for {
 		e, err := readEvent(br)
 		if err != nil {
@@ -117,6 +120,7 @@
 			resp.close()
 			return
 		}
+		memory.pass()
 	}
 }
 
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -34,6 +34,7 @@
 		r.sendError(known)
 	}
 	x.report(err)
+	x.dropFallback()
 }
 
 // exchange is one caller's request and its state while it is processed.
--- a/internal/gateway/runresult.go
+++ b/internal/gateway/runresult.go
@@ -67,7 +67,7 @@
 		return runFailed, sched.Failed, r.err
 	}
 	if g.resp.started || g.current != run || g.standby != nil || !g.cannotResume(g.ctx) {
-		g.fallback = &bufferedResponse{status: resp.Status, header: resp.Headers, body: r.body}
+		g.setFallback(resp, r.body)
 		return runFailed, sched.Failed, errors.Newf("engine responded with status %d", resp.Status)
 	}
 	g.resp.send(resp.Status, resp.Headers, r.body)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -119,6 +119,8 @@
 		g.log.Info("endpoint.ejected", "endpoint", ep.Name, "addr", ep.Addr)
 	})
 	g.upstream = newUpstream(d.Wire, g.setUserTimeout)
+	g.upstream.memory = newBodyMemory(s.MemoryBytes)
+	g.upstream.memory.onShort = func() { g.stats.memoryShort.Inc() }
 	g.upstream.onResponse = func(req endpointRequest, sentAt time.Time, resp ResponseInfo) {
 		g.recordLimit(req, sentAt, resp)
 	}
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -212,7 +212,7 @@
 	x.recordBegun()
 	if resp.Status >= 500 && (another || x.canRetry() && time.Until(x.deadline) > x.s.admission.typicalLatency(l)) {
 		// The endpoint itself reports the failure; another one may succeed.
-		x.fallback = &bufferedResponse{status: resp.Status, header: resp.Headers, body: body}
+		x.setFallback(resp, body)
 		x.excluded = append(x.excluded, l.Target.Name)
 		return false, errors.Newf("endpoint responded with status %d", resp.Status)
 	}
@@ -356,4 +356,18 @@
 	status int
 	header http.Header
 	body   []byte
+	held   *holding
+}
+
+// setFallback keeps an endpoint's error response until the request ends.
+func (x *exchange) setFallback(resp *endpointResponse, body []byte) {
+	x.dropFallback()
+	x.fallback = &bufferedResponse{status: resp.Status, header: resp.Headers, body: body, held: resp.held.move()}
+}
+
+func (x *exchange) dropFallback() {
+	if x.fallback != nil {
+		x.fallback.held.release()
+		x.fallback = nil
+	}
 }
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -35,6 +35,7 @@
 	tokensCharged     *metrics.Counter
 	crashes           *metrics.Counter
 	pauses            *metrics.Counter
+	memoryShort       *metrics.Counter
 	closedAnswers     map[bool]*metrics.Counter // answers without a length, by whether their end was confirmed
 
 	callLatency *metrics.PrometheusHistogram
@@ -72,6 +73,7 @@
 		tokensCharged:     set.NewCounter("caraway_tokens_charged_total"),
 		crashes:           set.NewCounter("caraway_endpoint_crashes_total"),
 		pauses:            set.NewCounter("caraway_endpoint_pauses_total"),
+		memoryShort:       set.NewCounter("caraway_body_memory_short_total"),
 		callLatency:       set.NewPrometheusHistogramExt("caraway_plain_request_seconds", latencyBounds),
 		firstEvent:        set.NewPrometheusHistogramExt("caraway_first_event_seconds", latencyBounds),
 		longestGap:        set.NewPrometheusHistogramExt("caraway_longest_pause_seconds", latencyBounds),
@@ -87,6 +89,7 @@
 	for _, k := range errkind.Kinds() {
 		m.refused[k] = set.NewCounter(`caraway_errors_total{kind="` + string(k) + `"}`)
 	}
+	set.NewGauge("caraway_body_memory_bytes", func() float64 { return float64(s.upstream.memory.inUse()) })
 	set.NewGauge("caraway_requests_active", func() float64 { return float64(s.active.Load()) })
 	set.NewGauge("caraway_configuration_version", func() float64 { return float64(s.state.Current().Ticket) })
 	set.NewGauge("caraway_endpoints", func() float64 { return float64(len(s.state.Current().Endpoints)) })
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -11,7 +11,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -36,17 +35,6 @@
 	// maxHeadBytes bounds the heads that are read for one response, with interim responses and
 	// late responses to other requests.
 	maxHeadBytes = 64 << 10
-	// bufferedResponseBytes bounds the bodies that are buffered at a time, over all calls: a
-	// fraction of the memory of the smallest instances.
-	bufferedResponseBytes = 32 << 20
-	// smallResponseBytes is the size up to which a body is read although the buffers are full,
-	// so that an endpoint that fills them does not fail the calls of the others.
-	smallResponseBytes = 64 << 10
-)
-
-var (
-	errResponseTooLarge = errors.New("response body is too large")
-	errBuffersFull      = errors.New("the buffers for response bodies are full")
 )
 
 // upstream is the connection pool for endpoints.
@@ -62,7 +50,7 @@
 	pausedFor      func(endpoint string) time.Duration // returns for how long an endpoint wants no request
 	onEndByClose   func(confirmed bool)                // observes the end of an answer without a length
 
-	buffered atomic.Int64 // bytes of response bodies in memory
+	memory *bodyMemory
 
 	mu   sync.Mutex
 	idle map[string][]*endpointConn // by address, newest last
@@ -118,7 +106,7 @@
 var errIncarnationUnknown = errors.New("the endpoint's incarnation is not known")
 
 func newUpstream(w Wire, onOpen func(net.Conn)) *upstream {
-	return &upstream{wire: w, paths: newPaths(dialTCP, func(context.Context, string) (net.Conn, error) { return nil, errNoDetour }), onOpen: onOpen, onResponse: func(endpointRequest, time.Time, ResponseInfo) {}, onAnnouncement: func(endpointRequest, ResponseInfo) {},
+	return &upstream{wire: w, memory: newBodyMemory(0), paths: newPaths(dialTCP, func(context.Context, string) (net.Conn, error) { return nil, errNoDetour }), onOpen: onOpen, onResponse: func(endpointRequest, time.Time, ResponseInfo) {}, onAnnouncement: func(endpointRequest, ResponseInfo) {},
 		mayAsk: func(string) bool { return true }, pausedFor: func(string) time.Duration { return 0 }, onEndByClose: func(bool) {}, idle: map[string][]*endpointConn{}}
 }
 
@@ -229,7 +217,7 @@
 		return 0, false, err
 	}
 	body, err := resp.readAll()
-	u.buffered.Add(-resp.buffered)
+	resp.held.release()
 	if err != nil {
 		return 0, false, err
 	}
@@ -346,8 +334,9 @@
 	conn      *endpointConn
 	upstream  *upstream
 	stopWatch func() bool
-	buffered  int64 // bytes of the body in memory
-	bodyRead  bool  // the body was read completely
+	held      *holding // memory of the body
+	length    int64    // announced, or negative
+	bodyRead  bool     // the body was read completely
 	framing   framing
 	keepAlive bool
 	confirmed bool // it comes from the incarnation that the request was meant for, as far as endpoints say
@@ -463,7 +452,7 @@
 			c.refused = append(c.refused, req.attemptID)
 		}
 		c.limited.N = math.MaxInt64
-		resp := &endpointResponse{ResponseInfo: info, Status: httpResp.StatusCode, body: httpResp.Body, framing: framingOf(httpResp), conn: c, upstream: u}
+		resp := &endpointResponse{ResponseInfo: info, Status: httpResp.StatusCode, body: httpResp.Body, length: httpResp.ContentLength, framing: framingOf(httpResp), conn: c, upstream: u, held: u.memory.hold()}
 		resp.keepAlive = !httpResp.Close && skipped == 0 && len(c.refused) <= maxRefused
 		resp.confirmed = c.incarnation != 0 || req.incarnation == 0 || !u.mayAsk(req.endpoint)
 		if ttl, ok := keepAliveTTL(httpResp.Header); ok {
@@ -485,9 +474,13 @@
 	return 0, false
 }
 
+// maxCopiedBody is how much of a request's body is copied, to be sent in one write with the head. A larger body is sent
+// from where it is.
+const maxCopiedBody = 16 << 10 // bytes
+
 // writeRequest sends a request in one write if it fits the buffer.
 func writeRequest(c *endpointConn, req endpointRequest) error {
-	bw := bufio.NewWriterSize(c, writeBuffer+len(req.body))
+	bw := bufio.NewWriterSize(c, writeBuffer+min(len(req.body), maxCopiedBody))
 	_, _ = bw.WriteString(req.method + " " + req.uri + " HTTP/1.1\r\nHost: " + req.host + "\r\n")
 	for name, values := range req.header {
 		for _, v := range values {
@@ -502,9 +495,9 @@
 	return bw.Flush()
 }
 
-// readAll reads a body of at most maxResponseBytes.
+// readAll reads a body of at most maxResponseBytes. Closing the response gives its memory back.
 func (r *endpointResponse) readAll() ([]byte, error) {
-	b, err := io.ReadAll(&bodyBuffer{r})
+	b, err := r.held.readAll(r.body, r.length, maxResponseBytes)
 	if err != nil {
 		return nil, errors.Mark(err, endpoint.ErrCallFailed)
 	}
@@ -512,27 +505,14 @@
 	return b, nil
 }
 
-// bodyBuffer reads a body into memory and fails when it, or the bodies of all calls, become too
-// large. Closing the response gives the memory back.
-type bodyBuffer struct{ r *endpointResponse }
-
-func (b *bodyBuffer) Read(p []byte) (int, error) {
-	n, err := b.r.body.Read(p)
-	b.r.buffered += int64(n)
-	total := b.r.upstream.buffered.Add(int64(n))
-	switch {
-	case b.r.buffered > maxResponseBytes:
-		return n, errResponseTooLarge
-	case total > bufferedResponseBytes && b.r.buffered > smallResponseBytes:
-		return n, errBuffersFull
-	}
-	return n, err
-}
-
 // close returns the connection to the pool if the response was read completely.
 func (r *endpointResponse) close() {
-	r.upstream.buffered.Add(-r.buffered)
-	r.buffered = 0
+	r.held.release()
+	r.closeConn()
+}
+
+// closeConn is close for a response whose body stays in memory.
+func (r *endpointResponse) closeConn() {
 	stopped := r.stopWatch()
 	if stopped && r.bodyRead && r.keepAlive && r.conn.br.Buffered() == 0 {
 		r.upstream.put(r.conn)
--- a/internal/gateway/upstream_test.go
+++ b/internal/gateway/upstream_test.go
@@ -132,8 +132,8 @@
 			}
 			wg.Wait()
 			// Each connection's socket buffers hold some more.
-			assert.Assert(t, taken() < bufferedResponseBytes+calls*(8<<20), "%d bytes were taken", taken())
-			assert.Equal(t, u.buffered.Load(), int64(0))
+			assert.Assert(t, taken() < int(u.memory.limit)+calls*(8<<20), "%d bytes were taken", taken())
+			assert.Equal(t, u.memory.inUse(), int64(0))
 		})
 	}
 }
@@ -142,7 +142,8 @@
 func TestSmallBodyIsReadWhenTheBuffersAreFull(t *testing.T) {
 	addr, _ := endless(t, "HTTP/1.1 200 OK\r\nContent-Length: 800\r\n\r\n", "a", 800)
 	u := testUpstream()
-	u.buffered.Store(bufferedResponseBytes)
+	for full := u.memory.hold(); full.grow(smallBodyBytes + 1); {
+	}
 	resp, err := u.do(context.Background(), endpointRequest{addr: addr, method: http.MethodGet, uri: "/", host: "h"})
 	assert.NilError(t, err)
 	defer resp.close()
