gateway: a shortage of descriptors ends no listener, and idle connections yield

fasthttp's Serve returns on the first error of Accept. That of the listener for readiness probes ended the context of all parts: watchers, updates and probes stopped, and each request had an ended context. Run then waited for parts that never end. Nothing bounded the idle connections of callers, which took the descriptors.

Class: a part that ends, or waits, while the process goes on. The listeners for callers, readiness probes, other instances and metrics are looked after alike now: Accept is tried again after 5 to 100 ms, is counted and logged, and fails only once the listener is closed. If a part does end, Run closes the listeners and returns, and the process ends. Callers' connections take three quarters of the descriptors while some are idle; beyond, and when there are none left, those that were idle for longest are closed, unless a request has arrived on them.

--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -86,7 +86,10 @@
 	limits := limitsOf(c.s.state.Current())
 	c.limited.N = int64(limits.HeaderBytes) + readBuffer
 	_ = c.nc.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
-	if _, err := c.br.Peek(1); err != nil {
+	c.s.callers.setIdle(c)
+	_, err = c.br.Peek(1)
+	c.s.callers.setBusy(c)
+	if err != nil {
 		return false, err
 	}
 	arrived := time.Now()
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -83,6 +83,11 @@
 	exiting context.Context // ends when requests in progress have to be answered because of the exit
 	exit    context.CancelCauseFunc
 
+	callers *callerConns
+
+	listenMu  sync.Mutex
+	listeners []*steadyListener
+
 	connMu sync.Mutex
 	conns  map[net.Conn]struct{}
 
@@ -100,6 +105,8 @@
 
 		quarantine: newQuarantineState(),
 
+		callers: newCallerConns(),
+
 		conns:  map[net.Conn]struct{}{},
 		reload: d.Reload,
 	}
@@ -146,22 +153,23 @@
 	g.origins.fleetSize = g.peers.fleetSize
 	g.admission.onChange = g.peers.requestUpdate
 	g.stats = newStats(g)
+	g.callers.onYield = func(n int) { g.stats.yieldedConns.Add(n) }
 	return g
 }
 
 // Run serves until drain ends, then completes running requests within the grace period.
 func (s *Server) Run(drain context.Context) error {
-	callers, err := net.Listen("tcp", s.settings.CallerAddr)
+	callers, err := s.listen("callers", s.settings.CallerAddr)
 	if err != nil {
-		return errors.Wrap(err, "listen for callers")
+		return err
 	}
-	readiness, err := net.Listen("tcp", s.settings.ReadinessAddr)
+	readiness, err := s.listen("readiness probes", s.settings.ReadinessAddr)
 	if err != nil {
-		return errors.Wrap(err, "listen for readiness probes")
+		return err
 	}
-	state, err := net.Listen("tcp", s.settings.PeerAddr)
+	state, err := s.listen("other instances", s.settings.PeerAddr)
 	if err != nil {
-		return errors.Wrap(err, "listen for other instances")
+		return err
 	}
 	if err := s.peers.listen(); err != nil {
 		return err
@@ -178,11 +186,11 @@
 	for _, w := range s.following {
 		g.Go(func() error { return w.run(ctx) })
 	}
-	g.Go(func() error { return s.serveReadiness(readiness) })
+	g.Go(readiness.serveForever(s.serveReadiness))
 	if metrics != nil {
-		g.Go(func() error { return newInternalServer(s.serveMetrics).Serve(metrics) })
+		g.Go(metrics.serveForever(newInternalServer(s.serveMetrics).Serve))
 	}
-	g.Go(func() error { return newInternalServer(s.peers.serve).Serve(state) })
+	g.Go(state.serveForever(newInternalServer(s.peers.serve).Serve))
 	for _, loop := range []func(context.Context) error{s.peers.sendLoop, s.peers.receiveLoop, s.peers.relayLoop, s.peers.registerLoop, s.peers.catchUp, s.probeLoop, s.settleLoop, s.quarantineLoop, s.originsLoop} {
 		g.Go(func() error { return loop(ctx) })
 	}
@@ -194,7 +202,12 @@
 		s.shutDown(callers)
 		return nil
 	case <-ctx.Done():
-		return g.Wait()
+		// A part has ended without which the instance cannot serve. The platform starts the process again; the other
+		// parts are not waited for.
+		err := context.Cause(ctx)
+		s.log.Error(err, "process.part_ended")
+		s.closeListeners()
+		return err
 	}
 }
 
@@ -263,19 +276,19 @@
 			if s.draining.Load() || ctx.Err() != nil {
 				return nil
 			}
-			s.log.Error(err, "accept")
-			sleepJitter(ctx, minRetryDelay)
-			continue
+			return errors.Wrap(err, "the listener for callers has ended")
 		}
 		s.setUserTimeout(nc)
 		s.connMu.Lock()
 		s.conns[nc] = struct{}{}
 		s.connMu.Unlock()
+		s.callers.add()
 		go func() {
 			s.newConn(nc).serve(ctx)
 			s.connMu.Lock()
 			delete(s.conns, nc)
 			s.connMu.Unlock()
+			s.callers.remove()
 		}()
 	}
 }
@@ -290,12 +303,11 @@
 }
 
 // listenMetrics opens the listener for metrics, if an address is set.
-func (s *Server) listenMetrics() (net.Listener, error) {
+func (s *Server) listenMetrics() (*steadyListener, error) {
 	if s.settings.MetricsAddr == "" {
 		return nil, nil
 	}
-	ln, err := net.Listen("tcp", s.settings.MetricsAddr)
-	return ln, errors.Wrap(err, "listen for metrics")
+	return s.listen("metrics", s.settings.MetricsAddr)
 }
 
 func (s *Server) serveMetrics(ctx *fasthttp.RequestCtx) {
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -36,6 +36,8 @@
 	crashes           *metrics.Counter
 	pauses            *metrics.Counter
 	memoryShort       *metrics.Counter
+	acceptFailures    *metrics.Counter
+	yieldedConns      *metrics.Counter
 	closedAnswers     map[bool]*metrics.Counter // answers without a length, by whether their end was confirmed
 
 	callLatency *metrics.PrometheusHistogram
@@ -74,6 +76,8 @@
 		crashes:           set.NewCounter("caraway_endpoint_crashes_total"),
 		pauses:            set.NewCounter("caraway_endpoint_pauses_total"),
 		memoryShort:       set.NewCounter("caraway_body_memory_short_total"),
+		acceptFailures:    set.NewCounter("caraway_accept_failures_total"),
+		yieldedConns:      set.NewCounter("caraway_idle_connections_closed_total"),
 		callLatency:       set.NewPrometheusHistogramExt("caraway_plain_request_seconds", latencyBounds),
 		firstEvent:        set.NewPrometheusHistogramExt("caraway_first_event_seconds", latencyBounds),
 		longestGap:        set.NewPrometheusHistogramExt("caraway_longest_pause_seconds", latencyBounds),
