--- a/internal/gateway/tunnel.go
+++ b/internal/gateway/tunnel.go
@@ -214,7 +214,7 @@
 		return false, errors.Wrap(err, "ask for a tunnel")
 	}
 	// Nothing follows the response before the endpoint has a request.
-	br := bufio.NewReader(nc)
+	br := bufio.NewReader(io.LimitReader(nc, maxHeadBytes))
 	resp, err := http.ReadResponse(br, nil)
 	if err != nil {
 		return false, errors.Newf("ask for a tunnel: %v", err)
--- a/internal/gateway/upstream_test.go
+++ b/internal/gateway/upstream_test.go
@@ -96,6 +96,19 @@
 	return ResponseInfo{AttemptID: h.Get("Id")}
 }
 
+// The same for another instance that is asked for a tunnel.
+func TestEndlessHeadEndsTheRequestForATunnel(t *testing.T) {
+	const limit = 64 << 20
+	addr, taken := endless(t, "HTTP/1.1 200 OK\r\nX: ", "a", limit)
+	nc, err := net.Dial("tcp", addr)
+	assert.NilError(t, err)
+	_, err = requestTunnel(nc, []byte("secret"), addr, "127.0.0.1:1")
+	assert.Assert(t, err != nil)
+	assert.NilError(t, nc.Close())
+	// The sockets' buffers hold some more.
+	assert.Assert(t, taken() < limit/2, "%d bytes were taken", taken())
+}
+
 // Bodies without end are not kept beyond a total over all calls.
 func TestEndlessBodiesShareABuffer(t *testing.T) {
 	const calls, limit = 8, 32 << 20
