gateway: bodies of requests share the memory for bodies

The memory for an announced length was taken at once, nothing bounded the bodies of all callers together, and each send copied the body.

Class: memory that a peer fills and that is not counted. Request bodies now count to the same share of the instance's memory as those of responses, as they arrive, until the request has ended. One that does not fit beside what is held is refused before it is read, also before the 100 that it may wait for; several that were admitted together may outgrow the memory while they arrive, and one that finds no room is refused then. Both get 503 queue_full as not run, with a time to come back. An announced length takes no memory, so that a caller that sends nothing keeps no other one out.

--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"io"
 	"net"
@@ -24,6 +23,7 @@
 	writeBuffer = 4 << 10
 	// writeTimeout closes a connection whose caller stopped reading.
 	writeTimeout   = 5 * time.Second
+	bodyRetryAfter = time.Second      // after a refusal for want of memory; a large body takes seconds to arrive
 	bodyTimeout    = 10 * time.Second // for a whole body, if the caller set no deadline
 	tcpUserTimeout = 5 * time.Second  // limit for unacknowledged data, to detect dead connections
 
@@ -108,18 +108,25 @@
 	}
 	call.Method, call.URI, call.Host, call.Path = req.Method, req.RequestURI, req.Host, req.URL.Path
 	c.limited.N = int64(limits.BodyBytes) + 2*readBuffer
-	if err := c.readBody(req, &call, limits); err != nil {
+	held := c.s.upstream.memory.hold()
+	defer held.release()
+	if err := c.readBody(req, &call, limits, held); err != nil {
+		held.release()
 		return false, c.reject(err, call.ID)
 	}
 	c.limited.N = 1 << 62
 	return c.handleCall(ctx, &call, r)
 }
 
-// readBody reads the whole body, so that the request can be sent more than once.
-func (c *callerConn) readBody(req *http.Request, call *Call, limits config.Limits) error {
+// readBody reads the whole body, so that the request can be sent more than once. It takes memory as the body arrives,
+// since a slow caller may announce much long before; a body that would not fit now is refused before it is read.
+func (c *callerConn) readBody(req *http.Request, call *Call, limits config.Limits, held *holding) error {
 	if req.ContentLength > int64(limits.BodyBytes) {
 		return errkind.New(errkind.BodyTooLarge, "the request body is too large")
 	}
+	if req.ContentLength > 0 && !held.memory.hasRoom(req.ContentLength) {
+		return c.refuseBody()
+	}
 	deadline := call.Deadline
 	if deadline.IsZero() {
 		deadline = call.Arrived.Add(bodyTimeout)
@@ -133,21 +140,25 @@
 	if req.ContentLength == 0 {
 		return nil
 	}
-	var b bytes.Buffer
-	if req.ContentLength > 0 {
-		b.Grow(int(req.ContentLength) + bytes.MinRead)
-	}
-	n, err := b.ReadFrom(io.LimitReader(req.Body, int64(limits.BodyBytes)+1))
-	if err != nil {
-		return errkind.Wrap(err, errkind.BadRequest, errkind.NotRun, "the request body could not be read")
-	}
-	if n > int64(limits.BodyBytes) {
+	body, err := held.readAll(req.Body, req.ContentLength, int64(limits.BodyBytes))
+	switch {
+	case errors.Is(err, errBuffersFull):
+		return c.refuseBody()
+	case errors.Is(err, errBodyTooLarge):
 		return errkind.New(errkind.BodyTooLarge, "the request body is too large")
+	case err != nil:
+		return errkind.Wrap(err, errkind.BadRequest, errkind.NotRun, "the request body could not be read")
 	}
-	call.Body = b.Bytes()
+	call.Body = body
 	return nil
 }
 
+// refuseBody returns the error for a request whose body does not fit in the memory for bodies.
+func (c *callerConn) refuseBody() error {
+	c.s.stats.refused[errkind.QueueFull].Inc()
+	return refusal(errkind.QueueFull, "the bodies of other requests take the memory for bodies", bodyRetryAfter)
+}
+
 // handleCall handles the request and cancels it if the caller disconnects.
 func (c *callerConn) handleCall(ctx context.Context, call *Call, r *response) (reuse bool, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -49,6 +49,17 @@
 	return m.used+n <= m.limit-int64(smallBodyReserve*float64(m.limit))
 }
 
+// hasRoom reports whether a body of n bytes fits now.
+func (m *bodyMemory) hasRoom(n int64) bool {
+	m.mu.Lock()
+	ok := m.fits(n, n)
+	m.mu.Unlock()
+	if !ok {
+		m.onShort()
+	}
+	return ok
+}
+
 func (m *bodyMemory) inUse() int64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
