gateway: a caller whose body is refused gets the response although it sends on

A caller that sends all of its body before it reads got no response when the body was refused for want of memory: half a second after the response the instance closed the connection, and the kernel reset it. The request was not run, and the caller could not know.

Class: a connection that is closed while its peer sends. The other refusals (a head that cannot be read, a body that is too large) keep half a second, since their callers do not come back with the same request.

TestRequestBodiesStayWithinTheMemory has a caller that reads only after it has sent, and failed with the former code (write: broken pipe).

--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -44,6 +44,11 @@
 	bw *bufio.Writer
 
 	limited *io.LimitedReader // limits the size of a request
+
+	// The rest of a refused body, and until when it may arrive. Many callers send all of it before they read the response,
+	// which they would not get if the connection were closed before.
+	discard      int64
+	discardUntil time.Time
 }
 
 func (s *Server) newConn(nc net.Conn) *callerConn {
@@ -59,9 +64,13 @@
 	for {
 		reuse, err := c.serveRequest(ctx)
 		if err != nil || !reuse {
-			return
+			break
 		}
 	}
+	if !c.discardUntil.IsZero() {
+		_ = c.nc.SetReadDeadline(c.discardUntil)
+		_, _ = io.Copy(io.Discard, io.LimitReader(c.nc, c.discard))
+	}
 }
 
 func limitsOf(st *config.State) config.Limits {
@@ -124,13 +133,13 @@
 	if req.ContentLength > int64(limits.BodyBytes) {
 		return errkind.New(errkind.BodyTooLarge, "the request body is too large")
 	}
-	if req.ContentLength > 0 && !held.memory.hasRoom(req.ContentLength) {
-		return c.refuseBody()
-	}
 	deadline := call.Deadline
 	if deadline.IsZero() {
 		deadline = call.Arrived.Add(bodyTimeout)
 	}
+	if req.ContentLength > 0 && !held.memory.hasRoom(req.ContentLength) {
+		return c.refuseBody(limits, deadline)
+	}
 	_ = c.nc.SetReadDeadline(deadline)
 	if req.Header.Get("Expect") == "100-continue" {
 		if _, err := io.WriteString(c.nc, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
@@ -143,7 +152,7 @@
 	body, err := held.readAll(req.Body, req.ContentLength, int64(limits.BodyBytes))
 	switch {
 	case errors.Is(err, errBuffersFull):
-		return c.refuseBody()
+		return c.refuseBody(limits, deadline)
 	case errors.Is(err, errBodyTooLarge):
 		return errkind.New(errkind.BodyTooLarge, "the request body is too large")
 	case err != nil:
@@ -154,7 +163,8 @@
 }
 
 // refuseBody returns the error for a request whose body does not fit in the memory for bodies.
-func (c *callerConn) refuseBody() error {
+func (c *callerConn) refuseBody(limits config.Limits, deadline time.Time) error {
+	c.discard, c.discardUntil = int64(limits.BodyBytes), deadline
 	c.s.stats.refused[errkind.QueueFull].Inc()
 	return refusal(errkind.QueueFull, "the bodies of other requests take the memory for bodies", bodyRetryAfter)
 }
@@ -195,6 +205,10 @@
 	r := &response{conn: c, attemptID: id}
 	r.sendError(err)
 	if w, ok := c.nc.(interface{ CloseWrite() error }); ok && r.writeErr == nil {
+		if !c.discardUntil.IsZero() {
+			_ = w.CloseWrite()
+			return err
+		}
 		// The caller may still be sending. Closing now would reset the connection before the
 		// caller has read the response.
 		_ = w.CloseWrite()
