--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"io"
 	"net"
@@ -24,6 +23,7 @@
 	writeBuffer = 4 << 10
 	// writeTimeout closes a connection whose caller stopped reading.
 	writeTimeout   = 5 * time.Second
+	bodyRetryAfter = time.Second      // after a refusal for want of memory; a large body takes seconds to arrive
 	bodyTimeout    = 10 * time.Second // for a whole body, if the caller set no deadline
 	tcpUserTimeout = 5 * time.Second  // limit for unacknowledged data, to detect dead connections
 
@@ -44,6 +44,11 @@
 	bw *bufio.Writer
 
 	limited *io.LimitedReader // limits the size of a request
+
+	// The rest of a refused body, and until when it may arrive. Many callers send all of it before they read the response,
+	// which they would not get if the connection were closed before.
+	discard      int64
+	discardUntil time.Time
 }
 
 func (s *Server) newConn(nc net.Conn) *callerConn {
@@ -59,9 +64,13 @@
 	for {
 		reuse, err := c.serveRequest(ctx)
 		if err != nil || !reuse {
-			return
+			break
 		}
 	}
+	if !c.discardUntil.IsZero() {
+		_ = c.nc.SetReadDeadline(c.discardUntil)
+		_, _ = io.Copy(io.Discard, io.LimitReader(c.nc, c.discard))
+	}
 }
 
 func limitsOf(st *config.State) config.Limits {
@@ -86,7 +95,10 @@
 	limits := limitsOf(c.s.state.Current())
 	c.limited.N = int64(limits.HeaderBytes) + readBuffer
 	_ = c.nc.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
-	if _, err := c.br.Peek(1); err != nil {
+	c.s.callers.setIdle(c)
+	_, err = c.br.Peek(1)
+	c.s.callers.setBusy(c)
+	if err != nil {
 		return false, err
 	}
 	arrived := time.Now()
@@ -105,15 +117,19 @@
 	}
 	call.Method, call.URI, call.Host, call.Path = req.Method, req.RequestURI, req.Host, req.URL.Path
 	c.limited.N = int64(limits.BodyBytes) + 2*readBuffer
-	if err := c.readBody(req, &call, limits); err != nil {
+	held := c.s.upstream.memory.hold()
+	defer held.release()
+	if err := c.readBody(req, &call, limits, held); err != nil {
+		held.release()
 		return false, c.reject(err, call.ID)
 	}
 	c.limited.N = 1 << 62
 	return c.handleCall(ctx, &call, r)
 }
 
-// readBody reads the whole body, so that the request can be sent more than once.
-func (c *callerConn) readBody(req *http.Request, call *Call, limits config.Limits) error {
+// readBody reads the whole body, so that the request can be sent more than once. It takes memory as the body arrives,
+// since a slow caller may announce much long before; a body that would not fit now is refused before it is read.
+func (c *callerConn) readBody(req *http.Request, call *Call, limits config.Limits, held *holding) error {
 	if req.ContentLength > int64(limits.BodyBytes) {
 		return errkind.New(errkind.BodyTooLarge, "the request body is too large")
 	}
@@ -121,6 +137,9 @@
 	if deadline.IsZero() {
 		deadline = call.Arrived.Add(bodyTimeout)
 	}
+	if req.ContentLength > 0 && !held.memory.hasRoom(req.ContentLength) {
+		return c.refuseBody(limits, deadline)
+	}
 	_ = c.nc.SetReadDeadline(deadline)
 	if req.Header.Get("Expect") == "100-continue" {
 		if _, err := io.WriteString(c.nc, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
@@ -130,21 +149,26 @@
 	if req.ContentLength == 0 {
 		return nil
 	}
-	var b bytes.Buffer
-	if req.ContentLength > 0 {
-		b.Grow(int(req.ContentLength) + bytes.MinRead)
-	}
-	n, err := b.ReadFrom(io.LimitReader(req.Body, int64(limits.BodyBytes)+1))
-	if err != nil {
-		return errkind.Wrap(err, errkind.BadRequest, errkind.NotRun, "the request body could not be read")
-	}
-	if n > int64(limits.BodyBytes) {
+	body, err := held.readAll(req.Body, req.ContentLength, int64(limits.BodyBytes))
+	switch {
+	case errors.Is(err, errBuffersFull):
+		return c.refuseBody(limits, deadline)
+	case errors.Is(err, errBodyTooLarge):
 		return errkind.New(errkind.BodyTooLarge, "the request body is too large")
+	case err != nil:
+		return errkind.Wrap(err, errkind.BadRequest, errkind.NotRun, "the request body could not be read")
 	}
-	call.Body = b.Bytes()
+	call.Body = body
 	return nil
 }
 
+// refuseBody returns the error for a request whose body does not fit in the memory for bodies.
+func (c *callerConn) refuseBody(limits config.Limits, deadline time.Time) error {
+	c.discard, c.discardUntil = int64(limits.BodyBytes), deadline
+	c.s.stats.refused[errkind.QueueFull].Inc()
+	return refusal(errkind.QueueFull, "the bodies of other requests take the memory for bodies", bodyRetryAfter)
+}
+
 // handleCall handles the request and cancels it if the caller disconnects.
 func (c *callerConn) handleCall(ctx context.Context, call *Call, r *response) (reuse bool, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -181,6 +205,10 @@
 	r := &response{conn: c, attemptID: id}
 	r.sendError(err)
 	if w, ok := c.nc.(interface{ CloseWrite() error }); ok && r.writeErr == nil {
+		if !c.discardUntil.IsZero() {
+			_ = w.CloseWrite()
+			return err
+		}
 		// The caller may still be sending. Closing now would reset the connection before the
 		// caller has read the response.
 		_ = w.CloseWrite()
--- a/internal/gateway/upstream_test.go
+++ b/internal/gateway/upstream_test.go
@@ -96,6 +96,19 @@
 	return ResponseInfo{AttemptID: h.Get("Id")}
 }
 
+// The same for another instance that is asked for a tunnel.
+func TestEndlessHeadEndsTheRequestForATunnel(t *testing.T) {
+	const limit = 64 << 20
+	addr, taken := endless(t, "HTTP/1.1 200 OK\r\nX: ", "a", limit)
+	nc, err := net.Dial("tcp", addr)
+	assert.NilError(t, err)
+	_, err = requestTunnel(nc, []byte("secret"), addr, "127.0.0.1:1")
+	assert.Assert(t, err != nil)
+	assert.NilError(t, nc.Close())
+	// The sockets' buffers hold some more.
+	assert.Assert(t, taken() < limit/2, "%d bytes were taken", taken())
+}
+
 // Bodies without end are not kept beyond a total over all calls.
 func TestEndlessBodiesShareABuffer(t *testing.T) {
 	const calls, limit = 8, 32 << 20
@@ -132,8 +145,8 @@
 			}
 			wg.Wait()
 			// Each connection's socket buffers hold some more.
-			assert.Assert(t, taken() < bufferedResponseBytes+calls*(8<<20), "%d bytes were taken", taken())
-			assert.Equal(t, u.buffered.Load(), int64(0))
+			assert.Assert(t, taken() < int(u.memory.limit)+calls*(8<<20), "%d bytes were taken", taken())
+			assert.Equal(t, u.memory.inUse(), int64(0))
 		})
 	}
 }
@@ -142,7 +155,8 @@
 func TestSmallBodyIsReadWhenTheBuffersAreFull(t *testing.T) {
 	addr, _ := endless(t, "HTTP/1.1 200 OK\r\nContent-Length: 800\r\n\r\n", "a", 800)
 	u := testUpstream()
-	u.buffered.Store(bufferedResponseBytes)
+	for full := u.memory.hold(); full.grow(smallBodyBytes + 1); {
+	}
 	resp, err := u.do(context.Background(), endpointRequest{addr: addr, method: http.MethodGet, uri: "/", host: "h"})
 	assert.NilError(t, err)
 	defer resp.close()
