gateway: the buffer of a response with a length is not outgrown

The buffers that a growing one had left behind were counted as free, but the garbage collector had not freed them yet.

Bodies of requests still take memory as they arrive. No test fails for certain without it: TestEndlessAnswersStayWithinTheMemory may.

--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -119,13 +119,14 @@
 	return to
 }
 
-// readAll reads a body of at most limit bytes, into a buffer that grows with what arrives. Expected is the announced
-// length, or negative. The memory of the buffer is held, also that of the smaller one that it is copied from.
-func (h *holding) readAll(r io.Reader, expected, limit int64) ([]byte, error) {
+// readAll reads a body of at most limit bytes, into a buffer that begins with first bytes and grows with what arrives.
+// Expected is the announced length, or negative. Responses come fast and have their whole buffer at once: buffers that were
+// outgrown fill the memory faster than the garbage collector frees them. The memory of the buffer is held, also that of the smaller one that it is copied from.
+func (h *holding) readAll(r io.Reader, expected, first, limit int64) ([]byte, error) {
 	var b []byte
 	for {
 		if len(b) == cap(b) {
-			size := int64(max(minBodyBuffer, 2*cap(b)))
+			size := max(first, minBodyBuffer, int64(2*cap(b)))
 			if cap(b) >= smallBodyBytes {
 				size = int64(cap(b)) + int64(cap(b))/2
 			}
