--- a/internal/gateway/accept_test.go
+++ b/internal/gateway/accept_test.go
@@ -32,10 +32,6 @@
 	return nil, errNoStore
 }
 
-func (unreachableStore) Replace(context.Context, Table, string, []byte, Position) (bool, error) {
-	return false, errNoStore
-}
-
 func (unreachableStore) Delete(context.Context, Table, string) error { return errNoStore }
 
 func newUnstartedServer() *Server {
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -31,7 +31,7 @@
 	now := time.Now()
 	s.peers.applyUpdate(now, fleetUpdate(0, 1), netip.AddrPort{}, false)
 	assert.Equal(t, s.budget.fleetSize, assumedFleetSize)
-	s.peers.applyRows(now, now, instanceRows(t, 3), Position{})
+	s.peers.applyRows(now, instanceRows(t, 3))
 	assert.Equal(t, s.budget.fleetSize, 5, "three instances by their rows, one by its update, and this one")
 }
 
@@ -45,7 +45,7 @@
 		for i := range 4 {
 			wg.Go(func() { s.peers.applyUpdate(now, fleetUpdate(i, 1), netip.AddrPort{}, false) })
 		}
-		wg.Go(func() { s.peers.applyRows(now, now, instanceRows(t, 3), Position{}) })
+		wg.Go(func() { s.peers.applyRows(now, instanceRows(t, 3)) })
 		wg.Wait()
 		assert.Equal(t, s.budget.fleetSize, s.peers.fleetSize())
 	}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -19,7 +19,6 @@
 
 	"carawayrouter.example/router/internal/gossip"
 	"carawayrouter.example/router/internal/limit/pacing"
-	"carawayrouter.example/router/internal/limit/window"
 	"carawayrouter.example/router/internal/placement"
 )
 
@@ -53,13 +52,6 @@
 	// Form is the latest form of updates that the instance decodes; 0 in the rows of builds that decode one only
 	// and do not tell which.
 	Form gossip.Form `json:"form,omitempty"`
-	// LeaseMillis is for how long a write of the row holds; 0 in the rows of builds that never count themselves out.
-	LeaseMillis int64 `json:"lease_ms,omitempty"`
-	// WrittenMillis is the store's clock when the row was sent, at most maxReadAge too early; 0 if not known.
-	// WrittenEra is the era of the store in which it was read.
-	WrittenMillis int64  `json:"written_ms,omitempty"`
-	WrittenEra    uint64 `json:"written_era,omitempty"`
-	Established   bool   `json:"established,omitempty"` // see peers.establish
 }
 
 // peer is what this instance knows about another one.
@@ -77,7 +69,6 @@
 
 	detourFailedAt time.Time // when it last failed to reach an endpoint for this instance
 	rowVersion     uint64
-	rowReadAt      time.Duration // by the store's clock
 }
 
 // peers tracks the other instances and exchanges updates with them.
@@ -89,8 +80,7 @@
 	conn         *net.UDPConn
 	client       *fasthttp.Client
 	dialPeer     func(ctx context.Context, addr string) (net.Conn, error)
-	fetch        func(addr string) error // fetchState
-	tunnels      atomic.Int64            // that this instance serves
+	tunnels      atomic.Int64 // that this instance serves
 	updateNeeded chan struct{}
 	relayNeeded  chan struct{} // an update is waiting to be relayed
 	rowNeeded    chan struct{} // an instance was heard whose row is not known
@@ -101,8 +91,6 @@
 	mu     sync.Mutex
 	known  map[string]*peer
 	listed bool // the instances' rows have been read, here or by an instance whose state was fetched
-	lease  lease
-	era    uint64 // of the store from which the rows were read last
 	secret []byte
 	outbox map[string]relayedUpdate // by instance
 
@@ -138,7 +126,7 @@
 }
 
 func newPeers(s *Server) *peers {
-	p := &peers{
+	return &peers{
 		s:            s,
 		log:          s.log,
 		client:       &fasthttp.Client{MaxResponseBodySize: maxStateBytes, ReadTimeout: fetchTimeout, WriteTimeout: fetchTimeout, MaxIdleConnDuration: time.Second, NoDefaultUserAgentHeader: true},
@@ -148,8 +136,6 @@
 		outbox:       map[string]relayedUpdate{},
 		known:        map[string]*peer{},
 	}
-	p.fetch = p.fetchState
-	return p
 }
 
 // requestUpdate asks for an update to be sent soon.
@@ -272,12 +258,11 @@
 			if failures++; failures == 1 {
 				p.log.Info("instances.store_lost", "cause", err.Error())
 			}
-			p.learnInstances(time.Now())
 			sleepJitter(ctx, min(maxRetryDelay, minRetryDelay<<min(failures, 5)))
 			continue
 		}
 		failures = 0
-		if sleepJitterOr(ctx, p.rowWait(time.Now()), p.rowNeeded) && !p.isNewlyEstablished() {
+		if sleepJitterOr(ctx, p.registerInterval(), p.rowNeeded) {
 			sleepJitter(ctx, newRowDelay)
 		}
 	}
@@ -288,46 +273,26 @@
 // learn of the instance by its updates; the row tells instances that start, or are cut off from
 // it, that it exists.
 func (p *peers) registerInterval() time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return registerIntervalOf(p.writingFleet(time.Now()))
-}
-
-func registerIntervalOf(fleet int) time.Duration {
-	return min(maxRegisterInterval, registerInterval*time.Duration(max(storeScaleFleet, fleet))/storeScaleFleet)
+	fleet := time.Duration(max(storeScaleFleet, p.fleetSize()))
+	return min(maxRegisterInterval, registerInterval*fleet/storeScaleFleet)
 }
 
 func (p *peers) register(ctx context.Context) error {
 	if err := p.ensureSecret(ctx); err != nil {
 		return err
 	}
-	p.mu.Lock()
-	first := p.lease.until.IsZero()
-	p.mu.Unlock()
-	if first {
-		readAt := time.Now()
-		rows, at, err := p.s.store.Rows(ctx, Instances)
-		if err != nil {
-			return err
-		}
-		p.mu.Lock()
-		p.lease.readClock(readAt, time.Now(), rows, at)
-		p.establish(rows)
-		p.mu.Unlock()
-	}
-	now := time.Now()
-	leaseTime, err := p.writeRow(ctx, now)
+	value, err := json.Marshal(p.self)
 	if err != nil {
+		return errors.Wrap(err, "encode instance row")
+	}
+	if err := p.s.store.Put(ctx, Instances, p.s.settings.Instance, value); err != nil {
 		return err
 	}
-	readAt := time.Now()
-	rows, at, err := p.s.store.Rows(ctx, Instances)
+	rows, _, err := p.s.store.Rows(ctx, Instances)
 	if err != nil {
 		return err
 	}
-	p.renewLease(now, leaseTime, rows, at)
-	gone := p.applyRows(readAt, time.Now(), rows, at)
-	p.removeGone(ctx, gone)
+	p.applyRows(time.Now(), rows)
 	return nil
 }
 
@@ -355,44 +320,18 @@
 	return nil
 }
 
-// applyRows applies the instances' rows, read by a call that was sent at a time, and forgets instances with neither
-// a row nor updates. It returns the versions of the rows that are to be removed.
-func (p *peers) applyRows(sentAt, now time.Time, rows []Row, at Position) (removable map[string]Position) {
+// applyRows applies the instances' rows and forgets instances with neither a row nor updates.
+func (p *peers) applyRows(now time.Time, rows []Row) {
 	rowTTL := max(peerTTL, time.Duration(rowTTLIntervals*float64(p.registerInterval())))
 	p.mu.Lock()
-	p.checkLease(now)
-	p.lease.readClock(sentAt, now, rows, at)
-	if at.Era != p.era {
-		// Versions of different eras cannot be compared, and a row may be missing that was written.
-		p.era = at.Era
-		for _, x := range p.known {
-			x.rowChangedAt, x.rowVersion = now, 0
-		}
-	}
 	present := map[string]bool{}
 	for _, r := range rows {
 		present[r.Key] = true
 		p.applyRow(now, r)
 	}
-	p.establish(rows)
-	fresh := now.Sub(sentAt) <= maxReadAge
 	var gone []string
-	removable = map[string]Position{}
 	for name, x := range p.known {
 		expired := now.Sub(x.lastUpdateAt) > peerTTL && now.Sub(x.rowChangedAt) > rowTTL
-		switch leased := x.row.LeaseMillis > 0; {
-		case !fresh:
-			expired = false
-		case leased && present[name]:
-			if expired = false; p.isGone(sentAt, x) {
-				removable[name] = Position{Era: at.Era, Version: x.rowVersion}
-			}
-		case leased && x.rowVersion != 0:
-			// Its row was removed, by itself or by an instance that counted it out.
-			expired = now.Sub(x.lastUpdateAt) > peerTTL
-		case leased:
-			expired = p.isSilentBeyondLease(sentAt, x) // an older copy of the store does not have the row
-		}
 		if expired || (x.leaving && !present[name]) {
 			delete(p.known, name)
 			gone = append(gone, name)
@@ -400,22 +339,16 @@
 	}
 	p.changes.forgotten += len(gone)
 	p.listed = true
+	large := len(p.known) >= maxDirectFleet
 	p.mu.Unlock()
 	for _, name := range gone {
-		p.forgetInstance(name)
+		if !large {
+			p.log.Info("instance.forgotten", "instance", name)
+		}
+		p.s.admission.withScheduler(func(_ time.Time, s *placement.Scheduler) { s.SetPeer(name, nil) })
+		p.s.forgetQuarantinePeer(name)
 	}
 	p.s.updateFleet(now)
-	return removable
-}
-
-// forgetInstance drops what an instance that is no longer known has told.
-func (p *peers) forgetInstance(name string) {
-	if p.fleetSize() <= maxDirectFleet {
-		p.log.Info("instance.forgotten", "instance", name)
-	}
-	p.s.withQuota(func(now time.Time, l *window.Limiter) { l.CountOut(now, name) })
-	p.s.admission.withScheduler(func(_ time.Time, s *placement.Scheduler) { s.SetPeer(name, nil) })
-	p.s.forgetQuarantinePeer(name)
 }
 
 // assumedFleetSize is used until the instances' rows have been read: the largest fleet that is expected.
@@ -470,7 +403,6 @@
 	if x.row.Incarnation != row.Incarnation || x.rowVersion != r.Version {
 		x.rowChangedAt, x.rowVersion = now, r.Version
 	}
-	x.rowReadAt = r.ReadAt
 	if row.Incarnation > x.row.Incarnation {
 		x.foundAt = now
 		if x.update == nil || x.update.Incarnation < row.Incarnation {
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -32,9 +32,9 @@
 	row, err := json.Marshal(instanceRow{Incarnation: 1, State: "127.0.0.1:2", Updates: "127.0.0.1:3"})
 	assert.NilError(t, err)
 	rows := []Row{{Key: "i2", Value: row, Version: 1}}
-	p.applyRows(time.Now(), time.Now(), rows, Position{})
+	p.applyRows(time.Now(), rows)
 	assert.Assert(t, p.updatePending(), "a new row")
-	p.applyRows(time.Now(), time.Now(), rows, Position{})
+	p.applyRows(time.Now(), rows)
 	assert.Assert(t, !p.updatePending(), "the same row")
 
 	from := netip.MustParseAddrPort("127.0.0.1:3")
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -128,10 +128,8 @@
 
 // withQuota runs f with the limiter under its lock.
 func (s *Server) withQuota(f func(now time.Time, l *window.Limiter)) {
-	suspended := s.peers.isSuspended(time.Now())
 	s.quotaMu.Lock()
 	defer s.quotaMu.Unlock()
-	s.quota.SetSuspended(suspended)
 	f(time.Now(), s.quota)
 }
 
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -31,7 +31,6 @@
 	prefillsUnfetched *metrics.Counter
 	storeFailures     *metrics.Counter
 	updatesRefused    *metrics.Counter
-	rowsRemoved       *metrics.Counter
 	omitted           *metrics.Counter
 	tokensCharged     *metrics.Counter
 	crashes           *metrics.Counter
@@ -72,7 +71,6 @@
 		prefillsUnfetched: set.NewCounter("caraway_prefills_unfetched_total"),
 		storeFailures:     set.NewCounter("caraway_store_failures_total"),
 		updatesRefused:    set.NewCounter("caraway_updates_refused_total"),
-		rowsRemoved:       set.NewCounter("caraway_instance_rows_removed_total"),
 		omitted:           set.NewCounter("caraway_log_requests_omitted_total"),
 		tokensCharged:     set.NewCounter("caraway_tokens_charged_total"),
 		crashes:           set.NewCounter("caraway_endpoint_crashes_total"),
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -13,7 +13,6 @@
 	Value   []byte
 	Version uint64 // of the transaction that wrote it
 	Deleted bool
-	ReadAt  time.Duration // the store's steady clock when Rows read the row
 }
 
 // Position is a moment in the life of the store. The store may be restored from an older copy of
@@ -51,9 +50,6 @@
 	Put(ctx context.Context, table Table, key string, value []byte) error
 	// Create writes a row unless it exists, and returns the value that the row has afterwards.
 	Create(ctx context.Context, table Table, key string, value []byte) ([]byte, error)
-	// Replace writes a row that is still the one of the given era and version, and reports whether it was. A value
-	// of nil removes it.
-	Replace(ctx context.Context, table Table, key string, value []byte, at Position) (bool, error)
 	// Delete removes a row.
 	Delete(ctx context.Context, table Table, key string) error
 }
--- a/internal/gateway/storecalls_test.go
+++ b/internal/gateway/storecalls_test.go
@@ -35,11 +35,11 @@
 	assert.Equal(t, p.registerInterval(), registerInterval)
 	now := time.Now()
 	rows := instanceRows(t, largeFleet)
-	p.applyRows(now, now, rows, Position{})
+	p.applyRows(now, rows)
 	assert.Equal(t, p.registerInterval(), maxRegisterInterval)
-	p.applyRows(now.Add(2*maxRegisterInterval), now.Add(2*maxRegisterInterval), rows, Position{})
+	p.applyRows(now.Add(2*maxRegisterInterval), rows)
 	assert.Equal(t, p.fleetSize(), largeFleet+1, "an instance in a network partition was forgotten")
-	p.applyRows(now.Add(3*maxRegisterInterval), now.Add(3*maxRegisterInterval), rows, Position{})
+	p.applyRows(now.Add(3*maxRegisterInterval), rows)
 	assert.Equal(t, p.fleetSize(), 1, "an instance that has ended still counts")
 }
 
--- a/internal/gateway/updates.go
+++ b/internal/gateway/updates.go
@@ -274,7 +274,6 @@
 		return false
 	}
 	p.mu.Lock()
-	p.checkLease(now)
 	x := p.known[u.Instance]
 	joined := x == nil
 	if joined {
@@ -308,10 +307,6 @@
 		x.lastDirectAt, x.addr = now, from
 	}
 	x.row.State = u.StateAddr
-	if started {
-		p.establishBy(x)
-	}
-	doubted := p.isDoubted(now, x)
 	p.mu.Unlock()
 
 	p.s.era.raise(positionOf(u.EndpointsVersion).Era)
@@ -319,11 +314,9 @@
 	for i, s := range u.Usage {
 		report.Usage[i] = decodeUsage(now, s)
 	}
-	if !doubted {
-		p.s.quotaMu.Lock()
-		p.s.quota.UpdatePeer(now, report, p.s.state.Current().Accounts)
-		p.s.quotaMu.Unlock()
-	}
+	p.s.quotaMu.Lock()
+	p.s.quota.UpdatePeer(now, report, p.s.state.Current().Accounts)
+	p.s.quotaMu.Unlock()
 	if changed {
 		p.s.updateFleet(now)
 	}
--- a/internal/limit/window/window.go
+++ b/internal/limit/window/window.go
@@ -54,14 +54,6 @@
 	peers      map[string]*peer
 	slots      []*peer // nil for a free slot
 	fleet      int     // instances that may exist; those that are not in peers count as silent
-	suspended  bool
-	gone       []goneShare
-}
-
-// goneShare is what an instance that was counted out may have used of each account: its share of a full bucket.
-type goneShare struct {
-	at       time.Time
-	fraction float64
 }
 
 // bucket is an account's usage that has not drained yet, in tokens.
@@ -265,9 +257,6 @@
 		usable -= min(plainCallReserve*v.reporting*l.windowLimit(b.account), max(0, usable-need))
 	}
 	level := max(0, v.level)
-	if l.suspended {
-		usable = min(usable, level)
-	}
 	d.Limit, d.Needed, d.missing = usable+v.silentUsage, need, need+level-usable
 	a := b.account
 	d.UsedSlack = tokens+level+v.silentUsage > credit+max(a.Burst, a.Rate*minDepth.Seconds())
@@ -304,8 +293,8 @@
 	limits := l.limitsOf(a)
 	switch {
 	case b == nil:
-		b = &bucket{peers: make([]float64, len(l.slots)), lines: make([]line, len(l.slots)), ended: l.goneUsage(now, limits), unknown: l.unknownUsage(now, limits), updatedAt: now, emptySince: l.knownSince.Add(clock.Seconds(limits.depth / limits.rate))}
-		b.empty = b.unknown == 0 && b.ended == 0
+		b = &bucket{peers: make([]float64, len(l.slots)), lines: make([]line, len(l.slots)), unknown: l.unknownUsage(now, limits), updatedAt: now, emptySince: l.knownSince.Add(clock.Seconds(limits.depth / limits.rate))}
+		b.empty = b.unknown == 0
 		l.accounts[a.Name] = b
 	case b.limits != limits:
 		l.drain(now, b)
@@ -418,9 +407,6 @@
 	return v
 }
 
-// SetSuspended sets whether the other instances may count this one out; it then grants nothing.
-func (l *Limiter) SetSuspended(suspended bool) { l.suspended = suspended }
-
 // instances returns the size of the fleet.
 func (l *Limiter) instances() int { return max(l.fleet, len(l.peers)+1) }
 
@@ -559,43 +545,6 @@
 	}
 }
 
-// CountOut forgets a silent instance that grants nothing any more. What it may have granted last is kept until it has
-// drained.
-func (l *Limiter) CountOut(now time.Time, name string) {
-	fraction := 1 / float64(l.instances())
-	p := l.peers[name]
-	if p == nil || p.age(now) <= peerTimeout {
-		return
-	}
-	for _, b := range l.accounts {
-		l.drain(now, b)
-		kept := max(b.peers[p.slot], fraction*b.limits.depth)
-		b.peers[p.slot], b.lines[p.slot] = 0, line{}
-		room := b.limits.depth - b.own - b.ended - b.unknown // as the fleet as a whole keeps the limit
-		for _, tokens := range b.peers {
-			room -= tokens
-		}
-		b.ended += max(0, min(kept, room))
-		b.empty = b.empty && b.ended < negligible
-	}
-	l.slots[p.slot] = nil
-	delete(l.peers, name)
-	l.fleet = max(1, l.fleet-1)
-	l.gone = append(slices.DeleteFunc(l.gone, func(g goneShare) bool { return now.Sub(g.at) > goneWindows*l.window }), goneShare{now, fraction})
-}
-
-// goneWindows is for how many windows an instance that was counted out is kept in mind for accounts that are not in
-// use.
-const goneWindows = 4
-
-// goneUsage returns what instances that were counted out may have used of an account that was not in use here.
-func (l *Limiter) goneUsage(now time.Time, limits limits) (usage float64) {
-	for _, g := range l.gone {
-		usage += g.fraction * max(0, limits.depth-limits.rate*now.Sub(g.at).Seconds())
-	}
-	return min(usage, limits.depth)
-}
-
 // SetPeers replaces the sorted list of other instances, the number of instances that may exist, this one
 // included, and the time that their updates take. An instance that has sent no update yet, or is not in
 // the list, counts as silent.
