gateway: an incarnation that was asked is recorded in one place

After the end of an answer without a length the endpoint's report was read and not recorded on its connection, so that the next request asked again; and two callers turned a report without an incarnation into notStated. The function that asks records it, as it did before. Fewer reports; what is compared, and when, stays.

Run: the gateway's tests, also with the race detector, and the tests of ./platform on ended processes and restarted engines, without it.

--- a/internal/gateway/answerend.go
+++ b/internal/gateway/answerend.go
@@ -86,15 +86,15 @@
 		if incarnation <= 0 {
 			incarnation = req.incarnation
 		}
-		reported, reusable, err := u.askIncarnation(ctx, c, req)
+		reusable, err := u.askIncarnation(ctx, c, req)
+		if err == nil && c.incarnation > 0 && c.incarnation != incarnation {
+			err = errOtherIncarnation
+		}
 		if reusable {
 			u.put(c)
 		} else {
 			_ = c.Close()
 		}
-		if err == nil && reported > 0 && reported != incarnation {
-			err = errOtherIncarnation
-		}
 		return err
 	}
 	return u.checkHealth(ctx, c, req)
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -180,19 +180,13 @@
 		return nil, errors.Mark(errPaused, endpoint.ErrNotSent)
 	}
 	if c.incarnation == 0 {
-		incarnation, reusable, _ := u.askIncarnation(ctx, c, req) // an error leaves it unknown
-		switch {
-		case !reusable:
+		if reusable, _ := u.askIncarnation(ctx, c, req); !reusable { // an error leaves it unknown
 			_ = c.Close()
 			next, err := u.dial(ctx, req.addr)
 			if err != nil {
 				return nil, err
 			}
 			c = next
-		case incarnation == 0:
-			c.incarnation = notStated
-		default:
-			c.incarnation = incarnation
 		}
 	}
 	err := error(nil)
@@ -208,26 +202,32 @@
 	return nil, errors.Mark(err, endpoint.ErrNotSent)
 }
 
-// askIncarnation asks the process at the other end of an idle connection for its incarnation, 0 if it states none.
+// askIncarnation asks the process at the other end of an idle connection for its incarnation, and records it.
 // Reusable says that the connection may carry another request; it is not after an error.
-func (u *upstream) askIncarnation(ctx context.Context, c *endpointConn, req endpointRequest) (incarnation int64, reusable bool, err error) {
+func (u *upstream) askIncarnation(ctx context.Context, c *endpointConn, req endpointRequest) (reusable bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	defer context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })()
 	resp, err := u.roundTrip(c, endpointRequest{endpoint: req.endpoint, placedAt: req.incarnation, sender: "incarnation", method: http.MethodGet, uri: u.wire.ReportPath(), host: req.addr})
 	if err != nil {
-		return 0, false, err
+		return false, err
 	}
 	body, err := resp.readAll()
 	resp.held.release()
 	if err != nil {
-		return 0, false, err
+		return false, err
 	}
 	if resp.Status != http.StatusOK {
-		return 0, false, errors.Newf("the endpoint's report has status %d", resp.Status)
+		return false, errors.Newf("the endpoint's report has status %d", resp.Status)
 	}
-	incarnation, err = u.wire.ReportedIncarnation(body)
-	return incarnation, err == nil && resp.keepAlive && ctx.Err() == nil, err
+	incarnation, err := u.wire.ReportedIncarnation(body)
+	if err != nil {
+		return false, err
+	}
+	if c.incarnation = incarnation; incarnation == 0 {
+		c.incarnation = notStated
+	}
+	return resp.keepAlive && ctx.Err() == nil, nil
 }
 
 func (u *upstream) pop(addr string) *endpointConn {
