gateway: an instance of a new deployment is ready once it knows its fleet

Callers of a deployment that had just started for the first time were refused by their account's rate, with Retry-After 8, although nothing had been used.

Cause: until an instance has read the other instances' rows it assumes a fleet of 256, so that it grants 1/256 of each rate. A restarted instance is not ready before; one that starts with `bootstrap` was ready as soon as it had the configuration and an endpoint, which are read beside the rows.

TestReadyWhenQuarantineIsKnown is about the quarantine: its instances now have read the rows from the start; its checks are the same.

--- a/internal/gateway/probe_test.go
+++ b/internal/gateway/probe_test.go
@@ -105,6 +105,19 @@
 	assert.Assert(t, !s.synced(now), "no other instance is known yet")
 }
 
+// An instance of a new deployment was ready before it knew how many others there are, and refused callers
+// whose accounts it took for those of hundreds of instances.
+func TestNewInstanceIsReadyOnceItHasReadTheOthersRows(t *testing.T) {
+	now := time.Now()
+	s := newTestServer("127.0.0.1:1", time.Time{})
+	s.settings.Bootstrap, s.peers.started = true, now
+	s.quarantine.setKnown()
+	assert.Assert(t, !s.synced(now) && !s.ready())
+	assert.Assert(t, s.synced(now.Add(2*syncTimeout)))
+	s.peers.applyRows(now, nil)
+	assert.Assert(t, s.synced(now) && s.ready())
+}
+
 // A crashed engine was back at its address under another name before its new entry had been
 // read (run hric-submit scale-2). A successful connection is not enough to use the old
 // entry again.
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -129,7 +129,7 @@
 	store := &mapStore{down: true, rows: map[string][]byte{}}
 	started := func() *Server {
 		s := newQuarantineServer(store)
-		s.settings.Bootstrap, s.peers.started = true, time.Now()
+		s.settings.Bootstrap, s.peers.started, s.peers.listed = true, time.Now(), true
 		return s
 	}
 	a, b := started(), started()
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -354,9 +354,12 @@
 // account's rate, assume that engines are idle, and go by the older configuration of a store that
 // was restored.
 func (s *Server) synced(now time.Time) bool {
-	if s.settings.Bootstrap || now.Sub(s.peers.started) > syncTimeout {
+	if now.Sub(s.peers.started) > syncTimeout {
 		return true
 	}
+	if s.settings.Bootstrap {
+		return s.peers.isListed() // no instance has used anything yet
+	}
 	silent, known := s.peers.countSilent(now)
 	return s.peers.isListed() && known > 0 && 2*silent <= known && !s.peers.isBehind(s.state.Current().Ticket)
 }
