gateway: an instance that serves no tunnel now hides no crash

Callers saw: sound requests failed with 502 and 503 while nothing but a known crashing request was sent: it crashed all endpoints of its service at once.

Trace: a request to `record` crashed endpoints six times between 13.63 s and 14.17 s at two instances, and none was recorded as request.endpoint_crashed, so it was not quarantined and crashed four endpoints 3 s later. The direct connections of the crash checks were refused, and the instance that was asked to confirm that had just begun to drain: it served no tunnel and said 503. That was taken as "the way may be cut" and kept for one to eight seconds, in which no refused connection to the address counted as a crash.

An instance that drains, serves as many tunnels as it may, or does not know the endpoint has said nothing about the endpoint. It now says 404, which every build since takes for "serves no tunnels": another instance is asked, and without one the refused connection is evidence. An instance that reaches the endpoint through another one still says 503: the endpoint is there.

Ruled out: crashes that the endpoint's proxy hides (it stops listening before it resets), and a lifted quarantine (none was lifted).

TestCrashBesideAnInstanceThatServesNoTunnelNow failed before in its cases "it drains", "it has too many tunnels" and "it knows no endpoint". TestTunnelsAreGivenUpForAnInstanceThatDrains expected status 503 of an instance that drains; it expects 404 exactly, and that no tunnel is served, as before.

--- a/internal/gateway/path_test.go
+++ b/internal/gateway/path_test.go
@@ -17,6 +17,7 @@
 	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
 
+	"carawayrouter.example/router/internal/config"
 	"carawayrouter.example/router/internal/gossip"
 )
 
@@ -230,7 +231,7 @@
 	assert.Equal(t, string(ctx.Response.Header.Peek(headerRefused)), "1")
 	s.draining.Store(true)
 	s.peers.serveTunnel(&ctx)
-	assert.Equal(t, ctx.Response.StatusCode(), fasthttp.StatusServiceUnavailable)
+	assert.Equal(t, ctx.Response.StatusCode(), fasthttp.StatusNotFound, "it says nothing about the endpoint")
 	assert.Equal(t, s.peers.tunnels.Load(), int64(0))
 }
 
@@ -275,3 +276,44 @@
 		})
 	}
 }
+
+// An instance that serves no tunnel to an endpoint now, as it stops, has too many or does not know the endpoint, hides
+// no crash: a refused connection is evidence. One that reaches it through another instance says that it is there.
+func TestCrashBesideAnInstanceThatServesNoTunnelNow(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	addr := ln.Addr().String()
+	assert.NilError(t, ln.Close())
+	for name, c := range map[string]struct {
+		other func(s *Server)
+		want  bool
+	}{
+		"it reaches endpoints":    {func(*Server) {}, true},
+		"it drains":               {func(s *Server) { s.draining.Store(true) }, true},
+		"it has too many tunnels": {func(s *Server) { s.peers.tunnels.Store(maxTunnels) }, true},
+		"it knows no endpoint":    {func(s *Server) { s.state.install(config.Build(2, &config.Objects{})) }, true},
+		"it takes a detour":       {func(s *Server) { s.upstream.paths.setDetoured(addr, true) }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			secret := []byte("secret")
+			other := newTestServer(addr, time.Now())
+			other.peers.secret = secret
+			c.other(other)
+			s := newTestServer(addr, time.Now())
+			s.peers.secret = secret
+			s.peers.known["i1"].row = instanceRow{State: "i1"}
+			s.peers.dialPeer = func(context.Context, string) (net.Conn, error) {
+				server, client := net.Pipe()
+				go func() {
+					_ = (&fasthttp.Server{Handler: other.peers.serveTunnel}).ServeConn(server)
+					_ = server.Close()
+				}()
+				return client, nil
+			}
+			ep := s.state.Current().Endpoints["e0"]
+			for range 2 { // the second one goes by what the first has found
+				assert.Equal(t, s.endpointCrashed(context.Background(), ep), c.want)
+			}
+		})
+	}
+}
--- a/internal/gateway/tunnel.go
+++ b/internal/gateway/tunnel.go
@@ -53,8 +53,8 @@
 // errNoDetour means that there is no other instance to ask.
 var errNoDetour = errors.New("no other instance can be asked to reach the endpoint")
 
-// errNoTunnels means that an instance is of a build that serves no tunnels. Whether it reaches the endpoint is
-// not known.
+// errNoTunnels means that an instance serves no tunnels to the endpoint now, or is of a build that serves none. Whether
+// it reaches the endpoint is not known.
 var errNoTunnels = errors.New("the instance serves no tunnels")
 
 // detourCandidate is an instance that may reach an endpoint for this one.
@@ -245,10 +245,14 @@
 		ctx.SetStatusCode(fasthttp.StatusForbidden)
 		return
 	}
+	if p.s.upstream.paths.isDetoured(target) {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		return
+	}
 	ep := p.s.tunnelTarget(target)
 	if p.tunnels.Add(1) > maxTunnels || p.s.draining.Load() || ep == nil {
 		p.tunnels.Add(-1)
-		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		ctx.SetStatusCode(fasthttp.StatusNotFound) // all builds take it for no evidence about the endpoint
 		return
 	}
 	if left := p.s.admission.pausedFor(ep.Name); left > 0 {
@@ -299,9 +303,9 @@
 	return err == nil && now.Sub(time.Unix(seconds, 0)).Abs() <= tunnelClockSkew
 }
 
-// tunnelTarget returns the endpoint at an address which this instance may use and reaches by itself, or nil.
+// tunnelTarget returns the endpoint at an address which this instance may use, or nil.
 func (s *Server) tunnelTarget(addr string) *config.Endpoint {
-	if _, err := netip.ParseAddrPort(addr); err != nil || s.upstream.paths.isDetoured(addr) {
+	if _, err := netip.ParseAddrPort(addr); err != nil {
 		return nil
 	}
 	for _, ep := range s.state.Current().Endpoints {
