gateway: an instance that has ended hides no crash either

Trace: at 01.97 to 01.99 s a crashing request ended three endpoints at two instances, and none of the five requests that broke was recorded as request.endpoint_crashed. The crash checks' direct connections were refused, and the way through another instance failed with "instance 127.0.2.1:30039: ... connection refused": instance-0 had been killed half a second before and still counted as heard.

An instance that cannot be reached says nothing about the endpoint: it is no longer one of the two that are asked, up to three of them. So a confirmation by another one counts, and an endpoint that only a third instance reaches is still reached. Where nobody confirms it, a refused connection is no evidence, as before: the instance itself may be cut off.

--- a/internal/gateway/path_test.go
+++ b/internal/gateway/path_test.go
@@ -236,11 +236,13 @@
 }
 
 // Instances of a build that serves no tunnels say nothing about an endpoint: another one is asked, and a refused
-// connection is evidence if there is none.
+// connection is evidence if there is none. One that cannot be reached says nothing either, but may be cut off like the
+// endpoint: a refused connection is evidence only if another one confirms it.
 func TestInstancesWithoutTunnelsAreNotEvidence(t *testing.T) {
 	const refused = "HTTP/1.1 502 Bad Gateway\r\n" + headerRefused + ": 1\r\nContent-Length: 0\r\n\r\n"
 	const unreached = "HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\n\r\n"
 	const noTunnels = "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
+	const ended = ""
 	for name, c := range map[string]struct {
 		answers []string
 		want    error
@@ -249,6 +251,11 @@
 		"none serves tunnels":    {[]string{noTunnels, noTunnels, noTunnels}, errNoDetour},
 		"one does not reach it":  {[]string{noTunnels, noTunnels, unreached}, nil},
 		"two of them are enough": {[]string{refused, noTunnels, refused, noTunnels}, syscall.ECONNREFUSED},
+		"one has ended":          {[]string{ended, refused}, syscall.ECONNREFUSED},
+		"the others have ended":  {[]string{ended, ended, refused}, syscall.ECONNREFUSED},
+		"one of each":            {[]string{ended, noTunnels, refused}, syscall.ECONNREFUSED},
+		"all have ended":         {[]string{ended, ended, ended}, nil},
+		"ended or not reaching":  {[]string{ended, unreached, ended}, nil},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := fleetServer()
@@ -261,6 +268,9 @@
 			s.peers.dialPeer = func(_ context.Context, addr string) (net.Conn, error) {
 				i, err := strconv.Atoi(addr)
 				assert.NilError(t, err)
+				if c.answers[i] == ended {
+					return nil, syscall.ECONNREFUSED
+				}
 				server, client := net.Pipe()
 				go func() {
 					_, _ = http.ReadRequest(bufio.NewReader(server))
--- a/internal/gateway/tunnel.go
+++ b/internal/gateway/tunnel.go
@@ -43,7 +43,8 @@
 	maxTunnels      = 512                     // that an instance serves; each takes two descriptors
 	tunnelBuffer    = 4 << 10                 // bytes, for each direction
 	detourBackoff   = 1500 * time.Millisecond // for which an instance that did not reach an endpoint is asked last
-	detourAttempts  = 2
+	detourAttempts  = 2                       // instances that are asked
+	detourMisses    = 3                       // instances that cannot be reached, until no more are asked
 	// maxTunnelAge is how long a tunnel is used for new requests: an instance that drains, or that the endpoint has
 	// asked for a pause, serves the tunnels that it has, and no new ones. It is shorter than the time in which
 	// requests may still reach an endpoint that has asked for a pause.
@@ -57,6 +58,9 @@
 // it reaches the endpoint is not known.
 var errNoTunnels = errors.New("the instance serves no tunnels")
 
+// errInstanceUnreached means that the instance that was asked cannot be reached. Whether it reaches the endpoint is not known.
+var errInstanceUnreached = errors.New("the instance cannot be reached")
+
 // detourCandidate is an instance that may reach an endpoint for this one.
 type detourCandidate struct {
 	name       string
@@ -116,7 +120,7 @@
 }
 
 // dialDetour opens a connection to an endpoint through another instance. The error is ECONNREFUSED if all
-// that were asked say that the endpoint refuses.
+// that were asked and could be reached say that the endpoint refuses.
 func (s *Server) dialDetour(ctx context.Context, addr string) (net.Conn, error) {
 	name, dataCentre := "", ""
 	for _, ep := range s.state.Current().Endpoints {
@@ -126,8 +130,9 @@
 	}
 	now := time.Now()
 	order := orderDetours(now, s.settings.Instance, s.settings.DataCentre, addr, dataCentre, s.peers.detourCandidates(now, name))
-	failure, refused, pause := error(nil), true, time.Duration(0)
-	for attempts := 0; attempts < detourAttempts && len(order) > 0 && ctx.Err() == nil; order = order[1:] {
+	var failure, unreached error
+	pause := time.Duration(0)
+	for attempts, misses := 0, 0; attempts < detourAttempts && misses < detourMisses && len(order) > 0 && ctx.Err() == nil; order = order[1:] {
 		c := order[0]
 		nc, err := s.peers.openTunnel(ctx, c.addr, addr)
 		if err == nil {
@@ -137,6 +142,12 @@
 			s.peers.setDetourFailed(time.Now(), c.name)
 			continue
 		}
+		if errors.Is(err, errInstanceUnreached) {
+			s.peers.setDetourFailed(time.Now(), c.name)
+			misses++
+			unreached = err
+			continue
+		}
 		attempts++
 		var paused *pausedElsewhere
 		if errors.As(err, &paused) {
@@ -146,7 +157,6 @@
 			continue
 		}
 		s.peers.setDetourFailed(time.Now(), c.name)
-		refused = refused && errors.Is(err, syscall.ECONNREFUSED)
 		if failure == nil || !errors.Is(err, syscall.ECONNREFUSED) {
 			failure = err
 		}
@@ -158,6 +168,8 @@
 	switch {
 	case failure != nil:
 		return nil, failure
+	case unreached != nil:
+		return nil, unreached
 	case ctx.Err() != nil:
 		return nil, ctx.Err()
 	}
@@ -186,7 +198,7 @@
 	defer cancel()
 	nc, err := p.dialPeer(ctx, addr)
 	if err != nil {
-		return nil, errors.Newf("instance %s: %v", addr, err) // its refusal is not the endpoint's
+		return nil, errors.Mark(errors.Newf("instance %s: %v", addr, err), errInstanceUnreached) // its refusal is not the endpoint's
 	}
 	stop := context.AfterFunc(ctx, func() { _ = nc.SetDeadline(time.Unix(1, 0)) })
 	framed, err := requestTunnel(nc, secret, addr, target)
