origins: a few instances write the streams of all within half a second

Cause: each instance wrote the rows of its own streams at an interval that grows with the fleet, 2.6 s to 5.2 s there, so that a restart of all lost the streams of that time.

Two instances, the first by the hashes of the names of those heard, write what all hear by the updates: origin.Ring, one call each half second. The others take over from those that fall silent. A row lasts 32 s, longer than the interval of the own rows, so that a read after a restart of all stays small. Fleets of 8 or fewer write as before.

A key that two versions began is written without a version. Rows read at the start are not written again, as instances that have just started hear nobody and would all write.

--- a/internal/gateway/originrows.go
+++ b/internal/gateway/originrows.go
@@ -100,7 +100,9 @@
 		if now.Sub(seen) >= softwareMemory {
 			return false
 		}
-		o.seeVersion(s.Origin, seen)
+		if o.seeVersion(s.Origin, seen) && !restoreOwn { // else the store has the streams
+			o.addToRing(now, s.Pool)
+		}
 		o.software[s.Origin].storedAt = seen
 		return true
 	}
@@ -114,6 +116,15 @@
 	}
 	own := strings.HasPrefix(row.key, o.rowKey(""))
 	needed = own
+	if name, ok := strings.CutPrefix(row.key, o.ringKey("")); ok && restoreOwn {
+		var keys []origin.Key
+		for _, s := range row.streams {
+			if len(s.Key) == len(origin.Key{}) && now.Sub(time.UnixMilli(s.BegunMillis)) < origin.Lifetime {
+				keys = append(keys, origin.Key(s.Key))
+			}
+		}
+		o.ring.Restore(now, name, keys)
+	}
 	for _, s := range row.streams {
 		begun := time.UnixMilli(s.BegunMillis)
 		needed = needed || now.Sub(begun) < originRowMaxAge
@@ -144,12 +155,19 @@
 			o.dirty[row] = true
 		}
 	}
+	o.ring.Unwritten(func(name string) bool {
+		_, ok := rows[o.ringKey(name)]
+		return !ok
+	})
 	o.requestStore()
 }
 
 // rowKey returns the key of a row of this instance.
 func (o *origins) rowKey(row string) string { return streamPrefix + o.instance + "/" + row }
 
+// ringKey returns the key of a row that this instance writes for all.
+func (o *origins) ringKey(row string) string { return ringPrefix + o.instance + "/" + row }
+
 // softwareKey returns the key of a version's row.
 func softwareKey(v origin.Origin) string { return hashedKey(softwarePrefix, v.Pool+"\x00"+v.Version) }
 
@@ -174,6 +192,7 @@
 func (s *Server) originsLoop(ctx context.Context) error {
 	o := s.origins
 	restored, failures := false, 0
+	var ownDue time.Time // when the rows of this instance's own streams are written next
 	for ctx.Err() == nil {
 		err := error(nil)
 		if !restored {
@@ -181,8 +200,14 @@
 				restored = true
 			}
 		} else {
-			if err = o.storeSoftware(ctx); err == nil {
-				err = o.storeRows(ctx)
+			now := time.Now()
+			err = o.storeForAll(ctx, now)
+			if !now.Before(ownDue) {
+				ownErr := o.storeOwn(ctx)
+				if ownErr == nil {
+					ownDue = time.Time{}
+				}
+				err = errors.CombineErrors(err, ownErr)
 			}
 		}
 		if err != nil {
@@ -193,15 +218,84 @@
 			continue
 		}
 		failures = 0
+		if !ownDue.IsZero() {
+			o.requestStore()
+		}
 		select {
 		case <-ctx.Done():
 		case <-o.changed:
-			sleepJitter(ctx, s.scaleToFleet(originStoreDelay, maxStoreInterval))
+			if ownDue.IsZero() {
+				ownDue = time.Now().Add(jitter(o.ownInterval()) - originStoreDelay)
+			}
+			sleepJitter(ctx, originStoreDelay)
 		}
 	}
 	return nil
 }
 
+// ownInterval returns the time between two writes of the rows of this instance's own streams. In a large fleet they
+// only back up the ring.
+func (o *origins) ownInterval() time.Duration {
+	fleet := o.fleetSize()
+	if fleet <= storeScaleFleet {
+		return originStoreDelay
+	}
+	return min(maxOwnInterval, 2*originStoreDelay*time.Duration(fleet)/storeScaleFleet)
+}
+
+// writesRing reports whether this instance writes the streams of all instances.
+func (o *origins) writesRing(now time.Time) bool {
+	return o.fleetSize() > storeScaleFleet && o.heardRank(now) < originWriters
+}
+
+// storeOwn writes the rows of versions and of this instance's streams that have changed.
+func (o *origins) storeOwn(ctx context.Context) error {
+	if err := o.storeSoftware(ctx); err != nil {
+		return err
+	}
+	return o.storeRows(ctx)
+}
+
+// storeForAll writes the rows of versions and of all instances' streams, if this instance does.
+func (o *origins) storeForAll(ctx context.Context, now time.Time) error {
+	if !o.writesRing(now) {
+		return nil
+	}
+	if err := o.storeSoftware(ctx); err != nil {
+		return err
+	}
+	o.mu.Lock()
+	rows := o.ring.Due(now)
+	values := make([][]storedStream, len(rows))
+	for i, row := range rows {
+		for _, k := range row.Keys {
+			if r, ok := o.table.Get(k); ok {
+				values[i] = append(values[i], storedRecord(r))
+			}
+		}
+	}
+	o.mu.Unlock()
+	var failed error
+	for i, row := range rows {
+		value, err := json.Marshal(values[i])
+		if err == nil {
+			err = o.store.Put(ctx, Streams, o.ringKey(row.Name), value)
+		}
+		if err != nil {
+			failed = err
+			o.mu.Lock()
+			o.ring.Unwritten(func(name string) bool { return name == row.Name })
+			o.mu.Unlock()
+		}
+	}
+	return failed
+}
+
+// storedRecord returns a record as rows have it.
+func storedRecord(r origin.Record) storedStream {
+	return storedStream{Key: r.Key[:], Pool: r.Origin.Pool, SoftwareVersion: r.Origin.Version, BegunMillis: r.Begun.UnixMilli()}
+}
+
 // restoreOrigins reads the rows at the start, and deletes those that nobody needs.
 func (s *Server) restoreOrigins(ctx context.Context) error {
 	obsolete, err := s.origins.load(ctx, true)
@@ -290,13 +384,13 @@
 	rows := map[int][]storedStream{}
 	for _, r := range o.table.Own(time.Now().Add(-origin.Lifetime)) {
 		if row := originRow(r.Begun); dirty[row] {
-			rows[row] = append(rows[row], storedStream{Key: r.Key[:], Pool: r.Origin.Pool, SoftwareVersion: r.Origin.Version, BegunMillis: r.Begun.UnixMilli()})
+			rows[row] = append(rows[row], storedRecord(r))
 		}
 	}
 	o.mu.Unlock()
 	var failed error
 	for row, streams := range rows {
-		value, err := json.Marshal(streams[max(0, len(streams)-originRowStreams):])
+		value, err := json.Marshal(streams[max(0, len(streams)-origin.RowStreams):])
 		if err == nil {
 			err = o.store.Put(ctx, Streams, o.rowKey(strconv.Itoa(row)), value)
 		}
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -14,7 +14,9 @@
 
 const (
 	originReportTime   = 3 * time.Second        // for which updates repeat a stream that began
-	originStoreDelay   = 500 * time.Millisecond // from the begin of a stream to its row, in a fleet of up to storeScaleFleet instances
+	originStoreDelay   = 500 * time.Millisecond // from the begin of a stream to its row
+	maxOwnInterval     = 24 * time.Second       // between two writes of the rows of an instance's own streams; shorter than origin.RingTime
+	originWriters      = 2                      // instances that write the streams of all, in a fleet of more than storeScaleFleet
 	originReadInterval = 150 * time.Millisecond // between two reads of the rows, in a fleet of up to originReadFleet instances
 	originReadFleet    = 16
 	originReadTimeout  = 400 * time.Millisecond // for a read that a request waits for
@@ -23,8 +25,6 @@
 	// each one is overwritten after its records have ended.
 	originRows    = 8
 	originRowSpan = 8 * time.Second
-	// originRowStreams bounds the streams in a row; the platform limits its size.
-	originRowStreams = 400
 	// originRowMaxAge is the age from which rows of instances that no longer exist are deleted.
 	originRowMaxAge = 10 * origin.Lifetime
 
@@ -34,7 +34,8 @@
 	softwareRefresh = softwareMemory / 2 // between two writes of the row of a version that endpoints have
 	softwarePrefix  = "software/"        // of the rows of software versions
 	movePrefix      = "moved/"           // of the rows of routes whose pools have changed lately
-	streamPrefix    = "streams/"         // of the rows of streams, by instance
+	streamPrefix    = "streams/"         // of the rows of streams, by the instance at which they began
+	ringPrefix      = "fleet/"           // of the rows of all instances' streams, by the instance that writes them
 	rowKeyBytes     = 12                 // of a hashed name
 
 	resumeRetryAfter = 500 * time.Millisecond // by then what another instance began is known here, or will not be
@@ -50,10 +51,12 @@
 	instance  string
 	state     *state
 	fleetSize func() int
+	heardRank func(now time.Time) int  // how many of the instances that are heard come before this one
 	synced    func(now time.Time) bool // reports whether the other instances have said which versions they know
 
 	mu       sync.Mutex
 	table    *origin.Table
+	ring     origin.Ring
 	dirty    map[int]bool        // rows of this instance that differ from the store's
 	loaded   map[string]Position // at which the rows were written that were merged last
 	moved    map[string]*routeMove
@@ -85,7 +88,7 @@
 
 func newOrigins(store Store, instance string, st *state) *origins {
 	return &origins{
-		store: store, instance: instance, state: st, synced: func(time.Time) bool { return true }, fleetSize: func() int { return 1 },
+		store: store, instance: instance, state: st, synced: func(time.Time) bool { return true }, fleetSize: func() int { return 1 }, heardRank: func(time.Time) int { return 0 },
 		table: origin.New(), dirty: map[int]bool{}, loaded: map[string]Position{}, moved: map[string]*routeMove{}, software: map[origin.Origin]*softwareVersion{},
 		changed: make(chan struct{}, 1),
 	}
@@ -103,6 +106,7 @@
 	store := o.hasSeveralVersions(at.Pool) // else the rows of the software versions say as much
 	if store {
 		o.dirty[originRow(now)] = true
+		o.ring.Add(now, origin.KeyOf(account, attempt))
 	}
 	o.mu.Unlock()
 	if store {
@@ -232,26 +236,40 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.seeVersion(origin.Origin{Pool: ep.Pool, Version: ep.SoftwareVersion}, now)
+	if o.seeVersion(origin.Origin{Pool: ep.Pool, Version: ep.SoftwareVersion}, now) {
+		o.addToRing(now, ep.Pool)
+	}
 }
 
-// seeVersion records that an engine of a pool had a software version at a time. The caller holds
-// the lock.
-func (o *origins) seeVersion(key origin.Origin, at time.Time) {
+// seeVersion records that an engine of a pool had a software version at a time. It reports whether the pool has
+// several versions for the first time lately. The caller holds the lock.
+func (o *origins) seeVersion(key origin.Origin, at time.Time) (nowSeveral bool) {
 	v := o.software[key]
 	if v == nil {
+		had := o.hasSeveralVersions(key.Pool)
 		v = &softwareVersion{lastSeen: at}
 		o.software[key] = v
 		if o.hasSeveralVersions(key.Pool) {
 			for row := range originRows {
 				o.dirty[row] = true
 			}
+			nowSeveral = !had
 		}
 		o.requestStore()
 	}
 	if at.After(v.lastSeen) {
 		v.lastSeen = at
 	}
+	return nowSeveral
+}
+
+// addToRing has the known streams of a pool written for all instances. The caller holds the lock.
+func (o *origins) addToRing(now time.Time, pool string) {
+	for _, r := range o.table.All() {
+		if r.Origin.Pool == pool {
+			o.ring.Add(now, r.Key)
+		}
+	}
 }
 
 // hasSeveralVersions reports whether a pool has, or had lately, several software versions. The
@@ -343,11 +361,17 @@
 	for _, s := range streams {
 		at, begun := origin.Origin{Pool: s.Pool, Version: s.SoftwareVersion}, gossip.TimeOfAge(now, s.Age)
 		for keys := s.Keys; len(keys) >= len(origin.Key{}); keys = keys[len(origin.Key{}):] {
-			o.table.Merge(now, origin.Record{Key: origin.Key(keys[:len(origin.Key{})]), Origin: at, Begun: begun})
+			r := origin.Record{Key: origin.Key(keys[:len(origin.Key{})]), Origin: at, Begun: begun}
+			if o.table.Merge(now, r) && o.hasSeveralVersions(at.Pool) && now.Sub(begun) < origin.RingTime {
+				o.ring.Add(now, r.Key)
+				o.requestStore()
+			}
 		}
 	}
 	for _, v := range software {
-		o.seeVersion(origin.Origin{Pool: v.Pool, Version: v.Version}, gossip.TimeOfAge(now, v.Age))
+		if o.seeVersion(origin.Origin{Pool: v.Pool, Version: v.Version}, gossip.TimeOfAge(now, v.Age)) {
+			o.addToRing(now, v.Pool)
+		}
 	}
 }
 
@@ -357,9 +381,13 @@
 	for _, ep := range o.state.Current().Endpoints {
 		o.seeSoftware(now, ep)
 	}
+	writesRing := o.writesRing(now)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.table.Expire(now)
+	if !writesRing {
+		o.ring.Forget(now)
+	}
 	for route, m := range o.moved {
 		if now.Sub(m.at) >= origin.Lifetime {
 			delete(o.moved, route)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -207,10 +207,13 @@
 	return p.listed
 }
 
-// pollsOften reports whether this instance is one of those that ask the store for changes often. Which
-// instances these are follows from who is heard, so that others take over from those that end, freeze or
-// are cut off. Their names' hashes decide, as similar names are of one data centre.
-func (p *peers) pollsOften(now time.Time) bool {
+// pollsOften reports whether this instance is one of those that ask the store for changes often.
+func (p *peers) pollsOften(now time.Time) bool { return p.heardRank(now) < frequentPollers }
+
+// heardRank returns how many of the instances that are heard come before this one. The first ones do what few
+// instances do for all, so that others take over from those that end, freeze or are cut off. Their names'
+// hashes decide, as similar names are of one data centre.
+func (p *peers) heardRank(now time.Time) int {
 	own := xxhash.Sum64String(p.s.settings.Instance)
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -220,7 +223,7 @@
 			before++
 		}
 	}
-	return before < frequentPollers
+	return before
 }
 
 // isBehind reports whether another instance has a newer configuration than the given version.
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -34,7 +34,6 @@
 	storeScaleFleet     = 8                      // largest fleet for which the intervals between store calls are not scaled
 	delayPerInstance    = 25 * time.Millisecond  // per instance, so that a series of row changes is read in few calls
 	maxBatchDelay       = 500 * time.Millisecond // well within the time that endpoints keep serving after they announce that they leave
-	maxStoreInterval    = 12 * time.Second       // between store calls whose intervals are scaled
 	internalIdleTimeout = 10 * time.Second
 )
 
@@ -157,7 +156,7 @@
 	g.origins = newOrigins(d.Store, s.Instance, g.state)
 	g.state.onEndpoint, g.state.onMove, g.origins.synced = g.origins.seeSoftware, g.origins.routesMoved, g.synced
 	g.peers = newPeers(g)
-	g.origins.fleetSize = g.peers.fleetSize
+	g.origins.fleetSize, g.origins.heardRank = g.peers.fleetSize, g.peers.heardRank
 	g.admission.onChange = g.peers.requestUpdate
 	g.stats = newStats(g)
 	g.callers.onYield = func(n int) { g.stats.yieldedConns.Add(n) }
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -182,7 +182,7 @@
 
 // sleepJitterOr is sleepJitter that a signal ends too; it reports whether one did.
 func sleepJitterOr(ctx context.Context, d time.Duration, signalled <-chan struct{}) bool {
-	t := time.NewTimer(d/2 + rand.N(d/2+1))
+	t := time.NewTimer(jitter(d))
 	defer t.Stop()
 	select {
 	case <-t.C:
@@ -193,6 +193,9 @@
 	return false
 }
 
+// jitter returns a random time from half of d to d.
+func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d/2+1) }
+
 // signal wakes whoever waits for the channel, which has room for one signal. Signals that nobody has
 // waited for yet count once.
 func signal(ch chan<- struct{}) {
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -87,17 +87,18 @@
 	t.own = slices.Insert(t.own, i, r)
 }
 
-// Merge adds a record of any instance.
-func (t *Table) Merge(now time.Time, r Record) {
+// Merge adds a record of any instance. It reports whether the table has changed.
+func (t *Table) Merge(now time.Time, r Record) (changed bool) {
 	if now.Sub(r.Begun) >= Lifetime {
-		return
+		return false
 	}
 	if old, ok := t.records[r.Key]; ok {
-		if old.Origin != r.Origin {
-			old.Origin = Origin{}
-			t.records[r.Key] = old
+		if old.Origin == r.Origin || old.Origin == (Origin{}) {
+			return false
 		}
-		return
+		old.Origin = Origin{}
+		t.records[r.Key] = old
+		return true
 	}
 	t.records[r.Key] = r
 	t.order = append(t.order, r.Key)
@@ -105,6 +106,13 @@
 		delete(t.records, t.order[0])
 		t.order = t.order[1:]
 	}
+	return true
+}
+
+// Get returns a record, which may have the zero Origin.
+func (t *Table) Get(k Key) (Record, bool) {
+	r, ok := t.records[k]
+	return r, ok
 }
 
 // Find returns the origin of a stream, if it is known.
