pacing: a limit that falls in a silence is kept

Callers saw nothing; the endpoint got more requests than it had announced. All instances had been quiet, its limit fell meanwhile from 20 to 1 a second, and the requests that ended the silence used the slots of the last 1.15 s under the old rate at once: no response could have told the new one.

A slot that begins after the last observation of the limit now lives for the time of three slots, without the fixed second. Slots before the observation keep both, so that instances which hear of the endpoint use the slots as before.

--- a/internal/limit/pacing/pacing.go
+++ b/internal/limit/pacing/pacing.go
@@ -22,7 +22,8 @@
 const (
 	// baseLifetime and lifetimeSlots set how long a slot can be used: a fixed time and the time of
 	// some slots. A longer time serves the instances with few requests, a shorter one keeps
-	// requests from arriving together.
+	// requests from arriving together. A slot that begins after the last observation has the time
+	// of the slots only: the limit may have fallen since.
 	baseLifetime  = time.Second
 	lifetimeSlots = 3
 	// minRate replaces lower rates, in requests per second: an endpoint that gets no request
@@ -132,8 +133,17 @@
 	if !p.limit.Limited {
 		return now
 	}
-	earliest := now.Add(-baseLifetime - clock.Seconds(lifetimeSlots/p.limit.Rate))
-	n := max(0, math.Ceil(p.ownSlot(earliest, m)))
+	unconfirmed := now.Add(-clock.Seconds(lifetimeSlots / p.limit.Rate))
+	slot := p.slotFrom(unconfirmed.Add(-baseLifetime), m)
+	if slot.After(p.limit.ObservedAt) && slot.Before(unconfirmed) {
+		slot = p.slotFrom(unconfirmed, m)
+	}
+	return slot
+}
+
+// slotFrom returns the beginning of the first unused slot of m at t or later.
+func (p *Pacer) slotFrom(t time.Time, m Member) time.Time {
+	n := max(0, math.Ceil(p.ownSlot(t, m)))
 	if !p.usedSlot.IsZero() {
 		n = max(n, math.Floor(p.ownSlot(p.usedSlot, m)+slotTolerance)+1)
 	}
--- a/internal/limit/pacing/pacing_test.go
+++ b/internal/limit/pacing/pacing_test.go
@@ -249,6 +249,32 @@
 	assert.Assert(t, len(f.sent) > 20*18/2, "%d requests", len(f.sent))
 }
 
+// A limit that falls while no instance sends is not exceeded by the requests that end the silence.
+func TestFallOfLimitInSilenceKeepsLimit(t *testing.T) {
+	for _, n := range []int{2, 8, 24} {
+		for _, rate := range []float64{5, 10, 20} {
+			for _, quiet := range []time.Duration{time.Second, 1500 * time.Millisecond, 4 * time.Second} {
+				for _, lead := range []time.Duration{0, 500 * time.Millisecond, 900 * time.Millisecond} { // of the silence on the fall
+					for seed := range uint64(10) {
+						f := newFleet(seed, n, 20*time.Millisecond, 20, func(now time.Time) (float64, bool) {
+							if now.Before(at(8)) {
+								return rate, true
+							}
+							return 1, true
+						})
+						f.run(8*time.Second - lead)
+						f.demand = 0
+						f.run(quiet)
+						f.demand = 20
+						f.run(8 * time.Second)
+						assert.Assert(t, f.excess(at(3)) <= 0, "%d instances, from %g, %s quiet from %s before the fall, seed %d", n, rate, quiet, lead, seed)
+					}
+				}
+			}
+		}
+	}
+}
+
 // Instances that restart, freeze, join, leave or are cut off from each other, and limits that
 // change or end for a time, do not let the others exceed the limit.
 func TestChangesOfFleetKeepLimit(t *testing.T) {
