--- a/internal/limit/escrow/cluster_test.go
+++ b/internal/limit/escrow/cluster_test.go
@@ -142,7 +142,7 @@
 	latency      time.Duration
 	calls        map[string]int
 	encode       bool
-	newTransport func() (peer.Caller, peer.Registrar, string) // if set, opens real connections instead of the simulated network
+	newTransport func() (peer.Caller, peer.Registrar, string) // if set, opens connections instead of the simulated network
 
 	uses []*use
 }
