ctl: a wait that ends says what is known and what is not

One that lost the store later saw "not in force everywhere after 30s" however old the last read was.

Cause: the end of the wait broke off the read, and the error of the read was given as the result. The end now has its own cause: "the store did not answer within ...: it is not known whether there is a ticket N or where it is in force", "ticket N is accepted; the store did not say within ... where it is in force", and "ticket N was not in force everywhere ... ago; since then the store cannot be read". Other errors of the first read end the command at once, as before.

The wait is measured on the command's clock.

TestWaitEndsInItsFirstReads and TestWaitLosesTheStore guard the new ones.

--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -140,6 +140,10 @@
 	if err != nil {
 		return err
 	}
+	return c.run(ctx, a)
+}
+
+func (c *command) run(ctx context.Context, a Args) error {
 	if a.Check {
 		return c.print(checkResult{File: a.Settings}, func(p *lineWriter) { p.addf("%s: settings are valid", a.Settings) })
 	}
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -11,7 +11,9 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/alexflint/go-arg"
 	"github.com/valyala/fasthttp"
@@ -52,11 +54,12 @@
 	store    *memplatform.Store
 	dir      string
 	settings string
+	clock    clock.Clock // of commands
 }
 
 func newTestEnv(t *testing.T) *testEnv {
 	t.Helper()
-	b := &testEnv{t: t, store: memplatform.New(memplatform.Options{}), dir: t.TempDir()}
+	b := &testEnv{t: t, store: memplatform.New(memplatform.Options{}), dir: t.TempDir(), clock: clock.Real{}}
 	addr := b.serve(httpplatform.Handler(b.store))
 	b.settings = b.writeFile("ctl.ini", "[platform]\naddr = "+addr+"\ntimeout = 3s\n[operator]\nname = ana\n")
 	return b
@@ -91,7 +94,15 @@
 	assert.NilError(b.t, err)
 	assert.NilError(b.t, p.Parse(append([]string{"--settings", b.settings}, argv...)))
 	var out bytes.Buffer
-	err = Run(context.Background(), a, &out)
+	if _, real := b.clock.(clock.Real); real {
+		err = Run(context.Background(), a, &out)
+	} else {
+		var c *command
+		c, err = newCommand(a, &out)
+		assert.NilError(b.t, err)
+		c.clock = b.clock
+		err = c.run(context.Background(), a)
+	}
 	if !a.JSON {
 		for line := range strings.Lines(out.String()) {
 			assert.Assert(b.t, displayColumns(strings.TrimSuffix(line, "\n")) <= maxColumns, line)
@@ -133,8 +144,10 @@
 	for _, want := range []string{"ticket 1\nby ana at ", "  first_token = 1.9s\n", "in force on 2 of 2\n"} {
 		assert.Assert(t, strings.Contains(shown, want), shown)
 	}
+	b.clock = &pollClock{Fake: clock.NewFake(time.Now())}
 	out, err := b.run("ticket", "wait", "2", "--timeout", "20ms")
 	assert.ErrorContains(t, err, "not in force everywhere")
+	b.clock = clock.Real{}
 	assert.Equal(t, out, "ticket 2\nin force on 1 of 2\nbehind: e2 at 1\n")
 	b.writeSession("e2", 2)
 	assert.Equal(t, b.mustRun("ticket", "wait", "2"), "ticket 2\nin force on 2 of 2\n")
@@ -145,6 +158,65 @@
 	assert.DeepEqual(t, s.CutOff, []string{"a"}) // its sessions were never renewed
 }
 
+// pollClock passes only while a wait is between two reads of the progress.
+type pollClock struct {
+	*clock.Fake
+	beforePoll func() // may be nil
+}
+
+func (c *pollClock) After(d time.Duration) <-chan time.Time {
+	timer := c.Fake.After(d)
+	if d == progressPollInterval {
+		if c.beforePoll != nil {
+			c.beforePoll()
+		}
+		c.Advance(d)
+	}
+	return timer
+}
+
+// A wait that ends during its first reads says what is not known, not that a read was broken off.
+func TestWaitEndsInItsFirstReads(t *testing.T) {
+	for held, want := range []string{
+		"the store did not answer within 1s: it is not known whether there is a ticket 1 or where it is in force",
+		"ticket 1 is accepted; the store did not say within 1s where it is in force",
+	} {
+		b := newTestEnv(t)
+		b.mustRun("ticket", "submit", b.writeFile("first.ini", initialTicket))
+		fake := clock.NewFake(time.Now())
+		release := make(chan struct{})
+		var reads atomic.Int64
+		store := httpplatform.Handler(b.store)
+		addr := b.serve(func(r *fasthttp.RequestCtx) {
+			if reads.Add(1) > int64(held) {
+				fake.Advance(time.Second)
+				<-release
+			}
+			store(r)
+		})
+		t.Cleanup(func() { close(release) })
+		b.settings = b.writeFile("silent.ini", "[platform]\naddr = "+addr+"\ntimeout = 3s\n[operator]\nname = ana\n")
+		b.clock = fake
+		out, err := b.run("ticket", "wait", "1", "--timeout", "1s")
+		assert.Error(t, err, want)
+		assert.Equal(t, out, "")
+	}
+}
+
+// A wait that lost the store says how old its knowledge is.
+func TestWaitLosesTheStore(t *testing.T) {
+	b := newTestEnv(t)
+	b.mustRun("ticket", "submit", b.writeFile("first.ini", initialTicket))
+	b.writeSession("e1", 0)
+	fake := &pollClock{Fake: clock.NewFake(time.Now()), beforePoll: func() { b.store.Down(true) }}
+	b.clock = fake
+	out, err := b.run("ticket", "wait", "1", "--timeout", "1900ms")
+	assert.ErrorIs(t, err, platform.ErrUnavailable)
+	assert.ErrorContains(t, err, "ticket 1 was not in force everywhere ")
+	assert.ErrorContains(t, err, " ago; since then the store cannot be read")
+	assert.Equal(t, out, "ticket 1\nin force on 0 of 1\nbehind: e1 at 0\n")
+}
+
 func TestUsageErrors(t *testing.T) {
 	b := newTestEnv(t)
 	bad := b.writeFile("bad.ini", "[account \"a\"]\nrate = 0\nburst = 1\n")
--- a/internal/ctl/ticket.go
+++ b/internal/ctl/ticket.go
@@ -125,47 +125,85 @@
 	}
 }
 
-// wait blocks until ticket n is in force on all instances.
+// wait blocks until ticket n is in force on all instances, or until the timeout. Its error says
+// what is known by then.
 func (c *command) wait(ctx context.Context, n uint64, timeout time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := c.withWait(ctx, timeout)
 	defer cancel()
 	head, err := ticket.Head(ctx, c.platform.Table)
+	if err != nil && errors.Is(context.Cause(ctx), errWaitEnded) {
+		return errors.Newf("the store did not answer within %s: it is not known whether there is a ticket %d or where it is in force", timeout, n)
+	}
 	if err != nil {
 		return err
 	}
 	if n == 0 || n > head {
 		return errors.Newf("there is no ticket %d; the newest is %d", n, head)
 	}
-	var last rollout.Progress
-	known := false
+	w := c.poll(ctx, n)
+	if !w.known {
+		if w.err == nil {
+			return errors.Newf("ticket %d is accepted; the store did not say within %s where it is in force", n, timeout)
+		}
+		return errors.Wrapf(w.err, "ticket %d is accepted; it cannot be read where it is in force", n)
+	}
+	if err := c.print(w.last, func(l *lineWriter) {
+		l.addf("ticket %d", n)
+		writeProgress(l, w.last)
+	}); err != nil {
+		return err
+	}
+	if w.last.Complete() {
+		return nil
+	}
+	if w.err != nil {
+		return errors.Wrapf(w.err, "ticket %d was not in force everywhere %s ago; since then the store cannot be read", n, c.clock.Now().Sub(w.readAt).Round(time.Millisecond))
+	}
+	return errors.Newf("ticket %d is not in force everywhere after %s", n, timeout)
+}
+
+var errWaitEnded = errors.New("wait ended")
+
+// withWait returns a context that ends after the timeout on the command's clock.
+func (c *command) withWait(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	end := c.clock.After(timeout)
+	go func() {
+		select {
+		case <-end:
+			cancel(errWaitEnded)
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, func() { cancel(context.Canceled) }
+}
+
+// waited is what a wait has learned.
+type waited struct {
+	last   rollout.Progress
+	known  bool // last was read
+	readAt time.Time
+	err    error // of the latest read, unless the end of the wait broke it off
+}
+
+// poll reads the progress of ticket n until it is in force everywhere or ctx ends.
+func (c *command) poll(ctx context.Context, n uint64) (w waited) {
 	for {
 		p, err := c.progress(ctx, n)
 		if err == nil {
-			last, known = p, true
+			w = waited{last: p, known: true, readAt: c.clock.Now()}
+		} else if ctx.Err() == nil {
+			w.err = err
 		}
-		if known && last.Complete() {
-			break
+		if w.known && w.last.Complete() {
+			return w
 		}
 		select {
 		case <-c.clock.After(progressPollInterval):
-			continue
 		case <-ctx.Done():
+			return w
 		}
-		break
-	}
-	if !known {
-		return errors.New("the instances' state cannot be read")
-	}
-	if err := c.print(last, func(l *lineWriter) {
-		l.addf("ticket %d", n)
-		writeProgress(l, last)
-	}); err != nil {
-		return err
-	}
-	if !last.Complete() {
-		return errors.Newf("ticket %d is not in force everywhere after %s", n, timeout)
 	}
-	return nil
 }
 
 func (c *command) check(ctx context.Context, cmd *CheckCmd) error {
