httpendpoint: a silent connection's timeout is told, whatever its repetition met

A caller whose request waited on a silent connection got "the endpoint failed", not "the endpoint went silent", and the other idle connections to that endpoint stayed open for the next requests. TestNoRepetition saw it once: "read: use of closed network connection".

Cause: after the idle timeout of a kept connection, net/http tries a request that has an Idempotency-Key on another one, which refuses the write. The transport gives either the refusal or the error of that connection's reader, whichever comes first; only the refusal was taken for the timeout. A repetition that could not connect gave the error of the dialling. A connection that carried the request and whose read timed out now decides.

Ruled out: the suspicion that the transport closes a kept connection while a request takes it; both hold the lock of the idle connections.

TestIdleTimeoutOutlivesRefusedRepetition forces both errors.

--- a/internal/endpoint/httpendpoint/transport.go
+++ b/internal/endpoint/httpendpoint/transport.go
@@ -117,7 +117,8 @@
 	if !t.sent() {
 		return nil, wrapCause(endpoint.ErrNotSent, err, "dial or write")
 	}
-	if errors.Is(err, errResent) && t.conn.readTimedOut.Load() {
+	if t.conn.readTimedOut.Load() {
+		// err may be that of a connection on which the transport tried the request again.
 		err = os.ErrDeadlineExceeded
 	}
 	return nil, readError(ctx, tr, err)
--- a/internal/standin/service/service_test.go
+++ b/internal/standin/service/service_test.go
@@ -1,9 +1,11 @@
 package service_test
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,6 +21,12 @@
 )
 
 func startService(t *testing.T, s service.Settings, idle time.Duration) (*service.Server, endpoint.Service) {
+	t.Helper()
+	return startServiceWithDial(t, s, idle, nil)
+}
+
+// startServiceWithDial is like startService; dial may be nil.
+func startServiceWithDial(t *testing.T, s service.Settings, idle time.Duration, dial func(ctx context.Context, network, addr string) (net.Conn, error)) (*service.Server, endpoint.Service) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -29,7 +37,7 @@
 		assert.NilError(t, srv.Close())
 		assert.NilError(t, <-served)
 	})
-	d := httpendpoint.NewDialer(httpendpoint.Options{ServiceIdleTimeout: idle})
+	d := httpendpoint.NewDialer(httpendpoint.Options{ServiceIdleTimeout: idle, DialContext: dial})
 	return srv, d.Service(ln.Addr().String())
 }
 
@@ -87,6 +95,38 @@
 	assert.Equal(t, srv.Ledger().Runs["silent"], 0)
 }
 
+// closedConn is a connection whose reads fail as those of a closed one do.
+type closedConn struct{ net.Conn }
+
+func (closedConn) Read([]byte) (int, error) { return 0, net.ErrClosed }
+
+// A request whose connection became silent ends with the idle timeout, also when the connection
+// on which the transport tries it again fails in another way.
+func TestIdleTimeoutOutlivesRefusedRepetition(t *testing.T) {
+	errDial := errors.New("no more connections")
+	for _, second := range []func(net.Conn) (net.Conn, error){
+		func(c net.Conn) (net.Conn, error) { return closedConn{c}, nil },
+		func(c net.Conn) (net.Conn, error) { return nil, errors.CombineErrors(errDial, c.Close()) },
+	} {
+		var dials atomic.Int64
+		srv, c := startServiceWithDial(t, service.DefaultSettings(), 500*time.Millisecond, func(ctx context.Context, network, addr string) (net.Conn, error) {
+			conn, err := new(net.Dialer).DialContext(ctx, network, addr)
+			if err != nil || dials.Add(1) == 1 {
+				return conn, err
+			}
+			return second(conn)
+		})
+		r, err := c.Do(t.Context(), newRequest("warm"))
+		assert.NilError(t, err)
+		readReceipt(t, r)
+		srv.Inject(host.Fault{Kind: host.Silent})
+		_, err = c.Do(t.Context(), newRequest("silent"))
+		assert.ErrorIs(t, err, endpoint.ErrIdleTimeout)
+		assert.Equal(t, srv.Ledger().Runs["silent"], 0)
+		assert.Equal(t, dials.Load(), int64(2))
+	}
+}
+
 func TestRefusalsProveNotRun(t *testing.T) {
 	s := service.DefaultSettings()
 	s.Slots = 1
