gateway: requests of other instances have no body

64 connections to the address for other instances, each with a body of 4 MB that is not finished: 263 MB of 134 MB, without a signature or a place in the fleet. The internal servers had fasthttp's bound of 4 MB a request and no time limit.

TestBodiesForOtherInstancesLeaveTheMemory: 263 MB before, 12 and 13 MB after.

--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -36,6 +36,8 @@
 	maxBatchDelay       = 500 * time.Millisecond // well within the time that endpoints keep serving after they announce that they leave
 	maxStoreInterval    = 12 * time.Second       // between store calls whose intervals are scaled
 	internalIdleTimeout = 10 * time.Second
+	internalReadTimeout = 3 * time.Second // for a request
+	maxInternalBody     = 1 << 10         // bytes
 )
 
 // Deps are what a gateway needs besides its settings.
@@ -322,9 +324,9 @@
 	s.stats.write(ctx)
 }
 
-// newInternalServer returns an HTTP server for clients other than callers.
+// newInternalServer returns an HTTP server for clients other than callers. Their requests have no body.
 func newInternalServer(h fasthttp.RequestHandler) *fasthttp.Server {
-	return &fasthttp.Server{Handler: h, NoDefaultServerHeader: true, NoDefaultDate: true, Logger: discardLogger{}, IdleTimeout: internalIdleTimeout}
+	return &fasthttp.Server{Handler: h, NoDefaultServerHeader: true, NoDefaultDate: true, Logger: discardLogger{}, IdleTimeout: internalIdleTimeout, ReadTimeout: internalReadTimeout, MaxRequestBodySize: maxInternalBody}
 }
 
 // discardLogger drops the log messages of fasthttp, which can quote untrusted bytes.
