gateway: updates of instances without a row are bounded

A flood of signed updates, each of another instance: 345 MB of 134 MB in 4 s, as each name was kept with its update for 15 s and more. Updates of instances whose rows are not known now share 1 MiB, and at most 4096 instances are known without their rows, also from the state of another instance. The format of updates is the same.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -40,6 +40,10 @@
 	statePath            = "/v1/peer/state"
 	maxStateBytes        = 4 << 20
 	receiveBufferBytes   = 64 << 10
+	maxInstances         = 4096 // that are known without their rows: many times those of the largest fleets
+	// maxUnlistedBytes bounds the updates of all instances whose rows are not known. In memory they take many times
+	// that.
+	maxUnlistedBytes = 1 << 20
 )
 
 // instanceRow is an instance's own row in the store.
--- a/internal/gateway/peerstate.go
+++ b/internal/gateway/peerstate.go
@@ -148,7 +148,7 @@
 		p.secret = st.Secret
 	}
 	for name, row := range st.Instances {
-		if updates, err := netip.ParseAddrPort(row.Updates); err == nil && name != p.s.settings.Instance && p.known[name] == nil {
+		if updates, err := netip.ParseAddrPort(row.Updates); err == nil && name != p.s.settings.Instance && p.known[name] == nil && len(p.known) < maxInstances {
 			p.known[name] = &peer{row: row, addr: updates, foundAt: now, rowChangedAt: now}
 		}
 	}
--- a/internal/gateway/updates.go
+++ b/internal/gateway/updates.go
@@ -232,6 +232,7 @@
 	}
 	now := time.Now()
 	if u != nil {
+		u.Size = len(b)
 		if p.applyUpdate(now, u, from, true) && p.usesRelays() {
 			p.enqueueRelay(relayedUpdate{instance: u.Instance, datagram: b, form: u.Form, crossDataCentre: true})
 		}
@@ -245,6 +246,7 @@
 			refused = errors.Wrap(err, "decode relayed update") // the others of the batch may be sound
 			continue
 		}
+		u.Size = len(d)
 		if p.applyUpdate(now, u, netip.AddrPort{}, false) && batch.Forward {
 			p.enqueueRelay(relayedUpdate{instance: u.Instance, datagram: d, form: u.Form})
 		}
@@ -267,6 +269,25 @@
 	}
 }
 
+// hasRoomFor reports whether an update may be kept. Those of instances whose rows are known are. The caller holds
+// the lock.
+func (p *peers) hasRoomFor(u *gossip.Update) bool {
+	x := p.known[u.Instance]
+	if x != nil && x.row.Updates != "" {
+		return true
+	}
+	if x == nil && len(p.known) >= maxInstances {
+		return false
+	}
+	total := u.Size
+	for name, x := range p.known {
+		if x.row.Updates == "" && x.update != nil && name != u.Instance {
+			total += x.update.Size
+		}
+	}
+	return total <= maxUnlistedBytes
+}
+
 // applyUpdate applies an update of another instance and reports whether it was new. A direct
 // one was sent by the instance itself, from the address from.
 func (p *peers) applyUpdate(now time.Time, u *gossip.Update, from netip.AddrPort, direct bool) bool {
@@ -274,6 +295,10 @@
 		return false
 	}
 	p.mu.Lock()
+	if !p.hasRoomFor(u) {
+		p.mu.Unlock()
+		return false
+	}
 	x := p.known[u.Instance]
 	joined := x == nil
 	if joined {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -53,6 +53,8 @@
 	// differ if a relay has converted the update.
 	Form     Form `cbor:"-"`
 	SentForm Form `cbor:"-"`
+	// Size is that of the datagram in which the update was received, as its receiver records it.
+	Size int `cbor:"-"`
 }
 
 // LeavingEndpoint is an endpoint that has announced to the instance, in a response, that it leaves.
