gateway: software versions that others tell of are bounded

Each update holds all known software versions. One instance that tells of ever new ones made the updates of all others larger than a datagram, so that none of them was sent. With as many as the bound, a pool is not taken to have one version only.

TestFloodOfSoftwareVersionsLeavesUpdatesSmall: 'datagram of bytes is too large' before; 256 versions, 5565 bytes after.

--- a/internal/gateway/originrows.go
+++ b/internal/gateway/originrows.go
@@ -100,6 +100,9 @@
 		if now.Sub(seen) >= softwareMemory {
 			return false
 		}
+		if !o.hasRoomFor(s.Origin) {
+			return true
+		}
 		o.seeVersion(s.Origin, seen)
 		o.software[s.Origin].storedAt = seen
 		return true
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -138,10 +138,24 @@
 	return o.table.Find(time.Now(), key)
 }
 
+const (
+	// maxSoftware bounds the software versions of which others tell. Each update holds all that are known.
+	maxSoftware      = 256
+	maxSoftwareBytes = 160 // of the names of a pool and its version
+)
+
+// hasRoomFor reports whether a software version of which others tell may be recorded. The caller holds the lock.
+func (o *origins) hasRoomFor(v origin.Origin) bool {
+	return o.software[v] != nil || len(o.software) < maxSoftware && len(v.Pool)+len(v.Version) <= maxSoftwareBytes
+}
+
 // onlyVersion returns the version of a pool that has had no other lately.
 func (o *origins) onlyVersion(pool string) (at origin.Origin, ok bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if len(o.software) >= maxSoftware {
+		return origin.Origin{}, false // there may be others
+	}
 	for v := range o.software {
 		if v.Pool != pool {
 			continue
@@ -347,6 +361,9 @@
 		}
 	}
 	for _, v := range software {
+		if !o.hasRoomFor(origin.Origin{Pool: v.Pool, Version: v.Version}) {
+			continue
+		}
 		o.seeVersion(origin.Origin{Pool: v.Pool, Version: v.Version}, gossip.TimeOfAge(now, v.Age))
 	}
 }
--- a/internal/gateway/origins_test.go
+++ b/internal/gateway/origins_test.go
@@ -7,10 +7,12 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
 	"gotest.tools/v3/assert"
 
 	"carawayrouter.example/router/internal/gossip"
@@ -293,3 +295,19 @@
 	}
 	return r.Born, nil
 }
+
+// An instance tells of ever new software versions. This one still sends its own updates, which hold all that it knows.
+func TestFloodOfSoftwareVersionsLeavesUpdatesSmall(t *testing.T) {
+	o := newOrigins(nil, "i1", newState(nil, nil, logr.Discard()))
+	now := time.Now()
+	for i := range 5000 {
+		o.merge(now, nil, []gossip.SoftwareVersion{{Pool: "writers", Version: fmt.Sprintf("version-%d", i)}, {Pool: fmt.Sprint(i), Version: strings.Repeat("a", 1<<12)}})
+	}
+	u := &gossip.Update{Instance: "i1"}
+	o.addRecent(now, u)
+	b, err := gossip.Encode(u, []byte("secret"))
+	assert.NilError(t, err)
+	t.Logf("%d versions, %d bytes", len(u.Software), len(b))
+	_, ok := o.onlyVersion("another")
+	assert.Assert(t, !ok, "a version that was left out may be of the pool")
+}
