gateway: an announced length alone takes little memory

An endpoint that announced 16 MiB and sent nothing held them until its call ended: a few such calls took the memory for bodies, and large answers of other endpoints failed. The buffer now grows in steps of 8 with what has come.

--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -149,7 +149,7 @@
 	if req.ContentLength == 0 {
 		return nil
 	}
-	body, err := held.readAll(req.Body, req.ContentLength, minBodyBuffer, int64(limits.BodyBytes))
+	body, err := held.readAll(req.Body, req.ContentLength, false, int64(limits.BodyBytes))
 	switch {
 	case errors.Is(err, errBuffersFull):
 		return c.refuseBody(limits, deadline)
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -19,6 +19,7 @@
 	smallBodyReserve = 0.2
 	smallBodyBytes   = 64 << 10
 	minBodyBuffer    = 512 // bytes
+	announcedStep    = 8   // between two sizes of the buffer of a response with a length
 )
 
 // errBuffersFull means that a body does not fit in the memory for bodies.
@@ -119,19 +120,30 @@
 	return to
 }
 
-// readAll reads a body of at most limit bytes, into a buffer that begins with first bytes and grows with what arrives.
-// Expected is the announced length, or negative. Responses come fast and have their whole buffer at once: buffers that were
-// outgrown fill the memory faster than the garbage collector frees them. The memory of the buffer is held, also that of the smaller one that it is copied from.
-func (h *holding) readAll(r io.Reader, expected, first, limit int64) ([]byte, error) {
+// announcedBuffer returns the size of the buffer for a response of an announced length, of which have bytes have arrived. Few
+// steps lead to the whole: responses come fast, and buffers that were outgrown fill the memory faster than the garbage
+// collector frees them. The first is small, as the rest may not come.
+func announcedBuffer(length, have int64) int64 {
+	size := length + 1 // to read the end
+	for size/announcedStep > max(smallBodyBytes, have) {
+		size /= announcedStep
+	}
+	return size
+}
+
+// readAll reads a body of at most limit bytes, into a buffer that grows with what arrives. Expected is the announced
+// length, or negative; fast says that the body is that of a response. The memory of the buffer is held, also that of the
+// smaller one that it is copied from.
+func (h *holding) readAll(r io.Reader, expected int64, fast bool, limit int64) ([]byte, error) {
 	var b []byte
 	for {
 		if len(b) == cap(b) {
-			size := max(first, minBodyBuffer, int64(2*cap(b)))
+			size := max(minBodyBuffer, int64(2*cap(b)))
 			if cap(b) >= smallBodyBytes {
 				size = int64(cap(b)) + int64(cap(b))/2
 			}
-			if expected >= int64(len(b)) && size > expected {
-				size = expected + 1 // to read the end
+			if expected >= int64(len(b)) && (fast || size > expected) {
+				size = announcedBuffer(expected, int64(len(b)))
 			}
 			size = max(min(size, limit+1), int64(len(b))+1)
 			if !h.grow(size) {
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -499,7 +499,7 @@
 
 // readAll reads a body of at most maxResponseBytes. Closing the response gives its memory back.
 func (r *endpointResponse) readAll() ([]byte, error) {
-	b, err := r.held.readAll(r.body, r.length, min(r.length+1, maxResponseBytes), maxResponseBytes)
+	b, err := r.held.readAll(r.body, r.length, true, maxResponseBytes)
 	if err != nil {
 		return nil, errors.Mark(err, endpoint.ErrCallFailed)
 	}
