--- a/internal/gateway/originrows.go
+++ b/internal/gateway/originrows.go
@@ -100,6 +100,9 @@
 		if now.Sub(seen) >= softwareMemory {
 			return false
 		}
+		if !o.hasRoomFor(s.Origin) {
+			return true
+		}
 		if o.seeVersion(s.Origin, seen) && !restoreOwn { // else the store has the streams
 			o.addToRing(now, s.Pool)
 		}
