gossip, config, placement: what the parts of places and uneven demand exchange

Three fields of updates (evacuations, observations of endpoints' loads, demand by rank), each with its form and recorded bytes; nothing fills them yet. An empty field costs a byte. Cold rates, homes and regions are decoded and given to nobody yet. What speaks against an endpoint stands in placement/cost.go, the use of turns in one function; neither changes a decision.

TestUpdatesAreSentInTheFormOfTheirReceivers: the current form is no longer that of the former build, so its receivers are checked by themselves.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -42,6 +42,7 @@
 	StaleAfter time.Duration `json:"stale_after"`           // age at which configuration counts as stale
 	Priority   int           `json:"priority,omitempty"`    // 0 is the most urgent
 	FlatTokens int           `json:"flat_tokens,omitempty"` // tokens charged for a request that declares none
+	Homes      []string      `json:"homes,omitempty"`       // regions that its requests stay in; empty for any
 }
 
 // KeyHash is the SHA-256 of a caller's key.
@@ -87,6 +88,9 @@
 	HealthPath  string      `json:"health_path,omitempty"`
 	Connections int         `json:"connections,omitempty"` // maximum open connections per endpoint
 	Engine      *EngineSpec `json:"engine,omitempty"`      // nil for plain services
+
+	ColdTime time.Duration `json:"cold_time,omitempty"` // for which an endpoint is slow after its start
+	ColdRate float64       `json:"cold_rate,omitempty"` // requests per second from all instances that a cold endpoint bears; 0 for any number
 }
 
 // EngineSpec holds the properties that all engines of a pool share.
@@ -113,6 +117,7 @@
 	Pool       string `json:"pool"`
 	Addr       string `json:"addr"` // IP:port
 	DataCentre string `json:"data_centre"`
+	Region     string `json:"region,omitempty"`
 	Role       Role   `json:"role"`
 	Slots      int    `json:"slots"`   // concurrent requests
 	Pieces     int    `json:"pieces"`  // KV pieces
@@ -158,6 +163,7 @@
 	MaxAttempts int           `json:"max_attempts,omitempty"`
 	MaxGap      time.Duration `json:"max_gap,omitempty"` // longest gap between events that meets the target
 	Priority    int           `json:"priority,omitempty"`
+	Homes       []string      `json:"homes,omitempty"` // regions that its requests stay in; empty for any
 }
 
 // Share is one pool's part of a route's requests.
--- a/internal/gateway/forms_test.go
+++ b/internal/gateway/forms_test.go
@@ -31,9 +31,10 @@
 	for _, list := range to {
 		slices.SortFunc(list, netip.AddrPort.Compare)
 	}
-	assert.Equal(t, len(to), 2)
+	assert.Equal(t, len(to), 3)
 	assert.Assert(t, slices.Equal(to[gossip.FormSoftware], []netip.AddrPort{addr(1), addr(5)}), "%v", to)
-	assert.Assert(t, slices.Equal(to[gossip.FormLeaving], []netip.AddrPort{addr(2), addr(3), addr(4), addr(5), addr(7)}), "%v", to)
+	assert.Assert(t, slices.Equal(to[gossip.FormLeaving], []netip.AddrPort{addr(2), addr(5), addr(7)}), "%v", to)
+	assert.Assert(t, slices.Equal(to[gossip.CurrentForm], []netip.AddrPort{addr(3), addr(4)}), "%v", to)
 }
 
 // A relay passes on the updates of each build to the instances of each build: one that cannot be read costs a former
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 type Settings struct {
 	Instance      string
 	DataCentre    string
+	Region        string
 	CallerAddr    string   // listen address for callers
 	ReadinessAddr string   // listen address for the balancer's readiness probes
 	PeerAddr      string   // listen address for other instances
@@ -35,7 +36,10 @@
 	// How far the fleet's total may exceed an account's limit.
 	QuotaSlackRatio  float64 // fraction of the limit
 	QuotaSlackTokens float64
-	Bootstrap        bool // the whole deployment starts for the first time
+	// How many requests the fleet may send a cold endpoint in any second: the pool's cold rate multiplied, and some more.
+	ColdSlackRatio    float64
+	ColdSlackRequests float64
+	Bootstrap         bool // the whole deployment starts for the first time
 }
 
 // Call is a caller's request with its headers decoded.
@@ -86,16 +90,25 @@
 	NotRun        bool   // the endpoint states that it did not run the request
 	WrongEndpoint bool   // the responding endpoint is not the expected one
 	Encoded       bool   // the body was re-encoded on the way
-	HasLoad       bool
-	Running       int
-	Queued        int
-	Leaving       bool // the endpoint announces that it leaves
+	Load          EndpointLoad
+	ColdFor       time.Duration // for which the endpoint says that it stays cold; 0 if it says nothing
+	Leaving       bool          // the endpoint announces that it leaves
 	// Pause is for how long the endpoint wants no request from this instance.
 	Pause   time.Duration
 	Limit   AnnouncedLimit
 	Headers http.Header // headers to forward
 }
 
+// EndpointLoad is what a response says of its endpoint's load.
+type EndpointLoad struct {
+	Told      bool
+	Running   int // requests, with the answered one
+	Waiting   int
+	Slots     int
+	Pace      float64 // how long work takes there, as a multiple of the usual time; 0 if it is not told
+	Malformed bool    // the response has a load that cannot be read
+}
+
 // AnnouncedLimit is the rate of requests that an endpoint accepts from all instances together,
 // for as long as its responses say so.
 type AnnouncedLimit struct {
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -192,8 +192,8 @@
 		x.recordBreak(ctx, l.Target, err)
 		return x.recordFailure(err) && !another, err
 	}
-	if resp.HasLoad {
-		x.s.admission.withScheduler(func(now time.Time, s *placement.Scheduler) { s.RecordLoad(now, l, resp.Running, resp.Queued) })
+	if load := resp.Load; load.Told {
+		x.s.admission.withScheduler(func(now time.Time, s *placement.Scheduler) { s.RecordLoad(now, l, load.Running, load.Waiting) })
 	}
 	if err != nil {
 		x.recordBreak(ctx, l.Target, err)
--- a/internal/gossip/forms.go
+++ b/internal/gossip/forms.go
@@ -20,8 +20,12 @@
 const (
 	FormSoftware Form = 20 // up to Update.Software
 	FormLeaving  Form = 21 // up to Update.EndpointsLeaving
+
+	FormEvacuations  Form = 22 // up to Update.Evacuations
+	FormObservations Form = 23 // up to Update.Observations
+	FormDemand       Form = 24 // up to Update.Demand
 	// CurrentForm is that of this build.
-	CurrentForm = FormLeaving
+	CurrentForm = FormDemand
 )
 
 // maxForm bounds the fields of an update, so that garbage is not taken for a later form.
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -48,6 +48,9 @@
 	Streams          []BegunStreams
 	Software         []SoftwareVersion
 	EndpointsLeaving []LeavingEndpoint
+	Evacuations      []Evacuation
+	Observations     []EndpointObservation
+	Demand           []RankDemand
 
 	// Form is the one in which the update was received, SentForm that in which the instance encoded it. They
 	// differ if a relay has converted the update.
@@ -65,6 +68,39 @@
 	Incarnation int64
 }
 
+// Evacuation says whether the operator wants that the endpoints of a data centre get no requests.
+type Evacuation struct {
+	_ struct{} `cbor:",toarray"`
+
+	DataCentre string
+	Evacuated  bool
+	Written    uint64 // position in the store of the operator's write or removal, as a number
+}
+
+// EndpointObservation is what an endpoint has said of its load in a response to the instance.
+type EndpointObservation struct {
+	_ struct{} `cbor:",toarray"`
+
+	Endpoint    string
+	Incarnation int64 // of the endpoint
+	Running     int   // requests
+	Waiting     int   // requests
+	Slots       int
+	Pace        int   // how long work takes there, in percent of the usual time; 0 if it was not told
+	ColdFor     int64 // ms for which the endpoint stays cold; 0 if it is not, or was not told
+	Age         int64 // ms
+}
+
+// RankDemand is the demand that has lately arrived at the instance for a pool, by the rank of the requests.
+type RankDemand struct {
+	_ struct{} `cbor:",toarray"`
+
+	Pool     string
+	Rank     int // lower values first
+	Requests int // thousandths of a request per second
+	Work     int // token-seconds of engine memory that they need, per second; 0 for plain calls
+}
+
 // EndpointLimit is the rate of requests that an endpoint has announced to accept from all
 // instances together, or the end of such a limit.
 type EndpointLimit struct {
--- /dev/null
+++ b/internal/placement/cost.go
@@ -0,0 +1,74 @@
+package placement
+
+import "time"
+
+const (
+	crossDataCentrePenalty = 0.03                 // as a fraction of an engine's memory, for transfers between data centres
+	crossDataCentrePrefill = 5 * time.Millisecond // for a prefill result that is fetched from another data centre
+	crossDataCentreCall    = 2 * time.Millisecond // for a plain call to another data centre
+)
+
+// prefillCost returns how long a prefill added now is expected to wait at a prefill engine, with what speaks
+// against the engine.
+func (s *Scheduler) prefillCost(now time.Time, x *endpointState) time.Duration {
+	wait := x.prefillBacklog(now) + s.crossDataCentreCost(x, crossDataCentrePrefill)
+	if x.ejectedByPeer(now) {
+		wait += maxPrefillBacklog / 2
+	}
+	return wait
+}
+
+// decodeCost returns the load of a decode engine as a fraction of its memory, with what speaks against the engine.
+func (s *Scheduler) decodeCost(now time.Time, x *endpointState) float64 {
+	load := x.plannedMemory(now) * float64(x.tokenTime) / float64(defaultTokenTime)
+	if x.ep.DataCentre != s.dataCentre {
+		load += crossDataCentrePenalty
+	}
+	if x.ejectedByPeer(now) {
+		load++
+	}
+	return load
+}
+
+// callCost returns how long a plain call is expected to take at an endpoint, with what speaks against the endpoint.
+// Lowest is the lowest average latency of its pool.
+func (s *Scheduler) callCost(now time.Time, x *endpointState, lowest time.Duration) time.Duration {
+	slots := max(1, x.ep.Slots)
+	active := x.activeCalls(now)
+	latency := x.callLatency
+	if now.Sub(x.callLatencyAt) > latencyTTL {
+		// Lets an endpoint that was slow be tried again.
+		latency = min(latency, lowest)
+	}
+	wait := latency * time.Duration(slots+active) / time.Duration(slots)
+	if active >= slots {
+		wait += latency * time.Duration(active-slots+1) / time.Duration(slots)
+	}
+	if now.Before(x.fullUntil) {
+		wait += latency
+	}
+	if x.ejectedByPeer(now) {
+		wait += 2 * latency
+	}
+	return wait + s.crossDataCentreCost(x, crossDataCentreCall)
+}
+
+// lowestLatency returns the lowest average latency of the pool's available endpoints, at
+// most defaultCallLatency.
+func (s *Scheduler) lowestLatency(now time.Time, pool string) time.Duration {
+	best := defaultCallLatency
+	for _, x := range s.pools[pool] {
+		if x.available(now) {
+			best = min(best, x.callLatency)
+		}
+	}
+	return best
+}
+
+// crossDataCentreCost returns cost for an endpoint outside the instance's data centre, else 0.
+func (s *Scheduler) crossDataCentreCost(x *endpointState, cost time.Duration) time.Duration {
+	if x.ep.DataCentre == s.dataCentre {
+		return 0
+	}
+	return cost
+}
--- a/internal/placement/limits.go
+++ b/internal/placement/limits.go
@@ -14,6 +14,9 @@
 // announces.
 func (s *Scheduler) ready(now time.Time, x *endpointState) bool { return x.pacer.Ready(now, s.member) }
 
+// take uses a turn of this instance at an endpoint.
+func (s *Scheduler) take(now time.Time, x *endpointState) { x.pacer.Take(now, s.member) }
+
 // reserveForPeer keeps engines free for a waiter of another instance, which has turns of its own
 // under the engines' limits.
 func (s *Scheduler) reserveForPeer(now time.Time, d Demand) *Lease {
@@ -41,7 +44,7 @@
 	if x.paused(now) || !s.ready(now, x) {
 		return false
 	}
-	x.pacer.Take(now, s.member)
+	s.take(now, x)
 	return true
 }
 
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -11,9 +11,8 @@
 )
 
 const (
-	memoryHeadroom         = 0.86                   // usable fraction of KV memory; the rest is for outputs longer than expected
-	maxPrefillBacklog      = 350 * time.Millisecond // at one prefill engine; within the shortest latency target
-	crossDataCentrePenalty = 0.03                   // as a fraction of an engine's memory, for transfers between data centres
+	memoryHeadroom    = 0.86                   // usable fraction of KV memory; the rest is for outputs longer than expected
+	maxPrefillBacklog = 350 * time.Millisecond // at one prefill engine; within the shortest latency target
 )
 
 // Demand is a request that needs endpoints.
@@ -129,9 +128,9 @@
 func (s *Scheduler) AcquireEngine(now time.Time, d Demand) *Lease {
 	l := s.reserveEngine(now, d, s.ready)
 	if l != nil {
-		l.targetEndpoint.pacer.Take(now, s.member)
+		s.take(now, l.targetEndpoint)
 		if l.prefillEndpoint != nil {
-			l.prefillEndpoint.pacer.Take(now, s.member)
+			s.take(now, l.prefillEndpoint)
 		}
 	}
 	return l
@@ -216,11 +215,7 @@
 		if now.Before(x.fullUntil) || !mayUse(now, x) {
 			continue
 		}
-		wait := x.prefillBacklog(now) + s.crossDataCentreCost(x, 5*time.Millisecond)
-		if x.ejectedByPeer(now) {
-			wait += maxPrefillBacklog / 2
-		}
-		if wait < shortest {
+		if wait := s.prefillCost(now, x); wait < shortest {
 			best, shortest = x, wait
 		}
 	}
@@ -243,13 +238,7 @@
 		if !mayUse(now, x) || !x.fits(now, g, memoryHeadroom) {
 			continue
 		}
-		load := x.plannedMemory(now) * float64(x.tokenTime) / float64(defaultTokenTime)
-		if x.ep.DataCentre != s.dataCentre {
-			load += crossDataCentrePenalty
-		}
-		if x.ejectedByPeer(now) {
-			load++
-		}
+		load := s.decodeCost(now, x)
 		if best == nil || load < lightest {
 			best, lightest = x, load
 		}
@@ -268,24 +257,7 @@
 		if !s.ready(now, x) {
 			continue
 		}
-		slots := max(1, x.ep.Slots)
-		active := x.activeCalls(now)
-		latency := x.callLatency
-		if now.Sub(x.callLatencyAt) > latencyTTL {
-			// Lets an endpoint that was slow be tried again.
-			latency = min(latency, lowest)
-		}
-		wait := latency * time.Duration(slots+active) / time.Duration(slots)
-		if active >= slots {
-			wait += latency * time.Duration(active-slots+1) / time.Duration(slots)
-		}
-		if now.Before(x.fullUntil) {
-			wait += latency
-		}
-		if x.ejectedByPeer(now) {
-			wait += 2 * latency
-		}
-		wait += s.crossDataCentreCost(x, 2*time.Millisecond)
+		wait := s.callCost(now, x, lowest)
 		if best == nil || wait < shortest {
 			best, shortest = x, wait
 		}
@@ -293,7 +265,7 @@
 	if best == nil {
 		return nil
 	}
-	best.pacer.Take(now, s.member)
+	s.take(now, best)
 	best.calls++
 	return &Lease{Target: best.ep, targetEndpoint: best, grantedAt: now}
 }
@@ -318,26 +290,6 @@
 	return available
 }
 
-// lowestLatency returns the lowest average latency of the pool's available endpoints, at
-// most defaultCallLatency.
-func (s *Scheduler) lowestLatency(now time.Time, pool string) time.Duration {
-	best := defaultCallLatency
-	for _, x := range s.pools[pool] {
-		if x.available(now) {
-			best = min(best, x.callLatency)
-		}
-	}
-	return best
-}
-
-// crossDataCentreCost returns cost for an endpoint outside the instance's data centre, else 0.
-func (s *Scheduler) crossDataCentreCost(x *endpointState, cost time.Duration) time.Duration {
-	if x.ep.DataCentre == s.dataCentre {
-		return 0
-	}
-	return cost
-}
-
 // rotatedPool returns the pool's endpoints rotated by a random offset, so that equally good
 // endpoints are chosen equally often.
 func (s *Scheduler) rotatedPool(pool string) []*endpointState {
@@ -377,7 +329,7 @@
 		old.generations[l] = struct{}{}
 		return false, ejected
 	}
-	t.pacer.Take(now, s.member)
+	s.take(now, t)
 	old.prefillTokens -= l.replayTokens
 	t.prefillTokens += l.replayTokens
 	l.targetEndpoint, l.Target = t, t.ep
