placement: one place decides whether an endpoint may be given a request

Whether an endpoint may be used stood in seven places (available, accepts, the candidates of calls, PauseLeft, CutOff, mayStillSend, and the pause asked before each write), so that each new reason had to be put into all. Refusal names the reasons; all choices, what is said of a pool, probes and tunnels ask it, and each request asks it once more right before it is written, not only for a pause: an endpoint that began to leave, restarted, or whose data centre was evacuated after the choice is not sent the request. A send refused there was not sent, is taken back and goes elsewhere.

Homes of routes and accounts bind the choices; Evacuated is not set by anything yet. The pause and the turn of a stream of one version are those of the version's engines now.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -45,7 +45,7 @@
 			return l, nil
 		}
 	}
-	pause := a.sched.PauseLeft(now, w.Demand.Pool) // for which a generation waits, if its caller does
+	pause := a.sched.PauseLeft(now, w.Demand) // for which a generation waits, if its caller does
 	if !a.sched.HasUsableEndpoint(now, w.Demand) && (pause == 0 || now.Add(pause).After(w.Deadline)) {
 		a.mu.Unlock()
 		return nil, refusal(errkind.NoEndpoint, "no engine can be used", max(pause, time.Second))
@@ -102,16 +102,16 @@
 	if l := a.sched.AcquireService(now, d); l != nil {
 		return l, nil
 	}
-	if wait := a.sched.NextTurn(now, d.Pool); wait > 0 {
+	if wait := a.sched.NextTurn(now, d); wait > 0 {
 		return nil, refusal(errkind.EndpointLimit, "the endpoints accept no more requests for now", wait+rand.N(limitRetrySpread))
 	}
-	return nil, refusal(errkind.NoEndpoint, "no endpoint can be used", a.noEndpointRetryAfter(now, d.Pool))
+	return nil, refusal(errkind.NoEndpoint, "no endpoint can be used", a.noEndpointRetryAfter(now, d))
 }
 
 // noEndpointRetryAfter returns when a pool without a usable endpoint is worth another try: when the first one
 // wants requests again, if that is known. The caller holds the lock.
-func (a *admission) noEndpointRetryAfter(now time.Time, pool string) time.Duration {
-	if left := a.sched.PauseLeft(now, pool); left > 0 {
+func (a *admission) noEndpointRetryAfter(now time.Time, d placement.Demand) time.Duration {
+	if left := a.sched.PauseLeft(now, d); left > 0 {
 		return left + rand.N(limitRetrySpread)
 	}
 	return endpointRetryAfter
--- a/internal/gateway/answerend.go
+++ b/internal/gateway/answerend.go
@@ -73,9 +73,9 @@
 }
 
 // showsLife returns nil if the process of the given incarnation (0 or less: of the endpoint's name) answers a request
-// now. An endpoint that limits requests or wants none for a time is only connected to.
+// now. An endpoint that limits requests or gets none now is only connected to.
 func (u *upstream) showsLife(ctx context.Context, incarnation int64, req endpointRequest) error {
-	if !u.mayAsk(req.endpoint) || u.pausedFor(req.endpoint) > 0 {
+	if !u.mayAsk(req.endpoint) || u.recheck(req.question()) != "" {
 		return u.accepts(ctx, req.addr)
 	}
 	c, err := u.get(ctx, req.addr, "", defaultIdleTTL)
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -367,7 +367,7 @@
 		dueFrom = x.chargedAt
 	}
 	return &placement.Waiter{
-		Demand:   placement.Demand{Pool: c.Pool.Name, Prompt: c.PromptTokens, MaxOutput: c.MaxOutputTokens, ExpectedOutput: x.s.admission.predictOutput(c), Generated: x.priorTokens + x.relayedTokens, Exclude: x.excluded, SoftwareVersion: x.softwareVersion},
+		Demand:   placement.Demand{Pool: c.Pool.Name, Prompt: c.PromptTokens, MaxOutput: c.MaxOutputTokens, ExpectedOutput: x.s.admission.predictOutput(c), Generated: x.priorTokens + x.relayedTokens, Exclude: x.excluded, SoftwareVersion: x.softwareVersion, Homes: x.homes()},
 		Arrived:  c.Arrived,
 		Due:      dueFrom.Add(c.Route.FirstToken - expectedStartDelay - time.Duration(c.PromptTokens)*prefillTimePerToken),
 		Deadline: latest,
@@ -379,8 +379,9 @@
 	// errNoRetryBudget ends a request that would have to be sent again when the retry budget
 	// does not allow it.
 	errNoRetryBudget = errors.New("retry budget is exhausted")
-	// errEngineLeft ends an attempt whose engine began to leave during the prefill.
-	errEngineLeft = errors.New("the engine began to leave")
+	// errEngineLeft ends an attempt whose engine may not be given the request any more after the prefill: it leaves, is
+	// in a pause, or its data centre was evacuated.
+	errEngineLeft = errors.New("the engine may not be given the request any more")
 	// errNoPlace marks the refusal of a request for which no engine can be had in time.
 	errNoPlace = errors.New("no engine can be had in time")
 )
@@ -410,7 +411,7 @@
 	if err := g.s.upstream.ensureConn(ctx, l.Target, g.current != nil); err != nil {
 		outcome = outcomeOf(ctx, err)
 		g.s.recordConnectError(l.Target, err)
-		if ctx.Err() == nil && !errors.IsAny(err, errIncarnationUnknown, errPaused) {
+		if ctx.Err() == nil && !errors.IsAny(err, errIncarnationUnknown, errNotEligible) {
 			g.excluded = append(g.excluded, l.Target.Name)
 		}
 		return nil, ctx.Err() != nil, err
@@ -431,7 +432,7 @@
 		err = context.Cause(ctx)
 	}
 	done = err != nil
-	if err == nil && p != nil && !g.s.mayStillSend(l.Target) && !g.redirect(l, g.demand(), sched.Abandoned, errEngineLeft) {
+	if err == nil && p != nil && !g.mayStillSend(l.Target) && !g.redirect(l, g.demand(), sched.Abandoned, errEngineLeft) {
 		err = errEngineLeft
 	}
 	if err != nil {
@@ -443,15 +444,9 @@
 	return g.sendRun(l, p), false, nil
 }
 
-// isLeaving reports whether an endpoint has been seen leaving, or is gone.
-func (s *Server) isLeaving(ep *config.Endpoint) bool {
-	now := s.state.Current().Endpoints[ep.Name]
-	return now == nil || now.Leaving || now.Incarnation != ep.Incarnation
-}
-
-// mayStillSend reports whether a request may be sent to an endpoint that was chosen for it some time ago.
-func (s *Server) mayStillSend(ep *config.Endpoint) bool {
-	return !s.isLeaving(ep) && s.admission.pausedFor(ep.Name) == 0
+// mayStillSend reports whether the request may be sent to an endpoint that was chosen for it some time ago.
+func (g *generation) mayStillSend(ep *config.Endpoint) bool {
+	return g.s.admission.recheck(placement.Send{Endpoint: ep.Name, Incarnation: ep.Incarnation, Homes: g.homes()}) == ""
 }
 
 // sendRun sends the request to the lease's decode engine.
@@ -501,7 +496,7 @@
 func outcomeOf(ctx context.Context, err error) sched.Outcome {
 	cause := context.Cause(ctx)
 	switch {
-	case cause != nil && !errors.Is(cause, errEndpointTimeout), errors.Is(err, errPaused):
+	case cause != nil && !errors.Is(cause, errEndpointTimeout), errors.Is(err, errNotEligible):
 		return sched.Abandoned
 	case errors.Is(err, errOtherIncarnation):
 		return sched.Replaced
@@ -534,7 +529,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 		defer cancel()
-		resp, err := s.upstream.do(ctx, endpointRequest{endpoint: name, addr: addr, method: http.MethodDelete, uri: s.wire.HandlePath(handle), host: addr})
+		resp, err := s.upstream.do(ctx, endpointRequest{endpoint: name, addr: addr, sender: "release", method: http.MethodDelete, uri: s.wire.HandlePath(handle), host: addr})
 		if err != nil {
 			s.log.Info("prefill.not_freed", "endpoint", name, "cause", err.Error())
 			return
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -48,6 +48,12 @@
 	}
 }
 
+// recheck decides right before a request is written whether its endpoint may be given it.
+func (a *admission) recheck(r placement.Send) (refusal placement.Refusal) {
+	a.withScheduler(func(now time.Time, s *placement.Scheduler) { refusal = s.Recheck(now, r) })
+	return refusal
+}
+
 // pausedFor returns for how long an endpoint wants no request from this instance, or 0.
 func (a *admission) pausedFor(endpoint string) (left time.Duration) {
 	a.withScheduler(func(now time.Time, s *placement.Scheduler) { left = s.PausedFor(now, endpoint) })
--- a/internal/gateway/path.go
+++ b/internal/gateway/path.go
@@ -67,7 +67,7 @@
 func (p *paths) open(ctx context.Context, addr string) (nc net.Conn, detoured bool, err error) {
 	if p.isDetoured(addr) {
 		nc, err := p.openDetour(ctx, addr)
-		if err == nil || errors.Is(err, errPaused) {
+		if err == nil || errors.Is(err, errNotEligible) {
 			return nc, true, err
 		}
 	}
@@ -81,7 +81,7 @@
 			p.setDetoured(addr, true)
 			return nc, true, nil
 		}
-		if errors.Is(detourErr, errPaused) {
+		if errors.Is(detourErr, errNotEligible) {
 			return nil, false, detourErr
 		}
 		p.detourFailed(time.Now(), addr, detourErr)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -152,7 +152,7 @@
 	}
 	g.upstream.paths.detour, g.upstream.paths.onCut, g.upstream.paths.onBack = g.dialDetour, g.pathCut, g.pathBack
 	g.upstream.mayAsk = g.admission.isUnlimited
-	g.upstream.pausedFor = g.admission.pausedFor
+	g.upstream.recheck = g.admission.recheck
 	g.upstream.onEndByClose = func(confirmed bool) { g.stats.closedAnswers[confirmed].Inc() }
 	g.state = newState(d.RowDecoder, g.admission, d.Log)
 	g.origins = newOrigins(d.Store, s.Instance, g.state)
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -65,7 +65,7 @@
 }
 
 func (x *exchange) callDemand() placement.Demand {
-	return placement.Demand{Pool: x.call.Pool.Name, Exclude: x.excluded}
+	return placement.Demand{Pool: x.call.Pool.Name, Exclude: x.excluded, Homes: x.homes()}
 }
 
 // canRetry reports whether the request may be run again although it may already have run.
@@ -306,7 +306,18 @@
 
 		forCaller:  !opts.PrefillOnly,
 		healthPath: x.call.Pool.HealthPath,
+
+		homes: x.homes(),
+	}
+}
+
+// homes returns the regions that the request stays in.
+func (x *exchange) homes() placement.Homes {
+	h := placement.Homes{Route: x.call.Route.Homes}
+	if x.call.Account != nil {
+		h.Account = x.call.Account.Homes
 	}
+	return h
 }
 
 // countSend counts a request to an endpoint. The first one needs no reservation.
--- a/internal/gateway/tunnel.go
+++ b/internal/gateway/tunnel.go
@@ -23,6 +23,7 @@
 
 	"carawayrouter.example/router/internal/config"
 	"carawayrouter.example/router/internal/gossip"
+	"carawayrouter.example/router/internal/placement"
 	"carawayrouter.example/router/internal/tcp"
 )
 
@@ -163,7 +164,7 @@
 	}
 	if pause > 0 {
 		s.pause(name, pause, "tunnel")
-		return nil, errPaused
+		return nil, notEligible(placement.Paused)
 	}
 	switch {
 	case failure != nil:
@@ -261,7 +262,7 @@
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		return
 	}
-	ep := p.s.tunnelTarget(target)
+	ep := p.s.tunnelTarget(target) // nil also if the operator wants its data centre empty
 	if p.tunnels.Add(1) > maxTunnels || p.s.draining.Load() || ep == nil {
 		p.tunnels.Add(-1)
 		ctx.SetStatusCode(fasthttp.StatusNotFound) // all builds take it for no evidence about the endpoint
@@ -321,7 +322,7 @@
 		return nil
 	}
 	for _, ep := range s.state.Current().Endpoints {
-		if ep.Addr == addr && !ep.Leaving {
+		if ep.Addr == addr && !ep.Leaving && s.admission.recheck(placement.Send{Endpoint: ep.Name, NoWork: true}) != placement.Evacuated {
 			return ep
 		}
 	}
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -18,6 +18,7 @@
 
 	"carawayrouter.example/router/internal/config"
 	"carawayrouter.example/router/internal/endpoint"
+	"carawayrouter.example/router/internal/placement"
 	"carawayrouter.example/router/internal/tcp"
 )
 
@@ -46,9 +47,9 @@
 	// onAnnouncement observes what an endpoint announces in any response: also to a request for its incarnation,
 	// in a late one, and in one that another instance receives through this one.
 	onAnnouncement func(req endpointRequest, resp ResponseInfo)
-	mayAsk         func(endpoint string) bool          // reports whether an endpoint may be asked for its incarnation
-	pausedFor      func(endpoint string) time.Duration // returns for how long an endpoint wants no request
-	onEndByClose   func(confirmed bool)                // observes the end of an answer without a length
+	mayAsk         func(endpoint string) bool               // reports whether an endpoint may be asked for its incarnation
+	recheck        func(r placement.Send) placement.Refusal // decides right before a request is written whether it may be
+	onEndByClose   func(confirmed bool)                     // observes the end of an answer without a length
 
 	memory *bodyMemory
 
@@ -99,15 +100,20 @@
 // errOtherIncarnation means that the process at an endpoint's address is not the one in its entry.
 var errOtherIncarnation = errors.New("another incarnation of the endpoint answers at its address")
 
-// errPaused means that an endpoint wants no request now.
-var errPaused = errors.New("the endpoint has asked for a pause")
+// errNotEligible means that an endpoint may not be given a request that was meant for it. Nothing was sent.
+var errNotEligible = errors.New("the endpoint may not be given the request")
+
+// notEligible returns the error for a request that an endpoint may not be given.
+func notEligible(r placement.Refusal) error {
+	return errors.Mark(errors.Wrap(errNotEligible, string(r)), endpoint.ErrNotSent)
+}
 
 // errIncarnationUnknown means that an endpoint did not say which incarnation it is.
 var errIncarnationUnknown = errors.New("the endpoint's incarnation is not known")
 
 func newUpstream(w Wire, onOpen func(net.Conn)) *upstream {
 	return &upstream{wire: w, memory: newBodyMemory(0), paths: newPaths(dialTCP, func(context.Context, string) (net.Conn, error) { return nil, errNoDetour }), onOpen: onOpen, onResponse: func(endpointRequest, time.Time, ResponseInfo) {}, onAnnouncement: func(endpointRequest, ResponseInfo) {},
-		mayAsk: func(string) bool { return true }, pausedFor: func(string) time.Duration { return 0 }, onEndByClose: func(bool) {}, idle: map[string][]*endpointConn{}}
+		mayAsk: func(string) bool { return true }, recheck: func(placement.Send) placement.Refusal { return "" }, onEndByClose: func(bool) {}, idle: map[string][]*endpointConn{}}
 }
 
 // dialTCP is the usual Dial.
@@ -175,9 +181,11 @@
 	if c.incarnation == 0 && !u.mayAsk(req.endpoint) {
 		return c, nil
 	}
-	if c.incarnation == 0 && u.pausedFor(req.endpoint) > 0 {
-		u.put(c)
-		return nil, errors.Mark(errPaused, endpoint.ErrNotSent)
+	if c.incarnation == 0 {
+		if r := u.recheck(req.question()); r != "" {
+			u.put(c)
+			return nil, notEligible(r)
+		}
 	}
 	if c.incarnation == 0 {
 		if reusable, _ := u.askIncarnation(ctx, c, req); !reusable { // an error leaves it unknown
@@ -325,6 +333,18 @@
 
 	incarnation int64 // of the endpoint; 0 accepts any
 	mustConfirm bool  // is sent only to an endpoint that has said to be the incarnation, or says none
+
+	homes placement.Homes // of a caller's request
+}
+
+// send returns what decides whether the request may be written.
+func (r endpointRequest) send() placement.Send {
+	return placement.Send{Endpoint: r.endpoint, Incarnation: r.placedAt, Homes: r.homes, NoWork: r.sender != ""}
+}
+
+// question returns what decides whether a question about its incarnation or its health may be written to the request's endpoint.
+func (r endpointRequest) question() placement.Send {
+	return placement.Send{Endpoint: r.endpoint, Incarnation: r.placedAt, NoWork: true}
 }
 
 // endpointResponse is an endpoint's response. Close must be called; if the body was not read
@@ -393,10 +413,10 @@
 		u.put(c)
 		return nil, errors.Mark(context.Cause(ctx), endpoint.ErrNotSent)
 	}
-	// The endpoint may have asked for a pause since the request was placed.
-	if u.pausedFor(req.endpoint) > 0 {
+	// The endpoint may have been evacuated, have asked for a pause or leave since the request was placed.
+	if r := u.recheck(req.send()); r != "" {
 		u.put(c)
-		return nil, errors.Mark(errPaused, endpoint.ErrNotSent)
+		return nil, notEligible(r)
 	}
 	sentAt := time.Now()
 	stopWatch := context.AfterFunc(ctx, c.reset)
--- a/internal/gateway/upstream_test.go
+++ b/internal/gateway/upstream_test.go
@@ -18,6 +18,7 @@
 	"gotest.tools/v3/assert"
 
 	"carawayrouter.example/router/internal/endpoint"
+	"carawayrouter.example/router/internal/placement"
 )
 
 // endless serves one connection after the other: it sends start and then filler until the
@@ -364,14 +365,14 @@
 				paused.Store(true)
 				return nc, err
 			}
-			u.pausedFor = func(string) time.Duration {
+			u.recheck = func(placement.Send) placement.Refusal {
 				if paused.Load() {
-					return time.Second
+					return placement.Paused
 				}
-				return 0
+				return ""
 			}
 			_, err = u.do(context.Background(), endpointRequest{endpoint: "e", addr: ln.Addr().String(), method: http.MethodGet, uri: "/", host: "h", incarnation: incarnation})
-			assert.ErrorIs(t, err, errPaused)
+			assert.ErrorIs(t, err, errNotEligible)
 			assert.Assert(t, errors.Is(err, endpoint.ErrNotSent))
 			select {
 			case path := <-requests:
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -58,7 +58,7 @@
 func (s *Scheduler) lowestLatency(now time.Time, pool string) time.Duration {
 	best := defaultCallLatency
 	for _, x := range s.pools[pool] {
-		if x.available(now) {
+		if x.refusal(now, choosing, &Demand{}) == "" {
 			best = min(best, x.callLatency)
 		}
 	}
--- a/internal/placement/endpoint.go
+++ b/internal/placement/endpoint.go
@@ -43,6 +43,7 @@
 	replaced     bool // another endpoint answers at its address, so this incarnation has ended
 	fullUntil    time.Time
 	pausedUntil  time.Time // until when the endpoint wants no request from this instance
+	evacuated    bool      // the operator wants its data centre empty
 
 	peerLoads     map[string]peerLoad  // by instance
 	peerEjections map[string]time.Time // end of the ejections in force at other instances, by instance
@@ -72,11 +73,6 @@
 	}
 }
 
-// available reports whether the endpoint may be given new work.
-func (x *endpointState) available(now time.Time) bool {
-	return !x.ep.Leaving && !x.replaced && !now.Before(x.ejectedUntil) && !x.paused(now)
-}
-
 // paused reports whether the endpoint wants no request from this instance now.
 func (x *endpointState) paused(now time.Time) bool { return now.Before(x.pausedUntil) }
 
@@ -132,6 +128,9 @@
 	return time.Duration(x.prefillTokens+x.peerPrefillTokens(now)) * x.prefillTokenTime
 }
 
+// inProgress returns the number of requests of this instance that the endpoint has.
+func (x *endpointState) inProgress() int { return len(x.generations) + x.calls }
+
 // activeCalls returns the number of plain calls in progress at the endpoint.
 func (x *endpointState) activeCalls(now time.Time) int {
 	n := x.calls
--- a/internal/placement/limits.go
+++ b/internal/placement/limits.go
@@ -7,12 +7,8 @@
 	"carawayrouter.example/router/internal/limit/pacing"
 )
 
-// endpointFilter reports whether an endpoint may be given a request.
-type endpointFilter func(now time.Time, x *endpointState) bool
-
-// ready reports whether this instance may send the endpoint a request under the limit that it
-// announces.
-func (s *Scheduler) ready(now time.Time, x *endpointState) bool { return x.pacer.Ready(now, s.member) }
+// turnFilter returns Limited or Cold for an endpoint that has no turn for a request now.
+type turnFilter func(now time.Time, x *endpointState) Refusal
 
 // take uses a turn of this instance at an endpoint.
 func (s *Scheduler) take(now time.Time, x *endpointState) { x.pacer.Take(now, s.member) }
@@ -20,7 +16,7 @@
 // reserveForPeer keeps engines free for a waiter of another instance, which has turns of its own
 // under the engines' limits.
 func (s *Scheduler) reserveForPeer(now time.Time, d Demand) *Lease {
-	return s.reserveEngine(now, d, func(time.Time, *endpointState) bool { return true })
+	return s.reserveEngine(now, d, func(time.Time, *endpointState) Refusal { return "" })
 }
 
 // SetMember sets this instance's place in the fleet.
@@ -34,14 +30,14 @@
 	}
 }
 
-// TakeTurn uses a turn of this instance at an endpoint for a request without a lease, and reports
-// whether there was one. Endpoints without a limit always have one.
+// TakeTurn uses a turn of this instance at an endpoint for a request without a lease that is no work, and reports
+// whether the endpoint may be given one. Endpoints without a limit always have a turn.
 func (s *Scheduler) TakeTurn(now time.Time, endpoint string) bool {
 	x := s.known(endpoint)
 	if x == nil {
 		return true
 	}
-	if x.paused(now) || !s.ready(now, x) {
+	if x.refusal(now, asking, nil) != "" || s.turn(now, x) != "" {
 		return false
 	}
 	s.take(now, x)
@@ -102,18 +98,19 @@
 	return n
 }
 
-// NextTurn returns how long this instance has to wait for a turn at one of the pool's plain
-// endpoints, or 0 if their limits do not hold it up.
-func (s *Scheduler) NextTurn(now time.Time, pool string) time.Duration {
-	return s.turnAfter(now, pool, config.Plain, 0)
+// NextTurn returns how long this instance has to wait for a turn at one of the plain endpoints for the
+// demand, or 0 if their limits do not hold it up.
+func (s *Scheduler) NextTurn(now time.Time, d Demand) time.Duration {
+	return s.turnAfter(now, &d, config.Plain, 0)
 }
 
-// turnAfter returns how long this instance has to wait for a turn at one of the pool's endpoints
-// of a role after as many turns as before, or 0 if their limits do not hold it up.
-func (s *Scheduler) turnAfter(now time.Time, pool string, role config.Role, before int) time.Duration {
+// turnAfter returns how long this instance has to wait for a turn at one of the endpoints of a role for
+// the demand after as many turns as before, or 0 if their limits do not hold it up.
+func (s *Scheduler) turnAfter(now time.Time, d *Demand, role config.Role, before int) time.Duration {
 	first, rate := time.Duration(-1), 0.0
-	for _, x := range s.pools[pool] {
-		if x.ep.Role != role || !x.available(now) {
+	d = d.anyEndpoint()
+	for _, x := range s.pools[d.Pool] {
+		if x.ep.Role != role || x.refusal(now, choosing, d) != "" {
 			continue
 		}
 		l := x.pacer.Limit()
--- a/internal/placement/limits_test.go
+++ b/internal/placement/limits_test.go
@@ -103,7 +103,7 @@
 		l := s.AcquireService(start, Demand{Pool: servicePool})
 		assert.Equal(t, l.Target.Name, "plain-2", "call %d", i)
 	}
-	assert.Equal(t, s.NextTurn(start, servicePool), time.Duration(0))
+	assert.Equal(t, s.NextTurn(start, Demand{Pool: servicePool}), time.Duration(0))
 
 	limitAll(s, start, config.Decode, 1)
 	now := start.Add(1100 * time.Millisecond)
--- a/internal/placement/pause.go
+++ b/internal/placement/pause.go
@@ -30,19 +30,22 @@
 	return max(0, x.pausedUntil.Sub(now))
 }
 
-// PauseLeft returns how long it takes until an endpoint that is needed for a pool's requests wants requests
-// again, or 0 if the pauses do not hold them up.
-func (s *Scheduler) PauseLeft(now time.Time, pool string) time.Duration {
+// PauseLeft returns how long it takes until an endpoint that is needed for the demand wants requests
+// again, or 0 if the pauses do not hold it up.
+func (s *Scheduler) PauseLeft(now time.Time, d Demand) time.Duration {
 	first := time.Duration(0)
-	for _, x := range s.pools[pool] {
-		if x.ep.Role == config.Prefill || x.ep.Leaving || x.replaced {
+	need := d.anyEndpoint()
+	for _, x := range s.pools[d.Pool] {
+		if x.ep.Role == config.Prefill {
 			continue
 		}
-		if x.available(now) {
+		switch x.refusal(now, choosing, need) {
+		case "":
 			return 0
-		}
-		if left := x.pausedUntil.Sub(now); left > 0 && (first == 0 || left < first) {
-			first = left
+		case Paused:
+			if left := x.pausedUntil.Sub(now); first == 0 || left < first {
+				first = left
+			}
 		}
 	}
 	return first
--- a/internal/placement/pause_test.go
+++ b/internal/placement/pause_test.go
@@ -18,7 +18,7 @@
 	}))
 	assert.Assert(t, s.Pause(start, "a", 3*time.Second))
 	assert.Assert(t, !s.Pause(start, "a", time.Second), "a shorter pause does not end a longer one")
-	assert.Equal(t, s.PauseLeft(start, servicePool), time.Duration(0), "b is available")
+	assert.Equal(t, s.PauseLeft(start, Demand{Pool: servicePool}), time.Duration(0), "b is available")
 	for range 10 {
 		l := s.AcquireService(start, Demand{Pool: servicePool})
 		assert.Equal(t, l.Target.Name, "b")
@@ -26,7 +26,7 @@
 	assert.Assert(t, s.Pause(start, "b", 5*time.Second))
 	assert.Assert(t, s.AcquireService(start, Demand{Pool: servicePool}) == nil)
 	assert.Assert(t, !s.TakeTurn(start, "a"), "nor is it asked anything else")
-	assert.Equal(t, s.PauseLeft(start, servicePool), 3*time.Second)
+	assert.Equal(t, s.PauseLeft(start, Demand{Pool: servicePool}), 3*time.Second)
 	assert.Equal(t, s.AcquireService(start.Add(3*time.Second), Demand{Pool: servicePool}).Target.Name, "a")
 	assert.Assert(t, !s.Pause(start, "unknown", time.Second))
 }
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -83,9 +83,9 @@
 	return 1
 }
 
-// poolVersion is what a waiter can use: the engines of a pool, or those of one software version.
+// poolVersion is what a waiter can use: the engines of a pool, or those of one software version or of some regions.
 // A stream that waits for the few engines of its version does not hold up the others.
-type poolVersion struct{ pool, version string }
+type poolVersion struct{ pool, version, homes string }
 
 // Serve places the waiters that fit, in order, and removes them from the queue. The waiters
 // of other instances take part in the order: the capacity that they would take is left free
@@ -105,7 +105,7 @@
 		own[w] = true
 	}
 	for _, w := range q.ordered(now, s) {
-		need := poolVersion{w.Demand.Pool, w.Demand.SoftwareVersion}
+		need := poolVersion{w.Demand.Pool, w.Demand.SoftwareVersion, w.Demand.Homes.key()}
 		if !blocked[need] {
 			acquire := s.AcquireEngine
 			if !own[w] {
@@ -161,8 +161,10 @@
 	work, capacity, poolCapacity := 0.0, 0.0, 0.0
 	tokenTime := defaultTokenTime
 	version := w.Demand.SoftwareVersion
+	need := *w.Demand.anyEndpoint()
+	need.SoftwareVersion = "" // the others count for the order
 	for _, x := range s.pools[w.Demand.Pool] {
-		if x.ep.Role != config.Decode || x.spec == nil || !x.available(now) {
+		if x.ep.Role != config.Decode || x.spec == nil || x.refusal(now, choosing, &need) != "" {
 			continue
 		}
 		memory := memoryHeadroom * float64(x.spec.KVTokens)
@@ -198,12 +200,14 @@
 // waiters of this instance before it and w itself need a turn each.
 func (q *Queue) predictTurn(now time.Time, s *Scheduler, w *Waiter) time.Duration {
 	before := 0
+	need := w.Demand
+	need.SoftwareVersion = ""
 	for _, other := range q.waiting {
 		if other != w && other.Demand.Pool == w.Demand.Pool && compareWaiters(now, other, w) <= 0 {
 			before++
 		}
 	}
-	return max(s.turnAfter(now, w.Demand.Pool, config.Prefill, before), s.turnAfter(now, w.Demand.Pool, config.Decode, before))
+	return max(s.turnAfter(now, &need, config.Prefill, before), s.turnAfter(now, &need, config.Decode, before))
 }
 
 // memoryTime returns a generation's memory use integrated over its duration, in
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -26,13 +26,19 @@
 	// SoftwareVersion is the version that began the stream, which alone may go on with it; empty
 	// for a stream that has not begun.
 	SoftwareVersion string
+	Homes           Homes
 
 	avoid []string // software versions whose engines are kept free for others
 }
 
-// accepts reports whether an engine may serve the demand.
-func (d Demand) accepts(ep *config.Endpoint) bool {
-	return (d.SoftwareVersion == "" || d.SoftwareVersion == ep.SoftwareVersion) && !slices.Contains(d.Exclude, ep.Name)
+// anyEndpoint returns the demand without the endpoints that it excludes, for what is said of the pool.
+func (d *Demand) anyEndpoint() *Demand {
+	if len(d.Exclude) == 0 {
+		return d
+	}
+	any := *d
+	any.Exclude = nil
+	return &any
 }
 
 // remainingOutput returns the output tokens to plan for, without those already generated.
@@ -72,6 +78,7 @@
 	pools      map[string][]*endpointState
 	peers      map[string]*PeerState
 	member     pacing.Member // this instance's place in the fleet
+	evacuated  []string      // data centres
 }
 
 // New returns a Scheduler without endpoints, for an instance in the given data centre.
@@ -96,6 +103,7 @@
 		}
 		delete(s.absent, name)
 		x = entered(x, ep, pool.Engine, !present)
+		s.markEvacuated(x)
 		s.endpoints[name] = x
 		s.pools[ep.Pool] = append(s.pools[ep.Pool], x)
 	}
@@ -126,7 +134,7 @@
 // pool has a usable one, on a prefill engine. Without a prefill engine the decode engine
 // prefills the prompt itself. It returns nil if the request has to wait.
 func (s *Scheduler) AcquireEngine(now time.Time, d Demand) *Lease {
-	l := s.reserveEngine(now, d, s.ready)
+	l := s.reserveEngine(now, d, s.turn)
 	if l != nil {
 		s.take(now, l.targetEndpoint)
 		if l.prefillEndpoint != nil {
@@ -136,15 +144,14 @@
 	return l
 }
 
-// reserveEngine places a generation on engines that mayUse accepts. It uses no turns under the
-// limits that they announce.
-func (s *Scheduler) reserveEngine(now time.Time, d Demand, mayUse endpointFilter) *Lease {
+// reserveEngine places a generation on engines that have a turn. It uses none.
+func (s *Scheduler) reserveEngine(now time.Time, d Demand, turn turnFilter) *Lease {
 	var p, t *endpointState
 	var generation Generation
 	lightest := 0.0
 	for _, version := range s.softwareVersions(d) {
 		d.SoftwareVersion = version
-		prefill, direct := s.choosePrefill(now, d, mayUse)
+		prefill, direct := s.choosePrefill(now, &d, turn)
 		if prefill == nil && (!direct || p != nil) {
 			continue
 		}
@@ -153,7 +160,7 @@
 			start = now.Add(prefill.prefillBacklog(now) + time.Duration(d.Prompt)*prefill.prefillTokenTime)
 		}
 		g := Generation{Prompt: d.Prompt + d.Generated, PlannedOutput: d.remainingOutput(), AsOf: start}
-		decode, load := s.chooseDecode(now, d, g, mayUse)
+		decode, load := s.chooseDecode(now, &d, g, turn)
 		if decode == nil {
 			continue
 		}
@@ -204,15 +211,15 @@
 
 // choosePrefill returns the prefill engine with the shortest backlog, nil if all backlogs
 // are too long. Direct is true if the pool has no usable prefill engine.
-func (s *Scheduler) choosePrefill(now time.Time, d Demand, mayUse endpointFilter) (best *endpointState, direct bool) {
+func (s *Scheduler) choosePrefill(now time.Time, d *Demand, turn turnFilter) (best *endpointState, direct bool) {
 	usable := false
 	shortest := maxPrefillBacklog
 	for _, x := range s.rotatedPool(d.Pool) {
-		if x.ep.Role != config.Prefill || !x.available(now) || !d.accepts(x.ep) {
+		if x.ep.Role != config.Prefill || x.refusal(now, choosing, d) != "" {
 			continue
 		}
 		usable = true
-		if now.Before(x.fullUntil) || !mayUse(now, x) {
+		if now.Before(x.fullUntil) || turn(now, x) != "" {
 			continue
 		}
 		if wait := s.prefillCost(now, x); wait < shortest {
@@ -223,9 +230,9 @@
 }
 
 // chooseDecode returns the least loaded decode engine that g fits on and its load, or nil.
-func (s *Scheduler) chooseDecode(now time.Time, d Demand, g Generation, mayUse endpointFilter) (best *endpointState, lightest float64) {
+func (s *Scheduler) chooseDecode(now time.Time, d *Demand, g Generation, turn turnFilter) (best *endpointState, lightest float64) {
 	for _, x := range s.rotatedPool(d.Pool) {
-		if x.ep.Role != config.Decode || x.spec == nil || !x.available(now) || !d.accepts(x.ep) {
+		if x.ep.Role != config.Decode || x.spec == nil || x.refusal(now, choosing, d) != "" {
 			continue
 		}
 		if d.Generated > 0 && x.prefillTokens+x.peerPrefillTokens(now) > 0 {
@@ -235,7 +242,7 @@
 			// every stream, so an engine takes one resumed stream at a time.
 			continue
 		}
-		if !mayUse(now, x) || !x.fits(now, g, memoryHeadroom) {
+		if turn(now, x) != "" || !x.fits(now, g, memoryHeadroom) {
 			continue
 		}
 		load := s.decodeCost(now, x)
@@ -254,7 +261,7 @@
 	var shortest time.Duration
 	lowest := s.lowestLatency(now, d.Pool)
 	for _, x := range s.candidates(now, d) {
-		if !s.ready(now, x) {
+		if s.turn(now, x) != "" {
 			continue
 		}
 		wait := s.callCost(now, x, lowest)
@@ -276,12 +283,13 @@
 func (s *Scheduler) candidates(now time.Time, d Demand) []*endpointState {
 	var available, failing []*endpointState
 	for _, x := range s.rotatedPool(d.Pool) {
-		switch {
-		case x.ep.Leaving || x.replaced || x.paused(now) || slices.Contains(d.Exclude, x.ep.Name):
-		case x.available(now):
+		switch x.refusal(now, choosing, &d) {
+		case "":
 			available = append(available, x)
-		case !x.unreachable:
-			failing = append(failing, x)
+		case Ejected:
+			if !x.unreachable {
+				failing = append(failing, x)
+			}
 		}
 	}
 	if len(available) == 0 {
@@ -324,7 +332,7 @@
 	ejected = old.recordOutcome(now, o)
 	d.Exclude = append(slices.Clone(d.Exclude), old.ep.Name)
 	d.SoftwareVersion = old.ep.SoftwareVersion
-	t, _ := s.chooseDecode(now, d, l.generation, s.ready)
+	t, _ := s.chooseDecode(now, &d, l.generation, s.turn)
 	if t == nil {
 		old.generations[l] = struct{}{}
 		return false, ejected
@@ -351,7 +359,7 @@
 // succeeds.
 func (s *Scheduler) EachUnreachable(now time.Time, visit func(*config.Endpoint)) {
 	for _, x := range s.endpoints {
-		if x.unreachable && !x.replaced && now.Before(x.ejectedUntil) && !x.paused(now) {
+		if x.unreachable && !x.replaced && now.Before(x.ejectedUntil) && x.refusal(now, asking, nil) == "" {
 			visit(x.ep)
 		}
 	}
@@ -384,12 +392,15 @@
 }
 
 // CutOff reports whether there is a pool whose decode engines or plain endpoints are all
-// unreachable.
+// unreachable. Those that get no requests for as long as they have their entries do not count.
 func (s *Scheduler) CutOff(now time.Time) bool {
 	for _, pool := range s.pools {
 		answering, unreachable := 0, 0
 		for _, x := range pool {
-			if x.ep.Leaving || x.replaced || x.ep.Role == config.Prefill {
+			if x.ep.Role == config.Prefill {
+				continue
+			}
+			if r := x.refusal(now, choosing, &Demand{}); r == Leaving || r == Replaced || r == Evacuated {
 				continue
 			}
 			answering++
@@ -455,9 +466,9 @@
 // HasUsableEndpoint reports whether the demand's pool has an available endpoint for it other than
 // prefill engines.
 func (s *Scheduler) HasUsableEndpoint(now time.Time, d Demand) bool {
-	d.Exclude = nil
+	need := d.anyEndpoint()
 	for _, x := range s.pools[d.Pool] {
-		if x.available(now) && x.ep.Role != config.Prefill && d.accepts(x.ep) {
+		if x.ep.Role != config.Prefill && x.refusal(now, choosing, need) == "" {
 			return true
 		}
 	}
--- a/internal/placement/scheduler_test.go
+++ b/internal/placement/scheduler_test.go
@@ -250,7 +250,7 @@
 		s.Release(start, l, sched.Failed)
 	}
 	for _, x := range s.pools[servicePool] {
-		assert.Assert(t, !x.available(start))
+		assert.Equal(t, x.refusal(start, choosing, &Demand{}), Ejected)
 		s.endpoints[x.ep.Name].recordOutcome(start, sched.Unreachable)
 	}
 	assert.Assert(t, s.AcquireService(start, Demand{Pool: servicePool}) == nil, "no connection can be made")
