evacuation: the operator empties a data centre, whoever reads the store

The rows come with the reads of the configuration's table; what an instance knows is a record for each data centre with the position of its row, so that rows, updates, fetched state, stale reads and restores of the store may come in any order. A row that is missing from a restored store is no removal for a minute. Requests that wait and that nothing else can serve are refused at once. Streams go on to their end.

Homes of routes and accounts: while any are configured, tunnels go through instances of the endpoint's region only.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -48,7 +48,7 @@
 	pause := a.sched.PauseLeft(now, w.Demand) // for which a generation waits, if its caller does
 	if !a.sched.HasUsableEndpoint(now, w.Demand) && (pause == 0 || now.Add(pause).After(w.Deadline)) {
 		a.mu.Unlock()
-		return nil, refusal(errkind.NoEndpoint, "no engine can be used", max(pause, time.Second))
+		return nil, refusal(errkind.NoEndpoint, "no engine can be used", max(pause, evacuationRetryAfter))
 	}
 	if wait := a.queue.PredictWait(now, a.sched, w); pause == 0 && now.Add(wait).After(w.Deadline) {
 		a.mu.Unlock()
@@ -66,7 +66,7 @@
 	defer timer.Stop()
 	select {
 	case l := <-ch:
-		return l, nil
+		return granted(l)
 	case <-ctx.Done():
 	case <-timer.C:
 	}
@@ -75,9 +75,11 @@
 	select {
 	case l := <-ch:
 		if ctx.Err() == nil {
-			return l, nil
+			return granted(l)
+		}
+		if l != nil {
+			a.sched.Release(a.now(), l, sched.Abandoned)
 		}
-		a.sched.Release(a.now(), l, sched.Abandoned)
 	default:
 		a.queue.Remove(w)
 		delete(a.grants, w)
@@ -114,6 +116,9 @@
 	if left := a.sched.PauseLeft(now, d); left > 0 {
 		return left + rand.N(limitRetrySpread)
 	}
+	if a.sched.NeedsEvacuated(now, d) {
+		return evacuationRetryAfter
+	}
 	return endpointRetryAfter
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,12 +18,13 @@
 	Instance      string
 	DataCentre    string
 	Region        string
-	CallerAddr    string   // listen address for callers
-	ReadinessAddr string   // listen address for the balancer's readiness probes
-	PeerAddr      string   // listen address for other instances
-	MetricsAddr   string   // listen address for metrics; empty disables them
-	UpdatePort    string   // UDP port for state updates from other instances
-	Seeds         []string // addresses of some other instances, asked for state while there is no configuration
+	Regions       map[string]string // the region of each data centre
+	CallerAddr    string            // listen address for callers
+	ReadinessAddr string            // listen address for the balancer's readiness probes
+	PeerAddr      string            // listen address for other instances
+	MetricsAddr   string            // listen address for metrics; empty disables them
+	UpdatePort    string            // UDP port for state updates from other instances
+	Seeds         []string          // addresses of some other instances, asked for state while there is no configuration
 
 	RelayRank   int // preference of this instance as a relay; higher is preferred
 	MemoryBytes int64
--- a/internal/gateway/peerstate.go
+++ b/internal/gateway/peerstate.go
@@ -28,6 +28,7 @@
 	Listed               bool                     `json:"listed"` // Instances are all that have rows
 	Streams              []gossip.BegunStreams    `json:"streams,omitempty"`
 	Software             []gossip.SoftwareVersion `json:"software,omitempty"`
+	Evacuations          []gossip.Evacuation      `json:"evacuations,omitempty"`
 }
 
 // serve responds to requests of other instances.
@@ -69,6 +70,7 @@
 	st := p.s.state.export()
 	st.Secret, st.Instances, st.Listed = secret, rows, listed
 	st.Streams, st.Software = p.s.origins.export(time.Now())
+	st.Evacuations = p.s.exportEvacuations()
 	b, err := json.Marshal(st)
 	if err != nil {
 		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
@@ -155,6 +157,7 @@
 	p.listed = p.listed || st.Listed
 	p.mu.Unlock()
 	p.s.updateFleet(now)
+	p.s.mergeEvacuations(now, st.Evacuations, addr) // first: an instance with a configuration serves
 	p.s.state.merge(now, &st, addr)
 	p.s.origins.merge(now, st.Streams, st.Software)
 	p.requestUpdate()
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -78,6 +78,7 @@
 	quota   *window.Limiter
 
 	quarantine *quarantineState
+	evacuation *evacuations
 	origins    *origins
 
 	active      atomic.Int64 // requests being read or answered
@@ -110,6 +111,7 @@
 		log:      d.Log,
 
 		quarantine: newQuarantineState(),
+		evacuation: newEvacuations(),
 
 		callers: newCallerConns(),
 
@@ -255,9 +257,10 @@
 func (s *Server) watchers() []*watcher {
 	return []*watcher{
 		{store: s.store, era: &s.era, table: Configuration, wait: s.pollWait, log: s.log,
-			apply: func(rows []Row, _ Position, _ bool) {
+			apply: func(rows []Row, at Position, full bool) {
+				s.readEvacuations(time.Now(), rows, at, full) // first: an instance with a configuration serves
 				for _, r := range rows {
-					if !r.Deleted {
+					if r.Kind == ConfigurationRow && !r.Deleted {
 						s.state.applyConfiguration(r.Value, "store")
 					}
 				}
@@ -380,6 +383,7 @@
 		case <-expire.C:
 			s.state.expire(time.Now())
 			s.origins.expire(time.Now())
+			s.expireEvacuations(time.Now())
 		case <-sweep.C:
 			inUse := map[string]bool{}
 			for _, e := range s.state.Current().Endpoints {
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -18,6 +18,7 @@
 type RowDecoder interface {
 	DecodeConfiguration(value []byte) (*config.Objects, uint64, error)
 	DecodeEndpoint(name string, value []byte) (*config.Endpoint, error)
+	DecodeEvacuation(value []byte) error
 }
 
 // state holds the configuration and the endpoints in force on this instance.
--- a/internal/gateway/state_test.go
+++ b/internal/gateway/state_test.go
@@ -25,6 +25,13 @@
 	return ep, json.Unmarshal(value, ep)
 }
 
+func (jsonRows) DecodeEvacuation(value []byte) error {
+	if !json.Valid(value) {
+		return errors.New("not JSON")
+	}
+	return nil
+}
+
 // endpointRow returns the row of an endpoint at an address of its own, written at a version.
 func endpointRow(t *testing.T, name string, version uint64) Row {
 	t.Helper()
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -38,6 +38,7 @@
 	memoryShort       *metrics.Counter
 	acceptFailures    *metrics.Counter
 	yieldedConns      *metrics.Counter
+	evacuationRows    *metrics.Counter          // ignored
 	closedAnswers     map[bool]*metrics.Counter // answers without a length, by whether their end was confirmed
 
 	callLatency *metrics.PrometheusHistogram
@@ -77,6 +78,7 @@
 		pauses:            set.NewCounter("caraway_endpoint_pauses_total"),
 		memoryShort:       set.NewCounter("caraway_body_memory_short_total"),
 		acceptFailures:    set.NewCounter("caraway_accept_failures_total"),
+		evacuationRows:    set.NewCounter("caraway_evacuation_rows_ignored_total"),
 		yieldedConns:      set.NewCounter("caraway_idle_connections_closed_total"),
 		callLatency:       set.NewPrometheusHistogramExt("caraway_plain_request_seconds", latencyBounds),
 		firstEvent:        set.NewPrometheusHistogramExt("caraway_first_event_seconds", latencyBounds),
@@ -105,6 +107,8 @@
 	set.NewGauge("caraway_endpoints_withheld", func() float64 { return float64(s.state.countWithheld()) })
 	set.NewGauge("caraway_endpoints_limited", func() float64 { return float64(s.admission.countLimited()) })
 	set.NewGauge("caraway_quarantined_causes", func() float64 { return float64(s.quarantine.count()) })
+	set.NewGauge("caraway_evacuated_data_centres", func() float64 { return float64(len(s.evacuation.inForce())) })
+	set.NewGauge("caraway_evacuated_requests", func() float64 { return float64(s.admission.countInEvacuated()) })
 	set.NewGauge("caraway_store_away", func() float64 {
 		if s.state.storeUnavailable() {
 			return 1
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -9,12 +9,22 @@
 
 // Row is one row of a table of the platform's store.
 type Row struct {
+	Kind    RowKind
 	Key     string
 	Value   []byte
 	Version uint64 // of the transaction that wrote it
 	Deleted bool
 }
 
+// RowKind says what a row of the operator's table is; rows of other tables have none.
+type RowKind int
+
+// The rows of the operator's table.
+const (
+	ConfigurationRow RowKind = iota
+	EvacuationRow            // its key is the data centre that the operator wants empty
+)
+
 // Position is a moment in the life of the store. The store may be restored from an older copy of
 // itself: it then gives out versions once more, so those of different eras cannot be compared.
 type Position struct {
@@ -59,7 +69,7 @@
 
 // The tables.
 const (
-	Configuration Table = iota // written by the operator, one row
+	Configuration Table = iota // written by the operator: the configuration, and a row for each evacuated data centre
 	Endpoints                  // written by the endpoints
 	Instances                  // one row per instance
 	Fleet                      // data shared by the fleet
--- a/internal/gateway/tunnel.go
+++ b/internal/gateway/tunnel.go
@@ -95,6 +95,30 @@
 	return out
 }
 
+// hasHomes reports whether the requests of any route or account stay in some regions.
+func hasHomes(st *config.State) bool {
+	for _, r := range st.Routes {
+		if len(r.Homes) > 0 {
+			return true
+		}
+	}
+	for _, a := range st.Accounts {
+		if len(a.Homes) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// inRegion returns the instances in the region of an endpoint: a request's body that goes through them to the endpoint stays in its
+// homes, as the endpoint is in one. An endpoint of unknown region gets no request that has homes.
+func inRegion(from []detourCandidate, region string, regions map[string]string) []detourCandidate {
+	if region == "" {
+		return from
+	}
+	return slices.DeleteFunc(from, func(c detourCandidate) bool { return regions[c.dataCentre] != region })
+}
+
 // detourCandidates returns the instances that are heard.
 func (p *peers) detourCandidates(now time.Time, endpointName string) (out []detourCandidate) {
 	p.mu.Lock()
@@ -123,14 +147,19 @@
 // dialDetour opens a connection to an endpoint through another instance. The error is ECONNREFUSED if all
 // that were asked and could be reached say that the endpoint refuses.
 func (s *Server) dialDetour(ctx context.Context, addr string) (net.Conn, error) {
-	name, dataCentre := "", ""
-	for _, ep := range s.state.Current().Endpoints {
+	name, dataCentre, region := "", "", ""
+	st := s.state.Current()
+	for _, ep := range st.Endpoints {
 		if ep.Addr == addr {
-			name, dataCentre = ep.Name, ep.DataCentre
+			name, dataCentre, region = ep.Name, ep.DataCentre, ep.Region
 		}
 	}
 	now := time.Now()
-	order := orderDetours(now, s.settings.Instance, s.settings.DataCentre, addr, dataCentre, s.peers.detourCandidates(now, name))
+	candidates := s.peers.detourCandidates(now, name)
+	if hasHomes(st) {
+		candidates = inRegion(candidates, region, s.settings.Regions)
+	}
+	order := orderDetours(now, s.settings.Instance, s.settings.DataCentre, addr, dataCentre, candidates)
 	var failure, unreached error
 	pause := time.Duration(0)
 	for attempts, misses := 0, 0; attempts < detourAttempts && misses < detourMisses && len(order) > 0 && ctx.Err() == nil; order = order[1:] {
--- a/internal/gateway/updates.go
+++ b/internal/gateway/updates.go
@@ -165,6 +165,7 @@
 	s.addQuarantine(now, u)
 	s.origins.addRecent(now, u)
 	u.KnowsQuarantine = s.quarantine.isKnown()
+	u.Evacuations = s.exportEvacuations()
 	for _, a := range s.state.recentAnnouncements(now) {
 		u.EndpointsLeaving = append(u.EndpointsLeaving, gossip.LeavingEndpoint{Endpoint: a.endpoint, Incarnation: a.incarnation})
 	}
@@ -348,6 +349,7 @@
 	if u.KnowsQuarantine {
 		p.s.quarantine.setKnown()
 	}
+	p.s.mergeEvacuations(now, u.Evacuations, u.Instance)
 	p.s.mergeQuarantine(now, u)
 	p.s.mergeLimits(u)
 	for _, e := range u.EndpointsLeaving {
--- a/internal/placement/eligible.go
+++ b/internal/placement/eligible.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"carawayrouter.example/router/internal/config"
 )
 
 // Refusal says why an endpoint may not be given a request; it is empty if it may. Those of a turn pass soon: the endpoint can be
@@ -164,3 +166,20 @@
 	}
 	return n
 }
+
+// NeedsEvacuated reports whether the demand could be served if no data centre were evacuated, and cannot now.
+func (s *Scheduler) NeedsEvacuated(now time.Time, d Demand) bool {
+	need, evacuated := d.anyEndpoint(), false
+	for _, x := range s.pools[d.Pool] {
+		if x.ep.Role == config.Prefill {
+			continue
+		}
+		switch x.refusal(now, choosing, need) {
+		case "":
+			return false
+		case Evacuated:
+			evacuated = true
+		}
+	}
+	return evacuated
+}
