caraway-ctl evacuate: operators empty a data centre of the product's own deployment

A row in the platform's table; the instance of each data centre that reads the list of leaving endpoints reads it too, and the endpoints there count as leaving. status shows it, with the requests of the asked instance that still run there. Ruled out: a ticket with leaving marks, which misses endpoints that are added later; writing the operator's row on the users' platform, whose table the product may not write (403).

--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -42,6 +42,7 @@
 	Key      *KeyCmd    `arg:"subcommand:key" help:"issue and withdraw keys"`
 	Status   *StatusCmd `arg:"subcommand:status" help:"show the newest ticket and where it is in force"`
 
+	Evacuate   *EvacuateCmd   `arg:"subcommand:evacuate" help:"keep a data centre's endpoints free of new requests"`
 	Quarantine *QuarantineCmd `arg:"subcommand:quarantine" help:"show and lift quarantines of requests and prompt parts"`
 }
 
@@ -133,8 +134,8 @@
 
 // Run executes the command selected by the arguments.
 func Run(ctx context.Context, a Args, out io.Writer) error {
-	if !a.Check && a.Ticket == nil && a.Key == nil && a.Status == nil && a.Quarantine == nil {
-		return newUsageError(errors.New("a command is required: ticket, key, status or quarantine"))
+	if !a.Check && a.Ticket == nil && a.Key == nil && a.Status == nil && a.Evacuate == nil && a.Quarantine == nil {
+		return newUsageError(errors.New("a command is required: ticket, key, status, evacuate or quarantine"))
 	}
 	c, err := newCommand(a, out)
 	if err != nil {
@@ -152,6 +153,8 @@
 		return c.ticket(ctx, a.Ticket)
 	case a.Key != nil:
 		return c.key(ctx, a.Key)
+	case a.Evacuate != nil:
+		return c.evacuate(ctx, a.Evacuate)
 	case a.Quarantine != nil:
 		return c.quarantine(ctx, a.Quarantine)
 	}
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"carawayrouter.example/router/internal/evacuation"
 	"carawayrouter.example/router/internal/operator"
 	"carawayrouter.example/router/internal/rollout"
 	"carawayrouter.example/router/internal/ticket"
@@ -23,7 +24,8 @@
 type fleetStatus struct {
 	Accepted      uint64            `json:"accepted"`
 	Progress      *rollout.Progress `json:"progress,omitempty"`
-	CutOff        []string          `json:"cut_off,omitempty"` // data centres
+	CutOff        []string          `json:"cut_off,omitempty"`   // data centres
+	Evacuated     []string          `json:"evacuated,omitempty"` // data centres
 	StoreError    string            `json:"store_error,omitempty"`
 	Instance      *operator.Status  `json:"instance,omitempty"`
 	InstanceError string            `json:"instance_error,omitempty"`
@@ -57,6 +59,9 @@
 		return err
 	}
 	p := rollout.ProgressOf(head, sessions)
+	if s.Evacuated, err = (evacuation.Rows{Table: c.platform.Table}).List(ctx); err != nil {
+		return err
+	}
 	s.Accepted, s.Progress = head, &p
 	s.CutOff = rollout.CutOff(sessions, c.clock.Now())
 	return nil
@@ -101,6 +106,7 @@
 		for _, dc := range s.CutOff {
 			l.addf("cut off: %s", dc)
 		}
+		writeEvacuated(l, s.Evacuated)
 	}
 	if s.InstanceError != "" {
 		l.addf("instance cannot be read")
@@ -119,6 +125,9 @@
 	for _, dc := range i.CutOff {
 		l.addf("  cut off: %s", dc)
 	}
+	for _, e := range i.Evacuated {
+		l.addf("  in %s: %d running", e.DataCentre, e.Running)
+	}
 	for n, r := range i.Refusals {
 		if n == maxLaggards {
 			l.addf("  and %d more refused", len(i.Refusals)-n)
--- a/internal/entry/components.go
+++ b/internal/entry/components.go
@@ -79,6 +79,7 @@
 	limiter     limit.Limiter
 	operations  operation.Store
 	scheduler   sched.Scheduler
+	running     operator.RunningSource // nil with a scheduler that does not tell
 	controllers []controller
 	handover    func(ctx context.Context) // hands shards and account state over to other instances
 	peerServer  *rpc.Server
@@ -243,8 +244,9 @@
 		Tuning:    tuning,
 		Evidence:  p.liveness,
 		Instances: d.deps.Platform.Instances,
+		Table:     d.deps.Platform.Table,
 	})
-	p.scheduler = node
+	p.scheduler, p.running = node, node
 	p.controllers = append(p.controllers, node.Run)
 	return p.peerServer.Register(dispatch.ServiceName, node.Service())
 }
@@ -363,6 +365,7 @@
 		Table:      d.deps.Platform.Table,
 		CutOff:     cutOffDetector{members: p.members, dataCentres: d.settings.Instance.DataCentres},
 		Refusals:   d.refusals,
+		Running:    p.running,
 		Ring:       d.events,
 	})
 	if err != nil {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -22,6 +22,7 @@
 	"carawayrouter.example/router/internal/clock"
 	"carawayrouter.example/router/internal/config"
 	"carawayrouter.example/router/internal/errkind"
+	"carawayrouter.example/router/internal/evacuation"
 	"carawayrouter.example/router/internal/event"
 	"carawayrouter.example/router/internal/keys"
 	"carawayrouter.example/router/internal/platform"
@@ -39,6 +40,17 @@
 	CutOff() []string
 }
 
+// RunningSource reports the requests of this instance that run at the endpoints of a data centre.
+type RunningSource interface {
+	Running(dataCentre string) int
+}
+
+// Evacuated is an evacuated data centre.
+type Evacuated struct {
+	DataCentre string `json:"data_centre"`
+	Running    int    `json:"running"` // requests of this instance that go on there
+}
+
 // Refusal is the number of recently refused requests of an account, by kind of error.
 type Refusal struct {
 	Account string       `json:"account"`
@@ -61,6 +73,7 @@
 	Table      platform.Table
 	CutOff     CutOffSource  // may be nil
 	Refusals   RefusalSource // may be nil
+	Running    RunningSource // may be nil
 	Clock      clock.Clock   // system clock if nil
 	Ring       *event.Ring
 }
@@ -76,6 +89,7 @@
 	Accepted   uint64           `json:"accepted"`              // newest ticket; 0 if unknown
 	Progress   rollout.Progress `json:"progress"`              // of the newest ticket
 	CutOff     []string         `json:"cut_off"`               // data centres
+	Evacuated  []Evacuated      `json:"evacuated,omitempty"`
 	Refusals   []Refusal        `json:"refusals"`
 }
 
@@ -202,6 +216,17 @@
 	if err != nil {
 		return err
 	}
+	evacuated, err := evacuation.Rows{Table: h.Table}.List(ctx)
+	if err != nil {
+		return err
+	}
+	for _, name := range evacuated {
+		e := Evacuated{DataCentre: name}
+		if h.Running != nil {
+			e.Running = h.Running.Running(name)
+		}
+		s.Evacuated = append(s.Evacuated, e)
+	}
 	s.Accepted = head
 	s.Progress = rollout.ProgressOf(head, sessions)
 	s.CutOff = rollout.CutOff(sessions, h.Clock.Now())
--- a/internal/sched/dispatch/dispatch_test.go
+++ b/internal/sched/dispatch/dispatch_test.go
@@ -21,9 +21,11 @@
 	"carawayrouter.example/router/internal/config"
 	"carawayrouter.example/router/internal/endpoint"
 	"carawayrouter.example/router/internal/errkind"
+	"carawayrouter.example/router/internal/evacuation"
 	"carawayrouter.example/router/internal/member"
 	"carawayrouter.example/router/internal/peer"
 	"carawayrouter.example/router/internal/platform"
+	"carawayrouter.example/router/internal/platform/memplatform"
 	"carawayrouter.example/router/internal/reqid"
 	"carawayrouter.example/router/internal/sched"
 	"carawayrouter.example/router/internal/sched/pool"
@@ -98,6 +100,7 @@
 	listReads int
 	cut       func(from, to string) bool  // by address; cut connections lose all calls
 	views     map[string][]member.Session // views that differ from all, by address
+	table     platform.Table
 }
 
 type fleetNode struct {
@@ -109,7 +112,7 @@
 }
 
 func newFleet(seed uint64, dcs []string, perDC, decodes, slots int) *fleet {
-	f := &fleet{prefill: 5 * time.Millisecond, rand: rand.New(rand.NewPCG(seed, 1)), nodes: map[string]*fleetNode{}, engines: map[string]*engine{}, views: map[string][]member.Session{}}
+	f := &fleet{prefill: 5 * time.Millisecond, rand: rand.New(rand.NewPCG(seed, 1)), nodes: map[string]*fleetNode{}, engines: map[string]*engine{}, views: map[string][]member.Session{}, table: memplatform.New(memplatform.Options{}).For("a").Table}
 	var eps []*config.Endpoint
 	for _, dc := range dcs {
 		for i := range decodes + 2 {
@@ -145,7 +148,7 @@
 	f.mu.Unlock()
 	fn.Node = New(Options{
 		Config: f, Members: view{f, s}, Caller: caller{f, s.Addr}, Dialer: f, Clock: clock.Real{},
-		Rand: rand.New(rand.NewPCG(seed, 2)), Logger: logr.Discard(), Instances: lister{f},
+		Rand: rand.New(rand.NewPCG(seed, 2)), Logger: logr.Discard(), Instances: lister{f}, Table: f.table,
 	})
 	f.mu.Lock()
 	f.nodes[s.Addr] = fn
@@ -724,6 +727,49 @@
 	})
 }
 
+// The operator evacuates a data centre, which one instance reads for all of its own. Its endpoints get no new work, those of the other
+// serve its callers, and running requests continue and are counted.
+func TestEvacuatedDataCentreGetsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(7, []string{"a", "b"}, 2, 2, 50)
+		defer f.stopAll()
+		rows := evacuation.Rows{Table: f.table}
+		time.Sleep(2 * time.Second)
+		ctx := context.Background()
+		acquire := func() (g *sched.Grant, used map[string]int) {
+			used = map[string]int{}
+			for range 5 {
+				for _, fn := range f.list() {
+					var err error
+					g, err = fn.Acquire(ctx, fn.demand())
+					assert.NilError(t, err)
+					g.PrefillDone(sched.Succeeded)
+					used[g.Decode.DataCentre]++
+					defer g.Release(sched.Succeeded)
+				}
+			}
+			return g, used
+		}
+		_, used := acquire()
+		assert.Assert(t, used["a"] > 0 && used["b"] > 0)
+		first := f.list()[0]
+		held, err := first.Acquire(ctx, first.demand())
+		assert.NilError(t, err)
+		dc := held.Decode.DataCentre
+		assert.NilError(t, rows.Write(ctx, dc))
+		time.Sleep(3 * time.Second)
+		_, used = acquire()
+		assert.Equal(t, used[dc], 0)
+		assert.Equal(t, first.Running(dc), 1)
+		held.Release(sched.Succeeded)
+		assert.Equal(t, first.Running(dc), 0)
+		assert.NilError(t, rows.Remove(ctx, dc))
+		time.Sleep(3 * time.Second)
+		_, used = acquire()
+		assert.Assert(t, used[dc] > 0)
+	})
+}
+
 func TestDeltaRoundTrip(t *testing.T) {
 	tries := []uint64{3, 4, 9, 1 << 40}
 	assert.DeepEqual(t, deltaDecode(deltaEncode(tries)), tries)
--- a/internal/sched/dispatch/leaving.go
+++ b/internal/sched/dispatch/leaving.go
@@ -6,6 +6,7 @@
 	"slices"
 	"sync"
 
+	"carawayrouter.example/router/internal/evacuation"
 	"carawayrouter.example/router/internal/peer"
 	"carawayrouter.example/router/internal/platform"
 )
@@ -14,12 +15,14 @@
 // centre.
 func listPlace(dataCentre string) Place { return Place{Pool: "\x00list", DataCentre: dataCentre} }
 
-// leavingList follows the leaving endpoints in the platform's list. One instance of
-// each data centre reads the list; the others ask it for the leaving addresses only,
-// which are few.
+// leavingList follows the leaving endpoints in the platform's list, and those of evacuated data centres,
+// which get no new work either. One instance of each data centre reads the list and the operator's rows; the
+// others ask it for the addresses only, which are few.
 type leavingList struct {
 	node *Node
 
+	evacuated []string // data centres, as last read; used by update only
+
 	mu    sync.Mutex
 	addrs map[string]bool
 }
@@ -65,7 +68,44 @@
 			addrs = append(addrs, i.Addr)
 		}
 	}
-	l.set(addrs)
+	l.set(append(addrs, l.evacuatedAddrs(ctx)...))
+}
+
+// evacuatedAddrs returns the addresses of the endpoints in evacuated data centres. What was read last holds
+// while the table cannot be read.
+func (l *leavingList) evacuatedAddrs(ctx context.Context) (addrs []string) {
+	n := l.node
+	if n.opts.Table == nil {
+		return nil
+	}
+	if names, err := (evacuation.Rows{Table: n.opts.Table}).List(ctx); err == nil {
+		if !slices.Equal(names, l.evacuated) {
+			n.opts.Logger.Info("evacuated data centres have changed", "evacuated", names, "before", l.evacuated)
+		}
+		l.evacuated = names
+	}
+	for _, ep := range n.opts.Config.Current().Endpoints {
+		if slices.Contains(l.evacuated, ep.DataCentre) {
+			addrs = append(addrs, ep.Addr)
+		}
+	}
+	return addrs
+}
+
+// Running returns the number of requests of this instance that run at the endpoints of a data centre.
+func (n *Node) Running(dataCentre string) (running int) {
+	eps := n.opts.Config.Current().Endpoints
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, t := range n.tracked {
+		if t.held == nil {
+			continue
+		}
+		if ep := eps[t.held.Decode]; ep != nil && ep.DataCentre == dataCentre {
+			running++
+		}
+	}
+	return running
 }
 
 func (l *leavingList) set(addrs []string) {
--- a/internal/sched/dispatch/node.go
+++ b/internal/sched/dispatch/node.go
@@ -57,6 +57,7 @@
 	Logger    logr.Logger
 	Events    *event.Ring
 	Instances platform.Instances // nil: only the configuration marks endpoints as leaving
+	Table     platform.Table     // nil: no data centre is evacuated
 	Evidence  Evidence           // nil: only the members' view is used
 	Tuning    *pool.Tuning       // nil: pool.DefaultTuning
 }
