--- a/internal/evacuation/evacuation_test.go
+++ b/internal/evacuation/evacuation_test.go
@@ -233,3 +233,14 @@
 		}
 	})
 }
+
+// BenchmarkMerge is what an update of another instance costs that tells nothing new of three data centres.
+func BenchmarkMerge(b *testing.B) {
+	s := newSet()
+	told := []Record{evacuated("dohoku-a", at(0, 7)), takenBack("dohoku-b", at(0, 8)), takenBack("dohoku-c", at(0, 9))}
+	s.Merge(start, told)
+	b.ReportAllocs()
+	for b.Loop() {
+		s.Merge(start, told)
+	}
+}
