placement, gateway: cold endpoints get no more than they bear, over all instances

Endpoints of a data centre that come back cold together were given whatever waited at each instance. Each instance now uses its part of the bound (limit/coldstart), counts every send just before it is written, and begins at a cold endpoint with one request in progress, one more with each that was served; until then it counts as slower. Waits and refusals know the next turn. Who is cold: the entry's remaining time, once a revision, and what responses say, which updates pass on (ColdFor of observations). Under a bound an endpoint is not asked for its incarnation, as one with a limit is not.

Cold times in responses that are none are counted and logged.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -160,10 +160,12 @@
 	return ok
 }
 
-// isUnlimited reports whether the endpoint announces no limit. Of one with a limit the entry is
-// taken at its word: requests for its incarnation would take the turns of callers' requests.
+// isUnlimited reports whether the endpoint announces no limit and bears any number of requests. Of another one the
+// entry is taken at its word: requests for its incarnation would take the turns of callers' requests.
 func (a *admission) isUnlimited(endpoint string) (ok bool) {
-	a.withScheduler(func(_ time.Time, s *placement.Scheduler) { ok = !s.IsLimited(endpoint) })
+	a.withScheduler(func(now time.Time, s *placement.Scheduler) {
+		ok = !s.IsLimited(endpoint) && !s.IsColdBound(now, endpoint)
+	})
 	return ok
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -92,6 +92,7 @@
 	Encoded       bool   // the body was re-encoded on the way
 	Load          EndpointLoad
 	ColdFor       time.Duration // for which the endpoint says that it stays cold; 0 if it says nothing
+	ColdMalformed bool          // the time is not one
 	Leaving       bool          // the endpoint announces that it leaves
 	// Pause is for how long the endpoint wants no request from this instance.
 	Pause   time.Duration
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -410,7 +410,7 @@
 	if err := g.s.upstream.ensureConn(ctx, l.Target, g.current != nil); err != nil {
 		outcome = outcomeOf(ctx, err)
 		g.s.recordConnectError(l.Target, err)
-		if ctx.Err() == nil && !errors.IsAny(err, errIncarnationUnknown, errPaused) {
+		if ctx.Err() == nil && !errors.IsAny(err, errIncarnationUnknown, errPaused, errNoColdTurn) {
 			g.excluded = append(g.excluded, l.Target.Name)
 		}
 		return nil, ctx.Err() != nil, err
@@ -421,7 +421,7 @@
 			return nil, true, errNoRetryBudget
 		}
 		if p, err = g.prefill(ctx, l); err != nil {
-			if ctx.Err() == nil {
+			if ctx.Err() == nil && !errors.Is(err, errNoColdTurn) {
 				g.excluded = append(g.excluded, engine.Name)
 			}
 			return nil, errors.Is(err, errCallerGone), err
@@ -451,7 +451,7 @@
 
 // mayStillSend reports whether a request may be sent to an endpoint that was chosen for it some time ago.
 func (s *Server) mayStillSend(ep *config.Endpoint) bool {
-	return !s.isLeaving(ep) && s.admission.pausedFor(ep.Name) == 0
+	return !s.isLeaving(ep) && s.admission.pausedFor(ep.Name) == 0 && s.admission.maySendCold(ep.Name)
 }
 
 // sendRun sends the request to the lease's decode engine.
@@ -501,7 +501,7 @@
 func outcomeOf(ctx context.Context, err error) sched.Outcome {
 	cause := context.Cause(ctx)
 	switch {
-	case cause != nil && !errors.Is(cause, errEndpointTimeout), errors.Is(err, errPaused):
+	case cause != nil && !errors.Is(cause, errEndpointTimeout), errors.IsAny(err, errPaused, errNoColdTurn):
 		return sched.Abandoned
 	case errors.Is(err, errOtherIncarnation):
 		return sched.Replaced
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -376,6 +376,7 @@
 	rank, _ := slices.BinarySearch(others, s.settings.Instance)
 	s.admission.withScheduler(func(_ time.Time, p *placement.Scheduler) {
 		p.SetMember(now, pacing.Member{Rank: rank, Count: fleet})
+		p.SetFleet(now, others, listed)
 	})
 	s.quotaMu.Lock()
 	defer s.quotaMu.Unlock()
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -29,6 +29,7 @@
 		s.probeRound(ctx)
 		s.probePaths(ctx)
 		s.updateCutOff(time.Now())
+		s.logCold()
 		sleepJitter(ctx, probeInterval)
 	}
 	return nil
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -17,6 +17,7 @@
 
 	"carawayrouter.example/router/internal/config"
 	"carawayrouter.example/router/internal/errkind"
+	"carawayrouter.example/router/internal/limit/coldstart"
 	"carawayrouter.example/router/internal/limit/pacing"
 	"carawayrouter.example/router/internal/limit/window"
 	"carawayrouter.example/router/internal/placement"
@@ -77,6 +78,9 @@
 	quotaMu sync.Mutex
 	quota   *window.Limiter
 
+	coldLogged  map[string]placement.ColdEndpoint // by endpoint; used by probeLoop only
+	coldRefused endpointLog                       // of cold times that cannot be read
+
 	quarantine *quarantineState
 	origins    *origins
 
@@ -128,6 +132,7 @@
 	g.quota.SetPeers(nil, assumedFleetSize, updateTransit(assumedFleetSize))
 	seed := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	scheduler := placement.New(s.DataCentre, seed)
+	scheduler.SetColdSlack(s.ColdSlackRatio, s.ColdSlackRequests, coldstart.NewFleet(s.Instance, time.Now()))
 	scheduler.SetMember(time.Now(), pacing.Member{Rank: rand.IntN(assumedFleetSize), Count: assumedFleetSize})
 	g.admission = newAdmission(scheduler, func(ep *config.Endpoint) {
 		g.stats.ejections.Inc()
@@ -141,6 +146,7 @@
 	}
 	g.upstream.onAnnouncement = func(req endpointRequest, resp ResponseInfo) {
 		g.recordPause(req, resp)
+		g.recordCold(req, resp)
 		if req.announcesLeaving(resp) {
 			if g.state.announceLeaving(time.Now(), req.endpoint, req.placedAt) {
 				g.peers.requestUpdate()
@@ -153,6 +159,7 @@
 	g.upstream.paths.detour, g.upstream.paths.onCut, g.upstream.paths.onBack = g.dialDetour, g.pathCut, g.pathBack
 	g.upstream.mayAsk = g.admission.isUnlimited
 	g.upstream.pausedFor = g.admission.pausedFor
+	g.upstream.countSend = g.countColdSend
 	g.upstream.onEndByClose = func(confirmed bool) { g.stats.closedAnswers[confirmed].Inc() }
 	g.state = newState(d.RowDecoder, g.admission, d.Log)
 	g.origins = newOrigins(d.Store, s.Instance, g.state)
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -35,6 +35,8 @@
 	tokensCharged     *metrics.Counter
 	crashes           *metrics.Counter
 	pauses            *metrics.Counter
+	coldTurnsRefused  *metrics.Counter
+	coldUnreadable    *metrics.Counter
 	memoryShort       *metrics.Counter
 	acceptFailures    *metrics.Counter
 	yieldedConns      *metrics.Counter
@@ -75,6 +77,8 @@
 		tokensCharged:     set.NewCounter("caraway_tokens_charged_total"),
 		crashes:           set.NewCounter("caraway_endpoint_crashes_total"),
 		pauses:            set.NewCounter("caraway_endpoint_pauses_total"),
+		coldTurnsRefused:  set.NewCounter("caraway_cold_turns_refused_total"),
+		coldUnreadable:    set.NewCounter("caraway_cold_times_unreadable_total"),
 		memoryShort:       set.NewCounter("caraway_body_memory_short_total"),
 		acceptFailures:    set.NewCounter("caraway_accept_failures_total"),
 		yieldedConns:      set.NewCounter("caraway_idle_connections_closed_total"),
@@ -104,6 +108,7 @@
 	set.NewGauge("caraway_waiting", func() float64 { return float64(s.admission.queueLength()) })
 	set.NewGauge("caraway_endpoints_withheld", func() float64 { return float64(s.state.countWithheld()) })
 	set.NewGauge("caraway_endpoints_limited", func() float64 { return float64(s.admission.countLimited()) })
+	set.NewGauge("caraway_endpoints_cold", func() float64 { return float64(s.admission.countCold()) })
 	set.NewGauge("caraway_quarantined_causes", func() float64 { return float64(s.quarantine.count()) })
 	set.NewGauge("caraway_store_away", func() float64 {
 		if s.state.storeUnavailable() {
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -48,6 +48,7 @@
 	onAnnouncement func(req endpointRequest, resp ResponseInfo)
 	mayAsk         func(endpoint string) bool          // reports whether an endpoint may be asked for its incarnation
 	pausedFor      func(endpoint string) time.Duration // returns for how long an endpoint wants no request
+	countSend      func(endpoint string) bool          // counts a request that is about to be written; false if it may not be
 	onEndByClose   func(confirmed bool)                // observes the end of an answer without a length
 
 	memory *bodyMemory
@@ -107,7 +108,7 @@
 
 func newUpstream(w Wire, onOpen func(net.Conn)) *upstream {
 	return &upstream{wire: w, memory: newBodyMemory(0), paths: newPaths(dialTCP, func(context.Context, string) (net.Conn, error) { return nil, errNoDetour }), onOpen: onOpen, onResponse: func(endpointRequest, time.Time, ResponseInfo) {}, onAnnouncement: func(endpointRequest, ResponseInfo) {},
-		mayAsk: func(string) bool { return true }, pausedFor: func(string) time.Duration { return 0 }, onEndByClose: func(bool) {}, idle: map[string][]*endpointConn{}}
+		mayAsk: func(string) bool { return true }, pausedFor: func(string) time.Duration { return 0 }, countSend: func(string) bool { return true }, onEndByClose: func(bool) {}, idle: map[string][]*endpointConn{}}
 }
 
 // dialTCP is the usual Dial.
@@ -398,6 +399,10 @@
 		u.put(c)
 		return nil, errors.Mark(errPaused, endpoint.ErrNotSent)
 	}
+	if !u.countSend(req.endpoint) {
+		u.put(c)
+		return nil, errors.Mark(errNoColdTurn, endpoint.ErrNotSent)
+	}
 	sentAt := time.Now()
 	stopWatch := context.AfterFunc(ctx, c.reset)
 	silence := time.AfterFunc(pathSilence, func() { u.checkPath(context.WithoutCancel(ctx), req.addr, false) })
--- a/internal/limit/coldstart/coldstart.go
+++ b/internal/limit/coldstart/coldstart.go
@@ -192,11 +192,16 @@
 	}
 }
 
-// Send records a request that is about to be written, and reports whether it may be.
-func (t *Turns) Send(now time.Time, f *Fleet, bound int) bool {
+// HasRoom reports whether a request may be written now.
+func (t *Turns) HasRoom(now time.Time, f *Fleet, bound int) bool {
 	part := t.Part(f, bound)
 	t.sent = forget(now, t.sent)
-	if !f.listed || f.quietFor(now) > 0 || len(t.sent) >= part {
+	return f.listed && f.quietFor(now) == 0 && len(t.sent) < part
+}
+
+// Send records a request that is about to be written, and reports whether it may be.
+func (t *Turns) Send(now time.Time, f *Fleet, bound int) bool {
+	if !t.HasRoom(now, f, bound) {
 		return false
 	}
 	t.sent = append(t.sent, now)
--- a/internal/placement/absent.go
+++ b/internal/placement/absent.go
@@ -30,7 +30,7 @@
 // overload: what they have asked for must not be forgotten with the entry.
 //
 //   - A pause ends with its time only: who restarts in an overload has not said that it is over.
-//   - A limit that the incarnation has announced outlives its entry, its address and its role, and so does an
+//   - A limit that the incarnation has announced, and its cold time, outlive its entry, its address and its role, and so does an
 //     ejection because of its failures, which ends with its time or a success. Besides the pause, a former incarnation
 //     leaves nothing behind.
 //   - What was measured and which requests it has outlive its entry and its address, and belong to the role.
@@ -52,7 +52,7 @@
 	}
 	if x.ep.Role != ep.Role {
 		changed := newEndpointState(ep, spec)
-		changed.pausedUntil, changed.pacer = x.pausedUntil, x.pacer
+		changed.pausedUntil, changed.pacer, changed.cold = x.pausedUntil, x.pacer, x.cold
 		changed.failures, changed.ejections = x.failures, x.ejections
 		changed.unreachable, changed.ejectedUntil = x.unreachable, x.ejectedUntil
 		return changed
--- /dev/null
+++ b/internal/placement/cold.go
@@ -0,0 +1,197 @@
+package placement
+
+import (
+	"time"
+
+	"carawayrouter.example/router/internal/config"
+	"carawayrouter.example/router/internal/limit/coldstart"
+)
+
+// coldState is what is known of the cold time of an endpoint's incarnation. It answers endpoints that come back cold
+// together while the callers of the lost ones wait at all instances.
+type coldState struct {
+	entryRead bool
+	revision  uint64    // of the entry that entryEnd was read from
+	entryEnd  time.Time // of the cold time, by the entry
+	saidEnd   time.Time // of the cold time, by responses of the endpoint, here or at other instances
+	saidAt    time.Time // of the response that this instance has had itself; zero if it has none
+	bound     int       // requests within a second, from all instances
+	bounded   bool      // it gets no more than bound while it is cold
+	turns     *coldstart.Turns
+	served    int // answers and first tokens of this incarnation since it was cold first, or again
+}
+
+// read applies an entry. The remaining time counts from when this revision was read, so it ends late rather than early.
+func (c *coldState) read(now time.Time, ep *config.Endpoint) {
+	if c.entryRead && c.revision >= ep.Revision {
+		return
+	}
+	c.entryRead, c.revision = true, ep.Revision
+	c.begin(now, ep.WarmUp)
+	c.entryEnd = now.Add(ep.WarmUp)
+}
+
+// begin forgets what an endpoint has shown that becomes cold again.
+func (c *coldState) begin(now time.Time, left time.Duration) {
+	if left > 0 && !now.Before(c.end()) {
+		c.served = 0
+	}
+}
+
+// end returns until when the endpoint is cold.
+func (c *coldState) end() time.Time {
+	if c.saidEnd.After(c.entryEnd) {
+		return c.saidEnd
+	}
+	return c.entryEnd
+}
+
+// boundNow reports whether the endpoint is cold and bears only so many requests.
+func (x *endpointState) boundNow(now time.Time) bool {
+	return x.cold.bounded && now.Before(x.cold.end())
+}
+
+// coldTurns returns the turns at a cold endpoint.
+func (x *endpointState) coldTurns() *coldstart.Turns {
+	if x.cold.turns == nil {
+		x.cold.turns = coldstart.NewTurns(x.ep.Name, x.ep.Incarnation)
+	}
+	return x.cold.turns
+}
+
+// SetColdSlack sets what is tolerated above the rate of requests that a cold endpoint bears: a factor and a number of
+// requests. Fleet is the list of instances among which the bound is divided.
+func (s *Scheduler) SetColdSlack(ratio, requests float64, fleet *coldstart.Fleet) {
+	s.coldSlackRatio, s.coldSlackRequests, s.fleet = ratio, requests, fleet
+}
+
+// SetFleet tells which other instances there are, and whether these are all.
+func (s *Scheduler) SetFleet(now time.Time, others []string, listed bool) {
+	s.fleet.Set(now, others, listed)
+}
+
+// readCold applies what an entry and the endpoint's pool say of its cold time.
+func (s *Scheduler) readCold(now time.Time, x *endpointState, pool *config.Pool) {
+	x.cold.read(now, x.ep)
+	x.cold.bounded = pool.ColdRate > 0
+	if x.cold.bounded {
+		x.cold.bound = coldstart.Bound(pool.ColdRate, s.coldSlackRatio, s.coldSlackRequests)
+	}
+}
+
+// coldReady reports whether this instance may choose an endpoint as far as its cold time goes. It has at most one
+// request in progress there more than the endpoint has served: an endpoint that turns out to be slow, or ends, holds up
+// few.
+func (s *Scheduler) coldReady(now time.Time, x *endpointState) bool {
+	if !x.boundNow(now) {
+		return true
+	}
+	return x.inProgress() <= x.cold.served && x.coldTurns().Ready(now, s.fleet, x.cold.bound)
+}
+
+// inProgress returns the number of this instance's requests at the endpoint.
+func (x *endpointState) inProgress() int {
+	n := len(x.generations) + x.calls
+	if x.ep.Role == config.Prefill && x.prefillTokens > 0 {
+		n++
+	}
+	return n
+}
+
+// chooseCold uses a turn at an endpoint if it is cold.
+func (s *Scheduler) chooseCold(now time.Time, x *endpointState) {
+	if x.boundNow(now) {
+		x.coldTurns().Choose(now)
+	}
+}
+
+// CountSend counts a request that is about to be written to an incarnation of an endpoint, and reports whether it may
+// be. A decode follows its prefill later than it was placed: the endpoint may be cold again, or this instance's part
+// may be smaller.
+func (s *Scheduler) CountSend(now time.Time, endpoint string) bool {
+	x := s.known(endpoint)
+	return x == nil || !x.boundNow(now) || x.coldTurns().Send(now, s.fleet, x.cold.bound)
+}
+
+// MaySend reports whether CountSend would let a request through.
+func (s *Scheduler) MaySend(now time.Time, endpoint string) bool {
+	x := s.known(endpoint)
+	return x == nil || !x.boundNow(now) || x.coldTurns().HasRoom(now, s.fleet, x.cold.bound)
+}
+
+// coldDelay is by how much an endpoint counts as slower before it has served anything while cold, as a factor.
+const coldDelay = 1.0
+
+// coldFactor is by how much an endpoint counts as slower than it was measured: less with each request that it has
+// served.
+func (x *endpointState) coldFactor(now time.Time) float64 {
+	if !x.boundNow(now) {
+		return 1
+	}
+	return 1 + coldDelay/float64(1+x.cold.served)
+}
+
+// coldWait returns how long this instance waits for a turn at a cold endpoint and how many it has in a second.
+func (s *Scheduler) coldWait(now time.Time, x *endpointState) (wait time.Duration, rate float64) {
+	warm := x.cold.end().Sub(now)
+	wait, ok := x.coldTurns().Next(now, s.fleet, x.cold.bound)
+	if !ok {
+		return warm, 0
+	}
+	return min(wait, warm), x.coldTurns().Rate(s.fleet, x.cold.bound)
+}
+
+// ColdEndpoint is the cold time of an endpoint's incarnation.
+type ColdEndpoint struct {
+	Endpoint    string
+	Incarnation int64
+	Left        time.Duration
+}
+
+// RecordCold records that an incarnation of an endpoint has said to this instance for how long it stays cold.
+func (s *Scheduler) RecordCold(now time.Time, c ColdEndpoint) {
+	if x := s.known(c.Endpoint); x != nil && x.ep.Incarnation == c.Incarnation {
+		x.cold.begin(now, c.Left)
+		x.cold.saidEnd, x.cold.saidAt = later(x.cold.saidEnd, now.Add(c.Left)), now
+	}
+}
+
+// MergeCold applies what an endpoint has said to another instance of its cold time.
+func (s *Scheduler) MergeCold(now time.Time, c ColdEndpoint) {
+	if x := s.known(c.Endpoint); x != nil && x.ep.Incarnation == c.Incarnation {
+		x.cold.begin(now, c.Left)
+		x.cold.saidEnd = later(x.cold.saidEnd, now.Add(c.Left))
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+// EachReportedCold calls visit with every cold endpoint that has said so to this instance itself. What other instances
+// have told is not passed on: it would last longer by the transit of the update each time.
+func (s *Scheduler) EachReportedCold(now time.Time, visit func(ColdEndpoint)) {
+	for name, x := range s.endpoints {
+		if left := x.cold.saidEnd.Sub(now); x.cold.bounded && left > 0 && !x.cold.saidAt.IsZero() {
+			visit(ColdEndpoint{Endpoint: name, Incarnation: x.ep.Incarnation, Left: left})
+		}
+	}
+}
+
+// EachCold calls visit with every endpoint that is cold and bears only so many requests.
+func (s *Scheduler) EachCold(now time.Time, visit func(ColdEndpoint)) {
+	for name, x := range s.endpoints {
+		if x.boundNow(now) {
+			visit(ColdEndpoint{Endpoint: name, Incarnation: x.ep.Incarnation, Left: x.cold.end().Sub(now)})
+		}
+	}
+}
+
+// IsColdBound reports whether the endpoint is cold and bears only so many requests.
+func (s *Scheduler) IsColdBound(now time.Time, endpoint string) bool {
+	x := s.known(endpoint)
+	return x != nil && x.boundNow(now)
+}
--- /dev/null
+++ b/internal/placement/cold_test.go
@@ -0,0 +1,243 @@
+package placement
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"carawayrouter.example/router/internal/config"
+	"carawayrouter.example/router/internal/limit/coldstart"
+	"carawayrouter.example/router/internal/sched"
+)
+
+const (
+	coldTime = 3 * time.Second
+	coldRate = 26.0
+	// coldBound is what the schedulers of coldFleet may send together to a cold endpoint in a second.
+	coldBound = 44 // coldRate x 1.5 + 5
+)
+
+// returned returns a configuration whose endpoints of data centre b have just come back cold.
+func returned(plain, prefill, decode int, rate float64) *config.State {
+	o := &config.Objects{Pools: []*config.Pool{
+		{Name: modelPool, Kind: config.ModelPool, Engine: &config.EngineSpec{Slots: 12, KVTokens: 54_000, Stride: 72}, ColdRate: rate},
+		{Name: servicePool, Kind: config.ServicePool, ColdRate: rate},
+	}}
+	add := func(role config.Role, pool string, n int) {
+		for i := range n {
+			e := &config.Endpoint{Name: fmt.Sprintf("%s-%d", role, i), Pool: pool, Addr: fmt.Sprintf("10.0.0.%d:1", i), DataCentre: "a", Role: role, Slots: 12, Incarnation: 7, Revision: 1}
+			if i%2 == 1 {
+				e.DataCentre, e.WarmUp = "b", coldTime
+			}
+			o.Endpoints = append(o.Endpoints, e)
+		}
+	}
+	add(config.Plain, servicePool, plain)
+	add(config.Prefill, modelPool, prefill)
+	add(config.Decode, modelPool, decode)
+	return config.Build(1, o)
+}
+
+// coldFleet returns the schedulers of n instances that have been running for long and know each other.
+func coldFleet(n int, st *config.State) []*Scheduler {
+	var names []string
+	for i := range n {
+		names = append(names, fmt.Sprintf("i%d", i))
+	}
+	var out []*Scheduler
+	for i, name := range names {
+		s := newScheduler(uint64(i), config.Build(1, &config.Objects{}))
+		s.SetColdSlack(1.5, 5, coldstart.NewFleet(name, start.Add(-time.Hour)))
+		s.SetFleet(start, slices.Delete(slices.Clone(names), i, i+1), true)
+		s.SetEndpoints(start, st)
+		out = append(out, s)
+	}
+	return out
+}
+
+// worstSecond returns the greatest number of the times within a second.
+func worstSecond(times []time.Time) int {
+	slices.SortFunc(times, time.Time.Compare)
+	most, first := 0, 0
+	for i, at := range times {
+		for at.Sub(times[first]) > time.Second {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// A data centre comes back cold at once while the callers of the lost one wait at all instances: each instance gives
+// each returned endpoint its part, and together they use them without exceeding what they bear. Prefills and decodes
+// count.
+func TestReturnOfADataCentreInAFlood(t *testing.T) {
+	for _, instances := range []int{3, 65} {
+		t.Run(fmt.Sprint(instances), func(t *testing.T) {
+			st := returned(0, 4, 8, coldRate)
+			fleet := coldFleet(instances, st)
+			sends := map[string][]time.Time{}
+			type run struct {
+				s            *Scheduler
+				l            *Lease
+				decode, over time.Time
+				sent         bool
+			}
+			var runs []*run
+			served := 0
+			for now := start; now.Before(start.Add(coldTime)); now = now.Add(10 * time.Millisecond) {
+				for _, s := range fleet {
+					for range 3 {
+						l := s.AcquireEngine(now, demand(2000, 70))
+						if l == nil {
+							break
+						}
+						if s.CountSend(now, l.Prefill.Name) {
+							sends[l.Prefill.Name] = append(sends[l.Prefill.Name], now)
+							runs = append(runs, &run{s: s, l: l, decode: now.Add(60 * time.Millisecond), over: now.Add(400 * time.Millisecond)})
+						} else {
+							s.Release(now, l, sched.Abandoned)
+						}
+					}
+				}
+				runs = slices.DeleteFunc(runs, func(r *run) bool {
+					switch {
+					case !r.sent && !now.Before(r.decode):
+						r.s.PrefillDone(now, r.l, sched.Succeeded)
+						if !r.s.CountSend(now, r.l.Target.Name) {
+							r.s.Release(now, r.l, sched.Abandoned)
+							return true
+						}
+						sends[r.l.Target.Name] = append(sends[r.l.Target.Name], now)
+						r.sent = true
+						r.s.RecordProgress(now, r.l, 1)
+					case r.sent && !now.Before(r.over):
+						r.s.Release(now, r.l, sched.Succeeded)
+						served++
+						return true
+					}
+					return false
+				})
+			}
+			cold := 0
+			for name, times := range sends {
+				if st.Endpoints[name].WarmUp > 0 {
+					cold += len(times)
+					assert.Assert(t, worstSecond(times) <= coldBound, "%s got %d requests within a second", name, worstSecond(times))
+				}
+			}
+			assert.Assert(t, cold > 6*coldBound*3/4, "the 6 returned ones are used: %d requests in 3 s", cold)
+			assert.Assert(t, served > 0)
+		})
+	}
+}
+
+// A cold endpoint shows what it can do: one request at first, one more with each that it has served. One that is slow
+// or ends holds up few.
+func TestColdEndpointIsUsedAsFarAsItServes(t *testing.T) {
+	s := coldFleet(1, returned(2, 0, 0, coldRate))[0]
+	d := Demand{Pool: servicePool, Exclude: []string{"plain-0"}}
+	first := s.AcquireService(start, d)
+	assert.Equal(t, first.Target.Name, "plain-1")
+	assert.Assert(t, s.AcquireService(start, d) == nil, "it has shown nothing")
+	s.Release(start.Add(50*time.Millisecond), first, sched.Succeeded)
+	second, third := s.AcquireService(start.Add(time.Second), d), s.AcquireService(start.Add(time.Second), d)
+	assert.Assert(t, second != nil && third != nil)
+	assert.Assert(t, s.AcquireService(start.Add(time.Second), d) == nil)
+	assert.Assert(t, s.AcquireService(start.Add(coldTime), d) != nil, "it is warm")
+}
+
+// While others are free, a cold endpoint gets nothing.
+func TestWarmEndpointsGoFirst(t *testing.T) {
+	s := coldFleet(1, returned(4, 4, 4, coldRate))[0]
+	for i := range 20 {
+		now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+		call, generation := s.AcquireService(now, Demand{Pool: servicePool}), s.AcquireEngine(now, demand(100, 10))
+		for _, ep := range []*config.Endpoint{call.Target, generation.Prefill, generation.Target} {
+			assert.Equal(t, ep.DataCentre, "a")
+		}
+		s.Release(now, call, sched.Succeeded)
+		s.PrefillDone(now, generation, sched.Succeeded)
+		s.Release(now, generation, sched.Succeeded)
+	}
+}
+
+// Who finds only cold endpoints without a turn learns when the next one is, or when they are warm.
+func TestNextTurnAtColdEndpoints(t *testing.T) {
+	st := returned(2, 0, 0, 1) // bound 6, of which 4 are divided
+	delete(st.Endpoints, "plain-0")
+	for _, s := range coldFleet(65, st) {
+		wait := s.NextTurn(start, servicePool)
+		if l := s.AcquireService(start, Demand{Pool: servicePool}); l != nil {
+			assert.Equal(t, wait, time.Duration(0))
+			assert.Assert(t, s.CountSend(start, l.Target.Name))
+			s.Release(start, l, sched.Succeeded)
+			wait = s.NextTurn(start, servicePool)
+			assert.Assert(t, wait > 0 && wait < 2*time.Second)
+			assert.Assert(t, s.AcquireService(start.Add(wait), Demand{Pool: servicePool}) != nil)
+			continue
+		}
+		assert.Equal(t, wait, coldTime)
+	}
+}
+
+// The remaining time of an entry counts from its reading, once for each revision; what endpoints say makes them cold
+// again; another incarnation goes by its own entry.
+func TestWhoIsCold(t *testing.T) {
+	st := returned(2, 0, 0, coldRate)
+	s := coldFleet(1, st)[0]
+	s.SetEndpoints(start.Add(2*time.Second), st)
+	assert.Assert(t, s.IsColdBound(start.Add(coldTime-1), "plain-1"))
+	assert.Assert(t, !s.IsColdBound(start.Add(coldTime), "plain-1"), "the same revision was read again")
+
+	later := start.Add(10 * time.Second)
+	s.RecordCold(later, ColdEndpoint{Endpoint: "plain-1", Incarnation: 6, Left: time.Second})
+	assert.Assert(t, !s.IsColdBound(later, "plain-1"), "a former incarnation said so")
+	s.RecordCold(later, ColdEndpoint{Endpoint: "plain-1", Incarnation: 7, Left: time.Second})
+	s.MergeCold(later, ColdEndpoint{Endpoint: "plain-0", Incarnation: 7, Left: time.Second})
+	assert.Assert(t, s.IsColdBound(later, "plain-0") && s.IsColdBound(later, "plain-1"))
+	var told []ColdEndpoint
+	s.EachReportedCold(later, func(c ColdEndpoint) { told = append(told, c) })
+	assert.DeepEqual(t, told, []ColdEndpoint{{Endpoint: "plain-1", Incarnation: 7, Left: time.Second}})
+
+	next := returned(2, 0, 0, coldRate)
+	next.Endpoints["plain-1"].Incarnation, next.Endpoints["plain-1"].WarmUp = 8, 0
+	s.SetEndpoints(later, next)
+	assert.Assert(t, !s.IsColdBound(later, "plain-1"))
+}
+
+// Without a rate that cold endpoints bear, nothing changes: they get what the others get.
+func TestColdEndpointsWithoutARate(t *testing.T) {
+	warm := returned(4, 4, 4, 0)
+	for _, ep := range warm.Endpoints {
+		ep.WarmUp = 0
+	}
+	choices := func(st *config.State) (names []string) {
+		s := coldFleet(1, st)[0]
+		for i := range 50 {
+			now := start.Add(time.Duration(i) * time.Millisecond)
+			call, generation := s.AcquireService(now, Demand{Pool: servicePool}), s.AcquireEngine(now, demand(100, 10))
+			names = append(names, call.Target.Name)
+			if generation != nil {
+				names = append(names, generation.Prefill.Name, generation.Target.Name)
+			}
+		}
+		return names
+	}
+	assert.DeepEqual(t, choices(returned(4, 4, 4, 0)), choices(warm))
+}
+
+func BenchmarkAcquireServiceCold(b *testing.B) {
+	s := coldFleet(1, returned(20, 0, 0, 1e4))[0]
+	now := start
+	b.ReportAllocs()
+	for b.Loop() {
+		if l := s.AcquireService(now, Demand{Pool: servicePool}); l != nil {
+			s.CountSend(now, l.Target.Name)
+			s.Release(now, l, sched.Succeeded)
+		}
+	}
+}
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -6,6 +6,11 @@
 	crossDataCentrePenalty = 0.03                 // as a fraction of an engine's memory, for transfers between data centres
 	crossDataCentrePrefill = 5 * time.Millisecond // for a prefill result that is fetched from another data centre
 	crossDataCentreCall    = 2 * time.Millisecond // for a plain call to another data centre
+
+	// What a cold endpoint that has served nothing yet counts as more loaded, even if it is empty: as much as one
+	// that the others have used for a while. It is used when these are busy.
+	coldPrefill = float64(maxPrefillBacklog / 4)
+	coldLoad    = 0.25 // as a fraction of an engine's memory
 )
 
 // prefillCost returns how long a prefill added now is expected to wait at a prefill engine, with what speaks
@@ -15,12 +20,12 @@
 	if x.ejectedByPeer(now) {
 		wait += maxPrefillBacklog / 2
 	}
-	return wait
+	return wait + time.Duration((x.coldFactor(now)-1)*coldPrefill)
 }
 
 // decodeCost returns the load of a decode engine as a fraction of its memory, with what speaks against the engine.
 func (s *Scheduler) decodeCost(now time.Time, x *endpointState) float64 {
-	load := x.plannedMemory(now) * float64(x.tokenTime) / float64(defaultTokenTime)
+	load := x.plannedMemory(now)*float64(x.tokenTime)/float64(defaultTokenTime)*x.coldFactor(now) + coldLoad*(x.coldFactor(now)-1)
 	if x.ep.DataCentre != s.dataCentre {
 		load += crossDataCentrePenalty
 	}
@@ -35,7 +40,7 @@
 func (s *Scheduler) callCost(now time.Time, x *endpointState, lowest time.Duration) time.Duration {
 	slots := max(1, x.ep.Slots)
 	active := x.activeCalls(now)
-	latency := x.callLatency
+	latency := time.Duration(float64(x.callLatency) * x.coldFactor(now))
 	if now.Sub(x.callLatencyAt) > latencyTTL {
 		// Lets an endpoint that was slow be tried again.
 		latency = min(latency, lowest)
--- a/internal/placement/endpoint.go
+++ b/internal/placement/endpoint.go
@@ -48,6 +48,7 @@
 	peerEjections map[string]time.Time // end of the ejections in force at other instances, by instance
 
 	pacer pacing.Pacer // of the limit that the endpoint announces
+	cold  coldState
 
 	reportedCalls int // running and waiting calls besides the answered one, as the endpoint last reported
 	reportedAt    time.Time
--- a/internal/placement/limits.go
+++ b/internal/placement/limits.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"time"
 
 	"carawayrouter.example/router/internal/config"
@@ -11,11 +12,16 @@
 type endpointFilter func(now time.Time, x *endpointState) bool
 
 // ready reports whether this instance may send the endpoint a request under the limit that it
-// announces.
-func (s *Scheduler) ready(now time.Time, x *endpointState) bool { return x.pacer.Ready(now, s.member) }
+// announces and within what it bears while it is cold.
+func (s *Scheduler) ready(now time.Time, x *endpointState) bool {
+	return x.pacer.Ready(now, s.member) && s.coldReady(now, x)
+}
 
 // take uses a turn of this instance at an endpoint.
-func (s *Scheduler) take(now time.Time, x *endpointState) { x.pacer.Take(now, s.member) }
+func (s *Scheduler) take(now time.Time, x *endpointState) {
+	x.pacer.Take(now, s.member)
+	s.chooseCold(now, x)
+}
 
 // reserveForPeer keeps engines free for a waiter of another instance, which has turns of its own
 // under the engines' limits.
@@ -116,17 +122,25 @@
 		if x.ep.Role != role || !x.available(now) {
 			continue
 		}
-		l := x.pacer.Limit()
-		if !l.Limited {
+		l, cold := x.pacer.Limit(), x.boundNow(now)
+		if !l.Limited && !cold {
 			return 0
 		}
-		rate += l.Rate / float64(s.member.Count)
-		if wait := max(0, x.pacer.Next(now, s.member).Sub(now)); first < 0 || wait < first {
+		wait, own := time.Duration(0), math.Inf(1)
+		if l.Limited {
+			wait, own = max(0, x.pacer.Next(now, s.member).Sub(now)), l.Rate/float64(s.member.Count)
+		}
+		if cold {
+			coldWait, coldRate := s.coldWait(now, x)
+			wait, own = max(wait, coldWait), min(own, coldRate)
+		}
+		rate += own
+		if first < 0 || wait < first {
 			first = wait
 		}
 	}
 	if rate == 0 {
-		return 0
+		return max(0, first)
 	}
 	return first + time.Duration(float64(before)/rate*float64(time.Second))
 }
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"carawayrouter.example/router/internal/config"
+	"carawayrouter.example/router/internal/limit/coldstart"
 	"carawayrouter.example/router/internal/limit/pacing"
 	"carawayrouter.example/router/internal/sched"
 )
@@ -58,6 +59,7 @@
 	prefillTokens                   int // prompt tokens of the lease's prefill, while it is in progress
 	backlogTokens                   int // prompt tokens in progress at the prefill engine at the grant, including the lease's own
 	released                        bool
+	begun                           bool // the target has generated output
 }
 
 // Scheduler places requests on endpoints. It is not safe for concurrent use.
@@ -72,11 +74,14 @@
 	pools      map[string][]*endpointState
 	peers      map[string]*PeerState
 	member     pacing.Member // this instance's place in the fleet
+
+	fleet                             *coldstart.Fleet // among which the requests to cold endpoints are divided
+	coldSlackRatio, coldSlackRequests float64
 }
 
 // New returns a Scheduler without endpoints, for an instance in the given data centre.
 func New(dataCentre string, r *rand.Rand) *Scheduler {
-	return &Scheduler{dataCentre: dataCentre, rand: r, endpoints: map[string]*endpointState{}, absent: map[string]absentEndpoint{}, pools: map[string][]*endpointState{}, peers: map[string]*PeerState{}, member: pacing.Member{Count: 1}}
+	return &Scheduler{dataCentre: dataCentre, rand: r, endpoints: map[string]*endpointState{}, absent: map[string]absentEndpoint{}, pools: map[string][]*endpointState{}, peers: map[string]*PeerState{}, member: pacing.Member{Count: 1}, fleet: coldstart.NewFleet("", time.Time{})}
 }
 
 // SetEndpoints replaces the endpoints. What is known of an endpoint's incarnation outlives its entry; see
@@ -96,6 +101,7 @@
 		}
 		delete(s.absent, name)
 		x = entered(x, ep, pool.Engine, !present)
+		s.readCold(now, x, pool)
 		s.endpoints[name] = x
 		s.pools[ep.Pool] = append(s.pools[ep.Pool], x)
 	}
@@ -308,6 +314,7 @@
 		return false
 	}
 	if o == sched.Succeeded && l.prefillTokens > 0 {
+		x.cold.served++
 		x.prefillTokenTime = movingAverage(x.prefillTokenTime, max(time.Microsecond, now.Sub(l.grantedAt)/time.Duration(l.backlogTokens)))
 	}
 	x.prefillTokens -= l.prefillTokens
@@ -409,6 +416,10 @@
 	x := l.targetEndpoint
 	x.prefillTokens -= l.replayTokens
 	l.replayTokens = 0
+	if generated > 0 && !l.begun {
+		l.begun = true
+		x.cold.served++
+	}
 	if l.generation.Generated > 0 && generated > l.generation.Generated {
 		x.tokenTime = movingAverage(x.tokenTime, now.Sub(l.generation.AsOf)/time.Duration(generated-l.generation.Generated))
 	}
@@ -441,6 +452,7 @@
 	} else {
 		x.calls--
 		if o == sched.Succeeded {
+			x.cold.served++
 			x.callLatency, x.callLatencyAt = movingAverage(x.callLatency, now.Sub(l.grantedAt)), now
 		}
 	}
