--- a/internal/limit/coldstart/coldstart_test.go
+++ b/internal/limit/coldstart/coldstart_test.go
@@ -218,7 +218,7 @@
 	assert.Equal(t, turns.Part(f, 43), 32/4)
 	f.Set(epoch.Add(time.Second), nil, true)
 	assert.Equal(t, turns.Part(f, 43), 32/4)
-	f.Set(epoch.Add(retention), nil, true)
+	f.Set(epoch.Add(30*time.Second), nil, true)
 	assert.Equal(t, turns.Part(f, 43), 32/4)
 	f.Set(epoch.Add(time.Second+retention+tick), nil, true)
 	assert.Equal(t, turns.Part(f, 43), 32)
