--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -422,7 +422,7 @@
 			return nil, true, errNoRetryBudget
 		}
 		if p, err = g.prefill(ctx, l); err != nil {
-			if ctx.Err() == nil {
+			if ctx.Err() == nil && !errors.Is(err, errNotEligible) {
 				g.excluded = append(g.excluded, engine.Name)
 			}
 			return nil, errors.Is(err, errCallerGone), err
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -48,7 +48,8 @@
 	// in a late one, and in one that another instance receives through this one.
 	onAnnouncement func(req endpointRequest, resp ResponseInfo)
 	mayAsk         func(endpoint string) bool               // reports whether an endpoint may be asked for its incarnation
-	recheck        func(r placement.Send) placement.Refusal // decides right before a request is written whether it may be
+	recheck        func(r placement.Send) placement.Refusal // decides once more whether a request may be written
+	admit          func(r placement.Send) placement.Refusal // recheck for a request that is written next, which it counts
 	onEndByClose   func(confirmed bool)                     // observes the end of an answer without a length
 
 	memory *bodyMemory
@@ -113,7 +114,7 @@
 
 func newUpstream(w Wire, onOpen func(net.Conn)) *upstream {
 	return &upstream{wire: w, memory: newBodyMemory(0), paths: newPaths(dialTCP, func(context.Context, string) (net.Conn, error) { return nil, errNoDetour }), onOpen: onOpen, onResponse: func(endpointRequest, time.Time, ResponseInfo) {}, onAnnouncement: func(endpointRequest, ResponseInfo) {},
-		mayAsk: func(string) bool { return true }, recheck: func(placement.Send) placement.Refusal { return "" }, onEndByClose: func(bool) {}, idle: map[string][]*endpointConn{}}
+		mayAsk: func(string) bool { return true }, recheck: func(placement.Send) placement.Refusal { return "" }, admit: func(placement.Send) placement.Refusal { return "" }, onEndByClose: func(bool) {}, idle: map[string][]*endpointConn{}}
 }
 
 // dialTCP is the usual Dial.
@@ -414,7 +415,7 @@
 		return nil, errors.Mark(context.Cause(ctx), endpoint.ErrNotSent)
 	}
 	// The endpoint may have been evacuated, have asked for a pause or leave since the request was placed.
-	if r := u.recheck(req.send()); r != "" {
+	if r := u.admit(req.send()); r != "" {
 		u.put(c)
 		return nil, notEligible(r)
 	}
--- a/internal/gateway/upstream_test.go
+++ b/internal/gateway/upstream_test.go
@@ -371,6 +371,7 @@
 				}
 				return ""
 			}
+			u.admit = u.recheck
 			_, err = u.do(context.Background(), endpointRequest{endpoint: "e", addr: ln.Addr().String(), method: http.MethodGet, uri: "/", host: "h", incarnation: incarnation})
 			assert.ErrorIs(t, err, errNotEligible)
 			assert.Assert(t, errors.Is(err, endpoint.ErrNotSent))
--- a/internal/placement/eligible.go
+++ b/internal/placement/eligible.go
@@ -100,15 +100,12 @@
 	switch {
 	case !x.pacer.Ready(now, s.member):
 		return Limited
-	case !x.coldTurn(now):
+	case !s.coldReady(now, x):
 		return Cold
 	}
 	return ""
 }
 
-// coldTurn reports whether the endpoint, if it is cold, takes a request of this instance now.
-func (x *endpointState) coldTurn(time.Time) bool { return true }
-
 // Send is a request that is about to be written to an endpoint.
 type Send struct {
 	Endpoint    string
@@ -117,19 +114,39 @@
 	NoWork      bool // a probe, a question or the release of a prefill result
 }
 
-// Recheck decides once more whether an endpoint may be given a request that was placed on it. The turn was taken then.
+// Recheck decides once more whether an endpoint may be given a request that was placed on it. The turn under its limit was
+// taken then; at a cold endpoint a request counts when it is written, as a decode follows its prefill later than it was placed.
 func (s *Scheduler) Recheck(now time.Time, r Send) Refusal {
-	x := s.endpoints[r.Endpoint]
+	refusal, _ := s.recheck(now, r)
+	return refusal
+}
+
+// Admit is Recheck for a request that is written next, and counts it.
+func (s *Scheduler) Admit(now time.Time, r Send) Refusal {
+	refusal, x := s.recheck(now, r)
+	if refusal == "" && x != nil && !s.countSend(now, x) {
+		return Cold
+	}
+	return refusal
+}
+
+func (s *Scheduler) recheck(now time.Time, r Send) (Refusal, *endpointState) {
 	if r.NoWork {
-		if x = s.known(r.Endpoint); x == nil {
-			return ""
+		x := s.known(r.Endpoint)
+		if x == nil {
+			return "", nil
 		}
-		return x.refusal(now, asking, nil)
+		return x.refusal(now, asking, nil), x
 	}
+	x := s.endpoints[r.Endpoint]
 	if x == nil || x.ep.Incarnation != r.Incarnation {
-		return Gone
+		return Gone, nil
+	}
+	refusal := x.refusal(now, sending, &Demand{Homes: r.Homes})
+	if refusal == "" && !s.hasColdRoom(now, x) {
+		refusal = Cold
 	}
-	return x.refusal(now, sending, &Demand{Homes: r.Homes})
+	return refusal, x
 }
 
 // SetEvacuated sets the data centres whose endpoints get no requests, and reports whether they have changed.
