endpointload: what an endpoint can do now, known to all instances

The load in a response was kept by the one instance that asked, of plain calls only; the fourth figure, how long work takes there, was kept by nobody. Each response now gives a report (running, waiting, slots, pace, how long it stays cold), and updates tell the others what their instance has heard itself, at most six reports each: 180 bytes. A report counts half after 400 ms, then the mean of the endpoint's reports counts, then its pool's, so that silence means neither free nor slow for ever. A load that cannot be read changes nothing and is counted. Placement does not use it yet beside what it used before: the load that this instance's own calls were told.

--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -81,7 +81,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	resp, err := s.upstream.do(ctx, endpointRequest{endpoint: ep.Name, addr: ep.Addr, placedAt: ep.Incarnation, sender: "health check", method: http.MethodGet, uri: pool.HealthPath, host: ep.Addr})
+	resp, err := s.upstream.do(ctx, endpointRequest{endpoint: ep.Name, addr: ep.Addr, placedAt: ep.Incarnation, sender: healthCheck, method: http.MethodGet, uri: pool.HealthPath, host: ep.Addr})
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return "", nil // reachable but busy: health checks wait for a slot like requests
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -141,6 +141,7 @@
 	}
 	g.upstream.onAnnouncement = func(req endpointRequest, resp ResponseInfo) {
 		g.recordPause(req, resp)
+		g.recordLoad(req, resp)
 		if req.announcesLeaving(resp) {
 			if g.state.announceLeaving(time.Now(), req.endpoint, req.placedAt) {
 				g.peers.requestUpdate()
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -192,9 +192,6 @@
 		x.recordBreak(ctx, l.Target, err)
 		return x.recordFailure(err) && !another, err
 	}
-	if load := resp.Load; load.Told {
-		x.s.admission.withScheduler(func(now time.Time, s *placement.Scheduler) { s.RecordLoad(now, l, load.Running, load.Waiting) })
-	}
 	if err != nil {
 		x.recordBreak(ctx, l.Target, err)
 		x.runs++
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -7,6 +7,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"carawayrouter.example/router/internal/endpointload"
 	"carawayrouter.example/router/internal/errkind"
 )
 
@@ -38,6 +39,8 @@
 	memoryShort       *metrics.Counter
 	acceptFailures    *metrics.Counter
 	yieldedConns      *metrics.Counter
+	loadsMalformed    *metrics.Counter
+	loadReports       map[endpointload.Source]*metrics.Counter
 	closedAnswers     map[bool]*metrics.Counter // answers without a length, by whether their end was confirmed
 
 	callLatency *metrics.PrometheusHistogram
@@ -78,6 +81,8 @@
 		memoryShort:       set.NewCounter("caraway_body_memory_short_total"),
 		acceptFailures:    set.NewCounter("caraway_accept_failures_total"),
 		yieldedConns:      set.NewCounter("caraway_idle_connections_closed_total"),
+		loadsMalformed:    set.NewCounter("caraway_endpoint_loads_malformed_total"),
+		loadReports:       map[endpointload.Source]*metrics.Counter{},
 		callLatency:       set.NewPrometheusHistogramExt("caraway_plain_request_seconds", latencyBounds),
 		firstEvent:        set.NewPrometheusHistogramExt("caraway_first_event_seconds", latencyBounds),
 		longestGap:        set.NewPrometheusHistogramExt("caraway_longest_pause_seconds", latencyBounds),
@@ -90,6 +95,9 @@
 	for _, o := range []string{outcomeComplete, outcomeRefused, outcomeFailed, outcomeTruncated, outcomeCallerGone} {
 		m.requests[o] = set.NewCounter(`caraway_requests_total{outcome="` + o + `"}`)
 	}
+	for _, source := range endpointload.Sources {
+		m.loadReports[source] = set.NewCounter(`caraway_endpoint_load_reports_total{source="` + source.String() + `"}`)
+	}
 	for _, k := range errkind.Kinds() {
 		m.refused[k] = set.NewCounter(`caraway_errors_total{kind="` + string(k) + `"}`)
 	}
--- a/internal/gateway/updates.go
+++ b/internal/gateway/updates.go
@@ -146,6 +146,7 @@
 			u.Ejected = append(u.Ejected, gossip.Ejection{Endpoint: endpoint, Remaining: remaining.Milliseconds()})
 		})
 		addLimits(now, scheduler, u)
+		addLoads(now, scheduler, u)
 		for _, w := range queue.Waiters() {
 			u.Queued = append(u.Queued, gossip.QueuedRequest{
 				Pool: w.Demand.Pool, Prompt: w.Demand.Prompt, Output: w.Demand.ExpectedOutput, Generated: w.Demand.Generated,
@@ -350,6 +351,7 @@
 	}
 	p.s.mergeQuarantine(now, u)
 	p.s.mergeLimits(u)
+	p.s.mergeLoads(u)
 	for _, e := range u.EndpointsLeaving {
 		p.s.state.retire(e.Endpoint, e.Incarnation, u.Instance)
 	}
--- a/internal/placement/absent.go
+++ b/internal/placement/absent.go
@@ -33,6 +33,7 @@
 //   - A limit that the incarnation has announced outlives its entry, its address and its role, and so does an
 //     ejection because of its failures, which ends with its time or a success. Besides the pause, a former incarnation
 //     leaves nothing behind.
+//   - What it has said of its load belongs to the incarnation, whatever its entry says.
 //   - What was measured and which requests it has outlive its entry and its address, and belong to the role.
 //   - An entry that comes back, or names another address, ends what was concluded from the address alone: that
 //     nothing, or another endpoint, answers there.
@@ -55,6 +56,7 @@
 		changed.pausedUntil, changed.pacer = x.pausedUntil, x.pacer
 		changed.failures, changed.ejections = x.failures, x.ejections
 		changed.unreachable, changed.ejectedUntil = x.unreachable, x.ejectedUntil
+		changed.load = x.load
 		return changed
 	}
 	if returned {
--- a/internal/placement/endpoint.go
+++ b/internal/placement/endpoint.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"carawayrouter.example/router/internal/config"
+	"carawayrouter.example/router/internal/endpointload"
 	"carawayrouter.example/router/internal/limit/pacing"
 	"carawayrouter.example/router/internal/sched"
 )
@@ -49,8 +50,7 @@
 
 	pacer pacing.Pacer // of the limit that the endpoint announces
 
-	reportedCalls int // running and waiting calls besides the answered one, as the endpoint last reported
-	reportedAt    time.Time
+	load endpointload.Record // what the endpoint says of itself
 }
 
 // peerLoad is the load of another instance at an endpoint.
@@ -135,8 +135,8 @@
 // activeCalls returns the number of plain calls in progress at the endpoint.
 func (x *endpointState) activeCalls(now time.Time) int {
 	n := x.calls
-	if now.Sub(x.reportedAt) < x.callLatency {
-		n = max(n, x.reportedCalls)
+	if own := x.load.Own(); now.Sub(own.At) < x.callLatency {
+		n = max(n, own.Running+own.Waiting)
 	}
 	return n
 }
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -447,11 +447,6 @@
 	return x.recordOutcome(now, o)
 }
 
-// RecordLoad records the load that the lease's endpoint reported in an answer.
-func (s *Scheduler) RecordLoad(now time.Time, l *Lease, running, waiting int) {
-	l.targetEndpoint.reportedCalls, l.targetEndpoint.reportedAt = max(0, running+waiting-1), now
-}
-
 // HasUsableEndpoint reports whether the demand's pool has an available endpoint for it other than
 // prefill engines.
 func (s *Scheduler) HasUsableEndpoint(now time.Time, d Demand) bool {
