placement: where endpoints tell their pace, requests go where they end first

Engines were chosen by backlog and memory alone, plain endpoints by what one instance had measured, which of 72 is a call a second; an endpoint at 2.5 times the usual pace got its even share. Work, pace, queue and distance now give the expected end, and of two random candidates of the own data centre and two of the others the earliest is taken, so that instances with the same view choose different ones.

--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -367,7 +367,7 @@
 		dueFrom = x.chargedAt
 	}
 	return &placement.Waiter{
-		Demand:   placement.Demand{Pool: c.Pool.Name, Prompt: c.PromptTokens, MaxOutput: c.MaxOutputTokens, ExpectedOutput: x.s.admission.predictOutput(c), Generated: x.priorTokens + x.relayedTokens, Exclude: x.excluded, SoftwareVersion: x.softwareVersion},
+		Demand:   placement.Demand{Pool: c.Pool.Name, Prompt: c.PromptTokens, MaxOutput: c.MaxOutputTokens, ExpectedOutput: x.s.admission.predictOutput(c), Generated: x.priorTokens + x.relayedTokens, Exclude: x.excluded, SoftwareVersion: x.softwareVersion, MaxGap: c.Route.MaxGap},
 		Arrived:  c.Arrived,
 		Due:      dueFrom.Add(c.Route.FirstToken - expectedStartDelay - time.Duration(c.PromptTokens)*prefillTimePerToken),
 		Deadline: latest,
@@ -392,7 +392,9 @@
 // lease's decode engine. Done is false if another attempt may follow. Ctx limits the
 // preparation only. The run holds the lease; without a run it is released.
 func (g *generation) launch(ctx context.Context, l *placement.Lease) (run *engineRun, done bool, err error) {
-	g.decision("place", "prefill", endpointName(l.Prefill), "decode", l.Target.Name, "software", l.Target.SoftwareVersion, "waited_ms", g.queueTime.Milliseconds(), "prompt", g.call.PromptTokens, "output", g.call.MaxOutputTokens)
+	fields := []any{"prefill", endpointName(l.Prefill), "decode", l.Target.Name, "software", l.Target.SoftwareVersion, "waited_ms", g.queueTime.Milliseconds(), "prompt", g.call.PromptTokens, "output", g.call.MaxOutputTokens}
+	fields = g.s.appendChoice(fields, "prefill_", l.PrefillChoice)
+	g.decision("place", g.s.appendChoice(fields, "", l.TargetChoice)...)
 	outcome := sched.Abandoned
 	defer func() {
 		if run == nil {
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -73,3 +73,16 @@
 		}
 	})
 }
+
+// appendChoice appends what an endpoint was chosen with to the fields of a log line, where its pool tells its pace.
+func (s *Server) appendChoice(fields []any, prefix string, c placement.Choice) []any {
+	if !c.Told {
+		return fields
+	}
+	fields = append(fields, prefix+"expected_ms", c.End.Milliseconds(), prefix+"pace", math.Round(c.Pace*percent)/percent)
+	if c.ReportAge < 0 {
+		return append(fields, prefix+"report", "none")
+	}
+	s.stats.reportAge.Update(c.ReportAge.Seconds())
+	return append(fields, prefix+"report", c.Source.String(), prefix+"report_age_ms", c.ReportAge.Milliseconds())
+}
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -83,7 +83,7 @@
 
 // startCallRun sends the call to the lease's endpoint.
 func (x *exchange) startCallRun(ctx context.Context, l *placement.Lease) *callRun {
-	x.decision("place", "endpoint", l.Target.Name, "sends", x.sends)
+	x.decision("place", x.s.appendChoice([]any{"endpoint", l.Target.Name, "sends", x.sends}, "", l.TargetChoice)...)
 	x.lastEndpoint = l.Target.Name
 	r := &callRun{lease: l}
 	ctx, r.cancel = context.WithCancelCause(ctx)
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -47,6 +47,7 @@
 	firstEvent  *metrics.PrometheusHistogram
 	longestGap  *metrics.PrometheusHistogram
 	queueWait   *metrics.PrometheusHistogram
+	reportAge   *metrics.PrometheusHistogram
 }
 
 // Outcomes of requests.
@@ -86,6 +87,7 @@
 		callLatency:       set.NewPrometheusHistogramExt("caraway_plain_request_seconds", latencyBounds),
 		firstEvent:        set.NewPrometheusHistogramExt("caraway_first_event_seconds", latencyBounds),
 		longestGap:        set.NewPrometheusHistogramExt("caraway_longest_pause_seconds", latencyBounds),
+		reportAge:         set.NewPrometheusHistogramExt("caraway_endpoint_report_age_seconds", latencyBounds),
 		queueWait:         set.NewPrometheusHistogramExt("caraway_place_wait_seconds", latencyBounds),
 	}
 	m.closedAnswers = map[bool]*metrics.Counter{
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -10,8 +10,8 @@
 
 // prefillCost returns how long a prefill added now is expected to wait at a prefill engine, with what speaks
 // against the engine.
-func (s *Scheduler) prefillCost(now time.Time, x *endpointState) time.Duration {
-	wait := x.prefillBacklog(now) + s.crossDataCentreCost(x, crossDataCentrePrefill)
+func (s *Scheduler) prefillCost(now time.Time, x *endpointState, e *expectation) time.Duration {
+	wait := x.prefillBacklog(now, e) + s.crossDataCentreCost(x, crossDataCentrePrefill)
 	if x.ejectedByPeer(now) {
 		wait += maxPrefillBacklog / 2
 	}
@@ -19,8 +19,16 @@
 }
 
 // decodeCost returns the load of a decode engine as a fraction of its memory, with what speaks against the engine.
-func (s *Scheduler) decodeCost(now time.Time, x *endpointState) float64 {
-	load := x.plannedMemory(now) * float64(x.tokenTime) / float64(defaultTokenTime)
+func (s *Scheduler) decodeCost(now time.Time, x *endpointState, g Generation, maxGap time.Duration, e *expectation) float64 {
+	load := x.plannedMemory(now)
+	if e.told { // what g adds takes longer where work does
+		load += float64(g.Prompt+g.PlannedOutput) / float64(max(1, x.spec.KVTokens))
+	}
+	tokenTime := e.tokenTimeAt(now, x)
+	load *= float64(tokenTime) / float64(defaultTokenTime)
+	if e.told && maxGap > 0 && time.Duration(x.spec.Stride)*tokenTime > maxGap {
+		load++ // its events would be late however free it is
+	}
 	if x.ep.DataCentre != s.dataCentre {
 		load += crossDataCentrePenalty
 	}
--- a/internal/placement/endpoint.go
+++ b/internal/placement/endpoint.go
@@ -50,7 +50,9 @@
 
 	pacer pacing.Pacer // of the limit that the endpoint announces
 
-	load endpointload.Record // what the endpoint says of itself
+	load             endpointload.Record // what the endpoint says of itself
+	lastCallAt       time.Time           // last plain call that this instance has sent
+	callsSinceReport int                 // plain calls that this instance has sent since the newest report
 }
 
 // peerLoad is the load of another instance at an endpoint.
@@ -104,7 +106,7 @@
 const typicalGenerations = 16 // usual number of other instances' generations at an engine
 
 // fits reports whether the engine has a free slot, and enough memory until g ends.
-func (x *endpointState) fits(now time.Time, g Generation, headroom float64) bool {
+func (x *endpointState) fits(now time.Time, g Generation, headroom float64, e *expectation) bool {
 	if now.Before(x.fullUntil) {
 		return false
 	}
@@ -113,7 +115,7 @@
 		return false
 	}
 	generations = append(generations, g)
-	tokenTime := x.tokenTime + time.Duration(len(generations))*tokenTimePerRequest
+	tokenTime := e.tokenTimeAt(now, x) + time.Duration(len(generations))*tokenTimePerRequest
 	return float64(peakMemory(now, generations, tokenTime)) <= headroom*float64(x.spec.KVTokens)
 }
 
@@ -128,8 +130,8 @@
 }
 
 // prefillBacklog returns how long a prefill added now waits for those before it.
-func (x *endpointState) prefillBacklog(now time.Time) time.Duration {
-	return time.Duration(x.prefillTokens+x.peerPrefillTokens(now)) * x.prefillTokenTime
+func (x *endpointState) prefillBacklog(now time.Time, e *expectation) time.Duration {
+	return time.Duration(x.prefillTokens+x.peerPrefillTokens(now)) * e.prefillTokenTimeAt(now, x)
 }
 
 // activeCalls returns the number of plain calls in progress at the endpoint.
--- a/internal/placement/loads.go
+++ b/internal/placement/loads.go
@@ -19,7 +19,10 @@
 	if answered && x.ep.Role != config.Decode { // the head of a stream comes while it runs
 		r.Running = max(0, r.Running-1)
 	}
-	return x.load.Observe(r)
+	if newest = x.load.Observe(r); newest && r.At.After(x.lastCallAt) {
+		x.callsSinceReport = 0
+	}
+	return newest
 }
 
 // TellLoads returns what this instance has lately heard of the endpoints' loads and not told the others yet, at most
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -27,6 +27,8 @@
 	// for a stream that has not begun.
 	SoftwareVersion string
 
+	MaxGap time.Duration // longest pause between two events that is on time; 0 for any
+
 	avoid []string // software versions whose engines are kept free for others
 }
 
@@ -55,9 +57,13 @@
 	maxOutput                       int // output tokens
 	replayTokens                    int // output tokens generated before that the decode engine has yet to prefill
 	grantedAt                       time.Time
-	prefillTokens                   int // prompt tokens of the lease's prefill, while it is in progress
-	backlogTokens                   int // prompt tokens in progress at the prefill engine at the grant, including the lease's own
+	prefillTokens                   int           // prompt tokens of the lease's prefill, while it is in progress
+	prefillTokenTime                time.Duration // expected at the grant
+	backlogTokens                   int           // prompt tokens in progress at the prefill engine at the grant, including the lease's own
 	released                        bool
+
+	// PrefillChoice and TargetChoice are what the endpoints were chosen with.
+	PrefillChoice, TargetChoice Choice
 }
 
 // Scheduler places requests on endpoints. It is not safe for concurrent use.
@@ -71,12 +77,13 @@
 	absent     map[string]absentEndpoint // without an entry
 	pools      map[string][]*endpointState
 	peers      map[string]*PeerState
-	member     pacing.Member // this instance's place in the fleet
+	member     pacing.Member          // this instance's place in the fleet
+	usual      map[string]*usualTimes // by pool
 }
 
 // New returns a Scheduler without endpoints, for an instance in the given data centre.
 func New(dataCentre string, r *rand.Rand) *Scheduler {
-	return &Scheduler{dataCentre: dataCentre, rand: r, endpoints: map[string]*endpointState{}, absent: map[string]absentEndpoint{}, pools: map[string][]*endpointState{}, peers: map[string]*PeerState{}, member: pacing.Member{Count: 1}}
+	return &Scheduler{dataCentre: dataCentre, rand: r, endpoints: map[string]*endpointState{}, absent: map[string]absentEndpoint{}, pools: map[string][]*endpointState{}, peers: map[string]*PeerState{}, member: pacing.Member{Count: 1}, usual: map[string]*usualTimes{}}
 }
 
 // SetEndpoints replaces the endpoints. What is known of an endpoint's incarnation outlives its entry; see
@@ -142,18 +149,19 @@
 	var p, t *endpointState
 	var generation Generation
 	lightest := 0.0
+	e := s.expect(now, d.Pool)
 	for _, version := range s.softwareVersions(d) {
 		d.SoftwareVersion = version
-		prefill, direct := s.choosePrefill(now, d, mayUse)
+		prefill, direct := s.choosePrefill(now, d, mayUse, &e)
 		if prefill == nil && (!direct || p != nil) {
 			continue
 		}
 		start := now
 		if prefill != nil {
-			start = now.Add(prefill.prefillBacklog(now) + time.Duration(d.Prompt)*prefill.prefillTokenTime)
+			start = now.Add(prefill.prefillBacklog(now, &e) + time.Duration(d.Prompt)*e.prefillTokenTimeAt(now, prefill))
 		}
 		g := Generation{Prompt: d.Prompt + d.Generated, PlannedOutput: d.remainingOutput(), AsOf: start}
-		decode, load := s.chooseDecode(now, d, g, mayUse)
+		decode, load := s.chooseDecode(now, d, g, mayUse, &e)
 		if decode == nil {
 			continue
 		}
@@ -166,12 +174,17 @@
 		return nil
 	}
 	l := &Lease{Target: t.ep, targetEndpoint: t, generation: generation, maxOutput: max(1, d.MaxOutput-d.Generated), replayTokens: d.Generated, grantedAt: now}
+	if e.told {
+		l.TargetChoice = e.choiceOf(now, t, generation.AsOf.Sub(now)+time.Duration(generation.PlannedOutput)*e.tokenTimeAt(now, t))
+	}
 	t.generations[l] = struct{}{}
 	t.prefillTokens += d.Generated
 	if p != nil {
+		l.PrefillChoice = e.choiceOf(now, p, generation.AsOf.Sub(now))
 		l.Prefill, l.prefillEndpoint, l.prefillTokens = p.ep, p, d.Prompt
 		p.prefillTokens += d.Prompt
 		l.backlogTokens = p.prefillTokens + p.peerPrefillTokens(now)
+		l.prefillTokenTime = e.prefillTokenTimeAt(now, p)
 	}
 	return l
 }
@@ -204,27 +217,47 @@
 
 // choosePrefill returns the prefill engine with the shortest backlog, nil if all backlogs
 // are too long. Direct is true if the pool has no usable prefill engine.
-func (s *Scheduler) choosePrefill(now time.Time, d Demand, mayUse endpointFilter) (best *endpointState, direct bool) {
+func (s *Scheduler) choosePrefill(now time.Time, d Demand, mayUse endpointFilter, e *expectation) (best *endpointState, direct bool) {
 	usable := false
 	shortest := maxPrefillBacklog
-	for _, x := range s.rotatedPool(d.Pool) {
+	var p pick
+	list := s.rotatedPool(d.Pool)
+	for i := range list {
+		if e.told {
+			s.shuffleNext(list, i)
+		}
+		x := list[i]
 		if x.ep.Role != config.Prefill || !x.available(now) || !d.accepts(x.ep) {
 			continue
 		}
 		usable = true
-		if now.Before(x.fullUntil) || !mayUse(now, x) {
+		if e.told && !p.wants(s, x) || now.Before(x.fullUntil) || !mayUse(now, x) {
 			continue
 		}
-		if wait := s.prefillCost(now, x); wait < shortest {
+		wait := s.prefillCost(now, x, e)
+		switch {
+		case wait >= maxPrefillBacklog:
+		case e.told:
+			p.offer(s, x, float64(wait+time.Duration(d.Prompt)*e.prefillTokenTimeAt(now, x)))
+		case wait < shortest:
 			best, shortest = x, wait
 		}
 	}
+	if e.told {
+		return p.best, !usable
+	}
 	return best, !usable
 }
 
 // chooseDecode returns the least loaded decode engine that g fits on and its load, or nil.
-func (s *Scheduler) chooseDecode(now time.Time, d Demand, g Generation, mayUse endpointFilter) (best *endpointState, lightest float64) {
-	for _, x := range s.rotatedPool(d.Pool) {
+func (s *Scheduler) chooseDecode(now time.Time, d Demand, g Generation, mayUse endpointFilter, e *expectation) (best *endpointState, lightest float64) {
+	var p pick
+	list := s.rotatedPool(d.Pool)
+	for i := range list {
+		if e.told {
+			s.shuffleNext(list, i)
+		}
+		x := list[i]
 		if x.ep.Role != config.Decode || x.spec == nil || !x.available(now) || !d.accepts(x.ep) {
 			continue
 		}
@@ -235,22 +268,53 @@
 			// every stream, so an engine takes one resumed stream at a time.
 			continue
 		}
-		if !mayUse(now, x) || !x.fits(now, g, memoryHeadroom) {
+		if e.told && !p.wants(s, x) || !mayUse(now, x) || !x.fits(now, g, memoryHeadroom, e) {
+			continue
+		}
+		load := s.decodeCost(now, x, g, d.MaxGap, e)
+		if e.told {
+			p.offer(s, x, load)
 			continue
 		}
-		load := s.decodeCost(now, x)
 		if best == nil || load < lightest {
 			best, lightest = x, load
 		}
 	}
+	if e.told {
+		return p.best, p.cost
+	}
 	return best, lightest
 }
 
-// AcquireService places a plain call on the endpoint that is expected to answer first, or
-// returns nil. An endpoint whose slots are all taken is expected to answer later, and
+// AcquireService places a plain call where it is expected to end in time, see chooseCall, or, where endpoints do not
+// tell their pace, on the endpoint that is expected to answer first. It returns nil if there is none. An endpoint whose slots are all taken is expected to answer later, and
 // ejected endpoints are used only if all are ejected.
 func (s *Scheduler) AcquireService(now time.Time, d Demand) *Lease {
-	var best *endpointState
+	e := s.expect(now, d.Pool)
+	best := s.chooseService(now, d, &e)
+	if best == nil {
+		return nil
+	}
+	return s.grantCall(now, best, &e)
+}
+
+// grantCall returns the lease of a plain call at its endpoint.
+func (s *Scheduler) grantCall(now time.Time, best *endpointState, e *expectation) *Lease {
+	s.take(now, best)
+	l := &Lease{Target: best.ep, targetEndpoint: best, grantedAt: now}
+	if e.told {
+		l.TargetChoice = e.choiceOf(now, best, s.callEnd(now, best, e))
+	}
+	best.calls++
+	best.callsSinceReport++
+	best.lastCallAt = now
+	return l
+}
+
+func (s *Scheduler) chooseService(now time.Time, d Demand, e *expectation) (best *endpointState) {
+	if e.told {
+		return s.chooseCall(now, d, e)
+	}
 	var shortest time.Duration
 	lowest := s.lowestLatency(now, d.Pool)
 	for _, x := range s.candidates(now, d) {
@@ -262,12 +326,7 @@
 			best, shortest = x, wait
 		}
 	}
-	if best == nil {
-		return nil
-	}
-	s.take(now, best)
-	best.calls++
-	return &Lease{Target: best.ep, targetEndpoint: best, grantedAt: now}
+	return best
 }
 
 // candidates returns the endpoints that may be given a plain call. If all are ejected for
@@ -308,7 +367,9 @@
 		return false
 	}
 	if o == sched.Succeeded && l.prefillTokens > 0 {
-		x.prefillTokenTime = movingAverage(x.prefillTokenTime, max(time.Microsecond, now.Sub(l.grantedAt)/time.Duration(l.backlogTokens)))
+		sample := max(time.Microsecond, now.Sub(l.grantedAt)/time.Duration(l.backlogTokens))
+		x.prefillTokenTime = movingAverage(x.prefillTokenTime, sample)
+		s.observeUsual(now, x, func(u *usualTimes) *time.Duration { return &u.prefillToken }, sample)
 	}
 	x.prefillTokens -= l.prefillTokens
 	l.prefillEndpoint, l.prefillTokens = nil, 0
@@ -324,7 +385,8 @@
 	ejected = old.recordOutcome(now, o)
 	d.Exclude = append(slices.Clone(d.Exclude), old.ep.Name)
 	d.SoftwareVersion = old.ep.SoftwareVersion
-	t, _ := s.chooseDecode(now, d, l.generation, s.ready)
+	e := s.expect(now, d.Pool)
+	t, _ := s.chooseDecode(now, d, l.generation, s.ready, &e)
 	if t == nil {
 		old.generations[l] = struct{}{}
 		return false, ejected
@@ -410,7 +472,9 @@
 	x.prefillTokens -= l.replayTokens
 	l.replayTokens = 0
 	if l.generation.Generated > 0 && generated > l.generation.Generated {
-		x.tokenTime = movingAverage(x.tokenTime, now.Sub(l.generation.AsOf)/time.Duration(generated-l.generation.Generated))
+		sample := now.Sub(l.generation.AsOf) / time.Duration(generated-l.generation.Generated)
+		x.tokenTime = movingAverage(x.tokenTime, sample)
+		s.observeUsual(now, x, func(u *usualTimes) *time.Duration { return &u.token }, sample)
 	}
 	l.generation.Generated, l.generation.AsOf = generated, now
 	if generated >= l.generation.PlannedOutput {
@@ -441,7 +505,11 @@
 	} else {
 		x.calls--
 		if o == sched.Succeeded {
-			x.callLatency, x.callLatencyAt = movingAverage(x.callLatency, now.Sub(l.grantedAt)), now
+			sample := now.Sub(l.grantedAt)
+			x.callLatency, x.callLatencyAt = movingAverage(x.callLatency, sample), now
+			if own := x.load.Own(); own.At.After(l.grantedAt) && own.Waiting == 0 { // it has hardly waited there
+				s.observeUsual(now, x, func(u *usualTimes) *time.Duration { return &u.call }, sample)
+			}
 		}
 	}
 	return x.recordOutcome(now, o)
@@ -468,5 +536,5 @@
 	if l.prefillEndpoint == nil {
 		return 0
 	}
-	return time.Duration(l.backlogTokens) * l.prefillEndpoint.prefillTokenTime
+	return time.Duration(l.backlogTokens) * l.prefillTokenTime
 }
