--- a/internal/endpointload/endpointload.go
+++ b/internal/endpointload/endpointload.go
@@ -17,11 +17,13 @@
 	// meanMemory is the time constant of the mean of an endpoint's reports; some updates of all instances. It tells
 	// an endpoint that is slow all the time from one that is slow now and then.
 	meanMemory = 2 * time.Second
-	// unheardWeight is that of one endpoint of usual pace in the mean of a pool, in fresh reports: it decides only
-	// where no endpoint of the pool has been heard lately.
-	unheardWeight = 0.1
+	// leastHeard is the weight of all reports of a pool, in fresh ones, below which they say nothing of the pool now.
+	leastHeard = 0.05
 	// usualPace is that of an endpoint of which nothing is known.
 	usualPace = 1.0
+	// retryAge is the age from which a report no longer proves that an endpoint is slow. One that gets no requests because
+	// it was slow could not show that it no longer is.
+	retryAge = 2 * time.Second
 	// maxUntold is the age from which a report is not told to the others: it would count too little there.
 	maxUntold = 2 * HalfLife
 )
@@ -124,14 +126,18 @@
 // endpoint is free nor that it is slow for ever.
 func (r *Record) Expect(now time.Time, pool Level) Level {
 	w := r.weight(now)
+	untried := min(pool.Pace, usualPace) // an endpoint that nobody asks cannot show what it is like
 	if w == 0 {
-		return pool
+		return Level{Pace: untried, Busy: pool.Busy}
 	}
 	age := now.Sub(r.latest.At)
 	m := decay(age, meanMemory)
-	l := Level{Busy: mix(w, r.latest.busy(), mix(m, r.mean.Busy, pool.Busy)), Pace: pool.Pace}
+	l := Level{Busy: mix(w, r.latest.busy(), mix(m, r.mean.Busy, pool.Busy)), Pace: untried}
 	if r.TellsPace() {
 		l.Pace = mix(w, r.latest.Pace, mix(m, r.mean.Pace, pool.Pace))
+		if age > retryAge {
+			l.Pace = min(l.Pace, untried)
+		}
 	}
 	return l
 }
@@ -155,12 +161,16 @@
 	}
 }
 
-// Level returns the pool's level.
+// Level returns the pool's level, the usual pace and no requests if none of its endpoints has been heard lately.
 func (p *PoolMean) Level() Level {
-	return Level{
-		Pace: (p.pace + unheardWeight*usualPace) / (p.paceWeight + unheardWeight),
-		Busy: p.busy / (p.busyWeight + unheardWeight),
+	l := Level{Pace: usualPace}
+	if p.paceWeight >= leastHeard {
+		l.Pace = p.pace / p.paceWeight
 	}
+	if p.busyWeight >= leastHeard {
+		l.Busy = p.busy / p.busyWeight
+	}
+	return l
 }
 
 // Untold is a record with a report that the other instances have not been told of.
--- a/internal/placement/expectedend.go
+++ b/internal/placement/expectedend.go
@@ -10,6 +10,9 @@
 	// pickPerGroup is how many random endpoints of the own data centre, and of the others, are compared: two keep
 	// instances with the same view from choosing the same one, and avoid most that are slow or full.
 	pickPerGroup = 2
+	// nearlyEqual is the difference of expected ends, as a fraction, that no report tells reliably. Of such the
+	// endpoint that comes first in random order is taken, so that none is left out for it all the time.
+	nearlyEqual = 0.02
 )
 
 // usualTimes are how long the work of a pool takes at the usual pace: moving averages of what this instance has
@@ -132,7 +135,7 @@
 // offer takes in an endpoint.
 func (p *pick) offer(s *Scheduler, x *endpointState, cost float64) {
 	p.seen[s.groupOf(x)]++
-	if p.best == nil || cost < p.cost {
+	if p.best == nil || cost < p.cost*(1-nearlyEqual) {
 		p.best, p.cost = x, cost
 	}
 }
--- a/internal/placement/expectedend_test.go
+++ b/internal/placement/expectedend_test.go
@@ -327,6 +327,27 @@
 	assert.Equal(t, s.AcquireEngine(start, d).Target.Name, "decode-0")
 }
 
+// An endpoint that was slow and got no requests gets some again although nobody has heard that it is not: the others,
+// which are used all the time, have the usual pace.
+func TestEndpointThatWasSlowIsTriedAgain(t *testing.T) {
+	s := newScheduler(1, engines(0, 0, 1))
+	placed := map[string]int{}
+	s.RecordLoad("plain-0", 0, false, endpointload.Report{Slots: 6, Pace: 4, At: start})
+	for i := range 60 {
+		now := start.Add(time.Duration(i+1) * 50 * time.Millisecond)
+		for _, name := range []string{"plain-1", "plain-2"} {
+			s.RecordLoad(name, 0, false, endpointload.Report{Slots: 6, Pace: 0.7, At: now})
+		}
+		l := s.AcquireService(now, Demand{Pool: servicePool})
+		s.Release(now, l, sched.Abandoned)
+		placed[l.Target.Name]++
+		if i == 37 { // still within 2 s of the report
+			assert.Equal(t, placed["plain-0"], 0)
+		}
+	}
+	assert.Assert(t, placed["plain-0"] > 0, "%v", placed)
+}
+
 // BenchmarkPlacement is a decision of one of 72 instances among 51 endpoints, with 200 generations of the others.
 func BenchmarkPlacement(b *testing.B) {
 	for _, tells := range []bool{false, true} {
