placement: a stream is given the average pace over its length

A decode of seconds was planned with the pace of the moment: an engine that is slow for half a second was taken for slow, and for full, until the stream's end. The newest report now counts for as much of the work as it holds; the rest has the mean of the engine's reports (TestSlowMomentIsNotAllOfALongStream).

--- a/internal/endpointload/endpointload.go
+++ b/internal/endpointload/endpointload.go
@@ -124,12 +124,19 @@
 // its reports, then the level of its pool. It answers pace that changes many times a second, of which a report
 // says little about the next request, and endpoints and instances that fall silent: what is old says neither that an
 // endpoint is free nor that it is slow for ever.
-func (r *Record) Expect(now time.Time, pool Level) Level {
+func (r *Record) Expect(now time.Time, pool Level) Level { return r.ExpectFor(now, 0, pool) }
+
+// ExpectFor returns what the endpoint is expected to be like on average while work goes on for that long. It answers
+// work that lasts many times as long as a report holds: an endpoint that is slow for a moment is not slow for all of it.
+func (r *Record) ExpectFor(now time.Time, lasts time.Duration, pool Level) Level {
 	w := r.weight(now)
 	untried := min(pool.Pace, usualPace) // an endpoint that nobody asks cannot show what it is like
 	if w == 0 {
 		return Level{Pace: untried, Busy: pool.Busy}
 	}
+	if x := math.Ln2 * float64(lasts) / float64(HalfLife); x > 0 {
+		w *= (1 - math.Exp(-x)) / x
+	}
 	age := now.Sub(r.latest.At)
 	m := decay(age, meanMemory)
 	l := Level{Busy: mix(w, r.latest.busy(), mix(m, r.mean.Busy, pool.Busy)), Pace: untried}
--- a/internal/endpointload/endpointload_test.go
+++ b/internal/endpointload/endpointload_test.go
@@ -65,6 +65,19 @@
 	assert.Assert(t, errExpected < 0.85*errLast, "%.0f and %.0f", errExpected, errLast)
 }
 
+// One slow report of an endpoint of usual pace counts for a call that follows, and little for a stream of seconds.
+func TestSlowMomentIsNotAllOfALongStream(t *testing.T) {
+	var r Record
+	for i := range 30 {
+		r.Observe(paceAt(1, time.Duration(i)*100*ms))
+	}
+	r.Observe(paceAt(4, 3000*ms))
+	now, pool := at(3010*ms), Level{Pace: 1}
+	assert.Assert(t, r.ExpectFor(now, 30*ms, pool).Pace > 3.7)
+	assert.Assert(t, r.ExpectFor(now, 4*time.Second, pool).Pace < 1.8)
+	assert.DeepEqual(t, r.ExpectFor(now, 0, pool), r.Expect(now, pool))
+}
+
 // An endpoint that was free when it fell silent is expected to be as loaded as its pool, and one that was slow not to be
 // slower than usual: it has to be asked to show it.
 func TestSilentEndpointIsNotTakenForFree(t *testing.T) {
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -24,7 +24,7 @@
 	if e.told { // what g adds takes longer where work does
 		load += float64(g.Prompt+g.PlannedOutput) / float64(max(1, x.spec.KVTokens))
 	}
-	tokenTime := e.tokenTimeAt(now, x)
+	tokenTime := e.tokenTimeAt(now, x, g.PlannedOutput)
 	load *= float64(tokenTime) / float64(defaultTokenTime)
 	if e.told && maxGap > 0 && time.Duration(x.spec.Stride)*tokenTime > maxGap {
 		load++ // its events would be late however free it is
--- a/internal/placement/endpoint.go
+++ b/internal/placement/endpoint.go
@@ -115,7 +115,7 @@
 		return false
 	}
 	generations = append(generations, g)
-	tokenTime := e.tokenTimeAt(now, x) + time.Duration(len(generations))*tokenTimePerRequest
+	tokenTime := e.tokenTimeAt(now, x, g.PlannedOutput) + time.Duration(len(generations))*tokenTimePerRequest
 	return float64(peakMemory(now, generations, tokenTime)) <= headroom*float64(x.spec.KVTokens)
 }
 
--- a/internal/placement/expectedend.go
+++ b/internal/placement/expectedend.go
@@ -83,12 +83,13 @@
 	return times(e.usual.prefillToken, e.paceOf(now, x))
 }
 
-// tokenTimeAt returns how long an engine is expected to take for an output token.
-func (e *expectation) tokenTimeAt(now time.Time, x *endpointState) time.Duration {
+// tokenTimeAt returns how long an engine is expected to take for an output token, on average over that many.
+func (e *expectation) tokenTimeAt(now time.Time, x *endpointState, output int) time.Duration {
 	if !e.told {
 		return x.tokenTime
 	}
-	return times(e.usual.token, e.paceOf(now, x))
+	lasts := time.Duration(output) * e.usual.token
+	return times(e.usual.token, x.load.ExpectFor(now, lasts, e.level).Pace)
 }
 
 // callEnd returns how long a plain call is expected to take at an endpoint until it ends: the requests that the endpoint's
@@ -106,9 +107,8 @@
 func (s *Scheduler) chooseCall(now time.Time, d Demand, e *expectation) *endpointState {
 	var p pick
 	list := s.candidates(now, d)
-	for i := range list {
-		s.shuffleNext(list, i)
-		x := list[i]
+	s.shuffle(list)
+	for _, x := range list {
 		if !p.wants(s, x) || !s.ready(now, x) {
 			continue
 		}
@@ -148,10 +148,17 @@
 	return 0
 }
 
-// shuffleNext moves a random one of the endpoints from i on to i.
-func (s *Scheduler) shuffleNext(list []*endpointState, i int) {
-	j := i + s.rand.IntN(len(list)-i)
-	list[i], list[j] = list[j], list[i]
+// engineOrder returns a pool's endpoints in the order in which they are looked at.
+func (s *Scheduler) engineOrder(pool string, e *expectation) []*endpointState {
+	list := s.rotatedPool(pool)
+	if e.told {
+		s.shuffle(list)
+	}
+	return list
+}
+
+func (s *Scheduler) shuffle(list []*endpointState) {
+	s.rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 }
 
 // Choice is what the choice of an endpoint was made with, for the log.
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -175,7 +175,7 @@
 	}
 	l := &Lease{Target: t.ep, targetEndpoint: t, generation: generation, maxOutput: max(1, d.MaxOutput-d.Generated), replayTokens: d.Generated, grantedAt: now}
 	if e.told {
-		l.TargetChoice = e.choiceOf(now, t, generation.AsOf.Sub(now)+time.Duration(generation.PlannedOutput)*e.tokenTimeAt(now, t))
+		l.TargetChoice = e.choiceOf(now, t, generation.AsOf.Sub(now)+time.Duration(generation.PlannedOutput)*e.tokenTimeAt(now, t, generation.PlannedOutput))
 	}
 	t.generations[l] = struct{}{}
 	t.prefillTokens += d.Generated
@@ -221,12 +221,7 @@
 	usable := false
 	shortest := maxPrefillBacklog
 	var p pick
-	list := s.rotatedPool(d.Pool)
-	for i := range list {
-		if e.told {
-			s.shuffleNext(list, i)
-		}
-		x := list[i]
+	for _, x := range s.engineOrder(d.Pool, e) {
 		if x.ep.Role != config.Prefill || !x.available(now) || !d.accepts(x.ep) {
 			continue
 		}
@@ -252,12 +247,7 @@
 // chooseDecode returns the least loaded decode engine that g fits on and its load, or nil.
 func (s *Scheduler) chooseDecode(now time.Time, d Demand, g Generation, mayUse endpointFilter, e *expectation) (best *endpointState, lightest float64) {
 	var p pick
-	list := s.rotatedPool(d.Pool)
-	for i := range list {
-		if e.told {
-			s.shuffleNext(list, i)
-		}
-		x := list[i]
+	for _, x := range s.engineOrder(d.Pool, e) {
 		if x.ep.Role != config.Decode || x.spec == nil || !x.available(now) || !d.accepts(x.ep) {
 			continue
 		}
