--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -83,7 +83,7 @@
 
 // startCallRun sends the call to the lease's endpoint.
 func (x *exchange) startCallRun(ctx context.Context, l *placement.Lease) *callRun {
-	x.decision("place", "endpoint", l.Target.Name, "sends", x.sends)
+	x.decision("place", x.s.appendChoice([]any{"endpoint", l.Target.Name, "sends", x.sends}, "", l.TargetChoice)...)
 	x.lastEndpoint = l.Target.Name
 	r := &callRun{lease: l}
 	ctx, r.cancel = context.WithCancelCause(ctx)
@@ -192,9 +192,6 @@
 		x.recordBreak(ctx, l.Target, err)
 		return x.recordFailure(err) && !another, err
 	}
-	if load := resp.Load; load.Told {
-		x.s.admission.withScheduler(func(now time.Time, s *placement.Scheduler) { s.RecordLoad(now, l, load.Running, load.Waiting) })
-	}
 	if err != nil {
 		x.recordBreak(ctx, l.Target, err)
 		x.runs++
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -7,6 +7,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"carawayrouter.example/router/internal/endpointload"
 	"carawayrouter.example/router/internal/errkind"
 )
 
@@ -40,13 +41,16 @@
 	memoryShort       *metrics.Counter
 	acceptFailures    *metrics.Counter
 	yieldedConns      *metrics.Counter
-	evacuationRows    *metrics.Counter          // ignored
+	evacuationRows    *metrics.Counter // ignored
+	loadsMalformed    *metrics.Counter
+	loadReports       map[endpointload.Source]*metrics.Counter
 	closedAnswers     map[bool]*metrics.Counter // answers without a length, by whether their end was confirmed
 
 	callLatency *metrics.PrometheusHistogram
 	firstEvent  *metrics.PrometheusHistogram
 	longestGap  *metrics.PrometheusHistogram
 	queueWait   *metrics.PrometheusHistogram
+	reportAge   *metrics.PrometheusHistogram
 }
 
 // Outcomes of requests.
@@ -84,9 +88,12 @@
 		acceptFailures:    set.NewCounter("caraway_accept_failures_total"),
 		evacuationRows:    set.NewCounter("caraway_evacuation_rows_ignored_total"),
 		yieldedConns:      set.NewCounter("caraway_idle_connections_closed_total"),
+		loadsMalformed:    set.NewCounter("caraway_endpoint_loads_malformed_total"),
+		loadReports:       map[endpointload.Source]*metrics.Counter{},
 		callLatency:       set.NewPrometheusHistogramExt("caraway_plain_request_seconds", latencyBounds),
 		firstEvent:        set.NewPrometheusHistogramExt("caraway_first_event_seconds", latencyBounds),
 		longestGap:        set.NewPrometheusHistogramExt("caraway_longest_pause_seconds", latencyBounds),
+		reportAge:         set.NewPrometheusHistogramExt("caraway_endpoint_report_age_seconds", latencyBounds),
 		queueWait:         set.NewPrometheusHistogramExt("caraway_place_wait_seconds", latencyBounds),
 	}
 	m.closedAnswers = map[bool]*metrics.Counter{
@@ -96,6 +103,9 @@
 	for _, o := range []string{outcomeComplete, outcomeRefused, outcomeFailed, outcomeTruncated, outcomeCallerGone} {
 		m.requests[o] = set.NewCounter(`caraway_requests_total{outcome="` + o + `"}`)
 	}
+	for _, source := range endpointload.Sources {
+		m.loadReports[source] = set.NewCounter(`caraway_endpoint_load_reports_total{source="` + source.String() + `"}`)
+	}
 	for _, k := range errkind.Kinds() {
 		m.refused[k] = set.NewCounter(`caraway_errors_total{kind="` + string(k) + `"}`)
 	}
--- a/internal/placement/endpoint.go
+++ b/internal/placement/endpoint.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"carawayrouter.example/router/internal/config"
+	"carawayrouter.example/router/internal/endpointload"
 	"carawayrouter.example/router/internal/limit/pacing"
 	"carawayrouter.example/router/internal/sched"
 )
@@ -51,8 +52,9 @@
 	pacer pacing.Pacer // of the limit that the endpoint announces
 	cold  coldState
 
-	reportedCalls int // running and waiting calls besides the answered one, as the endpoint last reported
-	reportedAt    time.Time
+	load             endpointload.Record // what the endpoint says of itself
+	lastCallAt       time.Time           // last plain call that this instance has sent
+	callsSinceReport int                 // plain calls that this instance has sent since the newest report
 }
 
 // peerLoad is the load of another instance at an endpoint.
@@ -101,7 +103,7 @@
 const typicalGenerations = 16 // usual number of other instances' generations at an engine
 
 // fits reports whether the engine has a free slot, and enough memory until g ends.
-func (x *endpointState) fits(now time.Time, g Generation, headroom float64) bool {
+func (x *endpointState) fits(now time.Time, g Generation, headroom float64, e *expectation) bool {
 	if now.Before(x.fullUntil) {
 		return false
 	}
@@ -110,7 +112,7 @@
 		return false
 	}
 	generations = append(generations, g)
-	tokenTime := x.tokenTime + time.Duration(len(generations))*tokenTimePerRequest
+	tokenTime := e.tokenTimeAt(now, x, g.PlannedOutput) + time.Duration(len(generations))*tokenTimePerRequest
 	return float64(peakMemory(now, generations, tokenTime)) <= headroom*float64(x.spec.KVTokens)
 }
 
@@ -125,8 +127,8 @@
 }
 
 // prefillBacklog returns how long a prefill added now waits for those before it.
-func (x *endpointState) prefillBacklog(now time.Time) time.Duration {
-	return time.Duration(x.prefillTokens+x.peerPrefillTokens(now)) * x.prefillTokenTime
+func (x *endpointState) prefillBacklog(now time.Time, e *expectation) time.Duration {
+	return time.Duration(x.prefillTokens+x.peerPrefillTokens(now)) * e.prefillTokenTimeAt(now, x)
 }
 
 // inProgress returns the number of requests of this instance that the endpoint has.
@@ -135,8 +137,8 @@
 // activeCalls returns the number of plain calls in progress at the endpoint.
 func (x *endpointState) activeCalls(now time.Time) int {
 	n := x.calls
-	if now.Sub(x.reportedAt) < x.callLatency {
-		n = max(n, x.reportedCalls)
+	if own := x.load.Own(); now.Sub(own.At) < x.callLatency {
+		n = max(n, own.Running+own.Waiting)
 	}
 	return n
 }
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -29,6 +29,8 @@
 	SoftwareVersion string
 	Homes           Homes
 
+	MaxGap time.Duration // longest pause between two events that is on time; 0 for any
+
 	avoid []string // software versions whose engines are kept free for others
 }
 
@@ -62,10 +64,14 @@
 	maxOutput                       int // output tokens
 	replayTokens                    int // output tokens generated before that the decode engine has yet to prefill
 	grantedAt                       time.Time
-	prefillTokens                   int // prompt tokens of the lease's prefill, while it is in progress
-	backlogTokens                   int // prompt tokens in progress at the prefill engine at the grant, including the lease's own
+	prefillTokens                   int           // prompt tokens of the lease's prefill, while it is in progress
+	prefillTokenTime                time.Duration // expected at the grant
+	backlogTokens                   int           // prompt tokens in progress at the prefill engine at the grant, including the lease's own
 	released                        bool
 	begun                           bool // the target has generated output
+
+	// PrefillChoice and TargetChoice are what the endpoints were chosen with.
+	PrefillChoice, TargetChoice Choice
 }
 
 // Scheduler places requests on endpoints. It is not safe for concurrent use.
@@ -79,8 +85,9 @@
 	absent     map[string]absentEndpoint // without an entry
 	pools      map[string][]*endpointState
 	peers      map[string]*PeerState
-	member     pacing.Member // this instance's place in the fleet
-	evacuated  []string      // data centres
+	member     pacing.Member          // this instance's place in the fleet
+	evacuated  []string               // data centres
+	usual      map[string]*usualTimes // by pool
 
 	fleet                             *coldstart.Fleet // among which the requests to cold endpoints are divided
 	coldSlackRatio, coldSlackRequests float64
@@ -88,7 +95,7 @@
 
 // New returns a Scheduler without endpoints, for an instance in the given data centre.
 func New(dataCentre string, r *rand.Rand) *Scheduler {
-	return &Scheduler{dataCentre: dataCentre, rand: r, endpoints: map[string]*endpointState{}, absent: map[string]absentEndpoint{}, pools: map[string][]*endpointState{}, peers: map[string]*PeerState{}, member: pacing.Member{Count: 1}, fleet: coldstart.NewFleet("", time.Time{})}
+	return &Scheduler{dataCentre: dataCentre, rand: r, endpoints: map[string]*endpointState{}, absent: map[string]absentEndpoint{}, pools: map[string][]*endpointState{}, peers: map[string]*PeerState{}, member: pacing.Member{Count: 1}, usual: map[string]*usualTimes{}, fleet: coldstart.NewFleet("", time.Time{})}
 }
 
 // SetEndpoints replaces the endpoints. What is known of an endpoint's incarnation outlives its entry; see
@@ -155,18 +162,19 @@
 	var p, t *endpointState
 	var generation Generation
 	lightest := 0.0
+	e := s.expect(now, d.Pool)
 	for _, version := range s.softwareVersions(d) {
 		d.SoftwareVersion = version
-		prefill, direct := s.choosePrefill(now, &d, turn)
+		prefill, direct := s.choosePrefill(now, &d, turn, &e)
 		if prefill == nil && (!direct || p != nil) {
 			continue
 		}
 		start := now
 		if prefill != nil {
-			start = now.Add(prefill.prefillBacklog(now) + time.Duration(d.Prompt)*prefill.prefillTokenTime)
+			start = now.Add(prefill.prefillBacklog(now, &e) + time.Duration(d.Prompt)*e.prefillTokenTimeAt(now, prefill))
 		}
 		g := Generation{Prompt: d.Prompt + d.Generated, PlannedOutput: d.remainingOutput(), AsOf: start}
-		decode, load := s.chooseDecode(now, &d, g, turn)
+		decode, load := s.chooseDecode(now, &d, g, turn, &e)
 		if decode == nil {
 			continue
 		}
@@ -179,12 +187,17 @@
 		return nil
 	}
 	l := &Lease{Target: t.ep, targetEndpoint: t, generation: generation, maxOutput: max(1, d.MaxOutput-d.Generated), replayTokens: d.Generated, grantedAt: now}
+	if e.told {
+		l.TargetChoice = e.choiceOf(now, t, generation.AsOf.Sub(now)+time.Duration(generation.PlannedOutput)*e.tokenTimeAt(now, t, generation.PlannedOutput))
+	}
 	t.generations[l] = struct{}{}
 	t.prefillTokens += d.Generated
 	if p != nil {
+		l.PrefillChoice = e.choiceOf(now, p, generation.AsOf.Sub(now))
 		l.Prefill, l.prefillEndpoint, l.prefillTokens = p.ep, p, d.Prompt
 		p.prefillTokens += d.Prompt
 		l.backlogTokens = p.prefillTokens + p.peerPrefillTokens(now)
+		l.prefillTokenTime = e.prefillTokenTimeAt(now, p)
 	}
 	return l
 }
@@ -217,27 +230,37 @@
 
 // choosePrefill returns the prefill engine with the shortest backlog, nil if all backlogs
 // are too long. Direct is true if the pool has no usable prefill engine.
-func (s *Scheduler) choosePrefill(now time.Time, d *Demand, turn turnFilter) (best *endpointState, direct bool) {
+func (s *Scheduler) choosePrefill(now time.Time, d *Demand, turn turnFilter, e *expectation) (best *endpointState, direct bool) {
 	usable := false
 	shortest := maxPrefillBacklog
-	for _, x := range s.rotatedPool(d.Pool) {
+	var p pick
+	for _, x := range s.engineOrder(d.Pool, e) {
 		if x.ep.Role != config.Prefill || x.refusal(now, choosing, d) != "" {
 			continue
 		}
 		usable = true
-		if now.Before(x.fullUntil) || turn(now, x) != "" {
+		if e.told && !p.wants(s, x) || now.Before(x.fullUntil) || turn(now, x) != "" {
 			continue
 		}
-		if wait := s.prefillCost(now, x); wait < shortest {
+		wait := s.prefillCost(now, x, e)
+		switch {
+		case wait >= maxPrefillBacklog:
+		case e.told:
+			p.offer(s, x, float64(wait+time.Duration(d.Prompt)*e.prefillTokenTimeAt(now, x)))
+		case wait < shortest:
 			best, shortest = x, wait
 		}
 	}
+	if e.told {
+		return p.best, !usable
+	}
 	return best, !usable
 }
 
 // chooseDecode returns the least loaded decode engine that g fits on and its load, or nil.
-func (s *Scheduler) chooseDecode(now time.Time, d *Demand, g Generation, turn turnFilter) (best *endpointState, lightest float64) {
-	for _, x := range s.rotatedPool(d.Pool) {
+func (s *Scheduler) chooseDecode(now time.Time, d *Demand, g Generation, turn turnFilter, e *expectation) (best *endpointState, lightest float64) {
+	var p pick
+	for _, x := range s.engineOrder(d.Pool, e) {
 		if x.ep.Role != config.Decode || x.spec == nil || x.refusal(now, choosing, d) != "" {
 			continue
 		}
@@ -248,22 +271,53 @@
 			// every stream, so an engine takes one resumed stream at a time.
 			continue
 		}
-		if turn(now, x) != "" || !x.fits(now, g, memoryHeadroom) {
+		if e.told && !p.wants(s, x) || turn(now, x) != "" || !x.fits(now, g, memoryHeadroom, e) {
+			continue
+		}
+		load := s.decodeCost(now, x, g, d.MaxGap, e)
+		if e.told {
+			p.offer(s, x, load)
 			continue
 		}
-		load := s.decodeCost(now, x)
 		if best == nil || load < lightest {
 			best, lightest = x, load
 		}
 	}
+	if e.told {
+		return p.best, p.cost
+	}
 	return best, lightest
 }
 
-// AcquireService places a plain call on the endpoint that is expected to answer first, or
-// returns nil. An endpoint whose slots are all taken is expected to answer later, and
+// AcquireService places a plain call where it is expected to end in time, see chooseCall, or, where endpoints do not
+// tell their pace, on the endpoint that is expected to answer first. It returns nil if there is none. An endpoint whose slots are all taken is expected to answer later, and
 // ejected endpoints are used only if all are ejected.
 func (s *Scheduler) AcquireService(now time.Time, d Demand) *Lease {
-	var best *endpointState
+	e := s.expect(now, d.Pool)
+	best := s.chooseService(now, d, &e)
+	if best == nil {
+		return nil
+	}
+	return s.grantCall(now, best, &e)
+}
+
+// grantCall returns the lease of a plain call at its endpoint.
+func (s *Scheduler) grantCall(now time.Time, best *endpointState, e *expectation) *Lease {
+	s.take(now, best)
+	l := &Lease{Target: best.ep, targetEndpoint: best, grantedAt: now}
+	if e.told {
+		l.TargetChoice = e.choiceOf(now, best, s.callEnd(now, best, e))
+	}
+	best.calls++
+	best.callsSinceReport++
+	best.lastCallAt = now
+	return l
+}
+
+func (s *Scheduler) chooseService(now time.Time, d Demand, e *expectation) (best *endpointState) {
+	if e.told {
+		return s.chooseCall(now, d, e)
+	}
 	var shortest time.Duration
 	lowest := s.lowestLatency(now, d.Pool)
 	for _, x := range s.candidates(now, d) {
@@ -275,12 +329,7 @@
 			best, shortest = x, wait
 		}
 	}
-	if best == nil {
-		return nil
-	}
-	s.take(now, best)
-	best.calls++
-	return &Lease{Target: best.ep, targetEndpoint: best, grantedAt: now}
+	return best
 }
 
 // candidates returns the endpoints that may be given a plain call. If all are ejected for
@@ -323,7 +372,9 @@
 	}
 	if o == sched.Succeeded && l.prefillTokens > 0 {
 		x.cold.served++
-		x.prefillTokenTime = movingAverage(x.prefillTokenTime, max(time.Microsecond, now.Sub(l.grantedAt)/time.Duration(l.backlogTokens)))
+		sample := max(time.Microsecond, now.Sub(l.grantedAt)/time.Duration(l.backlogTokens))
+		x.prefillTokenTime = movingAverage(x.prefillTokenTime, sample)
+		s.observeUsual(now, x, func(u *usualTimes) *time.Duration { return &u.prefillToken }, sample)
 	}
 	x.prefillTokens -= l.prefillTokens
 	l.prefillEndpoint, l.prefillTokens = nil, 0
@@ -339,7 +390,8 @@
 	ejected = old.recordOutcome(now, o)
 	d.Exclude = append(slices.Clone(d.Exclude), old.ep.Name)
 	d.SoftwareVersion = old.ep.SoftwareVersion
-	t, _ := s.chooseDecode(now, &d, l.generation, s.turn)
+	e := s.expect(now, d.Pool)
+	t, _ := s.chooseDecode(now, &d, l.generation, s.turn, &e)
 	if t == nil {
 		old.generations[l] = struct{}{}
 		return false, ejected
@@ -432,7 +484,9 @@
 		x.cold.served++
 	}
 	if l.generation.Generated > 0 && generated > l.generation.Generated {
-		x.tokenTime = movingAverage(x.tokenTime, now.Sub(l.generation.AsOf)/time.Duration(generated-l.generation.Generated))
+		sample := now.Sub(l.generation.AsOf) / time.Duration(generated-l.generation.Generated)
+		x.tokenTime = movingAverage(x.tokenTime, sample)
+		s.observeUsual(now, x, func(u *usualTimes) *time.Duration { return &u.token }, sample)
 	}
 	l.generation.Generated, l.generation.AsOf = generated, now
 	if generated >= l.generation.PlannedOutput {
@@ -464,17 +518,16 @@
 		x.calls--
 		if o == sched.Succeeded {
 			x.cold.served++
-			x.callLatency, x.callLatencyAt = movingAverage(x.callLatency, now.Sub(l.grantedAt)), now
+			sample := now.Sub(l.grantedAt)
+			x.callLatency, x.callLatencyAt = movingAverage(x.callLatency, sample), now
+			if own := x.load.Own(); own.At.After(l.grantedAt) && own.Waiting == 0 { // it has hardly waited there
+				s.observeUsual(now, x, func(u *usualTimes) *time.Duration { return &u.call }, sample)
+			}
 		}
 	}
 	return x.recordOutcome(now, o)
 }
 
-// RecordLoad records the load that the lease's endpoint reported in an answer.
-func (s *Scheduler) RecordLoad(now time.Time, l *Lease, running, waiting int) {
-	l.targetEndpoint.reportedCalls, l.targetEndpoint.reportedAt = max(0, running+waiting-1), now
-}
-
 // HasUsableEndpoint reports whether the demand's pool has an available endpoint for it other than
 // prefill engines.
 func (s *Scheduler) HasUsableEndpoint(now time.Time, d Demand) bool {
@@ -496,5 +549,5 @@
 	if l.prefillEndpoint == nil {
 		return 0
 	}
-	return time.Duration(l.backlogTokens) * l.prefillEndpoint.prefillTokenTime
+	return time.Duration(l.backlogTokens) * l.prefillTokenTime
 }
