placement: generations that will not have a place in time are refused at once

Ruled out: a fixed shorter patience, which refuses requests that are served a moment later. Change: scarcity.Outlook walks over the ends of what runs and lets waiters take the first room, in order; asked at arrival, and every 50 ms for those that wait. Refused is who starts too late by more than the usual error, twice. Retry-After is never before the predicted start. request.no_place names the inputs.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -23,15 +23,21 @@
 	mu            sync.Mutex
 	sched         *placement.Scheduler
 	queue         placement.Queue
-	grants        map[*placement.Waiter]chan *placement.Lease
+	grants        map[*placement.Waiter]chan grant
 	outputLengths map[string]*placement.LengthPredictor // by pool
 	timerSet      bool
 	onEject       func(ep *config.Endpoint)
 	onChange      func() // called whenever a lease is granted or released; must not block
 }
 
+// grant is what a waiter gets: a lease, or a refusal.
+type grant struct {
+	lease *placement.Lease
+	err   error
+}
+
 func newAdmission(s *placement.Scheduler, onEject func(*config.Endpoint)) *admission {
-	return &admission{now: time.Now, sched: s, grants: map[*placement.Waiter]chan *placement.Lease{}, outputLengths: map[string]*placement.LengthPredictor{}, onEject: onEject, onChange: func() {}}
+	return &admission{now: time.Now, sched: s, grants: map[*placement.Waiter]chan grant{}, outputLengths: map[string]*placement.LengthPredictor{}, onEject: onEject, onChange: func() {}}
 }
 
 // acquireEngine waits for a lease on engines. The error is a refusal with a retry delay.
@@ -50,11 +56,11 @@
 		a.mu.Unlock()
 		return nil, refusal(errkind.NoEndpoint, "no engine can be used", max(pause, time.Second))
 	}
-	if wait := a.queue.PredictWait(now, a.sched, w); pause == 0 && now.Add(wait).After(w.Deadline) {
+	if wait, ok := a.queue.Enter(now, a.sched, w); pause == 0 && !ok {
 		a.mu.Unlock()
 		return nil, refusal(errkind.QueueFull, "the engines are full", wait)
 	}
-	ch := make(chan *placement.Lease, 1)
+	ch := make(chan grant, 1)
 	a.grants[w] = ch
 	a.queue.Push(w)
 	a.serveQueue(now)
@@ -65,19 +71,21 @@
 	timer := time.NewTimer(time.Until(w.Deadline))
 	defer timer.Stop()
 	select {
-	case l := <-ch:
-		return l, nil
+	case g := <-ch:
+		return g.lease, g.err
 	case <-ctx.Done():
 	case <-timer.C:
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	select {
-	case l := <-ch:
+	case g := <-ch:
 		if ctx.Err() == nil {
-			return l, nil
+			return g.lease, g.err
+		}
+		if g.lease != nil {
+			a.sched.Release(a.now(), g.lease, sched.Abandoned)
 		}
-		a.sched.Release(a.now(), l, sched.Abandoned)
 	default:
 		a.queue.Remove(w)
 		delete(a.grants, w)
@@ -121,13 +129,21 @@
 // random.
 const limitRetrySpread = 400 * time.Millisecond
 
-// serveQueue grants leases to queued generations. The caller holds the lock.
+// serveQueue grants leases to queued generations, and refuses those that would wait in vain. The caller holds the lock.
 func (a *admission) serveQueue(now time.Time) {
 	for _, g := range a.queue.Serve(now, a.sched) {
-		a.grants[g.Waiter] <- g.Lease
-		delete(a.grants, g.Waiter)
-		a.onChange()
+		a.end(g.Waiter, grant{lease: g.Lease})
 	}
+	for _, r := range a.queue.GiveUp(now, a.sched) {
+		a.end(r.Waiter, grant{err: refusal(errkind.QueueFull, "no engine would be free in time", r.RetryAfter)})
+	}
+}
+
+// end ends the wait of a queued generation. The caller holds the lock.
+func (a *admission) end(w *placement.Waiter, g grant) {
+	a.grants[w] <- g
+	delete(a.grants, w)
+	a.onChange()
 }
 
 // armTimer checks the queue again after queuePollInterval, for as long as it is not empty. The
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -12,6 +12,7 @@
 	"carawayrouter.example/router/internal/config"
 	"carawayrouter.example/router/internal/endpoint"
 	"carawayrouter.example/router/internal/placement"
+	"carawayrouter.example/router/internal/scarcity"
 	"carawayrouter.example/router/internal/sched"
 )
 
@@ -145,6 +146,8 @@
 	lease, err := g.s.admission.acquireEngine(g.ctx, w)
 	g.queueTime += time.Since(began)
 	if err != nil {
+		f := w.Forecast
+		g.decision("no_place", "pool", w.Demand.Pool, "rank", w.Priority, "ahead", f.Ahead, "predicted_ms", predictedMillis(f), "left_ms", time.Until(w.Deadline).Milliseconds(), "engines", f.Engines, "free_tokens", f.Free, "oldest_ms", f.Oldest.Milliseconds(), "waited_ms", g.queueTime.Milliseconds())
 		return true, errors.Mark(err, errNoPlace)
 	}
 	g.crashed = false
@@ -157,6 +160,14 @@
 	return done, err
 }
 
+// predictedMillis returns a predicted wait for the log; -1 if none could be predicted or no place is expected.
+func predictedMillis(f placement.Forecast) int64 {
+	if !f.Known || f.Wait == scarcity.Never {
+		return -1
+	}
+	return f.Wait.Milliseconds()
+}
+
 // watchSilence restarts the timer for the silence of the current run's engine. The streams of an
 // engine become silent together, so the times are spread.
 func (g *generation) watchSilence() {
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"carawayrouter.example/router/internal/config"
+	"carawayrouter.example/router/internal/scarcity"
 	"carawayrouter.example/router/internal/sched"
 )
 
@@ -28,6 +29,10 @@
 	Due      time.Time // latest start that meets the latency target
 	Deadline time.Time // latest start at all
 	Priority int       // lower values first
+	Forecast Forecast  // the last one that was made for it
+
+	queue *Queue // that it waits in; nil for one of another instance
+	doubt scarcity.Doubt
 }
 
 // Grant is a lease granted to a waiter.
@@ -41,14 +46,18 @@
 // queueing delay exceeds the latency target, so waiters that can still meet the target go
 // before those that cannot. It is not safe for concurrent use.
 type Queue struct {
-	waiting []*Waiter
+	waiting     []*Waiter
+	predictedAt time.Time // of the last GiveUp
 }
 
 // Len returns the number of waiters.
 func (q *Queue) Len() int { return len(q.waiting) }
 
 // Push adds a waiter.
-func (q *Queue) Push(w *Waiter) { q.waiting = append(q.waiting, w) }
+func (q *Queue) Push(w *Waiter) {
+	w.queue = q
+	q.waiting = append(q.waiting, w)
+}
 
 // Remove removes a waiter, if it is in the queue.
 func (q *Queue) Remove(w *Waiter) {
@@ -63,7 +72,7 @@
 // compareWaiters orders waiters that can still meet their latency target before those that
 // cannot, then by priority, then broken streams before new ones, then by arrival. It is negative
 // if a goes first.
-func compareWaiters(now time.Time, a, b *Waiter) int {
+func (s *Scheduler) compareWaiters(now time.Time, a, b *Waiter) int {
 	if lateA, lateB := now.After(a.Due), now.After(b.Due); lateA != lateB {
 		return firstIf(lateB)
 	}
@@ -100,22 +109,18 @@
 	blocked := map[poolVersion]bool{}
 	kept := map[string][]string{} // software versions, by pool, whose engines are kept free for a waiter
 	unplaced := 0
-	own := map[*Waiter]bool{}
-	for _, w := range q.waiting {
-		own[w] = true
-	}
 	for _, w := range q.ordered(now, s) {
 		need := poolVersion{w.Demand.Pool, w.Demand.SoftwareVersion}
 		if !blocked[need] {
 			acquire := s.AcquireEngine
-			if !own[w] {
+			if w.queue != q {
 				acquire = s.reserveForPeer
 			}
 			d := w.Demand
 			d.avoid = kept[d.Pool]
 			lease := acquire(now, d)
 			switch {
-			case lease != nil && own[w]:
+			case lease != nil && w.queue == q:
 				grants = append(grants, Grant{Waiter: w, Lease: lease})
 				continue
 			case lease != nil:
@@ -129,7 +134,7 @@
 				kept[need.pool] = append(kept[need.pool], need.version)
 			}
 		}
-		if own[w] {
+		if w.queue == q {
 			stillWaiting = append(stillWaiting, w)
 		}
 	}
@@ -148,16 +153,31 @@
 			all = append(all, peer.Waiters...)
 		}
 	}
-	slices.SortStableFunc(all, func(a, b *Waiter) int { return compareWaiters(now, a, b) })
+	slices.SortStableFunc(all, func(a, b *Waiter) int { return s.compareWaiters(now, a, b) })
 	return all
 }
 
 // Waiters returns the waiters of this instance.
 func (q *Queue) Waiters() []*Waiter { return q.waiting }
 
-// PredictWait estimates how long w would wait: the memory-time of the waiters before it and
-// its own, divided by the memory of the available engines.
+// PredictWait estimates after which time w is worth another try: the memory-time of the waiters before it and
+// its own, divided by the memory of the available engines, but not before it is predicted to start.
 func (q *Queue) PredictWait(now time.Time, s *Scheduler, w *Waiter) time.Duration {
+	w.Forecast = q.Forecast(now, s, w)
+	return q.retryAfter(now, s, w)
+}
+
+// retryAfter is PredictWait with the last forecast for w.
+func (q *Queue) retryAfter(now time.Time, s *Scheduler, w *Waiter) time.Duration {
+	wait := q.shareOfTime(now, s, w)
+	if f := w.Forecast; f.Known && f.Wait != scarcity.Never {
+		wait = max(wait, f.Wait)
+	}
+	return wait
+}
+
+// shareOfTime returns how long the available engines need for w and the waiters before it.
+func (q *Queue) shareOfTime(now time.Time, s *Scheduler, w *Waiter) time.Duration {
 	work, capacity, poolCapacity := 0.0, 0.0, 0.0
 	tokenTime := defaultTokenTime
 	version := w.Demand.SoftwareVersion
@@ -176,7 +196,7 @@
 		return time.Second
 	}
 	for _, other := range q.ordered(now, s) {
-		if other == w || other.Demand.Pool != w.Demand.Pool || compareWaiters(now, other, w) > 0 {
+		if other == w || other.Demand.Pool != w.Demand.Pool || s.compareWaiters(now, other, w) > 0 {
 			continue
 		}
 		switch need := memoryTime(other.Demand, tokenTime); other.Demand.SoftwareVersion {
@@ -199,7 +219,7 @@
 func (q *Queue) predictTurn(now time.Time, s *Scheduler, w *Waiter) time.Duration {
 	before := 0
 	for _, other := range q.waiting {
-		if other != w && other.Demand.Pool == w.Demand.Pool && compareWaiters(now, other, w) <= 0 {
+		if other != w && other.Demand.Pool == w.Demand.Pool && s.compareWaiters(now, other, w) <= 0 {
 			before++
 		}
 	}
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -7,6 +7,7 @@
 
 	"carawayrouter.example/router/internal/config"
 	"carawayrouter.example/router/internal/limit/pacing"
+	"carawayrouter.example/router/internal/scarcity"
 	"carawayrouter.example/router/internal/sched"
 )
 
@@ -72,6 +73,9 @@
 	pools      map[string][]*endpointState
 	peers      map[string]*PeerState
 	member     pacing.Member // this instance's place in the fleet
+
+	outlook       scarcity.Outlook // reused by survey
+	holdings, own []Generation     // buffers of survey
 }
 
 // New returns a Scheduler without endpoints, for an instance in the given data centre.
