placement, gateway: ranks decide over the whole fleet who goes, and room is kept for better ones

Cause: one late waiter of any rank went behind all that were on time, newcomers of a lower rank were placed at once beside waiters of a better one at other instances, no place was left for the next request of a better rank, and engines preempted the newest whatever its rank. Change, in pools whose routes and accounts have several ranks only: order by rank first; newcomers look at the waiters of other instances; whole places are left free for the requests of better ranks that lately came to the fleet (Update.Demand); a floor while better ranks need nearly all the room; engines are told the urgency that was decided. Predictions count what better ranks take.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -44,7 +44,7 @@
 func (a *admission) acquireEngine(ctx context.Context, w *placement.Waiter) (*placement.Lease, error) {
 	a.mu.Lock()
 	now := a.now()
-	if a.queue.Len() == 0 {
+	if a.queue.Len() == 0 && !a.queue.MustQueue(now, a.sched, w) {
 		if l := a.sched.AcquireEngine(now, w.Demand); l != nil {
 			a.mu.Unlock()
 			a.onChange()
@@ -96,6 +96,12 @@
 	return nil, refusal(errkind.QueueFull, "the engines stayed full", a.queue.PredictWait(a.now(), a.sched, w))
 }
 
+// arrive records the arrival of a generation, and returns how it takes part.
+func (a *admission) arrive(d placement.Demand, rank int) (st placement.Standing) {
+	a.withScheduler(func(now time.Time, s *placement.Scheduler) { st = s.Arrive(now, d, rank) })
+	return st
+}
+
 // tryAcquireEngine returns a lease on engines, or nil if the generation would have to wait.
 func (a *admission) tryAcquireEngine(d placement.Demand) (l *placement.Lease) {
 	a.withScheduler(func(now time.Time, s *placement.Scheduler) { l = s.AcquireEngine(now, d) })
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -80,6 +80,8 @@
 	PrefillOnly bool
 	KVSource    string // address and handle of a prefill result
 	LastEventID string // ID of the event to resume after
+	// Urgency is how urgent the request is among those of its pool, 1 (most) to scarcity.Levels, or 0 if the endpoint is not told.
+	Urgency int
 }
 
 // ResponseInfo holds what the headers of an endpoint's response say.
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -61,6 +61,7 @@
 	g := &generation{exchange: x, ctx: ctx, silence: time.NewTimer(x.engineTimeout())}
 	defer g.silence.Stop()
 	defer g.abandonAll()
+	x.standing = x.s.admission.arrive(x.demand(), x.priority())
 	var last error
 	for {
 		done, err := g.step()
@@ -147,7 +148,7 @@
 	g.queueTime += time.Since(began)
 	if err != nil {
 		f := w.Forecast
-		g.decision("no_place", "pool", w.Demand.Pool, "rank", w.Priority, "ahead", f.Ahead, "predicted_ms", predictedMillis(f), "left_ms", time.Until(w.Deadline).Milliseconds(), "engines", f.Engines, "free_tokens", f.Free, "oldest_ms", f.Oldest.Milliseconds(), "waited_ms", g.queueTime.Milliseconds())
+		g.decision("no_place", "pool", w.Demand.Pool, "rank", w.Priority, "by_request", g.priority(), "taken_percent", int(100*f.Taken), "ahead", f.Ahead, "predicted_ms", predictedMillis(f), "left_ms", time.Until(w.Deadline).Milliseconds(), "engines", f.Engines, "free_tokens", f.Free, "oldest_ms", f.Oldest.Milliseconds(), "waited_ms", g.queueTime.Milliseconds())
 		return true, errors.Mark(err, errNoPlace)
 	}
 	g.crashed = false
@@ -378,11 +379,20 @@
 		dueFrom = x.chargedAt
 	}
 	return &placement.Waiter{
-		Demand:   placement.Demand{Pool: c.Pool.Name, Prompt: c.PromptTokens, MaxOutput: c.MaxOutputTokens, ExpectedOutput: x.s.admission.predictOutput(c), Generated: x.priorTokens + x.relayedTokens, Exclude: x.excluded, SoftwareVersion: x.softwareVersion},
+		Demand:   x.demand(),
 		Arrived:  c.Arrived,
 		Due:      dueFrom.Add(c.Route.FirstToken - expectedStartDelay - time.Duration(c.PromptTokens)*prefillTimePerToken),
 		Deadline: latest,
-		Priority: x.priority(),
+		Priority: x.standing.Rank,
+	}
+}
+
+// demand returns what a run of the generation needs.
+func (x *exchange) demand() placement.Demand {
+	c := x.call
+	return placement.Demand{
+		Pool: c.Pool.Name, Prompt: c.PromptTokens, MaxOutput: c.MaxOutputTokens, ExpectedOutput: x.s.admission.predictOutput(c),
+		Generated: x.priorTokens + x.relayedTokens, Exclude: x.excluded, SoftwareVersion: x.softwareVersion, Rank: x.standing.Rank,
 	}
 }
 
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -10,6 +10,8 @@
 
 	"carawayrouter.example/router/internal/config"
 	"carawayrouter.example/router/internal/errkind"
+	"carawayrouter.example/router/internal/placement"
+	"carawayrouter.example/router/internal/scarcity"
 )
 
 const (
@@ -56,16 +58,17 @@
 	lastFraming     framing   // of the last response; empty before the first one
 	lastDetoured    bool      // the last response came through another instance
 	queueTime       time.Duration
-	relayedTokens   int               // output tokens relayed
-	priorTokens     int               // output tokens that the caller received in an earlier attempt
-	softwareVersion string            // of the engine that began the stream; empty before
-	takenUp         bool              // the caller takes up a broken stream
-	lastEventID     string            // ID of the last event relayed, or the one sent by the caller
-	logNow          bool              // log lines are written immediately
-	deferredLines   []logLine         // log lines to write when the request ends
-	fallback        *bufferedResponse // an endpoint's error response, sent if no attempt succeeds
-	firstEventDelay time.Duration     // from arrival to the first event
-	longestGap      time.Duration     // longest time between two events
+	relayedTokens   int                // output tokens relayed
+	standing        placement.Standing // of a generation among those of its pool
+	priorTokens     int                // output tokens that the caller received in an earlier attempt
+	softwareVersion string             // of the engine that began the stream; empty before
+	takenUp         bool               // the caller takes up a broken stream
+	lastEventID     string             // ID of the last event relayed, or the one sent by the caller
+	logNow          bool               // log lines are written immediately
+	deferredLines   []logLine          // log lines to write when the request ends
+	fallback        *bufferedResponse  // an endpoint's error response, sent if no attempt succeeds
+	firstEventDelay time.Duration      // from arrival to the first event
+	longestGap      time.Duration      // longest time between two events
 	lastEventAt     time.Time
 
 	fingerprintCache string // empty until it is needed
@@ -214,19 +217,15 @@
 	}
 }
 
-// overLimitPriority ranks requests of accounts above their limit behind all requests within
-// limits.
-const overLimitPriority = 1000
-
 // priority returns the priority of the request; lower values go first. The account's priority
 // takes precedence over the route's.
 func (x *exchange) priority() int {
 	priority := x.call.Route.Priority
 	if x.call.Account != nil {
-		priority += 10 * x.call.Account.Priority
+		priority += scarcity.AccountRanks * x.call.Account.Priority
 	}
 	if x.call.OverLimit {
-		priority += overLimitPriority
+		priority += scarcity.OverLimit // behind all requests within limits
 	}
 	return priority
 }
@@ -272,6 +271,7 @@
 	case outcome == outcomeComplete:
 		x.s.stats.callLatency.Update(took.Seconds())
 	}
+	x.countByRank(outcome, took)
 	routine := outcome == outcomeComplete && r.status < 400 && x.sends <= 1 && !x.missedTarget(took) && x.lastFraming != framedByClose
 	if !x.logNow && routine {
 		x.s.stats.omitted.Inc()
@@ -288,6 +288,9 @@
 	if c.Route != nil {
 		fields = append(fields, "route", c.Route.Name)
 	}
+	if x.standing.Own > 0 {
+		fields = append(fields, "rank", x.priority(), "as_rank", x.standing.Rank)
+	}
 	if x.lastFraming != "" {
 		fields = append(fields, "framing", string(x.lastFraming), "detoured", x.lastDetoured)
 	}
@@ -300,6 +303,24 @@
 	x.decision("end", fields...)
 }
 
+// countByRank counts a generation of a pool with several ranks.
+func (x *exchange) countByRank(outcome string, took time.Duration) {
+	if x.standing.Own == 0 {
+		return
+	}
+	m := x.s.stats.byRank[rankLabel(x.standing.Own)]
+	m["arrived"].Inc()
+	if x.queueTime >= queuePollInterval {
+		m["waited"].Inc()
+	}
+	switch {
+	case outcome == outcomeRefused:
+		m["refused"].Inc()
+	case outcome == outcomeComplete && !x.missedTarget(took):
+		m["on_time"].Inc()
+	}
+}
+
 // outcome returns how the request ended.
 func (x *exchange) outcome(err error) string {
 	r := x.resp
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -291,7 +291,7 @@
 
 // request returns the request to an endpoint.
 func (x *exchange) request(ep *config.Endpoint, opts RequestOptions) endpointRequest {
-	opts.Endpoint, opts.Account, opts.Deadline = ep.Name, x.account(), x.deadline
+	opts.Endpoint, opts.Account, opts.Deadline, opts.Urgency = ep.Name, x.account(), x.deadline, x.standing.Level
 	return endpointRequest{
 		endpoint:  ep.Name,
 		addr:      ep.Addr,
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"carawayrouter.example/router/internal/errkind"
+	"carawayrouter.example/router/internal/scarcity"
 )
 
 // latencyBounds are the bounds of the histograms, in seconds. They are densest around the
@@ -38,7 +39,8 @@
 	memoryShort       *metrics.Counter
 	acceptFailures    *metrics.Counter
 	yieldedConns      *metrics.Counter
-	closedAnswers     map[bool]*metrics.Counter // answers without a length, by whether their end was confirmed
+	byRank            map[string]map[string]*metrics.Counter // generations of pools with several ranks
+	closedAnswers     map[bool]*metrics.Counter              // answers without a length, by whether their end was confirmed
 
 	callLatency *metrics.PrometheusHistogram
 	firstEvent  *metrics.PrometheusHistogram
@@ -55,6 +57,24 @@
 	outcomeCallerGone = "gone"    // the caller disconnected
 )
 
+// Ranks in metrics.
+const (
+	rankBest      = "best"
+	rankLower     = "lower"
+	rankOverLimit = "over_limit"
+)
+
+// rankLabel returns the label of a level of urgency.
+func rankLabel(level int) string {
+	switch level {
+	case 1:
+		return rankBest
+	case scarcity.Levels:
+		return rankOverLimit
+	}
+	return rankLower
+}
+
 func newStats(s *Server) *stats {
 	set := metrics.NewSet()
 	m := &stats{
@@ -87,6 +107,13 @@
 		true:  set.NewCounter(`caraway_answers_without_length_total{end="confirmed"}`),
 		false: set.NewCounter(`caraway_answers_without_length_total{end="broken"}`),
 	}
+	m.byRank = map[string]map[string]*metrics.Counter{}
+	for _, rank := range []string{rankBest, rankLower, rankOverLimit} {
+		m.byRank[rank] = map[string]*metrics.Counter{}
+		for _, what := range []string{"arrived", "on_time", "waited", "refused"} {
+			m.byRank[rank][what] = set.NewCounter(`caraway_generations_by_rank_total{rank="` + rank + `",what="` + what + `"}`)
+		}
+	}
 	for _, o := range []string{outcomeComplete, outcomeRefused, outcomeFailed, outcomeTruncated, outcomeCallerGone} {
 		m.requests[o] = set.NewCounter(`caraway_requests_total{outcome="` + o + `"}`)
 	}
--- a/internal/gateway/updates.go
+++ b/internal/gateway/updates.go
@@ -12,6 +12,7 @@
 	"carawayrouter.example/router/internal/gossip"
 	"carawayrouter.example/router/internal/limit/window"
 	"carawayrouter.example/router/internal/placement"
+	"carawayrouter.example/router/internal/scarcity"
 )
 
 // sendLoop sends an update whenever something changes, and periodically.
@@ -146,6 +147,9 @@
 			u.Ejected = append(u.Ejected, gossip.Ejection{Endpoint: endpoint, Remaining: remaining.Milliseconds()})
 		})
 		addLimits(now, scheduler, u)
+		for _, d := range scheduler.Demand(now) {
+			u.Demand = append(u.Demand, encodeDemand(d))
+		}
 		for _, w := range queue.Waiters() {
 			u.Queued = append(u.Queued, gossip.QueuedRequest{
 				Pool: w.Demand.Pool, Prompt: w.Demand.Prompt, Output: w.Demand.ExpectedOutput, Generated: w.Demand.Generated,
@@ -380,9 +384,25 @@
 	}
 	for _, w := range u.Queued {
 		r.Waiters = append(r.Waiters, &placement.Waiter{
-			Demand:  placement.Demand{Pool: w.Pool, Prompt: w.Prompt, MaxOutput: w.Output, Generated: w.Generated, SoftwareVersion: w.SoftwareVersion},
+			Demand:  placement.Demand{Pool: w.Pool, Prompt: w.Prompt, MaxOutput: w.Output, Generated: w.Generated, SoftwareVersion: w.SoftwareVersion, Rank: w.Priority},
 			Arrived: gossip.TimeOfAge(now, w.Age), Due: gossip.TimeOfAge(now, -w.StartBy), Priority: w.Priority,
 		})
 	}
+	r.Demand = decodeDemand(u.Demand)
 	return r
 }
+
+// encodeDemand converts a demand for an update.
+func encodeDemand(d scarcity.Demand) gossip.RankDemand {
+	return gossip.RankDemand{Pool: d.Pool, Rank: d.Rank, Requests: int(d.Requests * 1000), Work: int(d.Work)}
+}
+
+// decodeDemand is the inverse of encodeDemand for all of an update, without what cannot be.
+func decodeDemand(told []gossip.RankDemand) []scarcity.Demand {
+	told = told[:min(len(told), scarcity.MaxTold)]
+	var out []scarcity.Demand
+	for _, d := range told {
+		out = append(out, scarcity.Demand{Pool: d.Pool, Rank: d.Rank, Requests: float64(d.Requests) / 1000, Work: float64(d.Work)})
+	}
+	return scarcity.Heard(out)
+}
--- a/internal/placement/outlook.go
+++ b/internal/placement/outlook.go
@@ -16,6 +16,7 @@
 	Known   bool          // there are usable engines
 	Ahead   int           // waiters before it, of all instances
 	Engines int           // decode engines that were looked at
+	Taken   float64       // part of the room that requests yet to come take first
 	Free    int           // tokens of their memory that are free now, in whole places
 	Oldest  time.Duration // age of the oldest report of another instance that counted
 }
@@ -134,8 +135,15 @@
 		}
 		return
 	}
+	var pressure *scarcity.Pressure
+	if s.IsRanked(pool) {
+		pressure = s.pressure(now, pool)
+	}
 	start := func(w *Waiter) Forecast {
 		f.Wait = s.outlook.Start(w.Demand.need(tokenTime))
+		if pressure != nil {
+			f.Wait, f.Taken = pressure.Wait(now, f.Wait, w.Priority, now.After(w.Due), w.Deadline.Sub(now), s.pressed[pool].overload)
+		}
 		return f
 	}
 	for _, w := range order {
--- a/internal/placement/peers.go
+++ b/internal/placement/peers.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"carawayrouter.example/router/internal/scarcity"
 )
 
 // PeerState is the load that another instance reports: what it holds at the endpoints and
@@ -12,6 +14,7 @@
 	Generations   map[string][]Generation // by endpoint
 	PrefillTokens map[string]int          // prompt tokens of prefills in progress, by endpoint
 	Waiters       []*Waiter
+	Demand        []scarcity.Demand    // that arrives at the instance
 	EjectedUntil  map[string]time.Time // end of the ejections in force at the instance, by endpoint
 }
 
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -69,10 +69,19 @@
 // isBroken reports whether the waiter goes on with a stream.
 func (w *Waiter) isBroken() bool { return w.Demand.Generated > 0 }
 
-// compareWaiters orders waiters that can still meet their latency target before those that
-// cannot, then by priority, then broken streams before new ones, then by arrival. It is negative
+// compareWaiters orders the waiters of ranked pools by compareRanked, before all others. Of the others it orders those that can
+// still meet their latency target before those that cannot, then by priority, then broken streams before new ones, then by arrival. It is negative
 // if a goes first.
 func (s *Scheduler) compareWaiters(now time.Time, a, b *Waiter) int {
+	if s.anyRanked {
+		rankedA := s.IsRanked(a.Demand.Pool)
+		if b.Demand.Pool != a.Demand.Pool && s.IsRanked(b.Demand.Pool) != rankedA {
+			return firstIf(rankedA)
+		}
+		if rankedA {
+			return compareRanked(now, a, b)
+		}
+	}
 	if lateA, lateB := now.After(a.Due), now.After(b.Due); lateA != lateB {
 		return firstIf(lateB)
 	}
@@ -108,7 +117,7 @@
 	var reserved []*Lease
 	blocked := map[poolVersion]bool{}
 	kept := map[string][]string{} // software versions, by pool, whose engines are kept free for a waiter
-	unplaced := 0
+	unplaced := map[string]int{}  // by ranked pool, and of all others together
 	for _, w := range q.ordered(now, s) {
 		need := poolVersion{w.Demand.Pool, w.Demand.SoftwareVersion}
 		if !blocked[need] {
@@ -127,9 +136,13 @@
 				reserved = append(reserved, lease)
 				continue
 			}
-			unplaced++
+			group := ""
+			if s.IsRanked(d.Pool) {
+				group = d.Pool
+			}
+			unplaced[group]++
 			overdue := now.Sub(w.Arrived) > maxBypassTime
-			blocked[need] = overdue || unplaced >= maxUnplaced
+			blocked[need] = overdue || unplaced[group] >= maxUnplaced
 			if overdue && need.version != "" {
 				kept[need.pool] = append(kept[need.pool], need.version)
 			}
@@ -145,14 +158,20 @@
 	return grants
 }
 
-// ordered returns the waiters of this and the other instances, in order.
-func (q *Queue) ordered(now time.Time, s *Scheduler) []*Waiter {
+// all returns the waiters of this and the other instances.
+func (q *Queue) all(now time.Time, s *Scheduler) []*Waiter {
 	all := slices.Clone(q.waiting)
 	for _, peer := range s.peers {
 		if now.Sub(peer.UpdatedAt) <= peerWaitersTTL {
 			all = append(all, peer.Waiters...)
 		}
 	}
+	return all
+}
+
+// ordered returns the waiters of this and the other instances, in order.
+func (q *Queue) ordered(now time.Time, s *Scheduler) []*Waiter {
+	all := q.all(now, s)
 	slices.SortStableFunc(all, func(a, b *Waiter) int { return s.compareWaiters(now, a, b) })
 	return all
 }
@@ -195,7 +214,7 @@
 	if capacity == 0 {
 		return time.Second
 	}
-	for _, other := range q.ordered(now, s) {
+	for _, other := range q.all(now, s) {
 		if other == w || other.Demand.Pool != w.Demand.Pool || s.compareWaiters(now, other, w) > 0 {
 			continue
 		}
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -28,6 +28,9 @@
 	// for a stream that has not begun.
 	SoftwareVersion string
 
+	Rank int // lower values first
+
+	moved bool     // the prompt was read already
 	avoid []string // software versions whose engines are kept free for others
 }
 
@@ -74,18 +77,28 @@
 	peers      map[string]*PeerState
 	member     pacing.Member // this instance's place in the fleet
 
+	ranks     map[string]scarcity.Ranks // by pool
+	anyRanked bool                      // a pool has several
+	rates     scarcity.Rates
+	pressed   map[string]*pressed // by ranked pool
+
 	outlook       scarcity.Outlook // reused by survey
 	holdings, own []Generation     // buffers of survey
 }
 
 // New returns a Scheduler without endpoints, for an instance in the given data centre.
 func New(dataCentre string, r *rand.Rand) *Scheduler {
-	return &Scheduler{dataCentre: dataCentre, rand: r, endpoints: map[string]*endpointState{}, absent: map[string]absentEndpoint{}, pools: map[string][]*endpointState{}, peers: map[string]*PeerState{}, member: pacing.Member{Count: 1}}
+	return &Scheduler{dataCentre: dataCentre, rand: r, endpoints: map[string]*endpointState{}, absent: map[string]absentEndpoint{}, pools: map[string][]*endpointState{}, peers: map[string]*PeerState{}, pressed: map[string]*pressed{}, member: pacing.Member{Count: 1}}
 }
 
 // SetEndpoints replaces the endpoints. What is known of an endpoint's incarnation outlives its entry; see
 // entered.
 func (s *Scheduler) SetEndpoints(now time.Time, state *config.State) {
+	s.ranks, s.anyRanked = scarcity.RanksByPool(state), false
+	for _, r := range s.ranks {
+		s.anyRanked = s.anyRanked || r.Several()
+	}
+	clear(s.pressed)
 	old := s.endpoints
 	s.endpoints = make(map[string]*endpointState, len(state.Endpoints))
 	s.pools = map[string][]*endpointState{}
@@ -247,6 +260,9 @@
 			best, lightest = x, load
 		}
 	}
+	if best != nil && !s.leavesRoom(now, d, g, best) {
+		return nil, 0
+	}
 	return best, lightest
 }
 
@@ -327,7 +343,7 @@
 	delete(old.generations, l)
 	ejected = old.recordOutcome(now, o)
 	d.Exclude = append(slices.Clone(d.Exclude), old.ep.Name)
-	d.SoftwareVersion = old.ep.SoftwareVersion
+	d.SoftwareVersion, d.moved = old.ep.SoftwareVersion, true
 	t, _ := s.chooseDecode(now, d, l.generation, s.ready)
 	if t == nil {
 		old.generations[l] = struct{}{}
--- a/internal/scarcity/outlook.go
+++ b/internal/scarcity/outlook.go
@@ -1,5 +1,5 @@
 // Package scarcity decides who goes, who waits, who is refused and who gives way while a pool of engines has less room than
-// its requests need. It opens no sockets, starts no goroutines and knows no time: times are given from now on.
+// its requests need. It opens no sockets and starts no goroutines; the current time is an argument, or times are from now on.
 package scarcity
 
 import (
