gateway: plain calls wait in line at their instance while no endpoint has room

Cause: calls were sent to the least loaded endpoint whether or not it had room. It turned them away beyond its own queue, by arrival, at the cost of an attempt of the retry budget each, and knew neither ranks nor accounts.

--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -39,7 +39,7 @@
 		if !x.reserveSends(1) {
 			return last
 		}
-		lease, err := x.s.admission.acquireService(x.callDemand())
+		lease, err := x.callPlace(ctx)
 		if err != nil {
 			if last != nil {
 				return last
@@ -64,8 +64,9 @@
 	return last
 }
 
+// callDemand returns what a run of the call needs: another endpoint than those that failed it or turned it away.
 func (x *exchange) callDemand() placement.Demand {
-	return placement.Demand{Pool: x.call.Pool.Name, Exclude: x.excluded}
+	return placement.Demand{Pool: x.call.Pool.Name, Exclude: slices.Concat(x.excluded, x.turnedAwayBy), EndBy: x.deadline}
 }
 
 // canRetry reports whether the request may be run again although it may already have run.
@@ -172,8 +173,12 @@
 		run.call.resp.close() // before its context ends, which would close the connection
 	}
 	run.cancel(nil)
-	if o != sched.Succeeded && o != sched.Abandoned && (o != sched.Full || !run.standby) {
+	switch {
+	case o == sched.Succeeded || o == sched.Abandoned:
+	case o != sched.Full:
 		x.excluded = append(x.excluded, run.lease.Target.Name)
+	case !run.standby:
+		x.turnedAwayBy = append(x.turnedAwayBy, run.lease.Target.Name)
 	}
 	x.s.admission.releaseCall(run.lease, o)
 }
