--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"carawayrouter.example/router/internal/callqueue"
 	"carawayrouter.example/router/internal/config"
 	"carawayrouter.example/router/internal/errkind"
 	"carawayrouter.example/router/internal/placement"
@@ -23,22 +24,31 @@
 	mu            sync.Mutex
 	sched         *placement.Scheduler
 	queue         placement.Queue
-	grants        map[*placement.Waiter]chan *placement.Lease
+	grants        map[*placement.Waiter]chan grant
 	outputLengths map[string]*placement.LengthPredictor // by pool
+	calls         *callqueue.Queue
+	waitingCalls  map[*callqueue.Call]waitingCall
+	stopped       bool // no call waits any longer
 	timerSet      bool
 	onEject       func(ep *config.Endpoint)
 	onChange      func() // called whenever a lease is granted or released; must not block
 }
 
+// grant is what a waiter gets: a lease, or a refusal.
+type grant struct {
+	lease *placement.Lease
+	err   error
+}
+
 func newAdmission(s *placement.Scheduler, onEject func(*config.Endpoint)) *admission {
-	return &admission{now: time.Now, sched: s, grants: map[*placement.Waiter]chan *placement.Lease{}, outputLengths: map[string]*placement.LengthPredictor{}, onEject: onEject, onChange: func() {}}
+	return &admission{now: time.Now, sched: s, calls: callqueue.New(callqueue.Limits{}), waitingCalls: map[*callqueue.Call]waitingCall{}, grants: map[*placement.Waiter]chan grant{}, outputLengths: map[string]*placement.LengthPredictor{}, onEject: onEject, onChange: func() {}}
 }
 
 // acquireEngine waits for a lease on engines. The error is a refusal with a retry delay.
 func (a *admission) acquireEngine(ctx context.Context, w *placement.Waiter) (*placement.Lease, error) {
 	a.mu.Lock()
 	now := a.now()
-	if a.queue.Len() == 0 {
+	if a.queue.Len() == 0 && !a.queue.MustQueue(now, a.sched, w) {
 		if l := a.sched.AcquireEngine(now, w.Demand); l != nil {
 			a.mu.Unlock()
 			a.onChange()
@@ -50,11 +60,11 @@
 		a.mu.Unlock()
 		return nil, refusal(errkind.NoEndpoint, "no engine can be used", max(pause, evacuationRetryAfter))
 	}
-	if wait := a.queue.PredictWait(now, a.sched, w); pause == 0 && now.Add(wait).After(w.Deadline) {
+	if wait, ok := a.queue.Enter(now, a.sched, w); pause == 0 && !ok {
 		a.mu.Unlock()
 		return nil, refusal(errkind.QueueFull, "the engines are full", wait)
 	}
-	ch := make(chan *placement.Lease, 1)
+	ch := make(chan grant, 1)
 	a.grants[w] = ch
 	a.queue.Push(w)
 	a.serveQueue(now)
@@ -65,20 +75,20 @@
 	timer := time.NewTimer(time.Until(w.Deadline))
 	defer timer.Stop()
 	select {
-	case l := <-ch:
-		return granted(l)
+	case g := <-ch:
+		return g.lease, g.err
 	case <-ctx.Done():
 	case <-timer.C:
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	select {
-	case l := <-ch:
+	case g := <-ch:
 		if ctx.Err() == nil {
-			return granted(l)
+			return g.lease, g.err
 		}
-		if l != nil {
-			a.sched.Release(a.now(), l, sched.Abandoned)
+		if g.lease != nil {
+			a.sched.Release(a.now(), g.lease, sched.Abandoned)
 		}
 	default:
 		a.queue.Remove(w)
@@ -90,6 +100,12 @@
 	return nil, refusal(errkind.QueueFull, "the engines stayed full", a.queue.PredictWait(a.now(), a.sched, w))
 }
 
+// arrive records the arrival of a generation, and returns how it takes part.
+func (a *admission) arrive(d placement.Demand, rank int) (st placement.Standing) {
+	a.withScheduler(func(now time.Time, s *placement.Scheduler) { st = s.Arrive(now, d, rank) })
+	return st
+}
+
 // tryAcquireEngine returns a lease on engines, or nil if the generation would have to wait.
 func (a *admission) tryAcquireEngine(d placement.Demand) (l *placement.Lease) {
 	a.withScheduler(func(now time.Time, s *placement.Scheduler) { l = s.AcquireEngine(now, d) })
@@ -104,10 +120,7 @@
 	if l := a.sched.AcquireService(now, d); l != nil {
 		return l, nil
 	}
-	if wait := a.sched.NextTurn(now, d); wait > 0 {
-		return nil, refusal(errkind.EndpointLimit, "the endpoints accept no more requests for now", wait+rand.N(limitRetrySpread))
-	}
-	return nil, refusal(errkind.NoEndpoint, "no endpoint can be used", a.noEndpointRetryAfter(now, d))
+	return nil, a.noPlaceForCall(now, d)
 }
 
 // noEndpointRetryAfter returns when a pool without a usable endpoint is worth another try: when the first one
@@ -126,19 +139,27 @@
 // random.
 const limitRetrySpread = 400 * time.Millisecond
 
-// serveQueue grants leases to queued generations. The caller holds the lock.
+// serveQueue grants leases to queued generations, and refuses those that would wait in vain. The caller holds the lock.
 func (a *admission) serveQueue(now time.Time) {
 	for _, g := range a.queue.Serve(now, a.sched) {
-		a.grants[g.Waiter] <- g.Lease
-		delete(a.grants, g.Waiter)
-		a.onChange()
+		a.end(g.Waiter, grant{lease: g.Lease})
 	}
+	for _, r := range a.queue.GiveUp(now, a.sched) {
+		a.end(r.Waiter, grant{err: refusal(errkind.QueueFull, "no engine would be free in time", r.RetryAfter)})
+	}
+}
+
+// end ends the wait of a queued generation. The caller holds the lock.
+func (a *admission) end(w *placement.Waiter, g grant) {
+	a.grants[w] <- g
+	delete(a.grants, w)
+	a.onChange()
 }
 
 // armTimer checks the queue again after queuePollInterval, for as long as it is not empty. The
 // caller holds the lock.
 func (a *admission) armTimer() {
-	if a.timerSet || a.queue.Len() == 0 {
+	if a.timerSet || a.queue.Len() == 0 && a.calls.Len() == 0 {
 		return
 	}
 	a.timerSet = true
@@ -146,7 +167,9 @@
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		a.timerSet = false
-		a.serveQueue(a.now())
+		now := a.now()
+		a.serveQueue(now)
+		a.serveCalls(now)
 		a.armTimer()
 	})
 }
@@ -207,6 +230,7 @@
 		if s.Release(now, l, o) {
 			a.onEject(l.Target)
 		}
+		a.serveCalls(now)
 	})
 }
 
--- a/internal/gateway/evacuations.go
+++ b/internal/gateway/evacuations.go
@@ -174,21 +174,12 @@
 		for _, w := range slices.Clone(a.queue.Waiters()) {
 			if s.NeedsEvacuated(now, w.Demand) && s.PauseLeft(now, w.Demand) == 0 {
 				a.queue.Remove(w)
-				a.grants[w] <- nil
-				delete(a.grants, w)
+				a.end(w, grant{err: refusal(errkind.NoEndpoint, "no engine can be used", evacuationRetryAfter)})
 			}
 		}
 	})
 }
 
-// granted returns the lease that a request waited for, or the refusal of one that waited for evacuated engines.
-func granted(l *placement.Lease) (*placement.Lease, error) {
-	if l == nil {
-		return nil, refusal(errkind.NoEndpoint, "no engine can be used", evacuationRetryAfter)
-	}
-	return l, nil
-}
-
 // countInEvacuated returns how many requests of this instance are in progress in evacuated data centres.
 func (a *admission) countInEvacuated() (n int) {
 	a.withScheduler(func(_ time.Time, s *placement.Scheduler) { n = s.CountInEvacuated() })
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -9,6 +9,7 @@
 
 	"carawayrouter.example/router/internal/endpointload"
 	"carawayrouter.example/router/internal/errkind"
+	"carawayrouter.example/router/internal/scarcity"
 )
 
 // latencyBounds are the bounds of the histograms, in seconds. They are densest around the
@@ -40,11 +41,14 @@
 	coldUnreadable    *metrics.Counter
 	memoryShort       *metrics.Counter
 	acceptFailures    *metrics.Counter
+	callsWaited       *metrics.Counter
+	callsRefused      *metrics.Counter
 	yieldedConns      *metrics.Counter
 	evacuationRows    *metrics.Counter // ignored
 	loadsMalformed    *metrics.Counter
 	loadReports       map[endpointload.Source]*metrics.Counter
-	closedAnswers     map[bool]*metrics.Counter // answers without a length, by whether their end was confirmed
+	byRank            map[string]map[string]*metrics.Counter // generations of pools with several ranks
+	closedAnswers     map[bool]*metrics.Counter              // answers without a length, by whether their end was confirmed
 
 	callLatency *metrics.PrometheusHistogram
 	firstEvent  *metrics.PrometheusHistogram
@@ -62,6 +66,24 @@
 	outcomeCallerGone = "gone"    // the caller disconnected
 )
 
+// Ranks in metrics.
+const (
+	rankBest      = "best"
+	rankLower     = "lower"
+	rankOverLimit = "over_limit"
+)
+
+// rankLabel returns the label of a level of urgency.
+func rankLabel(level int) string {
+	switch level {
+	case 1:
+		return rankBest
+	case scarcity.Levels:
+		return rankOverLimit
+	}
+	return rankLower
+}
+
 func newStats(s *Server) *stats {
 	set := metrics.NewSet()
 	m := &stats{
@@ -85,6 +107,8 @@
 		coldTurnsRefused:  set.NewCounter("caraway_cold_turns_refused_total"),
 		coldUnreadable:    set.NewCounter("caraway_cold_times_unreadable_total"),
 		memoryShort:       set.NewCounter("caraway_body_memory_short_total"),
+		callsWaited:       set.NewCounter("caraway_calls_waited_total"),
+		callsRefused:      set.NewCounter("caraway_calls_without_place_total"),
 		acceptFailures:    set.NewCounter("caraway_accept_failures_total"),
 		evacuationRows:    set.NewCounter("caraway_evacuation_rows_ignored_total"),
 		yieldedConns:      set.NewCounter("caraway_idle_connections_closed_total"),
@@ -100,6 +124,13 @@
 		true:  set.NewCounter(`caraway_answers_without_length_total{end="confirmed"}`),
 		false: set.NewCounter(`caraway_answers_without_length_total{end="broken"}`),
 	}
+	m.byRank = map[string]map[string]*metrics.Counter{}
+	for _, rank := range []string{rankBest, rankLower, rankOverLimit} {
+		m.byRank[rank] = map[string]*metrics.Counter{}
+		for _, what := range []string{"arrived", "on_time", "waited", "refused"} {
+			m.byRank[rank][what] = set.NewCounter(`caraway_generations_by_rank_total{rank="` + rank + `",what="` + what + `"}`)
+		}
+	}
 	for _, o := range []string{outcomeComplete, outcomeRefused, outcomeFailed, outcomeTruncated, outcomeCallerGone} {
 		m.requests[o] = set.NewCounter(`caraway_requests_total{outcome="` + o + `"}`)
 	}
@@ -118,6 +149,7 @@
 	set.NewGauge("caraway_endpoints_unreachable", func() float64 { return float64(s.unreachable.Load()) })
 	set.NewGauge("caraway_instances", func() float64 { return float64(s.peers.fleetSize()) })
 	set.NewGauge("caraway_waiting", func() float64 { return float64(s.admission.queueLength()) })
+	set.NewGauge("caraway_calls_waiting", func() float64 { return float64(s.admission.callsWaiting()) })
 	set.NewGauge("caraway_endpoints_withheld", func() float64 { return float64(s.state.countWithheld()) })
 	set.NewGauge("caraway_endpoints_limited", func() float64 { return float64(s.admission.countLimited()) })
 	set.NewGauge("caraway_endpoints_cold", func() float64 { return float64(s.admission.countCold()) })
--- a/internal/placement/expectedend.go
+++ b/internal/placement/expectedend.go
@@ -104,7 +104,7 @@
 
 // chooseCall returns the endpoint for a plain call: the earliest expected end of a few random ones. An endpoint four times
 // slower than the others gets the calls that would end later elsewhere.
-func (s *Scheduler) chooseCall(now time.Time, d Demand, e *expectation) *endpointState {
+func (s *Scheduler) chooseCall(now time.Time, d Demand, e *expectation, hasRoom roomFilter) (best *endpointState, full bool) {
 	var p pick
 	list := s.candidates(now, d)
 	s.shuffle(list)
@@ -112,13 +112,17 @@
 		if !p.wants(s, x) || s.turn(now, x) != "" {
 			continue
 		}
+		if !hasRoom(now, x, d) {
+			full = true
+			continue
+		}
 		end := times(s.callEnd(now, x, e), x.coldFactor(now))
 		if now.Before(x.fullUntil) || x.ejectedByPeer(now) {
 			end += 2 * e.usual.call
 		}
 		p.offer(s, x, float64(end))
 	}
-	return p.best
+	return p.best, full
 }
 
 // pick compares endpoints in random order until it has seen some of the own data centre and of the others. It answers instances that see the same endpoint as the best one: each of them compares
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -8,6 +8,7 @@
 	"carawayrouter.example/router/internal/config"
 	"carawayrouter.example/router/internal/limit/coldstart"
 	"carawayrouter.example/router/internal/limit/pacing"
+	"carawayrouter.example/router/internal/scarcity"
 	"carawayrouter.example/router/internal/sched"
 )
 
@@ -31,6 +32,11 @@
 
 	MaxGap time.Duration // longest pause between two events that is on time; 0 for any
 
+	Rank int // lower values first
+	// EndBy is when a plain call must have ended; zero for any time.
+	EndBy time.Time
+
+	moved bool     // the prompt was read already
 	avoid []string // software versions whose engines are kept free for others
 }
 
@@ -91,16 +97,29 @@
 
 	fleet                             *coldstart.Fleet // among which the requests to cold endpoints are divided
 	coldSlackRatio, coldSlackRequests float64
+
+	ranks     map[string]scarcity.Ranks // by pool
+	anyRanked bool                      // a pool has several
+	rates     scarcity.Rates
+	pressed   map[string]*pressed // by ranked pool
+
+	outlook       scarcity.Outlook // reused by survey
+	holdings, own []Generation     // buffers of survey
 }
 
 // New returns a Scheduler without endpoints, for an instance in the given data centre.
 func New(dataCentre string, r *rand.Rand) *Scheduler {
-	return &Scheduler{dataCentre: dataCentre, rand: r, endpoints: map[string]*endpointState{}, absent: map[string]absentEndpoint{}, pools: map[string][]*endpointState{}, peers: map[string]*PeerState{}, member: pacing.Member{Count: 1}, usual: map[string]*usualTimes{}, fleet: coldstart.NewFleet("", time.Time{})}
+	return &Scheduler{dataCentre: dataCentre, rand: r, endpoints: map[string]*endpointState{}, absent: map[string]absentEndpoint{}, pools: map[string][]*endpointState{}, peers: map[string]*PeerState{}, member: pacing.Member{Count: 1}, pressed: map[string]*pressed{}, usual: map[string]*usualTimes{}, fleet: coldstart.NewFleet("", time.Time{})}
 }
 
 // SetEndpoints replaces the endpoints. What is known of an endpoint's incarnation outlives its entry; see
 // entered.
 func (s *Scheduler) SetEndpoints(now time.Time, state *config.State) {
+	s.ranks, s.anyRanked = scarcity.RanksByPool(state), false
+	for _, r := range s.ranks {
+		s.anyRanked = s.anyRanked || r.Several()
+	}
+	clear(s.pressed)
 	old := s.endpoints
 	s.endpoints = make(map[string]*endpointState, len(state.Endpoints))
 	s.pools = map[string][]*endpointState{}
@@ -284,7 +303,10 @@
 		}
 	}
 	if e.told {
-		return p.best, p.cost
+		best, lightest = p.best, p.cost
+	}
+	if best != nil && !s.leavesRoom(now, *d, g, best) {
+		return nil, 0
 	}
 	return best, lightest
 }
@@ -293,12 +315,25 @@
 // tell their pace, on the endpoint that is expected to answer first. It returns nil if there is none. An endpoint whose slots are all taken is expected to answer later, and
 // ejected endpoints are used only if all are ejected.
 func (s *Scheduler) AcquireService(now time.Time, d Demand) *Lease {
+	l, _ := s.placeCall(now, d, func(time.Time, *endpointState, Demand) bool { return true })
+	return l
+}
+
+// PlaceCall is AcquireService among the endpoints that have room. Full means that there are endpoints for the call, and none has.
+func (s *Scheduler) PlaceCall(now time.Time, d Demand) (l *Lease, full bool) {
+	return s.placeCall(now, d, s.hasRoom)
+}
+
+// roomFilter reports whether an endpoint has room for a plain call.
+type roomFilter func(now time.Time, x *endpointState, d Demand) bool
+
+func (s *Scheduler) placeCall(now time.Time, d Demand, hasRoom roomFilter) (l *Lease, full bool) {
 	e := s.expect(now, d.Pool)
-	best := s.chooseService(now, d, &e)
+	best, full := s.chooseService(now, d, &e, hasRoom)
 	if best == nil {
-		return nil
+		return nil, full
 	}
-	return s.grantCall(now, best, &e)
+	return s.grantCall(now, best, &e), false
 }
 
 // grantCall returns the lease of a plain call at its endpoint.
@@ -314,9 +349,9 @@
 	return l
 }
 
-func (s *Scheduler) chooseService(now time.Time, d Demand, e *expectation) (best *endpointState) {
+func (s *Scheduler) chooseService(now time.Time, d Demand, e *expectation, hasRoom roomFilter) (best *endpointState, full bool) {
 	if e.told {
-		return s.chooseCall(now, d, e)
+		return s.chooseCall(now, d, e, hasRoom)
 	}
 	var shortest time.Duration
 	lowest := s.lowestLatency(now, d.Pool)
@@ -324,12 +359,44 @@
 		if s.turn(now, x) != "" {
 			continue
 		}
-		wait := s.callCost(now, x, lowest)
-		if best == nil || wait < shortest {
+		if !hasRoom(now, x, d) {
+			full = true
+			continue
+		}
+		if wait := s.callCost(now, x, lowest); best == nil || wait < shortest {
 			best, shortest = x, wait
 		}
 	}
-	return best
+	return best, full
+}
+
+// hasRoom reports whether an endpoint can take a plain call: it has not just turned one away, more are not expected to be turned away, and it has a slot, or a queue from which the call
+// still ends in time.
+func (s *Scheduler) hasRoom(now time.Time, x *endpointState, d Demand) bool {
+	if now.Before(x.fullUntil) || !x.window.hasRoom(now, x.calls) {
+		return false
+	}
+	slots, active := max(1, x.ep.Slots), x.activeCalls(now)
+	if active < slots || d.EndBy.IsZero() {
+		return true
+	}
+	return !now.Add(x.callLatency + x.callLatency*time.Duration(active-slots+1)/time.Duration(slots)).After(d.EndBy)
+}
+
+// CallTime returns how long a plain call of a pool usually takes.
+func (s *Scheduler) CallTime(now time.Time, pool string) time.Duration {
+	var sum time.Duration
+	n := 0
+	for _, x := range s.pools[pool] {
+		if x.refusal(now, choosing, &Demand{}) == "" {
+			sum += x.callLatency
+			n++
+		}
+	}
+	if n == 0 {
+		return defaultCallLatency
+	}
+	return sum / time.Duration(n)
 }
 
 // candidates returns the endpoints that may be given a plain call. If all are ejected for
@@ -389,7 +456,7 @@
 	delete(old.generations, l)
 	ejected = old.recordOutcome(now, o)
 	d.Exclude = append(slices.Clone(d.Exclude), old.ep.Name)
-	d.SoftwareVersion = old.ep.SoftwareVersion
+	d.SoftwareVersion, d.moved = old.ep.SoftwareVersion, true
 	e := s.expect(now, d.Pool)
 	t, _ := s.chooseDecode(now, &d, l.generation, s.turn, &e)
 	if t == nil {
