gateway: streams are read ahead of callers that read slowly

A caller that stopped to read for 1.2 s lost the run at its engine, where engines cut off streams of which nothing could be written for 0.4 s: the instance read an event only when its caller had taken the one before the last. The next engine read the prompt again.

Events are read ahead as relaybuffer decides; a caller may take as long as it takes something, and one that has stopped is given up after 2 s if its engine is held up by it, 5 s otherwise, as before. On only where the settings' contracts name pressure; the other deployments go the way they did (one event at a time, 5 s for a whole event).

--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -43,6 +43,8 @@
 	br *bufio.Reader
 	bw *bufio.Writer
 
+	out *callerWriter // below bw
+
 	limited *io.LimitedReader // limits the size of a request
 
 	// The rest of a refused body, and until when it may arrive. Many callers send all of it before they read the response,
@@ -52,7 +54,8 @@
 }
 
 func (s *Server) newConn(nc net.Conn) *callerConn {
-	c := &callerConn{s: s, nc: nc, bw: bufio.NewWriterSize(nc, writeBuffer)}
+	c := &callerConn{s: s, nc: nc, out: &callerWriter{Conn: nc}}
+	c.bw = bufio.NewWriterSize(c.out, writeBuffer)
 	c.limited = &io.LimitedReader{R: nc}
 	c.br = bufio.NewReaderSize(c.limited, readBuffer)
 	return c
@@ -187,6 +190,7 @@
 		}
 	}()
 	c.s.handle(ctx, call, r)
+	c.out.relay(nil, time.Time{})
 	_ = c.nc.SetReadDeadline(time.Unix(1, 0))
 	<-watcherDone
 	if r.writeErr != nil || !r.finished {
--- a/internal/gateway/enginerun.go
+++ b/internal/gateway/enginerun.go
@@ -12,6 +12,7 @@
 
 	"carawayrouter.example/router/internal/endpoint"
 	"carawayrouter.example/router/internal/placement"
+	"carawayrouter.example/router/internal/relaybuffer"
 )
 
 // errRunAbandoned ends a run whose response is no longer needed.
@@ -33,6 +34,11 @@
 	resp    *endpointResponse
 	events  int // relayed events
 
+	// What is read ahead of the caller; nil if nothing is.
+	ahead   *relaybuffer.Stream
+	held    *holding
+	relayed chan struct{} // signals that the caller has taken an event
+
 	mu         sync.Mutex
 	unreceived int    // steps of progress that the exchange has not received yet
 	onProgress func() // called once when the engine is heard
@@ -78,7 +84,12 @@
 
 // startRun sends a request to the lease's decode engine. Ctx ends the run.
 func (u *upstream) startRun(ctx context.Context, req endpointRequest, l *placement.Lease, p *prefillResult) *engineRun {
-	r := &engineRun{lease: l, prefill: p, results: make(chan runResult, 1)}
+	r := &engineRun{lease: l, prefill: p}
+	waiting := 1
+	if u.ahead != nil {
+		r.ahead, r.relayed, waiting = u.ahead.Open(), make(chan struct{}, 1), relaybuffer.MaxEvents
+	}
+	r.results = make(chan runResult, waiting)
 	ctx, r.cancel = context.WithCancelCause(ctx)
 	go r.read(ctx, u, req)
 	return r
@@ -103,9 +114,17 @@
 		return
 	}
 	memory := &eventMemory{Reader: resp.body, held: u.memory.hold()}
+	r.held = memory.held
 	context.AfterFunc(ctx, memory.held.release)
+	if r.ahead != nil {
+		context.AfterFunc(ctx, r.ahead.Close)
+	}
 	br := bufio.NewReaderSize(memory, eventBufferBytes)
 	for {
+		if !r.awaitRoom(ctx) {
+			resp.close()
+			return
+		}
 		e, err := readEvent(br)
 		if err != nil {
 			resp.bodyRead = errors.Is(err, io.EOF)
@@ -116,12 +135,39 @@
 			r.deliver(ctx, runResult{err: err})
 			return
 		}
+		if r.ahead != nil {
+			r.ahead.Received(len(e.raw))
+		}
 		if !r.deliver(ctx, runResult{event: e}) {
 			resp.close()
 			return
 		}
-		memory.pass()
+		if r.ahead == nil {
+			memory.pass()
+		}
+	}
+}
+
+// awaitRoom waits until another event may be read from the engine, and reports whether the run goes on.
+func (r *engineRun) awaitRoom(ctx context.Context) bool {
+	for r.ahead != nil && !r.ahead.MayRead() {
+		select {
+		case <-r.relayed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return true
+}
+
+// taken records that the caller has taken an event of n bytes.
+func (r *engineRun) taken(n int) {
+	if r.ahead == nil {
+		return
 	}
+	r.ahead.Relayed(n)
+	r.held.shrink(int64(n))
+	signal(r.relayed)
 }
 
 // deliver passes a result to the exchange and reports whether the run goes on.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -40,6 +40,7 @@
 	ColdSlackRatio    float64
 	ColdSlackRequests float64
 	Bootstrap         bool // the whole deployment starts for the first time
+	SlowReaders       bool // callers and endpoints may read slowly
 }
 
 // Call is a caller's request with its headers decoded.
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -5,6 +5,8 @@
 	"sync"
 
 	"github.com/cockroachdb/errors"
+
+	"carawayrouter.example/router/internal/relaybuffer"
 )
 
 const (
@@ -19,7 +21,10 @@
 	smallBodyReserve = 0.2
 	smallBodyBytes   = 64 << 10
 	minBodyBuffer    = 512 // bytes
-	announcedStep    = 8   // between two sizes of the buffer of a response with a length
+	// readAheadRatio is the part of the instance's memory for events that are read ahead of their callers, within that
+	// for bodies.
+	readAheadRatio = 0.1
+	announcedStep  = 8 // between two sizes of the buffer of a response with a length
 )
 
 // errBuffersFull means that a body does not fit in the memory for bodies.
@@ -61,6 +66,18 @@
 	return ok
 }
 
+// spare returns how much large bodies may still take.
+func (m *bodyMemory) spare() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.limit - int64(smallBodyReserve*float64(m.limit)) - m.used
+}
+
+// readAhead returns the part of the memory for events that are read ahead.
+func (m *bodyMemory) readAhead() *relaybuffer.Memory {
+	return relaybuffer.NewMemory(int64(float64(m.limit)*readAheadRatio/bodyMemoryRatio), m.spare)
+}
+
 func (m *bodyMemory) inUse() int64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/gateway/runresult.go
+++ b/internal/gateway/runresult.go
@@ -111,9 +111,16 @@
 		g.s.origins.begin(time.Now(), g.account(), g.call.ID, origin.Origin{Pool: g.call.Pool.Name, Version: version})
 		g.s.peers.requestUpdate()
 	}
+	g.resp.conn.out.relay(run.ahead, g.deadline)
 	if err := g.resp.writeChunk(e.raw); err != nil {
+		if run.ahead != nil && isTimeout(err) {
+			unread, engineHeldUp := run.ahead.Unread()
+			g.s.stats.stalledCallers.Inc()
+			g.decision("caller_stalled", "endpoint", run.lease.Target.Name, "unread_bytes", unread, "engine_held_up", engineHeldUp)
+		}
 		return err
 	}
+	run.taken(len(e.raw))
 	if e.id != "" {
 		g.lastEventID = e.id
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -136,6 +136,9 @@
 	g.upstream = newUpstream(d.Wire, g.setUserTimeout)
 	g.upstream.memory = newBodyMemory(s.MemoryBytes)
 	g.upstream.memory.onShort = func() { g.stats.memoryShort.Inc() }
+	if s.SlowReaders {
+		g.upstream.ahead = g.upstream.memory.readAhead()
+	}
 	g.upstream.onResponse = func(req endpointRequest, sentAt time.Time, resp ResponseInfo) {
 		g.recordLimit(req, sentAt, resp)
 	}
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -36,6 +36,7 @@
 	crashes           *metrics.Counter
 	pauses            *metrics.Counter
 	memoryShort       *metrics.Counter
+	stalledCallers    *metrics.Counter
 	acceptFailures    *metrics.Counter
 	yieldedConns      *metrics.Counter
 	closedAnswers     map[bool]*metrics.Counter // answers without a length, by whether their end was confirmed
@@ -76,6 +77,7 @@
 		crashes:           set.NewCounter("caraway_endpoint_crashes_total"),
 		pauses:            set.NewCounter("caraway_endpoint_pauses_total"),
 		memoryShort:       set.NewCounter("caraway_body_memory_short_total"),
+		stalledCallers:    set.NewCounter("caraway_callers_stalled_total"),
 		acceptFailures:    set.NewCounter("caraway_accept_failures_total"),
 		yieldedConns:      set.NewCounter("caraway_idle_connections_closed_total"),
 		callLatency:       set.NewPrometheusHistogramExt("caraway_plain_request_seconds", latencyBounds),
@@ -94,6 +96,9 @@
 		m.refused[k] = set.NewCounter(`caraway_errors_total{kind="` + string(k) + `"}`)
 	}
 	set.NewGauge("caraway_body_memory_bytes", func() float64 { return float64(s.upstream.memory.inUse()) })
+	if ahead := s.upstream.ahead; ahead != nil {
+		set.NewGauge("caraway_read_ahead_bytes", func() float64 { return float64(ahead.Used()) })
+	}
 	set.NewGauge("caraway_requests_active", func() float64 { return float64(s.active.Load()) })
 	set.NewGauge("caraway_configuration_version", func() float64 { return float64(s.state.Current().Ticket) })
 	set.NewGauge("caraway_endpoints", func() float64 { return float64(len(s.state.Current().Endpoints)) })
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -18,6 +18,7 @@
 
 	"carawayrouter.example/router/internal/config"
 	"carawayrouter.example/router/internal/endpoint"
+	"carawayrouter.example/router/internal/relaybuffer"
 	"carawayrouter.example/router/internal/tcp"
 )
 
@@ -51,6 +52,7 @@
 	onEndByClose   func(confirmed bool)                // observes the end of an answer without a length
 
 	memory *bodyMemory
+	ahead  *relaybuffer.Memory // for events that are read ahead of their callers; nil if none are
 
 	mu   sync.Mutex
 	idle map[string][]*endpointConn // by address, newest last
--- a/internal/gateway/upstream_test.go
+++ b/internal/gateway/upstream_test.go
@@ -491,3 +491,31 @@
 		})
 	}
 }
+
+// An endpoint takes a part of a request and reads no more. The write ends with the request's time, and as an endpoint may
+// begin with a part, nothing says that the request was not run.
+func TestRequestThatWasReadInPartMayHaveRun(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer ln.Close()
+	accepted := make(chan net.Conn, 1)
+	go func() {
+		c, err := ln.Accept()
+		if err == nil {
+			_ = c.(*net.TCPConn).SetReadBuffer(4 << 10)
+			accepted <- c // it stays open
+		}
+	}()
+	u := newUpstream(refusingWire{}, func(net.Conn) {})
+	ctx, cancel := context.WithCancelCause(context.Background())
+	call := u.startCall(ctx, endpointRequest{addr: ln.Addr().String(), method: http.MethodPost, uri: "/", host: "a", attemptID: "1", body: make([]byte, 64<<20)})
+	c := <-accepted
+	defer c.Close()
+	_, err = io.ReadFull(c, make([]byte, 1<<10))
+	assert.NilError(t, err)
+	cancel(errDeadline)
+	<-call.answered
+	assert.ErrorIs(t, call.err, errDeadline)
+	assert.Assert(t, !errors.Is(call.err, endpoint.ErrNotSent), "%v", call.err)
+	assert.Assert(t, !call.refused())
+}
--- a/internal/relaybuffer/relaybuffer.go
+++ b/internal/relaybuffer/relaybuffer.go
@@ -46,6 +46,7 @@
 	memory *Memory
 
 	bytes   int64 // the memory's lock protects it and what follows
+	events  int
 	largest int64 // event so far
 	full    bool
 	closed  bool
@@ -62,7 +63,7 @@
 	spare := m.spare()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	may := s.bytes == 0 || s.bytes+s.largest <= min(m.limit-m.used, spare)/freeShare
+	may := s.events == 0 || s.events < MaxEvents && s.bytes+s.largest <= min(m.limit-m.used, spare)/freeShare
 	s.full = !may
 	return may
 }
@@ -74,6 +75,7 @@
 	if s.closed {
 		return
 	}
+	s.events++
 	s.bytes += int64(n)
 	s.memory.used += int64(n)
 	s.largest = max(s.largest, int64(n))
@@ -83,6 +85,7 @@
 func (s *Stream) Relayed(n int) {
 	s.memory.mu.Lock()
 	defer s.memory.mu.Unlock()
+	s.events = max(0, s.events-1)
 	taken := min(s.bytes, int64(n))
 	s.bytes -= taken
 	s.memory.used -= taken
@@ -96,6 +99,13 @@
 	s.bytes, s.closed = 0, true
 }
 
+// Unread returns how many bytes wait for the caller, and whether the engine is held up by that.
+func (s *Stream) Unread() (n int64, engineHeldUp bool) {
+	s.memory.mu.Lock()
+	defer s.memory.mu.Unlock()
+	return s.bytes, s.full
+}
+
 // GiveUp reports whether a caller that has taken nothing for some time is given up.
 func (s *Stream) GiveUp(stalled time.Duration) bool {
 	s.memory.mu.Lock()
--- a/internal/relaybuffer/relaybuffer_test.go
+++ b/internal/relaybuffer/relaybuffer_test.go
@@ -54,6 +54,14 @@
 	assert.Assert(t, readAhead(late, 1<<10, 70) > 1, "nothing is left for a later caller")
 }
 
+// Small events take little memory for their bytes, and more for what describes them.
+func TestSmallEventsAreBoundedInNumber(t *testing.T) {
+	s := NewMemory(11<<20, unlimited).Open()
+	assert.Equal(t, readAhead(s, 10, 1000), MaxEvents)
+	s.Relayed(10)
+	assert.Equal(t, readAhead(s, 10, 1000), 1)
+}
+
 // Large bodies take the memory: streams read one event after the other, and none stands still.
 func TestStreamsGoOnWithoutMemoryToReadAhead(t *testing.T) {
 	m := NewMemory(1<<20, func() int64 { return 0 })
