escrow: calls to a home that is slow get more time with each failure

Requests ended with store_unavailable, "the client account's rate cannot be checked at the moment", though every home answered: each call was given up after the same 0.5 s, so that homes that need 0.6 s were asked again and again, and never heard. Ruled out: the store (it is not asked) and the account's tokens.

The timeout doubles with each failure of a request, at most twice, and stays within what the request may wait. A home that is silent costs more of that wait; homes of other data centres are asked after two failures, as before.

TestSlowCallsToTheHomeGrant failed before with the error above.

--- a/internal/limit/escrow/client.go
+++ b/internal/limit/escrow/client.go
@@ -24,6 +24,8 @@
 	// minRetryDelay and maxRetryDelay bound the delay after a failed call.
 	minRetryDelay = 10 * time.Millisecond
 	maxRetryDelay = 200 * time.Millisecond
+	// maxTimeoutDoublings bounds how often the timeout of calls doubles: a grant lives from when it was asked for.
+	maxTimeoutDoublings = 2
 	// maxHomeFailures is the number of failed calls after which homes in other data
 	// centres are asked.
 	maxHomeFailures = 2
@@ -242,10 +244,17 @@
 		return c.home.take(&args, true, ctx.Done()), sent, nil
 	}
 	args.Extra = c.prefetched.amountToFetch(t.account, sent)
-	err = c.opts.callPeer(peer.Idempotent(ctx), maxCallWait+c.opts.CallTimeout, addr, "Take", &args, &reply)
+	err = c.opts.callPeer(peer.Idempotent(ctx), maxCallWait+t.callTimeout(sent), addr, "Take", &args, &reply)
 	return reply, sent, err
 }
 
+// callTimeout returns how long a call to a home may take, besides the wait for tokens. It doubles with each failure, as
+// calls to homes that are only slow would all be given up otherwise, but stays within what the request may wait.
+func (t *takeRequest) callTimeout(now time.Time) time.Duration {
+	first := t.client.opts.CallTimeout
+	return max(first, min(first<<min(t.failures, maxTimeoutDoublings), t.wait.Deadline.Sub(now)))
+}
+
 // waitEnd returns the time at which the wait in a home's queue ends.
 func (t *takeRequest) waitEnd(now time.Time) time.Time {
 	if t.queuedAt.IsZero() {
--- a/internal/limit/escrow/cluster_test.go
+++ b/internal/limit/escrow/cluster_test.go
@@ -328,6 +328,13 @@
 }
 func (c *cluster) Age() time.Duration { return 0 }
 
+// setLatency sets how long a message takes.
+func (c *cluster) setLatency(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.latency = d
+}
+
 // stop stops every node.
 func (c *cluster) stop() {
 	c.mu.Lock()
--- a/internal/limit/escrow/fault_test.go
+++ b/internal/limit/escrow/fault_test.go
@@ -628,3 +628,20 @@
 	c.faults = nil
 	c.table.set(func(m *memTable) { m.loseAnswers, m.lateBy = 0, 0 })
 }
+
+// Each message takes 300 ms, as on a machine that has no processor time left: longer than a call may take at first, and
+// shorter than the request may wait.
+func TestSlowCallsToTheHomeGrant(t *testing.T) {
+	runInBubble(t, func(t *testing.T) {
+		c := newCluster([]string{"a", "b"}, 2, testAccount("x", 100, 100))
+		defer c.stop()
+		c.open(t, "x")
+		c.setLatency(300 * time.Millisecond)
+		for _, n := range c.nodes {
+			_, _, err := n.reserve("x", 1, 4*time.Second)
+			assert.NilError(t, err)
+		}
+		c.setLatency(time.Millisecond)
+		c.assertRecovered(t, "x", 100, 100)
+	})
+}
