--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -40,6 +40,7 @@
 	coldTurnsRefused  *metrics.Counter
 	coldUnreadable    *metrics.Counter
 	memoryShort       *metrics.Counter
+	stalledCallers    *metrics.Counter
 	acceptFailures    *metrics.Counter
 	callsWaited       *metrics.Counter
 	callsRefused      *metrics.Counter
@@ -109,6 +110,7 @@
 		memoryShort:       set.NewCounter("caraway_body_memory_short_total"),
 		callsWaited:       set.NewCounter("caraway_calls_waited_total"),
 		callsRefused:      set.NewCounter("caraway_calls_without_place_total"),
+		stalledCallers:    set.NewCounter("caraway_callers_stalled_total"),
 		acceptFailures:    set.NewCounter("caraway_accept_failures_total"),
 		evacuationRows:    set.NewCounter("caraway_evacuation_rows_ignored_total"),
 		yieldedConns:      set.NewCounter("caraway_idle_connections_closed_total"),
@@ -141,6 +143,9 @@
 		m.refused[k] = set.NewCounter(`caraway_errors_total{kind="` + string(k) + `"}`)
 	}
 	set.NewGauge("caraway_body_memory_bytes", func() float64 { return float64(s.upstream.memory.inUse()) })
+	if ahead := s.upstream.ahead; ahead != nil {
+		set.NewGauge("caraway_read_ahead_bytes", func() float64 { return float64(ahead.Used()) })
+	}
 	set.NewGauge("caraway_requests_active", func() float64 { return float64(s.active.Load()) })
 	set.NewGauge("caraway_configuration_version", func() float64 { return float64(s.state.Current().Ticket) })
 	set.NewGauge("caraway_endpoints", func() float64 { return float64(len(s.state.Current().Endpoints)) })
