--- a/internal/placement/cold_test.go
+++ b/internal/placement/cold_test.go
@@ -184,6 +184,32 @@
 	}
 }
 
+// A generation that finds only cold endpoints without a turn waits for the next one, and its wait is predicted, so that
+// one that cannot be on time is refused at once.
+func TestGenerationWaitsForATurnAtColdEndpoints(t *testing.T) {
+	st := returned(0, 2, 2, 1) // bound 6, of which 4 are divided: all fall to the only instance
+	delete(st.Endpoints, "prefill-0")
+	delete(st.Endpoints, "decode-0")
+	s := coldFleet(1, st)[0]
+	now, granted := start, 0
+	for ; s.turnAfter(now, modelPool, config.Prefill, 0) == 0 && granted < 10; granted++ {
+		l := s.AcquireEngine(now, demand(100, 10))
+		assert.Assert(t, l != nil && s.CountSend(now, l.Prefill.Name) && s.CountSend(now, l.Target.Name))
+		s.PrefillDone(now, l, sched.Succeeded)
+		s.Release(now, l, sched.Succeeded)
+		now = now.Add(10 * time.Millisecond)
+		s.endpoints["decode-1"].cold.served++
+	}
+	assert.Equal(t, granted, 4)
+	var q Queue
+	w := &Waiter{Demand: demand(100, 10), Arrived: now, Due: now.Add(time.Minute), Deadline: now.Add(time.Minute)}
+	wait := q.PredictWait(now, s, w)
+	assert.Assert(t, wait > 500*time.Millisecond && wait < 2*time.Second, "%s", wait)
+	q.Push(w)
+	assert.Equal(t, len(q.Serve(now.Add(wait-50*time.Millisecond), s)), 0)
+	assert.Equal(t, len(q.Serve(now.Add(wait), s)), 1)
+}
+
 // The remaining time of an entry counts from its reading, once for each revision; what endpoints say makes them cold
 // again; another incarnation goes by its own entry.
 func TestWhoIsCold(t *testing.T) {
