--- a/internal/placement/cold.go
+++ b/internal/placement/cold.go
@@ -11,12 +11,13 @@
 // together while the callers of the lost ones wait at all instances.
 type coldState struct {
 	entryRead bool
-	revision  uint64    // of the entry that entryEnd was read from
-	entryEnd  time.Time // of the cold time, by the entry
-	saidEnd   time.Time // of the cold time, by responses of the endpoint, here or at other instances
-	saidAt    time.Time // of the response that this instance has had itself; zero if it has none
-	bound     int       // requests within a second, from all instances
-	bounded   bool      // it gets no more than bound while it is cold
+	revision  uint64        // of the entry that entryEnd was read from
+	entryEnd  time.Time     // of the cold time, by the entry
+	saidEnd   time.Time     // of the cold time, by responses of the endpoint, here or at other instances
+	saidAt    time.Time     // of the response that this instance has had itself; zero if it has none
+	time      time.Duration // for which the pool's endpoints are cold after their start
+	bound     int           // requests within a second, from all instances
+	bounded   bool          // it gets no more than bound while it is cold
 	turns     *coldstart.Turns
 	served    int // answers and first tokens of this incarnation since it was cold first, or again
 }
@@ -73,7 +74,7 @@
 // readCold applies what an entry and the endpoint's pool say of its cold time.
 func (s *Scheduler) readCold(now time.Time, x *endpointState, pool *config.Pool) {
 	x.cold.read(now, x.ep)
-	x.cold.bounded = pool.ColdRate > 0
+	x.cold.bounded, x.cold.time = pool.ColdRate > 0, pool.ColdTime
 	if x.cold.bounded {
 		x.cold.bound = coldstart.Bound(pool.ColdRate, s.coldSlackRatio, s.coldSlackRequests)
 	}
@@ -171,6 +172,18 @@
 	return a
 }
 
+// RecordReturn records that the endpoints of a data centre may be given requests again after a time without any. They
+// count as cold for as long as after a start: they may have become so meanwhile, and their entries tell it late. All
+// instances see the end of an evacuation themselves, so it is not told to the others.
+func (s *Scheduler) RecordReturn(now time.Time, dataCentre string) {
+	for _, x := range s.endpoints {
+		if x.ep.DataCentre == dataCentre && x.cold.bounded {
+			x.cold.begin(now, x.cold.time)
+			x.cold.saidEnd = later(x.cold.saidEnd, now.Add(x.cold.time))
+		}
+	}
+}
+
 // EachReportedCold calls visit with every cold endpoint that has said so to this instance itself. What other instances
 // have told is not passed on: it would last longer by the transit of the update each time.
 func (s *Scheduler) EachReportedCold(now time.Time, visit func(ColdEndpoint)) {
--- a/internal/placement/cold_test.go
+++ b/internal/placement/cold_test.go
@@ -23,8 +23,8 @@
 // returned returns a configuration whose endpoints of data centre b have just come back cold.
 func returned(plain, prefill, decode int, rate float64) *config.State {
 	o := &config.Objects{Pools: []*config.Pool{
-		{Name: modelPool, Kind: config.ModelPool, Engine: &config.EngineSpec{Slots: 12, KVTokens: 54_000, Stride: 72}, ColdRate: rate},
-		{Name: servicePool, Kind: config.ServicePool, ColdRate: rate},
+		{Name: modelPool, Kind: config.ModelPool, Engine: &config.EngineSpec{Slots: 12, KVTokens: 54_000, Stride: 72}, ColdRate: rate, ColdTime: coldTime},
+		{Name: servicePool, Kind: config.ServicePool, ColdRate: rate, ColdTime: coldTime},
 	}}
 	add := func(role config.Role, pool string, n int) {
 		for i := range n {
@@ -235,6 +235,20 @@
 	assert.Assert(t, !s.IsColdBound(later, "plain-1"))
 }
 
+// The endpoints of a data centre that gets requests again after its evacuation count as cold, before their entries say
+// so. The others do not, and the other instances are not told.
+func TestEndpointsOfAReturnedDataCentreCountAsCold(t *testing.T) {
+	s := coldFleet(1, returned(2, 0, 0, coldRate))[0]
+	later := start.Add(10 * time.Second)
+	s.RecordReturn(later, "b")
+	assert.Assert(t, s.IsColdBound(later.Add(coldTime-1), "plain-1") && !s.IsColdBound(later.Add(coldTime), "plain-1"))
+	assert.Assert(t, !s.IsColdBound(later, "plain-0"))
+	s.EachReportedCold(later, func(c ColdEndpoint) { t.Fatalf("%s is reported", c.Endpoint) })
+	s = coldFleet(1, returned(2, 0, 0, 0))[0]
+	s.RecordReturn(later, "b")
+	assert.Assert(t, !s.IsColdBound(later, "plain-1"), "without a rate")
+}
+
 // Without a rate that cold endpoints bear, nothing changes: they get what the others get.
 func TestColdEndpointsWithoutARate(t *testing.T) {
 	warm := returned(4, 4, 4, 0)
