--- a/internal/placement/cold.go
+++ b/internal/placement/cold.go
@@ -81,13 +81,13 @@
 }
 
 // coldReady reports whether this instance may choose an endpoint as far as its cold time goes. It has at most one
-// request in progress there more than the endpoint has served: an endpoint that turns out to be slow, or ends, holds up
+// request in progress there more than the endpoint is known to have served: an endpoint that turns out to be slow, or ends, holds up
 // few.
 func (s *Scheduler) coldReady(now time.Time, x *endpointState) bool {
 	if !x.boundNow(now) {
 		return true
 	}
-	return x.inProgress() <= x.cold.served && x.coldTurns().Ready(now, s.fleet, x.cold.bound)
+	return x.inProgress() <= x.shown(now) && x.coldTurns().Ready(now, s.fleet, x.cold.bound)
 }
 
 // inProgress returns the number of this instance's requests at the endpoint.
@@ -129,7 +129,24 @@
 	if !x.boundNow(now) {
 		return 1
 	}
-	return 1 + coldDelay/float64(1+x.cold.served)
+	return 1 + coldDelay/float64(1+x.shown(now))
+}
+
+// shown returns how many requests a cold endpoint is known to have served: this instance's, and the streams of the
+// others that run there. In a large fleet each instance by itself sees few of them within a cold time.
+func (x *endpointState) shown(now time.Time) int {
+	n := x.cold.served
+	for _, load := range x.peerLoads {
+		if now.Sub(load.updatedAt) > peerTimeout {
+			continue
+		}
+		for _, g := range load.generations {
+			if g.Generated > 0 {
+				n++
+			}
+		}
+	}
+	return n
 }
 
 // coldWait returns how long this instance waits for a turn at a cold endpoint and how many it has in a second.
--- a/internal/placement/cold_test.go
+++ b/internal/placement/cold_test.go
@@ -150,6 +150,19 @@
 	assert.Assert(t, s.AcquireService(start.Add(coldTime), d) != nil, "it is warm")
 }
 
+// In a large fleet no instance sees much of a cold endpoint within its cold time: the streams of the others that run
+// there show what it can do.
+func TestStreamsOfOthersShowThatAColdEndpointServes(t *testing.T) {
+	s := coldFleet(2, returned(0, 2, 2, coldRate))[0]
+	x := s.endpoints["decode-1"]
+	before := x.coldFactor(start)
+	s.SetPeer("i1", &PeerState{UpdatedAt: start, Generations: map[string][]Generation{"decode-1": {
+		{Prompt: 10, PlannedOutput: 100, Generated: 5, AsOf: start}, {Prompt: 10, PlannedOutput: 100, AsOf: start}}}})
+	assert.Equal(t, x.shown(start), 1, "the other one has generated nothing")
+	assert.Assert(t, x.coldFactor(start) < before)
+	assert.Equal(t, x.shown(start.Add(peerTimeout+1)), 0)
+}
+
 // While others are free, a cold endpoint gets nothing.
 func TestWarmEndpointsGoFirst(t *testing.T) {
 	s := coldFleet(1, returned(4, 4, 4, coldRate))[0]
