--- a/internal/gateway/evacuations.go
+++ b/internal/gateway/evacuations.go
@@ -168,7 +168,7 @@
 // setEvacuated sets the evacuated data centres. Requests that wait and that nothing else can serve are refused.
 func (a *admission) setEvacuated(dataCentres []string) {
 	a.releaseAndServe(func(now time.Time, s *placement.Scheduler) {
-		if !s.SetEvacuated(dataCentres) {
+		if !s.SetEvacuated(now, dataCentres) {
 			return
 		}
 		for _, w := range slices.Clone(a.queue.Waiters()) {
--- a/internal/placement/cold.go
+++ b/internal/placement/cold.go
@@ -11,12 +11,13 @@
 // together while the callers of the lost ones wait at all instances.
 type coldState struct {
 	entryRead bool
-	revision  uint64    // of the entry that entryEnd was read from
-	entryEnd  time.Time // of the cold time, by the entry
-	saidEnd   time.Time // of the cold time, by responses of the endpoint, here or at other instances
-	saidAt    time.Time // of the response that this instance has had itself; zero if it has none
-	bound     int       // requests within a second, from all instances
-	bounded   bool      // it gets no more than bound while it is cold
+	revision  uint64        // of the entry that entryEnd was read from
+	entryEnd  time.Time     // of the cold time, by the entry
+	saidEnd   time.Time     // of the cold time, by responses of the endpoint, here or at other instances
+	saidAt    time.Time     // of the response that this instance has had itself; zero if it has none
+	time      time.Duration // for which the pool's endpoints are cold after their start
+	bound     int           // requests within a second, from all instances
+	bounded   bool          // it gets no more than bound while it is cold
 	turns     *coldstart.Turns
 	served    int // answers and first tokens of this incarnation since it was cold first, or again
 }
@@ -73,14 +74,14 @@
 // readCold applies what an entry and the endpoint's pool say of its cold time.
 func (s *Scheduler) readCold(now time.Time, x *endpointState, pool *config.Pool) {
 	x.cold.read(now, x.ep)
-	x.cold.bounded = pool.ColdRate > 0
+	x.cold.bounded, x.cold.time = pool.ColdRate > 0, pool.ColdTime
 	if x.cold.bounded {
 		x.cold.bound = coldstart.Bound(pool.ColdRate, s.coldSlackRatio, s.coldSlackRequests)
 	}
 }
 
 // coldReady reports whether this instance may choose an endpoint as far as its cold time goes. It has at most one
-// request in progress there more than the endpoint has served: an endpoint that turns out to be slow, or ends, holds up
+// request in progress there more than the endpoint is known to have served: an endpoint that turns out to be slow, or ends, holds up
 // few.
 func (s *Scheduler) coldReady(now time.Time, x *endpointState) bool {
 	if !x.boundNow(now) {
@@ -90,7 +91,7 @@
 	if x.ep.Role == config.Prefill && x.prefillTokens > 0 {
 		inProgress++
 	}
-	return inProgress <= x.cold.served && x.coldTurns().Ready(now, s.fleet, x.cold.bound)
+	return inProgress <= x.shown(now) && x.coldTurns().Ready(now, s.fleet, x.cold.bound)
 }
 
 // chooseCold uses a turn at an endpoint if it is cold.
@@ -119,7 +120,24 @@
 	if !x.boundNow(now) {
 		return 1
 	}
-	return 1 + coldDelay/float64(1+x.cold.served)
+	return 1 + coldDelay/float64(1+x.shown(now))
+}
+
+// shown returns how many requests a cold endpoint is known to have served: this instance's, and the streams of the
+// others that run there. In a large fleet each instance by itself sees few of them within a cold time.
+func (x *endpointState) shown(now time.Time) int {
+	n := x.cold.served
+	for _, load := range x.peerLoads {
+		if now.Sub(load.updatedAt) > peerTimeout {
+			continue
+		}
+		for _, g := range load.generations {
+			if g.Generated > 0 {
+				n++
+			}
+		}
+	}
+	return n
 }
 
 // coldWait returns how long this instance waits for a turn at a cold endpoint and how many it has in a second.
@@ -162,6 +180,18 @@
 	return a
 }
 
+// recordReturn records that the endpoints of a data centre may be given requests again after a time without any. They
+// count as cold for as long as after a start: they may have become so meanwhile, and their entries tell it late. All
+// instances see the end of an evacuation themselves, so it is not told to the others.
+func (s *Scheduler) recordReturn(now time.Time, dataCentre string) {
+	for _, x := range s.endpoints {
+		if x.ep.DataCentre == dataCentre && x.cold.bounded {
+			x.cold.begin(now, x.cold.time)
+			x.cold.saidEnd = later(x.cold.saidEnd, now.Add(x.cold.time))
+		}
+	}
+}
+
 // EachReportedCold calls visit with every cold endpoint that has said so to this instance itself. What other instances
 // have told is not passed on: it would last longer by the transit of the update each time.
 func (s *Scheduler) EachReportedCold(now time.Time, visit func(ColdEndpoint)) {
--- a/internal/placement/cold_test.go
+++ b/internal/placement/cold_test.go
@@ -23,8 +23,8 @@
 // returned returns a configuration whose endpoints of data centre b have just come back cold.
 func returned(plain, prefill, decode int, rate float64) *config.State {
 	o := &config.Objects{Pools: []*config.Pool{
-		{Name: modelPool, Kind: config.ModelPool, Engine: &config.EngineSpec{Slots: 12, KVTokens: 54_000, Stride: 72}, ColdRate: rate},
-		{Name: servicePool, Kind: config.ServicePool, ColdRate: rate},
+		{Name: modelPool, Kind: config.ModelPool, Engine: &config.EngineSpec{Slots: 12, KVTokens: 54_000, Stride: 72}, ColdRate: rate, ColdTime: coldTime},
+		{Name: servicePool, Kind: config.ServicePool, ColdRate: rate, ColdTime: coldTime},
 	}}
 	add := func(role config.Role, pool string, n int) {
 		for i := range n {
@@ -150,6 +150,19 @@
 	assert.Assert(t, s.AcquireService(start.Add(coldTime), d) != nil, "it is warm")
 }
 
+// In a large fleet no instance sees much of a cold endpoint within its cold time: the streams of the others that run
+// there show what it can do.
+func TestStreamsOfOthersShowThatAColdEndpointServes(t *testing.T) {
+	s := coldFleet(2, returned(0, 2, 2, coldRate))[0]
+	x := s.endpoints["decode-1"]
+	before := x.coldFactor(start)
+	s.SetPeer("i1", &PeerState{UpdatedAt: start, Generations: map[string][]Generation{"decode-1": {
+		{Prompt: 10, PlannedOutput: 100, Generated: 5, AsOf: start}, {Prompt: 10, PlannedOutput: 100, AsOf: start}}}})
+	assert.Equal(t, x.shown(start), 1, "the other one has generated nothing")
+	assert.Assert(t, x.coldFactor(start) < before)
+	assert.Equal(t, x.shown(start.Add(peerTimeout+1)), 0)
+}
+
 // While others are free, a cold endpoint gets nothing.
 func TestWarmEndpointsGoFirst(t *testing.T) {
 	s := coldFleet(1, returned(4, 4, 4, coldRate))[0]
@@ -184,6 +197,32 @@
 	}
 }
 
+// A generation that finds only cold endpoints without a turn waits for the next one, and its wait is predicted, so that
+// one that cannot be on time is refused at once.
+func TestGenerationWaitsForATurnAtColdEndpoints(t *testing.T) {
+	st := returned(0, 2, 2, 1) // bound 6, of which 4 are divided: all fall to the only instance
+	delete(st.Endpoints, "prefill-0")
+	delete(st.Endpoints, "decode-0")
+	s := coldFleet(1, st)[0]
+	now, granted := start, 0
+	for ; s.turnAfter(now, &Demand{Pool: modelPool}, config.Prefill, 0) == 0 && granted < 10; granted++ {
+		l := s.AcquireEngine(now, demand(100, 10))
+		assert.Assert(t, l != nil && s.Admit(now, sendTo(l.Prefill)) == "" && s.Admit(now, sendTo(l.Target)) == "")
+		s.PrefillDone(now, l, sched.Succeeded)
+		s.Release(now, l, sched.Succeeded)
+		now = now.Add(10 * time.Millisecond)
+		s.endpoints["decode-1"].cold.served++
+	}
+	assert.Equal(t, granted, 4)
+	var q Queue
+	w := &Waiter{Demand: demand(100, 10), Arrived: now, Due: now.Add(time.Minute), Deadline: now.Add(time.Minute)}
+	wait := q.PredictWait(now, s, w)
+	assert.Assert(t, wait > 500*time.Millisecond && wait < 2*time.Second, "%s", wait)
+	q.Push(w)
+	assert.Equal(t, len(q.Serve(now.Add(wait-50*time.Millisecond), s)), 0)
+	assert.Equal(t, len(q.Serve(now.Add(wait), s)), 1)
+}
+
 // The remaining time of an entry counts from its reading, once for each revision; what endpoints say makes them cold
 // again; another incarnation goes by its own entry.
 func TestWhoIsCold(t *testing.T) {
@@ -209,6 +248,20 @@
 	assert.Assert(t, !s.IsColdBound(later, "plain-1"))
 }
 
+// The endpoints of a data centre that gets requests again after its evacuation count as cold, before their entries say
+// so. The others do not, and the other instances are not told.
+func TestEndpointsOfAReturnedDataCentreCountAsCold(t *testing.T) {
+	s := coldFleet(1, returned(2, 0, 0, coldRate))[0]
+	later := start.Add(10 * time.Second)
+	s.recordReturn(later, "b")
+	assert.Assert(t, s.IsColdBound(later.Add(coldTime-1), "plain-1") && !s.IsColdBound(later.Add(coldTime), "plain-1"))
+	assert.Assert(t, !s.IsColdBound(later, "plain-0"))
+	s.EachReportedCold(later, func(c ColdEndpoint) { t.Fatalf("%s is reported", c.Endpoint) })
+	s = coldFleet(1, returned(2, 0, 0, 0))[0]
+	s.recordReturn(later, "b")
+	assert.Assert(t, !s.IsColdBound(later, "plain-1"), "without a rate")
+}
+
 // Without a rate that cold endpoints bear, nothing changes: they get what the others get.
 func TestColdEndpointsWithoutARate(t *testing.T) {
 	warm := returned(4, 4, 4, 0)
--- a/internal/placement/eligible.go
+++ b/internal/placement/eligible.go
@@ -150,10 +150,11 @@
 }
 
 // SetEvacuated sets the data centres whose endpoints get no requests, and reports whether they have changed.
-func (s *Scheduler) SetEvacuated(dataCentres []string) (changed bool) {
+func (s *Scheduler) SetEvacuated(now time.Time, dataCentres []string) (changed bool) {
 	if slices.Equal(s.evacuated, dataCentres) {
 		return false
 	}
+	before := s.evacuated
 	s.evacuated = slices.Clone(dataCentres)
 	for _, x := range s.endpoints {
 		s.markEvacuated(x)
@@ -161,6 +162,11 @@
 	for _, x := range s.absent {
 		s.markEvacuated(x.endpointState)
 	}
+	for _, dc := range before {
+		if !slices.Contains(dataCentres, dc) {
+			s.recordReturn(now, dc)
+		}
+	}
 	return true
 }
 
--- a/internal/placement/eligible_test.go
+++ b/internal/placement/eligible_test.go
@@ -41,7 +41,7 @@
 		{"", func(*Scheduler, *endpointState, *Demand) {}, false, false, false},
 		{Leaving, func(_ *Scheduler, x *endpointState, _ *Demand) { e := *x.ep; e.Leaving = true; x.ep = &e }, true, true, false},
 		{Replaced, func(_ *Scheduler, x *endpointState, _ *Demand) { x.recordOutcome(start, sched.Replaced) }, true, true, false},
-		{Evacuated, func(s *Scheduler, _ *endpointState, _ *Demand) { s.SetEvacuated([]string{"north"}) }, true, true, true},
+		{Evacuated, func(s *Scheduler, _ *endpointState, _ *Demand) { s.SetEvacuated(start, []string{"north"}) }, true, true, true},
 		{OutsideHomes, func(_ *Scheduler, _ *endpointState, d *Demand) { d.Homes.Route = []string{"south-region"} }, true, true, false},
 		{OutsideHomes, func(_ *Scheduler, _ *endpointState, d *Demand) {
 			d.Homes = Homes{Route: []string{"north-region", "south-region"}, Account: []string{"south-region"}}
@@ -114,7 +114,7 @@
 		}
 	}
 	assert.Assert(t, north > 0)
-	assert.Assert(t, s.SetEvacuated([]string{"north"}) && !s.SetEvacuated([]string{"north"}))
+	assert.Assert(t, s.SetEvacuated(start, []string{"north"}) && !s.SetEvacuated(start, []string{"north"}))
 	assert.Equal(t, s.CountInEvacuated(), north)
 	for range 20 {
 		l := s.AcquireEngine(start, d)
@@ -135,11 +135,11 @@
 	s.SetEndpoints(start, all)
 	assert.Equal(t, s.endpoints["north-plain"].refusal(start, choosing, &call), Evacuated, "it has registered again")
 
-	s.SetEvacuated([]string{"north", "south"})
+	s.SetEvacuated(start, []string{"north", "south"})
 	assert.Assert(t, s.AcquireService(start, call) == nil && s.AcquireEngine(start, d) == nil && !s.HasUsableEndpoint(start, d))
 	assert.Equal(t, s.PauseLeft(start, d), time.Duration(0))
 	assert.Assert(t, !s.CutOff(start))
-	s.SetEvacuated(nil)
+	s.SetEvacuated(start, nil)
 	assert.Equal(t, s.CountInEvacuated(), 0)
 	assert.Assert(t, s.TakeTurn(start, "north-plain") && s.HasUsableEndpoint(start, d))
 }
