--- a/internal/gateway/evacuations_test.go
+++ b/internal/gateway/evacuations_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"testing"
 	"time"
 
@@ -67,6 +68,23 @@
 	assert.Equal(t, s.upstream.recheck(send.send()), placement.Refusal(""))
 }
 
+// An instance that starts while the store is away is told with the state that it fetches, before it has a configuration and serves.
+func TestEvacuationsComeWithTheStateOfAnotherInstance(t *testing.T) {
+	knows, starts := newTestServer("127.0.0.1:1", time.Now()), newTestServer("127.0.0.1:1", time.Now())
+	told := []gossip.Evacuation{{DataCentre: "a", Evacuated: true, Written: 9}, {DataCentre: "b", Written: 7}}
+	knows.mergeEvacuations(time.Now(), told, "i1")
+	knows.peers.secret = []byte("secret")
+	knows.peers.known["i1"].row.State = "127.0.0.1:1"
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := newInternalServer(knows.peers.serve)
+	go func() { _ = server.Serve(ln) }()
+	t.Cleanup(func() { _ = server.Shutdown() })
+	assert.NilError(t, starts.peers.fetchState(ln.Addr().String()))
+	assert.DeepEqual(t, starts.evacuation.inForce(), []string{"a"})
+	assert.Equal(t, len(starts.exportEvacuations()), len(told), "it knows what was taken back too")
+}
+
 // While any requests have homes, a body goes to an endpoint only through instances of the endpoint's region.
 func TestTunnelsStayInTheEndpointsRegion(t *testing.T) {
 	regions := map[string]string{"a": "north", "b": "north", "c": "south"}
