placement: the measured pace of prefill engines is known to all instances

What an instance measures of a prefill is now a report of the engine's pace and told to the others (TestMeasuredPaceOfPrefillEnginesIsTold).

--- a/internal/endpointload/endpointload.go
+++ b/internal/endpointload/endpointload.go
@@ -53,9 +53,9 @@
 
 // Report is what an endpoint has said of itself in one response.
 type Report struct {
-	Running int // requests, without the answered one if its work has ended
-	Waiting int // requests
-	Slots   int
+	Running int           // requests, without the answered one if its work has ended
+	Waiting int           // requests
+	Slots   int           // 0 if the endpoint has not said it, but an instance has measured its pace
 	Pace    float64       // how long work takes there, as a multiple of the usual time; 0 if it was not told
 	ColdFor time.Duration // for which the endpoint stays cold; 0 if it is not, or was not told
 	At      time.Time     // of the response
@@ -106,6 +106,9 @@
 // TellsPace reports whether the endpoint says how long work takes there.
 func (r *Record) TellsPace() bool { return r.latest.Pace > 0 }
 
+// IsMeasured reports whether the endpoint does not say itself how long work takes there.
+func (r *Record) IsMeasured() bool { return r.latest.Slots == 0 }
+
 // Latest returns the newest report; its time is zero if there is none.
 func (r *Record) Latest() Report { return r.latest }
 
@@ -160,8 +163,10 @@
 	if w == 0 {
 		return
 	}
-	p.busy += w * r.latest.busy()
-	p.busyWeight += w
+	if r.latest.Slots > 0 {
+		p.busy += w * r.latest.busy()
+		p.busyWeight += w
+	}
 	if r.TellsPace() {
 		p.pace += w * r.latest.Pace
 		p.paceWeight += w
--- a/internal/placement/expectedend.go
+++ b/internal/placement/expectedend.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"carawayrouter.example/router/internal/config"
 	"carawayrouter.example/router/internal/endpointload"
 )
 
@@ -20,14 +21,16 @@
 type usualTimes struct {
 	call         time.Duration // a plain call
 	token        time.Duration // an output token
-	prefillToken time.Duration
+	prefillToken time.Duration // at engines that say their pace when they answer prefills
 }
 
 // expectation is what a pool is expected to be like, for one decision.
 type expectation struct {
-	told  bool // endpoints of the pool tell their pace; if not, the rest is not set
-	level endpointload.Level
+	told  bool               // endpoints of the pool tell their pace; if not, the rest is not set
+	level endpointload.Level // of plain endpoints or decode engines
 	usual *usualTimes
+
+	prefill endpointload.Level
 }
 
 // expect returns what a pool is expected to be like.
@@ -41,11 +44,15 @@
 	if !told {
 		return expectation{}
 	}
-	var mean endpointload.PoolMean
+	var mean, prefill endpointload.PoolMean
 	for _, x := range s.pools[pool] {
-		mean.Add(now, &x.load)
+		if x.ep.Role == config.Prefill {
+			prefill.Add(now, &x.load)
+		} else {
+			mean.Add(now, &x.load)
+		}
 	}
-	return expectation{told: true, level: mean.Level(), usual: s.usualOf(pool)}
+	return expectation{told: true, level: mean.Level(), prefill: prefill.Level(), usual: s.usualOf(pool)}
 }
 
 func (s *Scheduler) usualOf(pool string) *usualTimes {
@@ -64,12 +71,28 @@
 		return
 	}
 	t := of(e.usual)
-	*t = max(time.Nanosecond, movingAverage(*t, time.Duration(float64(sample)/x.load.Expect(now, e.level).Pace)))
+	*t = max(time.Nanosecond, movingAverage(*t, time.Duration(float64(sample)/e.paceOf(now, x))))
+}
+
+// observePrefill takes in how long a prefill has taken for each token. Where the pool's decode engines tell their pace and
+// the prefill engine does not, what was measured is its pace: each instance uses an engine too seldom to know it alone.
+func (s *Scheduler) observePrefill(now time.Time, x *endpointState, sample time.Duration) {
+	if !x.load.IsMeasured() {
+		s.observeUsual(now, x, func(u *usualTimes) *time.Duration { return &u.prefillToken }, sample)
+		return
+	}
+	if s.expect(now, x.ep.Pool).told {
+		x.load.Observe(endpointload.Report{Pace: float64(sample) / float64(defaultPrefillTokenTime), At: now, Source: endpointload.OwnResponse})
+	}
 }
 
 // paceOf returns how long work is expected to take at an endpoint, as a multiple of the usual time.
 func (e *expectation) paceOf(now time.Time, x *endpointState) float64 {
-	return x.load.Expect(now, e.level).Pace
+	level := e.level
+	if x.ep.Role == config.Prefill {
+		level = e.prefill
+	}
+	return x.load.Expect(now, level).Pace
 }
 
 // times returns d as often as n.
@@ -80,6 +103,9 @@
 	if !e.told {
 		return x.prefillTokenTime
 	}
+	if x.load.IsMeasured() {
+		return times(defaultPrefillTokenTime, e.paceOf(now, x))
+	}
 	return times(e.usual.prefillToken, e.paceOf(now, x))
 }
 
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -359,7 +359,7 @@
 	if o == sched.Succeeded && l.prefillTokens > 0 {
 		sample := max(time.Microsecond, now.Sub(l.grantedAt)/time.Duration(l.backlogTokens))
 		x.prefillTokenTime = movingAverage(x.prefillTokenTime, sample)
-		s.observeUsual(now, x, func(u *usualTimes) *time.Duration { return &u.prefillToken }, sample)
+		s.observePrefill(now, x, sample)
 	}
 	x.prefillTokens -= l.prefillTokens
 	l.prefillEndpoint, l.prefillTokens = nil, 0
