--- a/internal/placement/expectedend_test.go
+++ b/internal/placement/expectedend_test.go
@@ -231,7 +231,7 @@
 	return list[0]
 }
 
-// 72 instances that see the same report place a call each: the full endpoints get few, and of the others, which differ a
+// 72 instances that see the same report place a call each: the full endpoints get few, and of the others, which differ
 // little, none gets most. The former choice, by what an instance has measured itself, gives each the same; a greedy one
 // gives all calls to one endpoint.
 func TestInstancesWithTheSameViewChooseDifferentEndpoints(t *testing.T) {
@@ -250,7 +250,7 @@
 					r.Running, r.Waiting = 6, 12
 				}
 				if tells {
-					r.Pace = 1 + 0.01*float64(e)
+					r.Pace = 1 + 0.1*float64(e)
 				}
 				s.RecordLoad(fmt.Sprint(e), 0, false, r)
 			}
