--- a/cmd/caraway-soak/main.go
+++ b/cmd/caraway-soak/main.go
@@ -16,19 +16,20 @@
 const program = "caraway-soak"
 
 type args struct {
-	Binary    string `arg:"--binary" default:"target/caraway-entry" placeholder:"FILE" help:"router daemon to run"`
-	Former    string `arg:"--former" placeholder:"FILE" help:"daemon of another build; each start of an instance has one of the two"`
-	Seed      uint64 `arg:"--seed" default:"1" help:"first seed"`
-	Seeds     int    `arg:"--seeds" default:"1" help:"number of consecutive seeds to run"`
-	Instances int    `arg:"--instances" default:"4" help:"number of daemons"`
-	Rounds    int    `arg:"--rounds" default:"2" help:"number of fault phases, each followed by a quiet phase"`
-	Logs      string `arg:"--logs" placeholder:"DIR" help:"directory that keeps the settings and logs of failed seeds"`
-	Untimed   bool   `arg:"--untimed" help:"skip the time-bounded guarantees"`
-	LowRate   bool   `arg:"--low-rate" help:"limit the account to a rate that binds"`
-	Lapses    bool   `arg:"--lapses" help:"cut endpoints off from the store for longer than their entries live"`
-	Unframed  bool   `arg:"--unframed" help:"end endpoints in the middle of answers that end with their connection, and let them answer twice"`
-	Releases  bool   `arg:"--releases" help:"replace engines by others of newer software versions, while callers take streams up again"`
-	Verbose   bool   `arg:"-v,--verbose" help:"log every injected fault"`
+	Binary      string `arg:"--binary" default:"target/caraway-entry" placeholder:"FILE" help:"router daemon to run"`
+	Former      string `arg:"--former" placeholder:"FILE" help:"daemon of another build; each start of an instance has one of the two"`
+	Seed        uint64 `arg:"--seed" default:"1" help:"first seed"`
+	Seeds       int    `arg:"--seeds" default:"1" help:"number of consecutive seeds to run"`
+	Instances   int    `arg:"--instances" default:"4" help:"number of daemons"`
+	Rounds      int    `arg:"--rounds" default:"2" help:"number of fault phases, each followed by a quiet phase"`
+	Logs        string `arg:"--logs" placeholder:"DIR" help:"directory that keeps the settings and logs of failed seeds"`
+	Untimed     bool   `arg:"--untimed" help:"skip the time-bounded guarantees"`
+	LowRate     bool   `arg:"--low-rate" help:"limit the account to a rate that binds"`
+	Lapses      bool   `arg:"--lapses" help:"cut endpoints off from the store for longer than their entries live"`
+	SlowReaders bool   `arg:"--slow-readers" help:"let callers and endpoints read slowly for some seconds after each quiet phase"`
+	Unframed    bool   `arg:"--unframed" help:"end endpoints in the middle of answers that end with their connection, and let them answer twice"`
+	Releases    bool   `arg:"--releases" help:"replace engines by others of newer software versions, while callers take streams up again"`
+	Verbose     bool   `arg:"-v,--verbose" help:"log every injected fault"`
 }
 
 // Version implements go-arg's Versioned.
@@ -70,7 +71,7 @@
 			return false, err
 		}
 	}
-	r, err := soak.Run(ctx, soak.Options{Binary: binary, Former: former, Dir: dir, Seed: seed, Instances: a.Instances, Rounds: a.Rounds, Timed: !a.Untimed, Releases: a.Releases, LowRate: a.LowRate, Lapses: a.Lapses, Unframed: a.Unframed, Log: func(format string, args ...any) {
+	r, err := soak.Run(ctx, soak.Options{Binary: binary, Former: former, Dir: dir, Seed: seed, Instances: a.Instances, Rounds: a.Rounds, Timed: !a.Untimed, Releases: a.Releases, LowRate: a.LowRate, Lapses: a.Lapses, Unframed: a.Unframed, SlowReaders: a.SlowReaders, Log: func(format string, args ...any) {
 		if a.Verbose {
 			fmt.Printf(format+"\n", args...)
 		}
