--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -272,28 +272,16 @@
 // returns nil. An endpoint whose slots are all taken is expected to answer later, and
 // ejected endpoints are used only if all are ejected.
 func (s *Scheduler) AcquireService(now time.Time, d Demand) *Lease {
-	var best *endpointState
-	var shortest time.Duration
-	lowest := s.lowestLatency(now, d.Pool)
-	for _, x := range s.candidates(now, d) {
-		if !s.ready(now, x) {
-			continue
-		}
-		wait := s.callCost(now, x, lowest)
-		if best == nil || wait < shortest {
-			best, shortest = x, wait
-		}
-	}
-	if best == nil {
-		return nil
-	}
-	s.take(now, best)
-	best.calls++
-	return &Lease{Target: best.ep, targetEndpoint: best, grantedAt: now}
+	l, _ := s.placeCall(now, d, func(time.Time, *endpointState, Demand) bool { return true })
+	return l
 }
 
 // PlaceCall is AcquireService among the endpoints that have room. Full means that there are endpoints for the call, and none has.
 func (s *Scheduler) PlaceCall(now time.Time, d Demand) (l *Lease, full bool) {
+	return s.placeCall(now, d, s.hasRoom)
+}
+
+func (s *Scheduler) placeCall(now time.Time, d Demand, hasRoom func(time.Time, *endpointState, Demand) bool) (l *Lease, full bool) {
 	var best *endpointState
 	var shortest time.Duration
 	lowest := s.lowestLatency(now, d.Pool)
@@ -301,7 +289,7 @@
 		if !s.ready(now, x) {
 			continue
 		}
-		if !s.hasRoom(now, x, d) {
+		if !hasRoom(now, x, d) {
 			full = true
 			continue
 		}
