window: generations of a lower rank leave a part of their account's tokens to better ones

Cause: both ranks of an account share its tokens. Change: where routes of a better priority go to the same model pool, a generation of a lower one needs a quarter of the bucket besides. The bucket drains as fast, so the lower rank loses a part of its burst and none of its rate. request.over_rate names the rank.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -106,6 +106,12 @@
 	return st
 }
 
+// hasBetterRoute reports whether a model pool has routes of a better priority than the given one.
+func (a *admission) hasBetterRoute(pool string, priority int) (better bool) {
+	a.withScheduler(func(_ time.Time, s *placement.Scheduler) { better = s.HasBetterRoute(pool, priority) })
+	return better
+}
+
 // tryAcquireEngine returns a lease on engines, or nil if the generation would have to wait.
 func (a *admission) tryAcquireEngine(d placement.Demand) (l *placement.Lease) {
 	a.withScheduler(func(now time.Time, s *placement.Scheduler) { l = s.AcquireEngine(now, d) })
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -30,6 +30,9 @@
 	kind := window.PlainCall
 	if c.HasTokenCounts {
 		c.ChargedTokens, kind = c.PromptTokens+c.MaxOutputTokens, window.Generation
+		if x.s.admission.hasBetterRoute(c.Pool.Name, c.Route.Priority) {
+			kind = window.LowerGeneration
+		}
 	}
 	if x.takenUp {
 		return x.claimTokens(ctx)
@@ -37,17 +40,17 @@
 	var d window.Decision
 	x.s.withQuota(func(now time.Time, l *window.Limiter) { d = l.Reserve(now, c.Account, c.ChargedTokens, kind) })
 	if d.Announce {
-		return x.reserveAnnounced(ctx)
+		return x.reserveAnnounced(ctx, kind)
 	}
 	return x.finishLimit(d, 0)
 }
 
 // reserveAnnounced waits until the other instances have heard of the request.
-func (x *exchange) reserveAnnounced(ctx context.Context) error {
+func (x *exchange) reserveAnnounced(ctx context.Context, kind window.RequestKind) error {
 	c := x.call
 	key := window.ClaimKey(origin.KeyOf(x.account(), c.ID))
 	return x.awaitTokens(ctx, key, func(now time.Time, l *window.Limiter) (window.Decision, bool) {
-		d, waits := l.ReserveAnnounced(now, c.Account, key, c.ChargedTokens)
+		d, waits := l.ReserveAnnouncedKind(now, c.Account, key, c.ChargedTokens, kind)
 		return d, !waits
 	})
 }
@@ -122,7 +125,7 @@
 		x.s.stats.tokensCharged.Add(c.ChargedTokens)
 		return nil
 	}
-	x.decision("over_rate", "account", c.Account.Name, "taken_up", x.takenUp, "tokens", c.ChargedTokens, "needed", int(d.Needed), "limit", int(d.Limit), "rate", int(d.Rate), "own", int(d.OwnUsage), "others", int(d.PeerUsage), "assumed", int(d.Assumed), "silent", d.SilentPeers, "ahead", int(d.Ahead), "waited_ms", waited.Milliseconds(), "retry_after_ms", d.RetryAfter.Milliseconds())
+	x.decision("over_rate", "account", c.Account.Name, "rank", x.priority(), "taken_up", x.takenUp, "tokens", c.ChargedTokens, "needed", int(d.Needed), "limit", int(d.Limit), "rate", int(d.Rate), "own", int(d.OwnUsage), "others", int(d.PeerUsage), "assumed", int(d.Assumed), "silent", d.SilentPeers, "ahead", int(d.Ahead), "waited_ms", waited.Milliseconds(), "retry_after_ms", d.RetryAfter.Milliseconds())
 	return refusal(errkind.OverRate, "the account is above its rate", d.RetryAfter)
 }
 
--- a/internal/limit/window/claim.go
+++ b/internal/limit/window/claim.go
@@ -127,6 +127,11 @@
 // It answers the load of an account that is at its limit and has requests at all instances at the same
 // moment, most of all after these have restarted: each of them would grant what is left for one.
 func (l *Limiter) ReserveAnnounced(now time.Time, a *config.Account, key ClaimKey, tokens int) (d Decision, waits bool) {
+	return l.ReserveAnnouncedKind(now, a, key, tokens, Generation)
+}
+
+// ReserveAnnouncedKind is ReserveAnnounced for a kind of generations.
+func (l *Limiter) ReserveAnnouncedKind(now time.Time, a *config.Account, key ClaimKey, tokens int, kind RequestKind) (d Decision, waits bool) {
 	b := l.bucketOf(now, a)
 	l.drain(now, b)
 	c := b.ownClaim(key)
@@ -139,7 +144,7 @@
 	}
 	ahead, expected := l.tokensAhead(now, b, c)
 	b.dropClaim(key)
-	d, v := l.examine(now, b, float64(tokens), b.generationNeed(tokens), Generation)
+	d, v := l.examine(now, b, float64(tokens), b.generationNeed(tokens), kind)
 	d.Ahead = expected
 	if d.missing+ahead <= 0 {
 		b.charge(now, &d, tokens)
--- a/internal/limit/window/window.go
+++ b/internal/limit/window/window.go
@@ -156,10 +156,15 @@
 
 // The kinds of requests.
 const (
-	Generation RequestKind = iota // a generation, some thousand tokens
-	PlainCall                     // a plain call, some hundred tokens
+	Generation      RequestKind = iota // a generation, some thousand tokens
+	PlainCall                          // a plain call, some hundred tokens
+	LowerGeneration                    // a generation beside which the account may send some of a better rank to the same pool
 )
 
+// betterRankReserve is the part of the bucket that generations of a lower rank leave free for those of a better one. The bucket drains
+// as fast, so in a flood of the lower rank it takes a smaller burst and no less a rate, and those of the better rank find room.
+const betterRankReserve = 0.25
+
 // plainCallReserve is the part of the bucket that is reserved for plain calls, as a fraction of
 // the window's limit. Without it a flood of generations starves the account's lookups, which
 // use a few per cent of its tokens.
@@ -193,7 +198,7 @@
 	l.drain(now, b)
 	need := float64(tokens)
 	present, waiting := 0.0, 0.0
-	if kind == Generation {
+	if kind != PlainCall {
 		// A generation of any size is admitted only if a large one would fit. Otherwise the
 		// small generations of a flood take all the capacity that becomes free, and the
 		// large ones are starved.
@@ -204,12 +209,12 @@
 	d, v := l.examine(now, b, float64(tokens), need, kind)
 	d.Ahead = present
 	if room := -(d.missing + present); room >= 0 {
-		if d.Announce = kind == Generation && l.mustAnnounce(now, b, need, room, v); !d.Announce {
+		if d.Announce = kind != PlainCall && l.mustAnnounce(now, b, need, room, v); !d.Announce {
 			b.charge(now, &d, tokens)
 		}
 		return d
 	}
-	if kind == Generation {
+	if kind != PlainCall {
 		d.Ahead = waiting
 		l.refuseGeneration(now, b, &d, v, tokens)
 		return d
@@ -252,10 +257,13 @@
 		credit = v.reporting * min(b.limits.rate*now.Sub(b.emptySince).Seconds(), b.limits.window)
 	}
 	usable := b.limits.depth - v.silentUsage + credit
-	if kind == Generation {
+	if kind != PlainCall {
 		need = max(tokens, min(need, b.limits.depth-v.silentUsage+v.reporting*b.limits.window))
 		usable -= min(plainCallReserve*v.reporting*l.windowLimit(b.account), max(0, usable-need))
 	}
+	if kind == LowerGeneration {
+		usable -= min(betterRankReserve*b.limits.depth, max(0, usable-need))
+	}
 	level := max(0, v.level)
 	d.Limit, d.Needed, d.missing = usable+v.silentUsage, need, need+level-usable
 	a := b.account
--- a/internal/limit/window/window_test.go
+++ b/internal/limit/window/window_test.go
@@ -275,3 +275,29 @@
 	assert.Assert(t, all < 0.5, "a flood: %.2f served", all)
 	assert.Assert(t, largest >= all/2, "%.3f of the largest, %.3f of all", largest, all)
 }
+
+// An account floods with generations of a lower rank. Those of a better rank that it sends beside them are admitted, and the
+// lower ones still use the rest of its rate.
+func TestFloodOfALowerRankLeavesTheBetterOne(t *testing.T) {
+	play := func(lower RequestKind) (better, lowerTokens int) {
+		l := New(8*time.Second, Slack{}, time.Time{})
+		a := &config.Account{Name: "a", Rate: 10_000, Burst: 40_000}
+		now := time.Unix(1_700_000_000, 0)
+		for i := range 2000 {
+			now = now.Add(10 * time.Millisecond)
+			if l.Reserve(now, a, 1000, lower).Allowed {
+				lowerTokens += 1000
+			}
+			if i%25 == 0 && l.Reserve(now, a, 1000, Generation).Allowed {
+				better++
+			}
+		}
+		return better, lowerTokens
+	}
+	before, lowerBefore := play(Generation)
+	after, lowerAfter := play(LowerGeneration)
+	t.Logf("admitted of 80 of the better rank %d, %d; tokens of the lower one %d, %d", before, after, lowerBefore, lowerAfter)
+	assert.Equal(t, after, 80)
+	assert.Assert(t, before < 60)
+	assert.Assert(t, lowerAfter+1000*after >= 10_000*20)
+}
--- a/internal/placement/ranks.go
+++ b/internal/placement/ranks.go
@@ -17,6 +17,12 @@
 // IsRanked reports whether requests of a pool have more than one rank by the configuration.
 func (s *Scheduler) IsRanked(pool string) bool { return s.ranks[pool].Several() }
 
+// HasBetterRoute reports whether the routes to a pool have a better priority than the given one.
+func (s *Scheduler) HasBetterRoute(pool string, priority int) bool {
+	best, known := s.bestRoute[pool]
+	return known && best < priority
+}
+
 // pressure returns the demand of the fleet for a ranked pool and its room, at most outlookInterval old.
 func (s *Scheduler) pressure(now time.Time, pool string) *scarcity.Pressure {
 	known := s.pressed[pool]
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -81,6 +81,7 @@
 
 	ranks     map[string]scarcity.Ranks // by pool
 	anyRanked bool                      // a pool has several
+	bestRoute map[string]int            // best priority of the routes to a pool
 	rates     scarcity.Rates
 	pressed   map[string]*pressed // by ranked pool
 
@@ -96,7 +97,7 @@
 // SetEndpoints replaces the endpoints. What is known of an endpoint's incarnation outlives its entry; see
 // entered.
 func (s *Scheduler) SetEndpoints(now time.Time, state *config.State) {
-	s.ranks, s.anyRanked = scarcity.RanksByPool(state), false
+	s.ranks, s.anyRanked, s.bestRoute = scarcity.RanksByPool(state), false, scarcity.BestRoutes(state)
 	for _, r := range s.ranks {
 		s.anyRanked = s.anyRanked || r.Several()
 	}
--- a/internal/scarcity/ranks.go
+++ b/internal/scarcity/ranks.go
@@ -46,6 +46,23 @@
 	return ranks
 }
 
+// BestRoutes returns the best priority of the routes to each pool.
+func BestRoutes(st *config.State) map[string]int {
+	best := map[string]int{}
+	add := func(pool string, priority int) {
+		if known, ok := best[pool]; !ok || priority < known {
+			best[pool] = priority
+		}
+	}
+	for _, r := range st.Routes {
+		add(r.Pool, r.Priority)
+		for _, share := range r.Split {
+			add(share.Pool, r.Priority)
+		}
+	}
+	return best
+}
+
 // insert adds a rank to a list in order, once.
 func insert[L ~[]int](list L, rank int) L {
 	i, found := slices.BinarySearch(list, rank)
