--- a/internal/placement/ranks_test.go
+++ b/internal/placement/ranks_test.go
@@ -188,6 +188,23 @@
 	assert.Assert(t, s.AcquireEngine(start, d) != nil)
 }
 
+// The list of endpoints changes often in a burst that comes with losses: since when there is too little room is still known, and the room is
+// that of the new list.
+func TestOverloadOutlivesAChangeOfEndpoints(t *testing.T) {
+	st := rankedEngines(1, 2, 10000)
+	s := newScheduler(1, st)
+	s.SetPeer("other", &PeerState{UpdatedAt: start, Demand: []scarcity.Demand{{Pool: modelPool, Rank: 0, Requests: 10, Work: 90000}}})
+	before := s.pressure(start, modelPool).Room
+	ep := *st.Endpoints["decode-2"]
+	ep.Leaving = true
+	st.Endpoints["decode-2"] = &ep
+	s.SetEndpoints(start.Add(tick), st)
+	assert.Equal(t, s.pressure(start.Add(tick), modelPool).Room, before/2)
+	assert.Assert(t, s.pressed[modelPool].overload[0].Equal(start))
+	s.SetEndpoints(start.Add(tick), engines(1, 2, 10000))
+	assert.Equal(t, len(s.pressed), 0)
+}
+
 // An instance falls silent: what it told counts for a while, so that its callers find room elsewhere, and no longer.
 func TestDemandOfASilentInstanceCountsForAWhile(t *testing.T) {
 	s := newScheduler(1, rankedEngines(1, 1, 10000))
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -101,7 +101,11 @@
 	for _, r := range s.ranks {
 		s.anyRanked = s.anyRanked || r.Several()
 	}
-	clear(s.pressed)
+	for pool, p := range s.pressed {
+		if p.at = (time.Time{}); !s.IsRanked(pool) {
+			delete(s.pressed, pool)
+		}
+	}
 	old := s.endpoints
 	s.endpoints = make(map[string]*endpointState, len(state.Endpoints))
 	s.pools = map[string][]*endpointState{}
