--- a/internal/limit/window/window.go
+++ b/internal/limit/window/window.go
@@ -161,8 +161,9 @@
 	LowerGeneration                    // a generation beside which the account may send some of a better rank to the same pool
 )
 
-// betterRankReserve is the part of the bucket that generations of a lower rank leave free for those of a better one. The bucket drains
-// as fast, so in a flood of the lower rank it takes a smaller burst and no less a rate, and those of the better rank find room.
+// betterRankReserve is the part of an account's limit, without the slack, that generations of a lower rank leave free for those of a better
+// one, which find room then and are within the limit. The bucket drains as fast, so a flood of the lower rank takes a smaller burst and
+// no less a rate.
 const betterRankReserve = 0.25
 
 // plainCallReserve is the part of the bucket that is reserved for plain calls, as a fraction of
@@ -261,13 +262,15 @@
 		need = max(tokens, min(need, b.limits.depth-v.silentUsage+v.reporting*b.limits.window))
 		usable -= min(plainCallReserve*v.reporting*l.windowLimit(b.account), max(0, usable-need))
 	}
+	a := b.account
+	within := max(a.Burst, a.Rate*minDepth.Seconds())
 	if kind == LowerGeneration {
-		usable -= min(betterRankReserve*b.limits.depth, max(0, usable-need))
+		kept := usable - ((1-betterRankReserve)*within - v.silentUsage + credit)
+		usable -= min(max(0, kept), max(0, usable-need))
 	}
 	level := max(0, v.level)
 	d.Limit, d.Needed, d.missing = usable+v.silentUsage, need, need+level-usable
-	a := b.account
-	d.UsedSlack = tokens+level+v.silentUsage > credit+max(a.Burst, a.Rate*minDepth.Seconds())
+	d.UsedSlack = tokens+level+v.silentUsage > credit+within
 	return d, v
 }
 
--- a/internal/limit/window/window_test.go
+++ b/internal/limit/window/window_test.go
@@ -276,11 +276,11 @@
 	assert.Assert(t, largest >= all/2, "%.3f of the largest, %.3f of all", largest, all)
 }
 
-// An account floods with generations of a lower rank. Those of a better rank that it sends beside them are admitted, and the
+// An account floods with generations of a lower rank. Those of a better rank that it sends beside them are admitted within its limit, and the
 // lower ones still use the rest of its rate.
 func TestFloodOfALowerRankLeavesTheBetterOne(t *testing.T) {
 	play := func(lower RequestKind) (better, lowerTokens int) {
-		l := New(8*time.Second, Slack{}, time.Time{})
+		l := New(8*time.Second, Slack{Tokens: 20_000}, time.Time{})
 		a := &config.Account{Name: "a", Rate: 10_000, Burst: 40_000}
 		now := time.Unix(1_700_000_000, 0)
 		for i := range 2000 {
@@ -288,8 +288,10 @@
 			if l.Reserve(now, a, 1000, lower).Allowed {
 				lowerTokens += 1000
 			}
-			if i%25 == 0 && l.Reserve(now, a, 1000, Generation).Allowed {
-				better++
+			if i%25 == 0 {
+				if d := l.Reserve(now, a, 1000, Generation); d.Allowed && !d.UsedSlack {
+					better++
+				}
 			}
 		}
 		return better, lowerTokens
