--- a/internal/gateway/callwait.go
+++ b/internal/gateway/callwait.go
@@ -102,17 +102,22 @@
 		return nil, true, refusal(errkind.ShuttingDown, "this instance is shutting down", shutdownRetryAfter)
 	}
 	usual := a.sched.CallTime(now, d.Pool)
-	c.LastStart, c.Due = d.EndBy.Add(-usual), arrived.Add(target-usual-usual/2) // calls differ in length
+	c.Due = arrived.Add(target - usual - usual/2) // calls differ in length
+	c.LastStart = c.Due
+	if latest := d.EndBy.Add(-usual); latest.Before(c.LastStart) {
+		c.LastStart = latest
+	}
 	w := waitingCall{demand: later, result: make(chan grant, 1)}
 	a.waitingCalls[c] = w
 	evicted, retryAfter, ok := a.calls.Enter(now, c)
 	if evicted != nil {
-		a.endCall(evicted, grant{err: callsFull(evicted.Standing.Predicted)})
+		a.endCall(evicted, a.leastBad(now, a.waitingCalls[evicted].demand, evicted.Standing.Predicted))
 	}
 	if !ok {
 		delete(a.waitingCalls, c)
+		g := a.leastBad(now, later, retryAfter)
 		a.mu.Unlock()
-		return nil, true, callsFull(retryAfter)
+		return g.lease, true, g.err
 	}
 	a.serveCalls(now)
 	a.armTimer()
@@ -136,6 +141,15 @@
 	return nil, true, context.Cause(ctx)
 }
 
+// leastBad ends the wait of a call that can no longer be on time, or would wait in vain: it goes to the endpoint that is expected to answer
+// first, whose own queue may still have room when it arrives. The caller holds the lock.
+func (a *admission) leastBad(now time.Time, d placement.Demand, retryAfter time.Duration) grant {
+	if l := a.sched.AcquireService(now, d); l != nil {
+		return grant{lease: l}
+	}
+	return grant{err: callsFull(retryAfter)}
+}
+
 // callsFull refuses a call for which no endpoint has room in time.
 func callsFull(retryAfter time.Duration) error {
 	return refusal(errkind.QueueFull, "the endpoints are full", max(retryAfter, endpointRetryAfter))
@@ -163,7 +177,7 @@
 		return l != nil
 	})
 	for _, c := range a.calls.Expire(now) {
-		a.endCall(c, grant{err: callsFull(c.Standing.Predicted)})
+		a.endCall(c, a.leastBad(now, a.waitingCalls[c].demand, c.Standing.Predicted))
 	}
 }
 
