--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"carawayrouter.example/router/internal/callqueue"
 	"carawayrouter.example/router/internal/config"
 	"carawayrouter.example/router/internal/errkind"
 	"carawayrouter.example/router/internal/placement"
@@ -26,9 +25,6 @@
 	queue         placement.Queue
 	grants        map[*placement.Waiter]chan grant
 	outputLengths map[string]*placement.LengthPredictor // by pool
-	calls         *callqueue.Queue
-	waitingCalls  map[*callqueue.Call]waitingCall
-	stopped       bool // no call waits any longer
 	timerSet      bool
 	onEject       func(ep *config.Endpoint)
 	onChange      func() // called whenever a lease is granted or released; must not block
@@ -41,7 +37,7 @@
 }
 
 func newAdmission(s *placement.Scheduler, onEject func(*config.Endpoint)) *admission {
-	return &admission{now: time.Now, sched: s, calls: callqueue.New(callqueue.Limits{}), waitingCalls: map[*callqueue.Call]waitingCall{}, grants: map[*placement.Waiter]chan grant{}, outputLengths: map[string]*placement.LengthPredictor{}, onEject: onEject, onChange: func() {}}
+	return &admission{now: time.Now, sched: s, grants: map[*placement.Waiter]chan grant{}, outputLengths: map[string]*placement.LengthPredictor{}, onEject: onEject, onChange: func() {}}
 }
 
 // acquireEngine waits for a lease on engines. The error is a refusal with a retry delay.
@@ -126,7 +122,10 @@
 	if l := a.sched.AcquireService(now, d); l != nil {
 		return l, nil
 	}
-	return nil, a.noPlaceForCall(now, d)
+	if wait := a.sched.NextTurn(now, d.Pool); wait > 0 {
+		return nil, refusal(errkind.EndpointLimit, "the endpoints accept no more requests for now", wait+rand.N(limitRetrySpread))
+	}
+	return nil, refusal(errkind.NoEndpoint, "no endpoint can be used", a.noEndpointRetryAfter(now, d.Pool))
 }
 
 // noEndpointRetryAfter returns when a pool without a usable endpoint is worth another try: when the first one
@@ -162,7 +161,7 @@
 // armTimer checks the queue again after queuePollInterval, for as long as it is not empty. The
 // caller holds the lock.
 func (a *admission) armTimer() {
-	if a.timerSet || a.queue.Len() == 0 && a.calls.Len() == 0 {
+	if a.timerSet || a.queue.Len() == 0 {
 		return
 	}
 	a.timerSet = true
@@ -170,9 +169,7 @@
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		a.timerSet = false
-		now := a.now()
-		a.serveQueue(now)
-		a.serveCalls(now)
+		a.serveQueue(a.now())
 		a.armTimer()
 	})
 }
@@ -231,7 +228,6 @@
 		if s.Release(now, l, o) {
 			a.onEject(l.Target)
 		}
-		a.serveCalls(now)
 	})
 }
 
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -53,7 +53,6 @@
 	prefilled       bool      // a prefill has succeeded; only the first one does not count as a send
 	runs            int       // endpoints that may have run the request
 	crashed         bool      // the endpoint of the last attempt crashed before its response began
-	turnedAwayBy    []string  // endpoints that had no room for the call
 	excluded        []string  // endpoints that failed the request
 	lastEndpoint    string    // endpoint of the last attempt
 	lastFraming     framing   // of the last response; empty before the first one
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -15,7 +15,6 @@
 
 	"math/rand/v2"
 
-	"carawayrouter.example/router/internal/callqueue"
 	"carawayrouter.example/router/internal/config"
 	"carawayrouter.example/router/internal/errkind"
 	"carawayrouter.example/router/internal/limit/pacing"
@@ -134,7 +133,6 @@
 		g.stats.ejections.Inc()
 		g.log.Info("endpoint.ejected", "endpoint", ep.Name, "addr", ep.Addr)
 	})
-	g.admission.calls = callqueue.New(callLimits(s.MemoryBytes))
 	g.upstream = newUpstream(d.Wire, g.setUserTimeout)
 	g.upstream.memory = newBodyMemory(s.MemoryBytes)
 	g.upstream.memory.onShort = func() { g.stats.memoryShort.Inc() }
@@ -409,7 +407,6 @@
 	began := time.Now()
 	s.drainStartedAt.Store(&began)
 	s.draining.Store(true)
-	s.admission.stopCalls()
 	s.log.Info("process.drain", "active", s.active.Load())
 	// The settings may have changed without a signal. A slow read must not delay the exit.
 	go s.reloadSettings()
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -39,7 +39,7 @@
 		if !x.reserveSends(1) {
 			return last
 		}
-		lease, err := x.callPlace(ctx)
+		lease, err := x.s.admission.acquireService(x.callDemand())
 		if err != nil {
 			if last != nil {
 				return last
@@ -64,9 +64,8 @@
 	return last
 }
 
-// callDemand returns what a run of the call needs: another endpoint than those that failed it or turned it away.
 func (x *exchange) callDemand() placement.Demand {
-	return placement.Demand{Pool: x.call.Pool.Name, Exclude: slices.Concat(x.excluded, x.turnedAwayBy), EndBy: x.deadline}
+	return placement.Demand{Pool: x.call.Pool.Name, Exclude: x.excluded}
 }
 
 // canRetry reports whether the request may be run again although it may already have run.
@@ -173,12 +172,8 @@
 		run.call.resp.close() // before its context ends, which would close the connection
 	}
 	run.cancel(nil)
-	switch {
-	case o == sched.Succeeded || o == sched.Abandoned:
-	case o != sched.Full:
+	if o != sched.Succeeded && o != sched.Abandoned && (o != sched.Full || !run.standby) {
 		x.excluded = append(x.excluded, run.lease.Target.Name)
-	case !run.standby:
-		x.turnedAwayBy = append(x.turnedAwayBy, run.lease.Target.Name)
 	}
 	x.s.admission.releaseCall(run.lease, o)
 }
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -38,8 +38,6 @@
 	pauses            *metrics.Counter
 	memoryShort       *metrics.Counter
 	acceptFailures    *metrics.Counter
-	callsWaited       *metrics.Counter
-	callsRefused      *metrics.Counter
 	yieldedConns      *metrics.Counter
 	byRank            map[string]map[string]*metrics.Counter // generations of pools with several ranks
 	closedAnswers     map[bool]*metrics.Counter              // answers without a length, by whether their end was confirmed
@@ -98,8 +96,6 @@
 		crashes:           set.NewCounter("caraway_endpoint_crashes_total"),
 		pauses:            set.NewCounter("caraway_endpoint_pauses_total"),
 		memoryShort:       set.NewCounter("caraway_body_memory_short_total"),
-		callsWaited:       set.NewCounter("caraway_calls_waited_total"),
-		callsRefused:      set.NewCounter("caraway_calls_without_place_total"),
 		acceptFailures:    set.NewCounter("caraway_accept_failures_total"),
 		yieldedConns:      set.NewCounter("caraway_idle_connections_closed_total"),
 		callLatency:       set.NewPrometheusHistogramExt("caraway_plain_request_seconds", latencyBounds),
@@ -133,7 +129,6 @@
 	set.NewGauge("caraway_endpoints_unreachable", func() float64 { return float64(s.unreachable.Load()) })
 	set.NewGauge("caraway_instances", func() float64 { return float64(s.peers.fleetSize()) })
 	set.NewGauge("caraway_waiting", func() float64 { return float64(s.admission.queueLength()) })
-	set.NewGauge("caraway_calls_waiting", func() float64 { return float64(s.admission.callsWaiting()) })
 	set.NewGauge("caraway_endpoints_withheld", func() float64 { return float64(s.state.countWithheld()) })
 	set.NewGauge("caraway_endpoints_limited", func() float64 { return float64(s.admission.countLimited()) })
 	set.NewGauge("caraway_quarantined_causes", func() float64 { return float64(s.quarantine.count()) })
--- a/internal/placement/endpoint.go
+++ b/internal/placement/endpoint.go
@@ -47,8 +47,6 @@
 	peerLoads     map[string]peerLoad  // by instance
 	peerEjections map[string]time.Time // end of the ejections in force at other instances, by instance
 
-	window callWindow
-
 	pacer pacing.Pacer // of the limit that the endpoint announces
 
 	reportedCalls int // running and waiting calls besides the answered one, as the endpoint last reported
@@ -148,12 +146,10 @@
 func (x *endpointState) recordOutcome(now time.Time, o sched.Outcome) bool {
 	switch o {
 	case sched.Succeeded:
-		x.window.ended()
 		x.failures, x.ejections = 0, 0
 		x.markReachable()
 	case sched.Full:
 		x.fullUntil = now.Add(fullBackoff)
-		x.window.turnedAway(now, x.calls)
 	case sched.Unreachable:
 		// This ejects the endpoint at once: nothing listens at its address or the network
 		// path is down, and each further request would lose the time of a connection
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -29,8 +29,6 @@
 	SoftwareVersion string
 
 	Rank int // lower values first
-	// EndBy is when a plain call must have ended; zero for any time.
-	EndBy time.Time
 
 	moved bool     // the prompt was read already
 	avoid []string // software versions whose engines are kept free for others
@@ -277,16 +275,6 @@
 // returns nil. An endpoint whose slots are all taken is expected to answer later, and
 // ejected endpoints are used only if all are ejected.
 func (s *Scheduler) AcquireService(now time.Time, d Demand) *Lease {
-	l, _ := s.placeCall(now, d, func(time.Time, *endpointState, Demand) bool { return true })
-	return l
-}
-
-// PlaceCall is AcquireService among the endpoints that have room. Full means that there are endpoints for the call, and none has.
-func (s *Scheduler) PlaceCall(now time.Time, d Demand) (l *Lease, full bool) {
-	return s.placeCall(now, d, s.hasRoom)
-}
-
-func (s *Scheduler) placeCall(now time.Time, d Demand, hasRoom func(time.Time, *endpointState, Demand) bool) (l *Lease, full bool) {
 	var best *endpointState
 	var shortest time.Duration
 	lowest := s.lowestLatency(now, d.Pool)
@@ -294,49 +282,17 @@
 		if !s.ready(now, x) {
 			continue
 		}
-		if !hasRoom(now, x, d) {
-			full = true
-			continue
-		}
-		if wait := s.callCost(now, x, lowest); best == nil || wait < shortest {
+		wait := s.callCost(now, x, lowest)
+		if best == nil || wait < shortest {
 			best, shortest = x, wait
 		}
 	}
 	if best == nil {
-		return nil, full
+		return nil
 	}
 	s.take(now, best)
 	best.calls++
-	return &Lease{Target: best.ep, targetEndpoint: best, grantedAt: now}, false
-}
-
-// hasRoom reports whether an endpoint can take a plain call: it has not just turned one away, more are not expected to be turned away, and it has a slot, or a queue from which the call
-// still ends in time.
-func (s *Scheduler) hasRoom(now time.Time, x *endpointState, d Demand) bool {
-	if now.Before(x.fullUntil) || !x.window.hasRoom(now, x.calls) {
-		return false
-	}
-	slots, active := max(1, x.ep.Slots), x.activeCalls(now)
-	if active < slots || d.EndBy.IsZero() {
-		return true
-	}
-	return !now.Add(x.callLatency + x.callLatency*time.Duration(active-slots+1)/time.Duration(slots)).After(d.EndBy)
-}
-
-// CallTime returns how long a plain call of a pool usually takes.
-func (s *Scheduler) CallTime(now time.Time, pool string) time.Duration {
-	var sum time.Duration
-	n := 0
-	for _, x := range s.pools[pool] {
-		if x.available(now) {
-			sum += x.callLatency
-			n++
-		}
-	}
-	if n == 0 {
-		return defaultCallLatency
-	}
-	return sum / time.Duration(n)
+	return &Lease{Target: best.ep, targetEndpoint: best, grantedAt: now}
 }
 
 // candidates returns the endpoints that may be given a plain call. If all are ejected for
