--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -42,8 +42,6 @@
 	memoryShort       *metrics.Counter
 	stalledCallers    *metrics.Counter
 	acceptFailures    *metrics.Counter
-	callsWaited       *metrics.Counter
-	callsRefused      *metrics.Counter
 	yieldedConns      *metrics.Counter
 	evacuationRows    *metrics.Counter // ignored
 	loadsMalformed    *metrics.Counter
@@ -108,8 +106,6 @@
 		coldTurnsRefused:  set.NewCounter("caraway_cold_turns_refused_total"),
 		coldUnreadable:    set.NewCounter("caraway_cold_times_unreadable_total"),
 		memoryShort:       set.NewCounter("caraway_body_memory_short_total"),
-		callsWaited:       set.NewCounter("caraway_calls_waited_total"),
-		callsRefused:      set.NewCounter("caraway_calls_without_place_total"),
 		stalledCallers:    set.NewCounter("caraway_callers_stalled_total"),
 		acceptFailures:    set.NewCounter("caraway_accept_failures_total"),
 		evacuationRows:    set.NewCounter("caraway_evacuation_rows_ignored_total"),
@@ -154,7 +150,6 @@
 	set.NewGauge("caraway_endpoints_unreachable", func() float64 { return float64(s.unreachable.Load()) })
 	set.NewGauge("caraway_instances", func() float64 { return float64(s.peers.fleetSize()) })
 	set.NewGauge("caraway_waiting", func() float64 { return float64(s.admission.queueLength()) })
-	set.NewGauge("caraway_calls_waiting", func() float64 { return float64(s.admission.callsWaiting()) })
 	set.NewGauge("caraway_endpoints_withheld", func() float64 { return float64(s.state.countWithheld()) })
 	set.NewGauge("caraway_endpoints_limited", func() float64 { return float64(s.admission.countLimited()) })
 	set.NewGauge("caraway_endpoints_cold", func() float64 { return float64(s.admission.countCold()) })
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -33,8 +33,6 @@
 	MaxGap time.Duration // longest pause between two events that is on time; 0 for any
 
 	Rank int // lower values first
-	// EndBy is when a plain call must have ended; zero for any time.
-	EndBy time.Time
 
 	moved bool     // the prompt was read already
 	avoid []string // software versions whose engines are kept free for others
@@ -100,6 +98,7 @@
 
 	ranks     map[string]scarcity.Ranks // by pool
 	anyRanked bool                      // a pool has several
+	bestRoute map[string]int            // best priority of the routes to a pool
 	rates     scarcity.Rates
 	pressed   map[string]*pressed // by ranked pool
 
@@ -115,11 +114,15 @@
 // SetEndpoints replaces the endpoints. What is known of an endpoint's incarnation outlives its entry; see
 // entered.
 func (s *Scheduler) SetEndpoints(now time.Time, state *config.State) {
-	s.ranks, s.anyRanked = scarcity.RanksByPool(state), false
+	s.ranks, s.anyRanked, s.bestRoute = scarcity.RanksByPool(state), false, scarcity.BestRoutes(state)
 	for _, r := range s.ranks {
 		s.anyRanked = s.anyRanked || r.Several()
 	}
-	clear(s.pressed)
+	for pool, p := range s.pressed {
+		if p.at = (time.Time{}); !s.IsRanked(pool) {
+			delete(s.pressed, pool)
+		}
+	}
 	old := s.endpoints
 	s.endpoints = make(map[string]*endpointState, len(state.Endpoints))
 	s.pools = map[string][]*endpointState{}
@@ -315,25 +318,12 @@
 // tell their pace, on the endpoint that is expected to answer first. It returns nil if there is none. An endpoint whose slots are all taken is expected to answer later, and
 // ejected endpoints are used only if all are ejected.
 func (s *Scheduler) AcquireService(now time.Time, d Demand) *Lease {
-	l, _ := s.placeCall(now, d, func(time.Time, *endpointState, Demand) bool { return true })
-	return l
-}
-
-// PlaceCall is AcquireService among the endpoints that have room. Full means that there are endpoints for the call, and none has.
-func (s *Scheduler) PlaceCall(now time.Time, d Demand) (l *Lease, full bool) {
-	return s.placeCall(now, d, s.hasRoom)
-}
-
-// roomFilter reports whether an endpoint has room for a plain call.
-type roomFilter func(now time.Time, x *endpointState, d Demand) bool
-
-func (s *Scheduler) placeCall(now time.Time, d Demand, hasRoom roomFilter) (l *Lease, full bool) {
 	e := s.expect(now, d.Pool)
-	best, full := s.chooseService(now, d, &e, hasRoom)
+	best := s.chooseService(now, d, &e)
 	if best == nil {
-		return nil, full
+		return nil
 	}
-	return s.grantCall(now, best, &e), false
+	return s.grantCall(now, best, &e)
 }
 
 // grantCall returns the lease of a plain call at its endpoint.
@@ -349,9 +339,9 @@
 	return l
 }
 
-func (s *Scheduler) chooseService(now time.Time, d Demand, e *expectation, hasRoom roomFilter) (best *endpointState, full bool) {
+func (s *Scheduler) chooseService(now time.Time, d Demand, e *expectation) (best *endpointState) {
 	if e.told {
-		return s.chooseCall(now, d, e, hasRoom)
+		return s.chooseCall(now, d, e)
 	}
 	var shortest time.Duration
 	lowest := s.lowestLatency(now, d.Pool)
@@ -359,44 +349,11 @@
 		if s.turn(now, x) != "" {
 			continue
 		}
-		if !hasRoom(now, x, d) {
-			full = true
-			continue
-		}
 		if wait := s.callCost(now, x, lowest); best == nil || wait < shortest {
 			best, shortest = x, wait
 		}
 	}
-	return best, full
-}
-
-// hasRoom reports whether an endpoint can take a plain call: it has not just turned one away, more are not expected to be turned away, and it has a slot, or a queue from which the call
-// still ends in time.
-func (s *Scheduler) hasRoom(now time.Time, x *endpointState, d Demand) bool {
-	if now.Before(x.fullUntil) || !x.window.hasRoom(now, x.calls) {
-		return false
-	}
-	slots, active := max(1, x.ep.Slots), x.activeCalls(now)
-	if active < slots || d.EndBy.IsZero() {
-		return true
-	}
-	return !now.Add(x.callLatency + x.callLatency*time.Duration(active-slots+1)/time.Duration(slots)).After(d.EndBy)
-}
-
-// CallTime returns how long a plain call of a pool usually takes.
-func (s *Scheduler) CallTime(now time.Time, pool string) time.Duration {
-	var sum time.Duration
-	n := 0
-	for _, x := range s.pools[pool] {
-		if x.refusal(now, choosing, &Demand{}) == "" {
-			sum += x.callLatency
-			n++
-		}
-	}
-	if n == 0 {
-		return defaultCallLatency
-	}
-	return sum / time.Duration(n)
+	return best
 }
 
 // candidates returns the endpoints that may be given a plain call. If all are ejected for
