Check a configuration before it is sent

Cause: ticket check validated form and references only. A route that no request reaches, limits that contradict each other and a pool without endpoints were noticed when callers were refused. Differences format longest gap and cold time as durations. Ruled out: a cold rate without a cold time as a finding; endpoints say themselves how long they are cold. Conclusion: a route is reported if and only if no generated request is given to it, for patterns that can be decided.

--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -52,7 +52,7 @@
 	Show   *ShowCmd   `arg:"subcommand:show" help:"show an accepted ticket"`
 	Wait   *WaitCmd   `arg:"subcommand:wait" help:"wait until a ticket is in force everywhere"`
 	Diff   *DiffCmd   `arg:"subcommand:diff" help:"show what a file changes, or what changed between two tickets"`
-	Check  *CheckCmd  `arg:"subcommand:check" help:"validate a ticket file without submitting it"`
+	Check  *CheckCmd  `arg:"subcommand:check" help:"check a ticket file without submitting it"`
 }
 
 // SubmitCmd submits a ticket file.
@@ -80,12 +80,6 @@
 	To   string `arg:"positional" placeholder:"M"`
 }
 
-// CheckCmd validates a ticket file.
-type CheckCmd struct {
-	File    string `arg:"positional,required" placeholder:"FILE"`
-	Offline bool   `arg:"--offline" help:"check the file alone, without reading the current configuration"`
-}
-
 // KeyCmd groups the key subcommands.
 type KeyCmd struct {
 	Issue    *IssueCmd    `arg:"subcommand:issue" help:"issue a key; it is shown once"`
@@ -177,7 +171,7 @@
 
 func newCommand(a Args, out io.Writer) (*command, error) {
 	c := &command{clock: clock.Real{}, rand: rand.Reader, out: out, json: a.JSON}
-	if a.Ticket != nil && a.Ticket.Check != nil && a.Ticket.Check.Offline {
+	if a.Ticket != nil && a.Ticket.Check != nil && !a.Ticket.Check.readsStore() {
 		return c, nil
 	}
 	if a.Quarantine != nil {
@@ -214,11 +208,16 @@
 func readTicketFile(name string) (*ticket.Draft, error) {
 	data, err := os.ReadFile(name)
 	if err != nil {
-		var pe *os.PathError
-		if errors.As(err, &pe) {
-			err = pe.Err
-		}
-		return nil, &settings.FileError{File: name, Name: "file", Problem: "cannot be read: " + err.Error()}
+		return nil, &settings.FileError{File: name, Name: "file", Problem: "cannot be read: " + pathCause(err).Error()}
 	}
 	return ticket.ParseFile(name, data)
 }
+
+// pathCause returns the cause of a file's error without operation and path.
+func pathCause(err error) error {
+	var pe *os.PathError
+	if errors.As(err, &pe) {
+		return pe.Err
+	}
+	return err
+}
--- a/internal/ctl/diff.go
+++ b/internal/ctl/diff.go
@@ -125,22 +125,24 @@
 	if changes == nil {
 		changes = []objectDiff{}
 	}
-	return c.print(changes, func(l *lineWriter) {
-		if len(changes) == 0 {
-			l.addf("no difference")
-		}
-		for _, ch := range changes {
-			l.addf("%s", ch.Object)
-			for _, name := range fieldNames(ch.Before, ch.After) {
-				if v, ok := ch.Before[name]; ok {
-					l.addf("- %s = %s", name, v)
-				}
-				if v, ok := ch.After[name]; ok {
-					l.addf("+ %s = %s", name, v)
-				}
+	return c.print(changes, func(l *lineWriter) { writeDiff(l, changes) })
+}
+
+func writeDiff(l *lineWriter, changes []objectDiff) {
+	if len(changes) == 0 {
+		l.addf("no difference")
+	}
+	for _, ch := range changes {
+		l.addf("%s", ch.Object)
+		for _, name := range fieldNames(ch.Before, ch.After) {
+			if v, ok := ch.Before[name]; ok {
+				l.addf("- %s = %s", name, v)
+			}
+			if v, ok := ch.After[name]; ok {
+				l.addf("+ %s = %s", name, v)
 			}
 		}
-	})
+	}
 }
 
 func fieldNames(a, b map[string]string) []string {
@@ -173,6 +175,11 @@
 	case config.KindRoute:
 		object = ch.Route
 	}
+	return objectFields(object)
+}
+
+// objectFields returns the settings of an object, sorted by name.
+func objectFields(object any) []field {
 	data, err := json.Marshal(object)
 	if err != nil {
 		return []field{{"error", err.Error()}}
@@ -194,7 +201,7 @@
 }
 
 // durationFields are the settings that are encoded in nanoseconds.
-var durationFields = []string{"stale_after", "max_wait", "first_token", "deadline"}
+var durationFields = []string{"stale_after", "max_wait", "first_token", "deadline", "max_gap", "cold_time", "HeaderTimeout", "IdleTimeout"}
 
 // formatValue formats a value as in a ticket file.
 func formatValue(name string, v any) string {
--- a/internal/ctl/ticket.go
+++ b/internal/ctl/ticket.go
@@ -206,34 +206,6 @@
 	}
 }
 
-func (c *command) check(ctx context.Context, cmd *CheckCmd) error {
-	d, err := readTicketFile(cmd.File)
-	if err != nil {
-		return err
-	}
-	if cmd.Offline {
-		return c.print(checkResult{cmd.File}, func(l *lineWriter) {
-			l.addf("%s: %d objects, form is valid", cmd.File, len(d.Changes))
-		})
-	}
-	ctx, cancel := c.withTimeout(ctx)
-	defer cancel()
-	head, err := ticket.Head(ctx, c.platform.Table)
-	if err != nil {
-		return err
-	}
-	state, err := ticket.Load(ctx, c.platform, head)
-	if err != nil {
-		return err
-	}
-	if err := ticket.Validate(state, d); err != nil {
-		return err
-	}
-	return c.print(checkResult{cmd.File}, func(l *lineWriter) {
-		l.addf("%s: %d objects, valid at ticket %d", cmd.File, len(d.Changes), head)
-	})
-}
-
 // parseNumber parses a ticket number argument.
 func parseNumber(text string) (uint64, error) {
 	n, err := strconv.ParseUint(text, 10, 63)
--- a/internal/ticket/validate.go
+++ b/internal/ticket/validate.go
@@ -16,6 +16,15 @@
 	return validate(newObjectSet(state.Ticket, state.Objects()), d)
 }
 
+// Outcome returns the configuration that the draft makes of the given one. It checks nothing.
+func Outcome(state *config.State, d *Draft) *config.State {
+	s := newObjectSet(state.Ticket, state.Objects())
+	for i := range d.Changes {
+		s.applyChange(&d.Changes[i])
+	}
+	return s.build()
+}
+
 // validate is Validate on an object set; it applies the changes to the set.
 func validate(s *objectSet, d *Draft) error {
 	v := &validator{draft: d, set: s}
