Check of a configuration: one reader of the newest state, lists are never null

Cause: check and diff read the newest configuration with the same lines; without a configuration in force the JSON had null for the differences, which the stated schema does not allow. Change: newestState for both; an empty list; a test for each list, and one for a pattern that is not decided.

--- a/internal/configcheck/configcheck_test.go
+++ b/internal/configcheck/configcheck_test.go
@@ -183,6 +183,16 @@
 	}
 }
 
+// A pattern whose next bytes are all taken is not decided.
+func TestUndecidedPatternIsNotReported(t *testing.T) {
+	o := &config.Objects{Pools: []*config.Pool{{Name: "p"}}}
+	for _, b := range nextBytes {
+		o.Routes = append(o.Routes, &config.Route{Name: fmt.Sprint("r", b), Path: "/" + string(b) + "*", Pool: "p"})
+	}
+	o.Routes = append(o.Routes, &config.Route{Name: "rest", Path: "/*", Pool: "p"})
+	assert.Equal(t, len(Check(o, nil, Rules{NoEndpoints: true})), 0)
+}
+
 // A ticket's file alone has no findings that the rest of the configuration could mend.
 func TestPartialObjectsMissNothing(t *testing.T) {
 	o := sound()
--- a/internal/ctl/check.go
+++ b/internal/ctl/check.go
@@ -5,7 +5,6 @@
 	"encoding/hex"
 	"fmt"
 	"os"
-	"slices"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -60,11 +59,7 @@
 	}
 	ctx, cancel := c.withTimeout(ctx)
 	defer cancel()
-	head, err := ticket.Head(ctx, c.platform.Table)
-	if err != nil {
-		return err
-	}
-	state, err := ticket.Load(ctx, c.platform, head)
+	state, err := c.newestState(ctx)
 	if err != nil {
 		return err
 	}
@@ -73,12 +68,12 @@
 	}
 	next := ticket.Outcome(state, d)
 	out := checkOutput{
-		Against:     fmt.Sprintf("ticket %d", head),
+		Against:     fmt.Sprintf("ticket %d", state.Ticket),
 		Findings:    configcheck.Check(next.Objects(), state.Objects(), configcheck.Rules{}),
 		Differences: diffObjects(indexByRef(state), indexByRef(next)),
 	}
 	return c.printCheck(cmd, out, func(l *lineWriter) {
-		l.addf("%s: %d objects, valid at ticket %d", cmd.File, len(d.Changes), head)
+		l.addf("%s: %d objects, valid at ticket %d", cmd.File, len(d.Changes), state.Ticket)
 	})
 }
 
@@ -141,7 +136,9 @@
 // printCheck prints the findings. It returns an error if they fail the check.
 func (c *command) printCheck(cmd *CheckCmd, out checkOutput, summary func(*lineWriter)) error {
 	out.File = cmd.File
-	out.Differences = slices.Concat([]objectDiff{}, out.Differences)
+	if out.Differences == nil {
+		out.Differences = []objectDiff{}
+	}
 	out.Errors = configcheck.Count(out.Findings, configcheck.Error)
 	out.Warnings = configcheck.Count(out.Findings, configcheck.Warning)
 	out.Notes = configcheck.Count(out.Findings, configcheck.Note)
--- a/internal/ctl/check_test.go
+++ b/internal/ctl/check_test.go
@@ -92,6 +92,9 @@
 	assert.NilError(t, err)
 	b.mustRun("ticket", "check", "--platform", "--strict", b.writeFile("whole.json", string(whole)))
 
+	out = b.mustRun("--json", "ticket", "check", "--platform", sound)
+	assert.Assert(t, strings.Contains(out, `"findings": [],`) && strings.Contains(out, `"differences": [],`), out)
+
 	faulty := strings.NewReplacer(
 		`"burst":200`, `"burst":20`,
 		`"secret-of-p"`, `"secret-of-p","another-secret"`,
--- a/internal/ctl/diff.go
+++ b/internal/ctl/diff.go
@@ -52,11 +52,7 @@
 	if err != nil {
 		return err
 	}
-	head, err := ticket.Head(ctx, c.platform.Table)
-	if err != nil {
-		return err
-	}
-	state, err := ticket.Load(ctx, c.platform, head)
+	state, err := c.newestState(ctx)
 	if err != nil {
 		return err
 	}
@@ -74,6 +70,15 @@
 	return c.printDiff(diffObjects(before, after))
 }
 
+// newestState returns the configuration as of the newest ticket.
+func (c *command) newestState(ctx context.Context) (*config.State, error) {
+	head, err := ticket.Head(ctx, c.platform.Table)
+	if err != nil {
+		return nil, err
+	}
+	return ticket.Load(ctx, c.platform, head)
+}
+
 // indexByRef indexes the objects of a configuration by reference.
 func indexByRef(s *config.State) map[ticket.Ref]*ticket.Change {
 	m := map[ticket.Ref]*ticket.Change{}
