--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -102,10 +102,10 @@
 	return st
 }
 
-// hasBetterRoute reports whether a model pool has routes of a better priority than the given one.
-func (a *admission) hasBetterRoute(pool string, priority int) (better bool) {
-	a.withScheduler(func(_ time.Time, s *placement.Scheduler) { better = s.HasBetterRoute(pool, priority) })
-	return better
+// floods is placement.Scheduler.Floods.
+func (a *admission) floods(pool string, priority, rank int) (is bool) {
+	a.withScheduler(func(now time.Time, s *placement.Scheduler) { is = s.Floods(now, pool, priority, rank) })
+	return is
 }
 
 // tryAcquireEngine returns a lease on engines, or nil if the generation would have to wait.
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -30,7 +30,7 @@
 	kind := window.PlainCall
 	if c.HasTokenCounts {
 		c.ChargedTokens, kind = c.PromptTokens+c.MaxOutputTokens, window.Generation
-		if x.s.admission.hasBetterRoute(c.Pool.Name, c.Route.Priority) {
+		if x.s.admission.floods(c.Pool.Name, c.Route.Priority, x.priority()) {
 			kind = window.LowerGeneration
 		}
 	}
--- a/internal/placement/ranks.go
+++ b/internal/placement/ranks.go
@@ -12,22 +12,36 @@
 	at       time.Time
 	pressure scarcity.Pressure
 	overload scarcity.Overload
+	flooded  map[int]time.Time // when a flood of a rank was last seen
 }
 
 // IsRanked reports whether requests of a pool have more than one rank by the configuration.
 func (s *Scheduler) IsRanked(pool string) bool { return s.ranks[pool].Several() }
 
-// HasBetterRoute reports whether the routes to a pool have a better priority than the given one.
-func (s *Scheduler) HasBetterRoute(pool string, priority int) bool {
+// floodHold is how long a flood of a rank is taken to last after it was seen: while it is held back, what is admitted does not show it.
+const floodHold = 4 * time.Second
+
+// Floods reports whether requests with a route's priority and a rank crowd out those of better routes to their pool: what was lately admitted of
+// the rank needs more than half of what better ones do.
+func (s *Scheduler) Floods(now time.Time, pool string, priority, rank int) bool {
 	best, known := s.bestRoute[pool]
-	return known && best < priority
+	if !known || best >= priority {
+		return false
+	}
+	p := s.pressure(now, pool)
+	flooded := s.pressed[pool].flooded
+	if p.Own(rank) > p.Taken(rank)/2 && p.Taken(rank) > 0 {
+		flooded[rank] = now
+	}
+	at, seen := flooded[rank]
+	return seen && now.Sub(at) < floodHold
 }
 
 // pressure returns the demand of the fleet for a ranked pool and its room, at most outlookInterval old.
 func (s *Scheduler) pressure(now time.Time, pool string) *scarcity.Pressure {
 	known := s.pressed[pool]
 	if known == nil {
-		known = &pressed{overload: scarcity.Overload{}}
+		known = &pressed{overload: scarcity.Overload{}, flooded: map[int]time.Time{}}
 		s.pressed[pool] = known
 	}
 	if age := now.Sub(known.at); !known.at.IsZero() && age >= 0 && age < outlookInterval {
--- a/internal/placement/ranks_test.go
+++ b/internal/placement/ranks_test.go
@@ -205,6 +205,20 @@
 	assert.Equal(t, len(s.pressed), 0)
 }
 
+// A rank floods while it needs more than half of what better ones do, and is taken to for a while after; in calm, or with one rank, none does.
+func TestFloodOfALowerRankIsSeen(t *testing.T) {
+	floods := func(st *config.State, lower float64, after time.Duration) bool {
+		s := newScheduler(1, st)
+		s.SetPeer("other", &PeerState{UpdatedAt: start, Demand: []scarcity.Demand{{Pool: modelPool, Rank: 0, Requests: 10, Work: 9000}, {Pool: modelPool, Rank: 2, Requests: 10, Work: lower}}})
+		s.Floods(start, modelPool, 2, 2)
+		return s.Floods(start.Add(after), modelPool, 2, 2)
+	}
+	ranked := rankedEngines(1, 1, 10000)
+	assert.Assert(t, floods(ranked, 20000, 0) && floods(ranked, 20000, 3*time.Second))
+	assert.Assert(t, !floods(ranked, 20000, floodHold) && !floods(ranked, 1000, 0))
+	assert.Assert(t, !floods(engines(1, 1, 10000), 20000, 0))
+}
+
 // An instance falls silent: what it told counts for a while, so that its callers find room elsewhere, and no longer.
 func TestDemandOfASilentInstanceCountsForAWhile(t *testing.T) {
 	s := newScheduler(1, rankedEngines(1, 1, 10000))
--- a/internal/scarcity/pressure.go
+++ b/internal/scarcity/pressure.go
@@ -178,12 +178,12 @@
 // Update records the demand as of now.
 func (o Overload) Update(now time.Time, p *Pressure) {
 	for rank := range o {
-		if p.Taken(rank)+p.own(rank) < 1 {
+		if p.Taken(rank)+p.Own(rank) < 1 {
 			delete(o, rank)
 		}
 	}
 	for _, d := range p.demands {
-		if _, known := o[d.Rank]; !known && p.Taken(d.Rank)+p.own(d.Rank) >= 1 {
+		if _, known := o[d.Rank]; !known && p.Taken(d.Rank)+p.Own(d.Rank) >= 1 {
 			o[d.Rank] = now
 		}
 	}
@@ -195,8 +195,8 @@
 	return over && now.Sub(since) >= left
 }
 
-// own returns the part of the room that requests of a rank need.
-func (p *Pressure) own(rank int) float64 {
+// Own returns the part of the room that requests of a rank need.
+func (p *Pressure) Own(rank int) float64 {
 	for _, d := range p.demands {
 		if d.Rank == rank {
 			return d.Work / max(1, p.Room)
@@ -213,7 +213,7 @@
 	}
 	taken = p.Taken(rank)
 	if late && o.lasts(now, rank, patience) {
-		taken += p.own(rank)
+		taken += p.Own(rank)
 	}
 	return Stretch(wait, taken), taken
 }
