placement: telling others of a cold time does not extend it

An instance that had heard an endpoint itself reported the later of what it had heard and what others had told it. What others tell has no age when it is a cold time alone, so each hop added its transit, and instances that had all heard the endpoint extended one another's end for as long as they told. With three instances, a transit of 50 ms and an update every 10 ms (TestColdTimeIsNotExtendedByTelling) the endpoint was still cold at all of them one transit after the end that it had said; now it is not. Only the end by responses to the instance itself is reported.

--- a/internal/placement/cold.go
+++ b/internal/placement/cold.go
@@ -14,7 +14,7 @@
 	revision  uint64        // of the entry that entryEnd was read from
 	entryEnd  time.Time     // of the cold time, by the entry
 	saidEnd   time.Time     // of the cold time, by responses of the endpoint, here or at other instances
-	saidAt    time.Time     // of the response that this instance has had itself; zero if it has none
+	ownEnd    time.Time     // of the cold time, by responses to this instance; zero if it has had none
 	time      time.Duration // for which the pool's endpoints are cold after their start
 	bound     int           // requests within a second, from all instances
 	bounded   bool          // it gets no more than bound while it is cold
@@ -161,7 +161,8 @@
 func (s *Scheduler) RecordCold(now time.Time, c ColdEndpoint) {
 	if x := s.known(c.Endpoint); x != nil && x.ep.Incarnation == c.Incarnation {
 		x.cold.begin(now, c.Left)
-		x.cold.saidEnd, x.cold.saidAt = later(x.cold.saidEnd, now.Add(c.Left)), now
+		x.cold.ownEnd = later(x.cold.ownEnd, now.Add(c.Left))
+		x.cold.saidEnd = later(x.cold.saidEnd, x.cold.ownEnd)
 	}
 }
 
@@ -196,7 +197,7 @@
 // have told is not passed on: it would last longer by the transit of the update each time.
 func (s *Scheduler) EachReportedCold(now time.Time, visit func(ColdEndpoint)) {
 	for name, x := range s.endpoints {
-		if left := x.cold.saidEnd.Sub(now); x.cold.bounded && left > 0 && !x.cold.saidAt.IsZero() {
+		if left := x.cold.ownEnd.Sub(now); x.cold.bounded && left > 0 {
 			visit(ColdEndpoint{Endpoint: name, Incarnation: x.ep.Incarnation, Left: left})
 		}
 	}
--- a/internal/placement/cold_test.go
+++ b/internal/placement/cold_test.go
@@ -248,6 +248,39 @@
 	assert.Assert(t, !s.IsColdBound(later, "plain-1"))
 }
 
+// Three instances have each heard the endpoint themselves and tell each other, with a transit. The cold time ends one
+// transit late at most, however often they tell.
+func TestColdTimeIsNotExtendedByTelling(t *testing.T) {
+	const transit, left = 50 * time.Millisecond, time.Second
+	type telling struct {
+		from int
+		at   time.Time
+		told ColdEndpoint
+	}
+	fleet := coldFleet(3, returned(1, 0, 0, coldRate))
+	for _, s := range fleet {
+		s.RecordCold(start, ColdEndpoint{Endpoint: "plain-0", Incarnation: 7, Left: left})
+	}
+	var underWay []telling
+	now := start
+	for ; now.Before(start.Add(left + transit)); now = now.Add(10 * time.Millisecond) {
+		for len(underWay) > 0 && !now.Before(underWay[0].at) {
+			for i, s := range fleet {
+				if i != underWay[0].from {
+					s.MergeCold(now, underWay[0].told)
+				}
+			}
+			underWay = underWay[1:]
+		}
+		for i, s := range fleet {
+			s.EachReportedCold(now, func(c ColdEndpoint) { underWay = append(underWay, telling{i, now.Add(transit), c}) })
+		}
+	}
+	for i, s := range fleet {
+		assert.Assert(t, !s.IsColdBound(now, "plain-0"), "instance %d", i)
+	}
+}
+
 // The endpoints of a data centre that gets requests again after its evacuation count as cold, before their entries say
 // so. The others do not, and the other instances are not told.
 func TestEndpointsOfAReturnedDataCentreCountAsCold(t *testing.T) {
