evacuation: a full read counts against what is told of a row that it does not have

An instance that starts after the removal of a row knows nothing of it. Told of the evacuation by another one that has been cut off from the store since before the removal, it put it in force, although it had read the table without the row; if the other one ended before it read the store, nothing took it back but a new row of the operator. The same held after a restore, where the minute of the hold had not begun. The position of the last full read is kept; rows that cannot be read or are not taken in are no evidence, so such a read does not count.

--- a/internal/evacuation/evacuation.go
+++ b/internal/evacuation/evacuation.go
@@ -57,6 +57,9 @@
 type Set struct {
 	era   Era
 	known map[string]*entry
+	// wholeAt is the position of the last full read all of whose rows were taken in; 0 if there was none. What was written until then
+	// and is not known was removed, or lost by a restore.
+	wholeAt uint64
 }
 
 type entry struct {
@@ -73,24 +76,39 @@
 // Merge applies the records of another instance.
 func (s *Set) Merge(now time.Time, records []Record) (changes []Change) {
 	for _, r := range records {
+		e := s.known[r.DataCentre]
+		isMissing := r.Evacuated && r.Written <= s.wholeAt && (e == nil || r.Written > e.Written)
+		if isMissing && s.era(r.Written) == s.era(s.wholeAt) {
+			r = Record{DataCentre: r.DataCentre, Written: s.wholeAt}
+		}
 		changes = s.put(changes, now, r)
+		if e = s.known[r.DataCentre]; isMissing && r.Evacuated && e != nil {
+			e.missing, e.missingAt = s.wholeAt, now
+		}
 	}
 	return changes
 }
 
 // Read applies rows of the operator's table, read at a position: those that evacuate data centres, and, after a change, those that were
-// removed. With full, data centres without a row are not evacuated. Held are those whose rows are newly missing from a store that was
+// removed. A row that cannot be read has no position: it is there and changes nothing. With full, data centres without a row are not
+// evacuated. Held are those whose rows are newly missing from a store that was
 // restored; their evacuations stay in force for RestoreHold.
 func (s *Set) Read(now time.Time, rows []Record, at uint64, full bool) (changes []Change, held []string) {
 	for _, r := range rows {
-		changes = s.put(changes, now, r)
+		if r.Written != 0 {
+			changes = s.put(changes, now, r)
+		}
 	}
 	if !full {
 		return changes, nil
 	}
-	present := map[string]bool{}
+	present, whole := map[string]bool{}, true
 	for _, r := range rows {
 		present[r.DataCentre] = r.Evacuated
+		whole = whole && r.Written != 0 && s.known[r.DataCentre] != nil
+	}
+	if whole {
+		s.wholeAt = max(s.wholeAt, at)
 	}
 	for _, name := range s.names() {
 		e := s.known[name]
--- a/internal/evacuation/evacuation_test.go
+++ b/internal/evacuation/evacuation_test.go
@@ -72,6 +72,37 @@
 	}
 }
 
+// An instance has read the operator's table without the row. Another one, which has been cut off since before the removal and
+// may end before it reads the store, tells of the evacuation: the read counts. If the store was restored in between, the row may be one that the
+// copy has lost, and is held like others.
+func TestTellingOfARowThatIsNotInTheTable(t *testing.T) {
+	s := newSet()
+	s.Read(start, nil, at(0, 50), true)
+	s.Merge(start, []Record{evacuated("a", at(0, 30)), evacuated("b", at(0, 51))})
+	assert.DeepEqual(t, s.Evacuated(), []string{"b"})
+	assert.DeepEqual(t, s.Records()[0], takenBack("a", at(0, 50))) // so that the other one is told
+
+	s = newSet()
+	s.Read(start, nil, at(1, 3), true)
+	s.Merge(start, []Record{evacuated("a", at(0, 100))})
+	assert.Equal(t, len(s.Expire(start.Add(RestoreHold-1))), 0)
+	assert.DeepEqual(t, s.Evacuated(), []string{"a"})
+	s.Expire(start.Add(RestoreHold))
+	assert.Equal(t, len(s.Evacuated()), 0)
+	s.Merge(start.Add(RestoreHold), []Record{evacuated("a", at(0, 100))})
+	assert.Equal(t, len(s.Evacuated()), 0)
+}
+
+// A table with a row that cannot be read, or is not taken in, does not show that other rows were removed before it was read.
+func TestTellingOfARowThatCannotBeRead(t *testing.T) {
+	s := newSet()
+	s.Read(start, []Record{evacuated("a", 0)}, at(0, 50), true)
+	assert.Equal(t, len(s.Evacuated()), 0)
+	s.Merge(start, []Record{evacuated("a", at(0, 30))})
+	s.Read(start, []Record{evacuated("a", 0)}, at(0, 60), true)
+	assert.DeepEqual(t, s.Evacuated(), []string{"a"})
+}
+
 // More data centres than can be told are not taken in; those that were taken back give way.
 func TestNumberOfDataCentresIsBounded(t *testing.T) {
 	s := newSet()
--- a/internal/gateway/evacuations.go
+++ b/internal/gateway/evacuations.go
@@ -73,9 +73,7 @@
 			s.log.Info("evacuation.unreadable", "data_centre", r.Key, "version", r.Version, "cause", err.Error())
 			fallthrough
 		default:
-			if slices.Contains(e.set.Evacuated(), r.Key) {
-				records = append(records, evacuation.Record{DataCentre: r.Key, Evacuated: true}) // the row is not missing
-			}
+			records = append(records, evacuation.Record{DataCentre: r.Key, Evacuated: true}) // the row is not missing
 		}
 	}
 	changes, held := e.set.Read(now, records, at.order(), full)
