placement: streams that run on do not keep new requests from a cold endpoint

An endpoint that became cold again under the same incarnation, or whose data centre got requests again, was taken to have shown nothing, while the streams that it still ran for this instance counted as requests in progress. So the instance gave it nothing until these had ended or the cold time was over; in a small fleet that is all of the endpoint. Streams of the other instances counted for it already. Now the own ones that have begun do too. Test: TestStreamsThatRunOnDoNotHoldUpAColdEndpoint, four ways of becoming cold; all failed before.

--- a/internal/placement/cold.go
+++ b/internal/placement/cold.go
@@ -19,23 +19,30 @@
 	bound     int           // requests within a second, from all instances
 	bounded   bool          // it gets no more than bound while it is cold
 	turns     *coldstart.Turns
-	served    int // answers and first tokens of this incarnation since it was cold first, or again
+	served    int // answers and first tokens of this incarnation since it was cold first, or again; streams that ran then count too
 }
 
-// read applies an entry. The remaining time counts from when this revision was read, so it ends late rather than early.
-func (c *coldState) read(now time.Time, ep *config.Endpoint) {
-	if c.entryRead && c.revision >= ep.Revision {
+// readColdTime applies the endpoint's entry. The remaining time counts from when this revision was read, so it ends late rather than early.
+func (x *endpointState) readColdTime(now time.Time) {
+	c := &x.cold
+	if c.entryRead && c.revision >= x.ep.Revision {
 		return
 	}
-	c.entryRead, c.revision = true, ep.Revision
-	c.begin(now, ep.WarmUp)
-	c.entryEnd = now.Add(ep.WarmUp)
+	c.entryRead, c.revision = true, x.ep.Revision
+	x.beginCold(now, x.ep.WarmUp)
+	c.entryEnd = now.Add(x.ep.WarmUp)
 }
 
-// begin forgets what an endpoint has shown that becomes cold again.
-func (c *coldState) begin(now time.Time, left time.Duration) {
-	if left > 0 && !now.Before(c.end()) {
-		c.served = 0
+// beginCold forgets what an endpoint has shown that becomes cold again, but for the streams that it still runs.
+func (x *endpointState) beginCold(now time.Time, left time.Duration) {
+	if left <= 0 || now.Before(x.cold.end()) {
+		return
+	}
+	x.cold.served = 0
+	for l := range x.generations {
+		if l.begun {
+			x.cold.served++
+		}
 	}
 }
 
@@ -73,7 +80,7 @@
 
 // readCold applies what an entry and the endpoint's pool say of its cold time.
 func (s *Scheduler) readCold(now time.Time, x *endpointState, pool *config.Pool) {
-	x.cold.read(now, x.ep)
+	x.readColdTime(now)
 	x.cold.bounded, x.cold.time = pool.ColdRate > 0, pool.ColdTime
 	if x.cold.bounded {
 		x.cold.bound = coldstart.Bound(pool.ColdRate, s.coldSlackRatio, s.coldSlackRequests)
@@ -160,7 +167,7 @@
 // RecordCold records that an incarnation of an endpoint has said to this instance for how long it stays cold.
 func (s *Scheduler) RecordCold(now time.Time, c ColdEndpoint) {
 	if x := s.known(c.Endpoint); x != nil && x.ep.Incarnation == c.Incarnation {
-		x.cold.begin(now, c.Left)
+		x.beginCold(now, c.Left)
 		x.cold.ownEnd = later(x.cold.ownEnd, now.Add(c.Left))
 		x.cold.saidEnd = later(x.cold.saidEnd, x.cold.ownEnd)
 	}
@@ -169,7 +176,7 @@
 // MergeCold applies what an endpoint has said to another instance of its cold time.
 func (s *Scheduler) MergeCold(now time.Time, c ColdEndpoint) {
 	if x := s.known(c.Endpoint); x != nil && x.ep.Incarnation == c.Incarnation {
-		x.cold.begin(now, c.Left)
+		x.beginCold(now, c.Left)
 		x.cold.saidEnd = later(x.cold.saidEnd, now.Add(c.Left))
 	}
 }
@@ -187,7 +194,7 @@
 func (s *Scheduler) recordReturn(now time.Time, dataCentre string) {
 	for _, x := range s.endpoints {
 		if x.ep.DataCentre == dataCentre && x.cold.bounded {
-			x.cold.begin(now, x.cold.time)
+			x.beginCold(now, x.cold.time)
 			x.cold.saidEnd = later(x.cold.saidEnd, now.Add(x.cold.time))
 		}
 	}
--- a/internal/placement/cold_test.go
+++ b/internal/placement/cold_test.go
@@ -150,6 +150,42 @@
 	assert.Assert(t, s.AcquireService(start.Add(coldTime), d) != nil, "it is warm")
 }
 
+// An endpoint that becomes cold again, or whose data centre gets requests again, may still run streams of this instance. Those that
+// it has given tokens do not keep new requests from it until they end.
+func TestStreamsThatRunOnDoNotHoldUpAColdEndpoint(t *testing.T) {
+	for name, becomeCold := range map[string]func(s *Scheduler, now time.Time){
+		"as it says": func(s *Scheduler, now time.Time) {
+			s.RecordCold(now, ColdEndpoint{Endpoint: "decode-1", Incarnation: 7, Left: coldTime})
+		},
+		"as another instance is told": func(s *Scheduler, now time.Time) {
+			s.MergeCold(now, ColdEndpoint{Endpoint: "decode-1", Incarnation: 7, Left: coldTime})
+		},
+		"as its data centre returns": func(s *Scheduler, now time.Time) { s.recordReturn(now, "b") },
+		"by its entry": func(s *Scheduler, now time.Time) {
+			st := returned(0, 2, 2, coldRate)
+			st.Endpoints["decode-1"].Revision = 2
+			s.SetEndpoints(now, st)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := coldFleet(1, returned(0, 2, 2, coldRate))[0]
+			now := start.Add(2 * coldTime)
+			d := demand(100, 1000)
+			d.Exclude = []string{"prefill-1", "decode-0"}
+			for range 3 {
+				l := s.AcquireEngine(now, d)
+				assert.Equal(t, l.Target.Name, "decode-1")
+				s.PrefillDone(now, l, sched.Succeeded)
+				s.RecordProgress(now, l, 5)
+			}
+			becomeCold(s, now)
+			assert.Assert(t, s.IsColdBound(now, "decode-1"))
+			assert.Assert(t, s.AcquireEngine(now, d) != nil)
+			assert.Assert(t, s.AcquireEngine(now, d) == nil, "it has shown no more")
+		})
+	}
+}
+
 // In a large fleet no instance sees much of a cold endpoint within its cold time: the streams of the others that run
 // there show what it can do.
 func TestStreamsOfOthersShowThatAColdEndpointServes(t *testing.T) {
