evacuation: how long it is known that one was taken back

Instances forget the record at different times and learn it again from one another, as a record that was unknown. So in a fleet it is known until it has to give way to another data centre.

--- a/internal/evacuation/evacuation.go
+++ b/internal/evacuation/evacuation.go
@@ -18,8 +18,9 @@
 	// RestoreHold is how long an evacuation stays in force whose row is missing from a store that was restored: the copy may be
 	// older than the row. Within it the operator sees what the restore has lost, and writes it again.
 	RestoreHold = time.Minute
-	// takenBackMemory is how long it is known that an evacuation was taken back: longer than an older state can be told by another
-	// instance, or read from the store.
+	// takenBackMemory is how long at least it is known that an evacuation was taken back: longer than an older state can be told by
+	// another instance, or read from the store. Instances that forget it at different times tell each other again, so in a fleet it
+	// is known until another data centre needs the room.
 	takenBackMemory = 10 * time.Minute
 	// MaxDataCentres bounds the data centres of which something is known, so that all fit into an update.
 	MaxDataCentres = 32
