gateway: a call that only cold endpoints hold up is refused as at a limit

A cold endpoint that has shown nothing has one request of an instance in progress, whatever its turns. A second call to a pool with only such endpoints was refused as no_endpoint, as no turn was to be waited for, although an endpoint could be used. It is endpoint_limit now, as for a lack of turns; the status is the same. Pools without cold endpoints under a bound are not concerned. Test: TestCallAtAColdEndpointThatHasShownNothing, failed before.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -125,6 +125,9 @@
 	if wait := a.sched.NextTurn(now, d); wait > 0 {
 		return nil, refusal(errkind.EndpointLimit, "the endpoints accept no more requests for now", wait+rand.N(limitRetrySpread))
 	}
+	if a.sched.IsHeldUpByCold(now, d) {
+		return nil, refusal(errkind.EndpointLimit, "the cold endpoints accept no more requests for now", endpointRetryAfter+rand.N(limitRetrySpread))
+	}
 	return nil, refusal(errkind.NoEndpoint, "no endpoint can be used", a.noEndpointRetryAfter(now, d))
 }
 
--- a/internal/gateway/cold_test.go
+++ b/internal/gateway/cold_test.go
@@ -4,10 +4,13 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 
 	"carawayrouter.example/router/internal/config"
+	"carawayrouter.example/router/internal/errkind"
 	"carawayrouter.example/router/internal/gossip"
+	"carawayrouter.example/router/internal/limit/coldstart"
 	"carawayrouter.example/router/internal/placement"
 )
 
@@ -94,3 +97,23 @@
 	assert.Assert(t, !s.admission.takeTurn("e0"))
 	assert.Equal(t, s.stats.coldTurnsRefused.Get(), uint64(1))
 }
+
+// The only endpoint is cold and has shown nothing yet, so a second call finds no place there though turns are left. It is refused as
+// held up by the endpoint, which can be used, and not as one without any.
+func TestCallAtAColdEndpointThatHasShownNothing(t *testing.T) {
+	s := newColdServer()
+	s.admission.withScheduler(func(now time.Time, p *placement.Scheduler) {
+		p.SetColdSlack(1, 40, coldstart.NewFleet("a", now.Add(-time.Hour)))
+		p.SetFleet(now, nil, true)
+		p.SetEndpoints(now, config.Build(2, &config.Objects{
+			Pools:     []*config.Pool{{Name: "plain", Kind: config.ServicePool, ColdRate: 2}},
+			Endpoints: []*config.Endpoint{{Name: "e0", Pool: "plain", Incarnation: 6, Role: config.Plain, Slots: 8, WarmUp: time.Minute}},
+		}))
+	})
+	_, err := s.admission.acquireService(placement.Demand{Pool: "plain"})
+	assert.NilError(t, err)
+	_, err = s.admission.acquireService(placement.Demand{Pool: "plain"})
+	var e *errkind.Error
+	assert.Assert(t, errors.As(err, &e))
+	assert.Assert(t, e.Kind == errkind.EndpointLimit && e.RetryAfter >= endpointRetryAfter, "%+v", e)
+}
--- a/internal/placement/cold.go
+++ b/internal/placement/cold.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"carawayrouter.example/router/internal/config"
@@ -101,6 +102,14 @@
 	return inProgress <= x.shown(now) && x.coldTurns().Ready(now, s.fleet, x.cold.bound)
 }
 
+// IsHeldUpByCold reports whether an endpoint may be used for a plain call, but for its cold time: it has no turn, or has yet to
+// show that it serves, of which no one knows the time.
+func (s *Scheduler) IsHeldUpByCold(now time.Time, d Demand) bool {
+	return slices.ContainsFunc(s.pools[d.Pool], func(x *endpointState) bool {
+		return x.boundNow(now) && x.refusal(now, choosing, &d) == "" && s.turn(now, x) == Cold
+	})
+}
+
 // chooseCold uses a turn at an endpoint if it is cold.
 func (s *Scheduler) chooseCold(now time.Time, x *endpointState) {
 	if x.boundNow(now) {
