gateway: an evacuation for which there is no room is logged and counted

Of more than 32 evacuated data centres the rest was ignored without a word, so an operator whose table holds that many rows would not have learned that one is not obeyed. It is logged once for each version of the row, and counted with the ignored rows. Test: TestEvacuationWithoutRoomIsCounted, failed before.

--- a/internal/evacuation/evacuation.go
+++ b/internal/evacuation/evacuation.go
@@ -183,6 +183,9 @@
 	return oldest != ""
 }
 
+// Knows reports whether there is a record of a data centre.
+func (s *Set) Knows(dataCentre string) bool { return s.known[dataCentre] != nil }
+
 // Records returns all records, for other instances.
 func (s *Set) Records() []Record {
 	out := make([]Record, 0, len(s.known))
--- a/internal/gateway/evacuations.go
+++ b/internal/gateway/evacuations.go
@@ -19,7 +19,7 @@
 type evacuations struct {
 	mu      sync.Mutex
 	set     *evacuation.Set
-	ignored map[string]uint64 // versions of the rows that were logged as unreadable, by key
+	ignored map[string]uint64 // versions of the rows that were logged as ignored, by key
 }
 
 // maxIgnoredRows bounds the unreadable rows that are remembered. If there are more, some are logged again.
@@ -77,6 +77,12 @@
 		}
 	}
 	changes, held := e.set.Read(now, records, at.order(), full)
+	for _, r := range records {
+		if r.Written != 0 && r.Evacuated && !e.set.Knows(r.DataCentre) && e.isFirst(Row{Key: r.DataCentre, Version: positionOf(r.Written).Version}) {
+			s.stats.evacuationRows.Inc()
+			s.log.Info("evacuation.no_room", "data_centre", r.DataCentre, "most", evacuation.MaxDataCentres)
+		}
+	}
 	for _, name := range held {
 		s.log.Info("evacuation.held", "data_centre", name, "cause", "its row is missing from the restored store", "ms", evacuation.RestoreHold.Milliseconds())
 	}
--- a/internal/gateway/evacuations_test.go
+++ b/internal/gateway/evacuations_test.go
@@ -12,6 +12,7 @@
 	"carawayrouter.example/router/internal/config"
 	"carawayrouter.example/router/internal/endpoint"
 	"carawayrouter.example/router/internal/errkind"
+	"carawayrouter.example/router/internal/evacuation"
 	"carawayrouter.example/router/internal/gossip"
 	"carawayrouter.example/router/internal/placement"
 )
@@ -98,3 +99,19 @@
 	assert.Assert(t, hasHomes(config.Build(1, &config.Objects{Routes: []*config.Route{{Homes: []string{"north"}}}})))
 	assert.Assert(t, hasHomes(config.Build(1, &config.Objects{Accounts: []*config.Account{{Homes: []string{"north"}}}})))
 }
+
+// A row for which there is no room is said once, and counted, like one that cannot be read.
+func TestEvacuationWithoutRoomIsCounted(t *testing.T) {
+	s := newTestServer("127.0.0.1:1", time.Now())
+	s.state.decoder = jsonRows{}
+	var rows []Row
+	for i := range uint64(evacuation.MaxDataCentres + 1) {
+		rows = append(rows, Row{Kind: EvacuationRow, Key: string(rune('A' + i)), Version: i + 1, Value: []byte("{}")})
+	}
+	s.readEvacuations(time.Now(), rows[:evacuation.MaxDataCentres], Position{Version: 50}, true)
+	before := s.stats.evacuationRows.Get()
+	s.readEvacuations(time.Now(), rows, Position{Version: 60}, true)
+	s.readEvacuations(time.Now(), rows, Position{Version: 61}, true)
+	assert.Equal(t, s.stats.evacuationRows.Get(), before+1)
+	assert.Equal(t, len(s.evacuation.inForce()), evacuation.MaxDataCentres)
+}
