scarcity: a request larger than all room holds up no prediction

Cause: a waiter that needs more than there is was predicted by taking all ends first, so every waiter behind it was predicted to start when the last generation that runs has ended, and was refused with room free in 100 ms. The test of such requests had nothing running. Change: the room that there is, free and held, is compared before the ends are looked at. The new case of the test: 9 s before, 100 ms after.

--- a/internal/scarcity/outlook.go
+++ b/internal/scarcity/outlook.go
@@ -36,6 +36,7 @@
 
 	ends    []Holding // a heap, the first end on top
 	ordered bool
+	tokens  float64 // free and held
 	waited  time.Duration
 	prompts time.Duration // to read the prompts of the waiters before
 }
@@ -53,6 +54,13 @@
 			o.sink(i)
 		}
 		o.ordered = true
+		o.tokens = o.FreeTokens
+		for _, h := range o.ends {
+			o.tokens += h.Tokens
+		}
+	}
+	if n.Tokens > o.tokens {
+		return Never // before the ends are looked at: those after it wait for the first that suffice
 	}
 	for o.FreeTokens < n.Tokens || o.FreeSlots < 1 {
 		if len(o.ends) == 0 {
--- a/internal/scarcity/outlook_test.go
+++ b/internal/scarcity/outlook_test.go
@@ -27,6 +27,12 @@
 	o := Outlook{FreeTokens: 500, FreeSlots: 4}
 	assert.Equal(t, o.Start(Need{Tokens: 2000, Time: ms(10)}), Never)
 	assert.Equal(t, o.Start(Need{Tokens: 400, Time: ms(10)}), time.Duration(0))
+
+	o = Outlook{FreeTokens: 500, FreeSlots: 4}
+	o.Hold(Holding{Until: ms(9000), Tokens: 500, Slots: 1})
+	o.Hold(Holding{Until: ms(100), Tokens: 500, Slots: 1})
+	assert.Equal(t, o.Start(Need{Tokens: 2000, Time: ms(10)}), Never)
+	assert.Equal(t, o.Start(Need{Tokens: 800, Time: ms(10)}), ms(100), "not when all has ended")
 }
 
 // Prompts wait for the engines that read them.
