placement: a large request is not refused for what is left over of places

Cause: predictions count an engine's free memory in whole places of the usual size and dropped the rest for ever, so a request that needs nearly all of an engine was predicted never to start beside smaller ones, and was refused at arrival, or after 0.1 s of waiting, with its engine empty in time. It shows in pools, or software versions, of few engines. Ruled out: counting the rest at once, which predicts places that nobody can use. Change: the rest is free when all that runs at the engine has ended. The test's large request: refused before with no start predicted, waits now.

--- a/internal/placement/outlook.go
+++ b/internal/placement/outlook.go
@@ -60,6 +60,7 @@
 		}
 		f.Engines++
 		free, slots := memoryHeadroom*float64(x.spec.KVTokens), x.spec.Slots
+		empty := back // when all that runs has ended
 		s.holdings = append(s.holdings[:0], s.ownGenerations(x)...)
 		s.holdings = x.appendPeerGenerations(now, s.holdings)
 		at := x.tokenTime + time.Duration(len(s.holdings))*tokenTimePerRequest
@@ -67,12 +68,19 @@
 		for _, g := range s.holdings {
 			tokens := generationTokens(g.Prompt, g.PlannedOutput)
 			free, slots = free-tokens, slots-1
-			o.Hold(scarcity.Holding{Until: max(back, g.expectedEnd(at).Sub(now)), Tokens: tokens, Slots: 1})
+			end := max(back, g.expectedEnd(at).Sub(now))
+			empty = max(empty, end)
+			o.Hold(scarcity.Holding{Until: end, Tokens: tokens, Slots: 1})
 		}
 		if now.Before(x.fullUntil) {
 			back = max(back, x.fullUntil.Sub(now))
 		}
-		if free = wholePlaces(free, typical); back > 0 {
+		// What is less than a place counts once the engine is empty: one that needs all of it fits then.
+		places := wholePlaces(free, typical)
+		if rest := free - places; rest > 0 {
+			o.Hold(scarcity.Holding{Until: empty, Tokens: rest})
+		}
+		if free = places; back > 0 {
 			o.Hold(scarcity.Holding{Until: back, Tokens: free, Slots: max(0, slots)})
 			continue
 		}
--- a/internal/placement/outlook_test.go
+++ b/internal/placement/outlook_test.go
@@ -69,6 +69,28 @@
 	assert.Assert(t, ok)
 }
 
+// An engine has room for one large request, or for some small ones. The large one is served once what runs there has ended, and is not
+// refused for the part of a usual place that is left over.
+func TestLargeRequestBesideSmallOnesIsNotRefused(t *testing.T) {
+	s := newScheduler(1, engines(1, 1, 12000))
+	s.PrefillDone(start, s.AcquireEngine(start, demand(2500, 800)), sched.Succeeded)
+	var queue Queue
+	for _, d := range []Demand{demand(2000, 400), demand(8000, 400)} {
+		w := &Waiter{Demand: d, Arrived: start, Due: start.Add(latencyTarget), Deadline: start.Add(4 * time.Second)}
+		_, ok := queue.Enter(start, s, w)
+		assert.Check(t, ok, "%+v", w.Forecast)
+		queue.Push(w)
+	}
+	now := start
+	for range 4 {
+		queue.Serve(now, s)
+		assert.Equal(t, len(queue.GiveUp(now, s)), 0)
+		now = now.Add(outlookInterval)
+	}
+	assert.Equal(t, queue.Len(), 1)
+	assert.Assert(t, queue.waiting[0].Forecast.Wait < 3*time.Second, "%v", queue.waiting[0].Forecast)
+}
+
 // Half of the engines are lost while requests wait: those that are not served in time now are refused within three predictions. One
 // whose engine is ejected for a moment only is not.
 func TestWaitersAreAskedAgainAsEnginesAreLost(t *testing.T) {
