scarcity: the floor of a lower rank counts the room that is kept

Cause: places kept for better ranks are arrivals times half a second. Where generations are short these can be all that better ranks leave, although they need less than nine tenths of the room; the floor began only there. Between, the lower rank had no place beside room that nobody used. Ruled out: keeping fewer places, which decides how the better rank is served in bursts. Change: the floor is there as soon as better ranks and what is kept for them leave less room than the floor may take.

--- a/internal/placement/ranks_test.go
+++ b/internal/placement/ranks_test.go
@@ -212,3 +212,21 @@
 	assert.Assert(t, s.pressure(start.Add(scarcity.SilentTime), modelPool).Taken(2) > 0)
 	assert.Equal(t, s.pressure(start.Add(scarcity.SilentTime+outlookInterval), modelPool).Taken(2), 0.0)
 }
+
+// The better rank's requests are short and take four fifths of the room: the places that are kept for them are as many as they
+// leave. The lower rank is not starved beside room that nobody uses.
+func TestRoomThatIsKeptDoesNotStarveTheLowerRank(t *testing.T) {
+	shorten := func(list []*replayed) []*replayed {
+		for _, r := range list {
+			r.prompt, r.output = 5000, 700
+		}
+		return list
+	}
+	best, lower := shorten(poisson(1, 80, 0, 8*time.Second, 0)), shorten(poisson(2, 15, 2*time.Second, 8*time.Second, 2))
+	f := newReplayFleet(4, rankedEngines(4, 8, 40000), replayRules{giveUp: true})
+	f.run(inOrder(best, lower), func(time.Time) {})
+	started := func(r *replayed) bool { return r.started }
+	t.Logf("best %.2f on time, %.2f started; lower %.2f, %.2f", share(best, (*replayed).onTime), share(best, started), share(lower, (*replayed).onTime), share(lower, started))
+	assert.Assert(t, share(best, (*replayed).onTime) > 0.95)
+	assert.Assert(t, share(lower, started) >= 0.25)
+}
--- a/internal/scarcity/pressure.go
+++ b/internal/scarcity/pressure.go
@@ -157,10 +157,14 @@
 	return int(min(requests*reserveTime.Seconds(), maxReserved*p.Room/p.Usual))
 }
 
-// Floor returns the part of a rank's requests that goes with the best one. While better ranks leave as much room as the floor may take,
-// there is none: the lower rank has that room without it.
+// Floor returns the part of a rank's requests that goes with the best one. While better ranks, with what is kept for them, leave as much
+// room as the floor may take, there is none: the lower rank has that room without it.
 func (p *Pressure) Floor(rank int) float64 {
-	if !p.Ranks.Several() || rank <= p.Ranks.Best() || rank >= OverLimit || p.Taken(rank) < 1-floorRoom {
+	if !p.Ranks.Several() || rank <= p.Ranks.Best() || rank >= OverLimit {
+		return 0
+	}
+	kept := float64(p.Kept(rank)) * p.Usual / max(1, p.Room)
+	if p.Taken(rank)+kept < 1-floorRoom {
 		return 0
 	}
 	part := floorPart
--- a/internal/scarcity/pressure_test.go
+++ b/internal/scarcity/pressure_test.go
@@ -60,6 +60,8 @@
 	assert.Equal(t, pressureOf(burst, Demand{"m", 2, 50, 500_000}).Floor(2), 0.02)
 	assert.Equal(t, pressureOf(burst).Floor(OverLimit+2), 0.0)
 	assert.Equal(t, pressureOf(burst).Floor(0), 0.0)
+	short := pressureOf(Demand{"m", 0, 16, 65_000}, Demand{"m", 2, 1, 10_000}) // 8 places of 5,000 are kept
+	assert.Equal(t, short.Floor(2), floorPart, "what they leave is kept for them")
 }
 
 // Rates rise with arrivals and decay without them.
