--- a/internal/placement/expectedend.go
+++ b/internal/placement/expectedend.go
@@ -147,8 +147,8 @@
 	return p.best
 }
 
-// pick compares endpoints in random order until it has seen some of the own data centre and of the others. It answers instances that see the same endpoint as the best one: each of them compares
-// other ones.
+// pick compares endpoints in random order until it has seen some of the own data centre and of the others. It answers
+// instances that see the same endpoint as the best one: each of them compares other ones.
 type pick struct {
 	seen [2]int // others, own
 	best *endpointState
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -314,8 +314,8 @@
 	return best, lightest
 }
 
-// AcquireService places a plain call where it is expected to end in time, see chooseCall, or, where endpoints do not
-// tell their pace, on the endpoint that is expected to answer first. It returns nil if there is none. An endpoint whose slots are all taken is expected to answer later, and
+// AcquireService places a plain call where it is expected to end first: see chooseCall, or, where endpoints do not tell
+// their pace, callCost. It returns nil if there is no endpoint. One whose slots are all taken is expected to answer later, and
 // ejected endpoints are used only if all are ejected.
 func (s *Scheduler) AcquireService(now time.Time, d Demand) *Lease {
 	e := s.expect(now, d.Pool)
