soak: endpoints of changing pace, and a flood of a lower rank

Cause: loads with a pace, malformed ones, and pools with two ranks were tested with instances in one process and in replays, not with real processes amid faults.

--- a/cmd/caraway-soak/main.go
+++ b/cmd/caraway-soak/main.go
@@ -28,6 +28,7 @@
 	Lapses      bool   `arg:"--lapses" help:"cut endpoints off from the store for longer than their entries live"`
 	SlowReaders bool   `arg:"--slow-readers" help:"let callers and endpoints read slowly for some seconds after each quiet phase"`
 	Places      bool   `arg:"--places" help:"evacuate a data centre and take it back cold, amid faults of instances and the store"`
+	Uneven      bool   `arg:"--uneven" help:"change the pace of endpoints, and let a lower rank ask for more than there is"`
 	Unframed    bool   `arg:"--unframed" help:"end endpoints in the middle of answers that end with their connection, and let them answer twice"`
 	Releases    bool   `arg:"--releases" help:"replace engines by others of newer software versions, while callers take streams up again"`
 	Verbose     bool   `arg:"-v,--verbose" help:"log every injected fault"`
@@ -72,7 +73,7 @@
 			return false, err
 		}
 	}
-	r, err := soak.Run(ctx, soak.Options{Binary: binary, Former: former, Dir: dir, Seed: seed, Instances: a.Instances, Rounds: a.Rounds, Timed: !a.Untimed, Releases: a.Releases, LowRate: a.LowRate, Lapses: a.Lapses, Unframed: a.Unframed, SlowReaders: a.SlowReaders, Places: a.Places, Log: func(format string, args ...any) {
+	r, err := soak.Run(ctx, soak.Options{Binary: binary, Former: former, Dir: dir, Seed: seed, Instances: a.Instances, Rounds: a.Rounds, Timed: !a.Untimed, Releases: a.Releases, LowRate: a.LowRate, Lapses: a.Lapses, Unframed: a.Unframed, SlowReaders: a.SlowReaders, Places: a.Places, Uneven: a.Uneven, Log: func(format string, args ...any) {
 		if a.Verbose {
 			fmt.Printf(format+"\n", args...)
 		}
