gateway: one decision about lines that are written once a minute

The lines about cold times that cannot be read had a copy of the rule for refused updates. Both use allowLine now; intervals and bounds are as before. go test -race ./internal/gateway passes.

--- a/internal/gateway/cold.go
+++ b/internal/gateway/cold.go
@@ -115,14 +115,10 @@
 func (l *endpointLog) allow(now time.Time, endpoint string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if at, ok := l.written[endpoint]; ok && now.Sub(at) < refusalLogInterval {
-		return false
-	}
-	if l.written == nil || len(l.written) >= maxRefusalLog {
+	if l.written == nil {
 		l.written = map[string]time.Time{}
 	}
-	l.written[endpoint] = now
-	return true
+	return allowLine(l.written, now, endpoint)
 }
 
 // countCold returns the number of cold endpoints that bear only so many requests.
--- a/internal/gateway/updates.go
+++ b/internal/gateway/updates.go
@@ -215,19 +215,24 @@
 }
 
 const (
-	refusalLogInterval = time.Minute // between two lines for the same cause and sender
+	refusalLogInterval = time.Minute // between two lines for the same cause and sender, or the same endpoint
 	maxRefusalLog      = 1024        // entries
 )
 
 func (l refusalLog) allow(now time.Time, from netip.AddrPort, cause error) bool {
-	key := refusedFrom{from, cause.Error()}
-	if at, ok := l[key]; ok && now.Sub(at) < refusalLogInterval {
+	return allowLine(l, now, refusedFrom{from, cause.Error()})
+}
+
+// allowLine decides whether a line about key is written now, and records it: one in refusalLogInterval. If there are too many
+// keys, some are logged again.
+func allowLine[K comparable](written map[K]time.Time, now time.Time, key K) bool {
+	if at, ok := written[key]; ok && now.Sub(at) < refusalLogInterval {
 		return false
 	}
-	if len(l) >= maxRefusalLog {
-		clear(l)
+	if len(written) >= maxRefusalLog {
+		clear(written)
 	}
-	l[key] = now
+	written[key] = now
 	return true
 }
 
