--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,7 +17,6 @@
 type Settings struct {
 	Instance      string
 	DataCentre    string
-	Region        string
 	Regions       map[string]string // the region of each data centre
 	CallerAddr    string            // listen address for callers
 	ReadinessAddr string            // listen address for the balancer's readiness probes
