--- a/review/stand-2/server.go
+++ b/review/stand-2/server.go
@@ -25,6 +25,8 @@
 	eventInterval time.Duration
 	// spoil, if set, may replace the handle in an answer of a prefill.
 	spoil func(handle string) string
+	// breakOff, if set, says after which event a stream breaks off, and the id that is written for it; 0 for none.
+	breakOff func() (event, spoiledID int)
 }
 
 // server is the stand-in for one server of a service: a prefill or decode engine, or a plain server.
@@ -195,14 +197,25 @@
 	if last, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
 		first = last + 1
 	}
+	end, spoiledID := 0, 0
+	if s.work.breakOff != nil {
+		end, spoiledID = s.work.breakOff()
+	}
 	for i := first; i <= s.work.events; i++ {
 		if !wait(r.Context(), s.work.eventInterval) {
 			return
 		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s %d v1\n\n", i, id, i); err != nil {
+		eventID := i
+		if i == end {
+			eventID = spoiledID
+		}
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s %d v1\n\n", eventID, id, i); err != nil {
 			return
 		}
 		_ = http.NewResponseController(w).Flush()
+		if i == end {
+			panic(http.ErrAbortHandler)
+		}
 	}
 }
 
