--- a/review/stand-2/server.go
+++ b/review/stand-2/server.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -20,6 +21,7 @@
 
 // work is how a server works.
 type work struct {
+	callTime      time.Duration // of a request to a plain server
 	prefillTime   time.Duration
 	events        int
 	eventInterval time.Duration
@@ -39,6 +41,7 @@
 	http                     *http.Server
 
 	mu       sync.Mutex
+	state    string // as it registers itself
 	sequence int
 	created  int
 	handles  map[string]time.Time // when they end
@@ -58,14 +61,19 @@
 
 // startServer starts a server, which registers itself.
 func (st *stage) startServer(id, service, zone, engineStage string, w work) (*server, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	return st.startServerAt("127.0.0.1:0", 0, id, service, zone, engineStage, w)
+}
+
+// startServerAt starts a server at an address, on a machine whose time of day is ahead by clock.
+func (st *stage) startServerAt(addr string, clock time.Duration, id, service, zone, engineStage string, w work) (*server, error) {
+	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
-	s := &server{st: st, id: id, service: service, zone: zone, stage: engineStage, work: w, born: time.Now().UnixMilli(), addr: ln.Addr().String(), handles: map[string]time.Time{}}
+	s := &server{st: st, id: id, service: service, zone: zone, stage: engineStage, work: w, born: time.Now().Add(clock).UnixMilli(), addr: ln.Addr().String(), state: "ready", handles: map[string]time.Time{}}
 	s.http = &http.Server{Handler: s, ReadHeaderTimeout: 5 * time.Second}
 	go func() { _ = s.http.Serve(ln) }()
-	s.register("ready")
+	s.register()
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	st.live = append(st.live, s)
@@ -73,12 +81,28 @@
 	return s, nil
 }
 
+// end ends a server's process.
+func (st *stage) end(s *server) {
+	st.mu.Lock()
+	st.live = slices.DeleteFunc(st.live, func(other *server) bool { return other == s })
+	st.mu.Unlock()
+	_ = s.http.Close()
+}
+
+// drain has a server report that it leaves.
+func (s *server) drain() {
+	s.mu.Lock()
+	s.state = "draining"
+	s.mu.Unlock()
+	s.register()
+}
+
 // register writes the server's entry.
-func (s *server) register(state string) {
+func (s *server) register() {
 	s.mu.Lock()
 	s.sequence++
 	entry := map[string]any{"service": s.service, "address": s.addr, "zone": s.zone, "version": "v1", "slots": engineSlots,
-		"state": state, "cold-remaining-ms": 0, "sequence": s.sequence, "born": s.born}
+		"state": s.state, "cold-remaining-ms": 0, "sequence": s.sequence, "born": s.born}
 	if s.stage != "" {
 		entry["stage"], entry["models"] = s.stage, []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}}
 	}
@@ -118,8 +142,10 @@
 	case s.stage == "":
 		a.run = true
 		s.st.arrived(a)
-		s.sign(w, id)
-		_, _ = io.WriteString(w, "done "+id)
+		if wait(r.Context(), s.work.callTime) {
+			s.sign(w, id)
+			_, _ = io.WriteString(w, "done "+id)
+		}
 	case a.prefill != (s.stage == "prefill"):
 		s.st.arrived(a)
 		refuse(w, http.StatusMisdirectedRequest)
--- a/review/stand-2/stage.go
+++ b/review/stand-2/stage.go
@@ -228,7 +228,7 @@
 		}
 		st.mu.Lock()
 		for _, e := range st.live {
-			e.register("ready")
+			e.register()
 		}
 		st.mu.Unlock()
 	}
