--- a/review/stand-2/drain.go
+++ b/review/stand-2/drain.go
@@ -36,7 +36,7 @@
 	if err := st.begin(); err != nil {
 		return verdict{}, err
 	}
-	calls := &calls{st: st, done: make(chan struct{})}
+	calls := &calls{st: st, to: st.daemons, done: make(chan struct{})}
 	calls.start()
 	time.Sleep(time.Second)
 	added, err := st.startServer("i-2000", emulator.PlainService, zoneOf(drainServers), "", w)
@@ -104,16 +104,18 @@
 // calls sends requests of a route that may run once at most, at a steady rate.
 type calls struct {
 	st   *stage
+	to   []*daemon // in turn
 	wg   sync.WaitGroup
 	done chan struct{}
 
 	mu             sync.Mutex
+	ids            map[string]bool
 	sent, answered int
 	failed         map[string]int // status by attempt
 }
 
 func (c *calls) start() {
-	c.failed = map[string]int{}
+	c.failed, c.ids = map[string]int{}, map[string]bool{}
 	c.wg.Go(func() {
 		ticker := time.NewTicker(time.Second / callsPerS)
 		defer ticker.Stop()
@@ -123,7 +125,7 @@
 				return
 			case <-ticker.C:
 			}
-			c.wg.Go(func() { c.send(c.st.daemons[i%len(c.st.daemons)]) })
+			c.wg.Go(func() { c.send(c.to[i%len(c.to)]) })
 		}
 	})
 }
@@ -136,9 +138,17 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.sent++
+	c.ids[r.ID] = true
 	if r.Status == http.StatusOK && r.Complete {
 		c.answered++
 		return
 	}
-	c.failed[r.ID] = r.Status
+	c.failed[r.ID] = max(1, r.Status)
+}
+
+// has reports whether an attempt is one of these.
+func (c *calls) has(attempt string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ids[attempt]
 }
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -19,10 +19,10 @@
 	daemonPath := flag.String("daemon", "target/caraway-entry", "the daemon's program")
 	record := flag.String("record", "record.txt", "file that says what was sent, answered and run")
 	flag.Parse()
-	scripts := map[string]script{"drain": {drainInstances, playDrain}, "handle": {handleInstances, playHandle}, "ids": {idsInstances, playIDs}}
+	scripts := map[string]script{"drain": {drainInstances, playDrain}, "gone": {goneInstances, playGone}, "handle": {handleInstances, playHandle}, "ids": {idsInstances, playIDs}}
 	s, ok := scripts[flag.Arg(0)]
 	if !ok {
-		fmt.Fprintln(os.Stderr, "usage: review-stand-2 [--daemon FILE] [--record FILE] drain|handle|ids")
+		fmt.Fprintln(os.Stderr, "usage: review-stand-2 [--daemon FILE] [--record FILE] drain|gone|handle|ids")
 		os.Exit(exitNoRun)
 	}
 	os.Exit(run(s, *daemonPath, *record))
--- a/review/stand-2/stage.go
+++ b/review/stand-2/stage.go
@@ -30,6 +30,7 @@
 	dir     string
 	store   *emulator.Store
 	daemons []*daemon
+	seeds   []string
 	stop    chan struct{}
 	beats   sync.WaitGroup
 
@@ -45,9 +46,10 @@
 	name, zone, host string
 	base             int
 	program          string
-	settings         string
-	log              string
+	settings         string // file
+	log              string // file
 	cmd              *exec.Cmd
+	store            *link // to the store
 }
 
 func newStage(program string, instances int, out io.Writer, trouble bool) (*stage, error) {
@@ -75,8 +77,12 @@
 		}
 		st.daemons = append(st.daemons, d)
 	}
+	st.seeds = seeds
 	for _, d := range st.daemons {
-		if err := os.WriteFile(d.settings, []byte(settingsOf(d, seeds, store.Addr())), 0o600); err != nil {
+		if d.store, err = newLink(store.Addr()); err != nil {
+			return nil, err
+		}
+		if err := d.writeSettings(seeds, true); err != nil {
 			return nil, err
 		}
 	}
@@ -95,7 +101,7 @@
 func (d *daemon) addr(n int) string { return net.JoinHostPort(d.host, fmt.Sprint(d.base+n)) }
 
 // settingsOf returns an instance's settings file, with the figures of the sheet of hric-submit.
-func settingsOf(d *daemon, seeds []string, storeAddr string) string {
+func settingsOf(d *daemon, seeds []string, bootstrap bool) string {
 	return fmt.Sprintf(`node-name = %q
 role = "entry"
 machine-class = "frontend"
@@ -105,7 +111,7 @@
 region = "region-a"
 internal-ports = [%d,%d]
 seed-nodes = [%s]
-bootstrap = true
+bootstrap = %t
 failure-counted = false
 discovery = "platform"
 entry = "virtual_ip"
@@ -145,7 +151,7 @@
 [platform]
 address = %q
 form = "table"
-`, d.name, d.host, d.zone, d.base+3, d.base+9, strings.Join(seeds, ","), d.addr(0), d.addr(1), d.addr(2), storeAddr)
+`, d.name, d.host, d.zone, d.base+3, d.base+9, strings.Join(seeds, ","), bootstrap, d.addr(0), d.addr(1), d.addr(2), d.store.addr())
 }
 
 // configuration is the emulator's configuration with engines of the size of the sheet.
@@ -173,6 +179,17 @@
 	return nil
 }
 
+// writeSettings writes the settings file. Bootstrap says that the whole system starts for the first time.
+func (d *daemon) writeSettings(seeds []string, bootstrap bool) error {
+	return os.WriteFile(d.settings, []byte(settingsOf(d, seeds, bootstrap)), 0o600)
+}
+
+// kill ends an instance's process.
+func (d *daemon) kill() {
+	_ = d.cmd.Process.Signal(syscall.SIGKILL)
+	_ = d.cmd.Wait()
+}
+
 // startDaemons starts all instances and waits until they are ready.
 func (st *stage) startDaemons() error {
 	for _, d := range st.daemons {
@@ -238,9 +255,9 @@
 func (st *stage) close() {
 	for _, d := range st.daemons {
 		if d.cmd != nil && d.cmd.Process != nil {
-			_ = d.cmd.Process.Signal(syscall.SIGKILL)
-			_ = d.cmd.Wait()
+			d.kill()
 		}
+		d.store.close()
 	}
 	close(st.stop)
 	st.beats.Wait()
