--- a/review/stand-2/handle.go
+++ b/review/stand-2/handle.go
@@ -17,23 +17,25 @@
 	handleInterval  = 20 * time.Millisecond
 	handleStreams   = 130 // ten seconds of the streams of hric-submit
 	handlePause     = time.Second / 13
-	// spoiledEvery is which answers of one of four prefill engines are spoiled: 0.05 of them.
-	spoiledEvery = 20
-	strayID      = "5e1f00000000beef" // no client sends a request with it
+	// Two of twelve servers spoil 0.05 of their answers, within 6.97 s, the longest garble in the site files.
+	spoiledEvery  = 20
+	spoilingTime  = 6900 * time.Millisecond
+	spoilingCount = 2
+	strayID       = "5e1f00000000beef" // no client sends a request with it
 )
 
 // strayBytes are what a spoiled answer has in its handle: a piece of a handle, and of a message.
 const strayBytes = "3fa0\r\nContent-Length: 0\r\n\r\nPOST " + emulator.NonIdempotentPath + "4711 HTTP/1.1\r\nHost: " + emulator.Host +
 	"\r\nCarawayrouter-Attempt-Id: " + strayID + "\r\nX-Rest: "
 
-// playHandle has a prefill engine spoil some of its answers, and looks for requests that run although no client sent them.
+// playHandle has two prefill engines spoil some of their answers, and looks for requests that run although no client sent them.
 func playHandle(st *stage) (verdict, error) {
 	st.store.Put("op", "config", configuration())
-	var answers, spoiled atomic.Int64
+	var answers, spoiled, loadAt atomic.Int64
 	sound := work{prefillTime: 20 * time.Millisecond, events: handleEvents, eventInterval: handleInterval}
 	faulty := sound
 	faulty.spoil = func(handle string) string {
-		if answers.Add(1)%spoiledEvery != 0 {
+		if time.Now().UnixNano()-loadAt.Load() > int64(spoilingTime) || answers.Add(1)%spoiledEvery != 0 {
 			return handle
 		}
 		spoiled.Add(1)
@@ -44,7 +46,7 @@
 		if i < 4 {
 			engineStage = "prefill"
 		}
-		if i == 0 && st.trouble {
+		if i < spoilingCount && st.trouble {
 			w = faulty
 		}
 		if _, err := st.startServer(fmt.Sprintf("i-%04x", 0x1000+i), emulator.ModelService, zoneOf(i), engineStage, w); err != nil {
@@ -57,6 +59,7 @@
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	sent, whole := map[string]bool{}, 0
+	loadAt.Store(time.Now().UnixNano())
 	for i := range handleStreams {
 		id, d := emulator.NewAttemptID(), st.daemons[i%len(st.daemons)]
 		sent[id] = true
@@ -85,7 +88,7 @@
 			st.printf("UNASKED: server %s ran %s %s of attempt %s for tenant %q, which no client sent\n", a.server.id, a.method, a.path, a.attempt, a.tenant)
 		}
 	}
-	text := fmt.Sprintf("%d requests ran that no client sent; %d sent, %d answered whole, %d answers of prefills spoiled", strays, len(sent), whole, spoiled.Load())
+	text := fmt.Sprintf("%d requests ran that no client sent; %d sent, %d answered whole, %d answers of prefills spoiled of the %d of their engines", strays, len(sent), whole, spoiled.Load(), answers.Load())
 	if strays > 0 {
 		return verdict{broken: true, text: "UNASKED broken: " + text}, nil
 	}
--- a/review/stand-2/ids.go
+++ b/review/stand-2/ids.go
@@ -17,26 +17,32 @@
 	idsInstances = 3
 	idsEvents    = 70
 	idsInterval  = 20 * time.Millisecond
-	idsStreams   = 520 // twenty seconds of the streams of hric-submit in a burst of 2.0
-	idsPause     = time.Second / 13 / 2
-	brokenEvery  = 20  // streams of one engine of eight
+	idsStreams   = 130 // ten seconds of the streams of hric-submit
+	idsPause     = time.Second / 13
+	// Four of twelve servers spoil 0.05 of their answers, within 6.97 s, the longest garble in the site files.
+	brokenEvery  = 20
+	brokenTime   = 6 * time.Second // in which the streams begin; they break off 0.8 s later
+	brokenCount  = 4
 	brokenAfter  = 41  // events
 	lostDigit    = 4   // the id of that event without its last digit
 	doubledDigit = 411 // the same with a digit twice
 )
 
-// playIDs has a decode engine spoil the id of an event in some of its streams and break them off there, and looks for
+// playIDs has four decode engines spoil the id of an event in some of their streams and break them off there, and looks for
 // streams that look complete and lack pieces or have some twice.
 func playIDs(st *stage) (verdict, error) {
 	st.store.Put("op", "config", configuration())
-	var streams, broken atomic.Int64
+	var streams, broken, loadAt atomic.Int64
 	sound := work{prefillTime: 20 * time.Millisecond, events: idsEvents, eventInterval: idsInterval}
 	faulty := sound
 	faulty.breakOff = func() (event, spoiledID int) {
+		if time.Now().UnixNano()-loadAt.Load() > int64(brokenTime) {
+			return 0, 0
+		}
 		switch n := streams.Add(1); {
-		case n%brokenEvery != 1:
+		case n%brokenEvery != 0:
 			return 0, 0
-		case broken.Add(1)%2 == 1:
+		case broken.Add(1)%2 == 0:
 			return brokenAfter, doubledDigit
 		default:
 			return brokenAfter, lostDigit
@@ -47,7 +53,7 @@
 		if i < 4 {
 			engineStage = "prefill"
 		}
-		if i == 4 && st.trouble {
+		if i >= 4 && i < 4+brokenCount && st.trouble {
 			w = faulty
 		}
 		if _, err := st.startServer(fmt.Sprintf("i-%04x", 0x1000+i), emulator.ModelService, zoneOf(i), engineStage, w); err != nil {
@@ -60,6 +66,7 @@
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	whole, twice, short := 0, 0, 0
+	loadAt.Store(time.Now().UnixNano())
 	for i := range idsStreams {
 		id, d := emulator.NewAttemptID(), st.daemons[i%len(st.daemons)]
 		wg.Go(func() {
@@ -88,7 +95,7 @@
 		time.Sleep(idsPause)
 	}
 	wg.Wait()
-	text := fmt.Sprintf("%d streams end as complete before their last piece, %d have pieces twice; %d sent, %d whole, %d broken off by their engine", short, twice, idsStreams, whole, broken.Load())
+	text := fmt.Sprintf("%d streams end as complete before their last piece, %d have pieces twice; %d sent, %d whole, %d broken off of the %d of their engines", short, twice, idsStreams, whole, broken.Load(), streams.Load())
 	if short+twice > 0 {
 		return verdict{broken: true, text: "ORDER broken: " + text}, nil
 	}
