An answer with a status that HTTP does not have is a failed attempt

Callers saw: a server in trouble answered with status 000, and the caller got an answer. With an answer in its body, or right after it, that one reached the caller as a signed 200. 600 and 999 were passed on as they came. Through httpendpoint the statuses 0 to 101 came back as those of an answer.

Cause: http.ReadResponse takes any three characters that strconv.Atoi reads as a status. The gateway took each one below 200 for an interim response, and read on in what was the answer's body. 101 is interim by its class, but what follows it is no HTTP/1, and no request asks for another protocol.

Change: package responsehead follows the bytes of a response's head and of the interim ones before it as they are read, and ends the read with an error if the status line is not one of HTTP/1 with a status from 100 to 599, 101 excepted. All places in which answers of endpoints are read use it: calls, health checks and reports of the gateway (roundTrip), the observer of a tunnel's responses, the answer to a request for a tunnel, and httpendpoint. A call with such an answer may have run: it is repeated only where the route allows it, and ends with 502 otherwise.

A 000 alone, without bytes that read as an answer, ended with 502 before too.

--- a/internal/endpoint/httpendpoint/transport.go
+++ b/internal/endpoint/httpendpoint/transport.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"carawayrouter.example/router/internal/endpoint"
+	"carawayrouter.example/router/internal/responsehead"
 )
 
 // errResent is returned for writes that would resend a request, to prevent retries by the
@@ -21,7 +22,7 @@
 // deadlineConn is a connection with a deadline on every read and write. It counts the bytes
 // written, to determine whether any byte of a request was sent.
 type deadlineConn struct {
-	net.Conn
+	*responsehead.Conn
 	idleTimeout  time.Duration
 	bytesWritten atomic.Int64
 	refuseWrites atomic.Bool // makes all further writes fail with errResent
@@ -63,7 +64,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &deadlineConn{Conn: c, idleTimeout: idleTimeout}, nil
+			return &deadlineConn{Conn: responsehead.NewConn(c), idleTimeout: idleTimeout}, nil
 		},
 		DisableCompression:  true,
 		MaxConnsPerHost:     o.MaxConns,
@@ -98,6 +99,7 @@
 		c.refuseWrites.Store(true)
 		return
 	}
+	c.ExpectResponse()
 	t.conn, t.writtenBefore = c, c.bytesWritten.Load()
 }
 
--- a/internal/gateway/tunnel.go
+++ b/internal/gateway/tunnel.go
@@ -24,6 +24,7 @@
 	"carawayrouter.example/router/internal/config"
 	"carawayrouter.example/router/internal/gossip"
 	"carawayrouter.example/router/internal/placement"
+	"carawayrouter.example/router/internal/responsehead"
 	"carawayrouter.example/router/internal/tcp"
 )
 
@@ -257,8 +258,9 @@
 		return false, errors.Wrap(err, "ask for a tunnel")
 	}
 	// Nothing follows the response before the endpoint has a request.
-	br := bufio.NewReader(io.LimitReader(nc, maxHeadBytes))
-	resp, err := http.ReadResponse(br, nil)
+	head := responsehead.NewReader(io.LimitReader(nc, maxHeadBytes))
+	br := bufio.NewReader(head)
+	resp, err := head.ReadResponse(br, nil)
 	if err != nil {
 		return false, errors.Newf("ask for a tunnel: %v", err)
 	}
@@ -362,10 +364,11 @@
 // instance that serves the tunnel, and means it with what it announces. It calls answered at the end of each response.
 func (u *upstream) observeResponses(r io.Reader, req endpointRequest, answered func()) {
 	limited := &io.LimitedReader{R: r}
-	br := bufio.NewReaderSize(limited, tunnelBuffer)
+	head := responsehead.NewReader(limited)
+	br := bufio.NewReaderSize(head, tunnelBuffer)
 	for {
 		limited.N = maxHeadBytes
-		resp, err := http.ReadResponse(br, nil)
+		resp, err := head.ReadResponse(br, nil)
 		limited.N = math.MaxInt64
 		if err != nil {
 			_, _ = io.Copy(io.Discard, r) // the tunnel goes on
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -20,6 +20,7 @@
 	"carawayrouter.example/router/internal/endpoint"
 	"carawayrouter.example/router/internal/placement"
 	"carawayrouter.example/router/internal/relaybuffer"
+	"carawayrouter.example/router/internal/responsehead"
 	"carawayrouter.example/router/internal/tcp"
 )
 
@@ -63,8 +64,9 @@
 type endpointConn struct {
 	net.Conn
 	addr      string
-	limited   *io.LimitedReader // below br
-	br        *bufio.Reader
+	limited   *io.LimitedReader // below head
+	head      *responsehead.Reader
+	br        *bufio.Reader // of head
 	idleSince time.Time
 	idleTTL   time.Duration
 	detoured  bool // it goes through another instance
@@ -90,7 +92,8 @@
 		}
 		return n, err
 	})}
-	c.br = bufio.NewReaderSize(c.limited, readBuffer)
+	c.head = responsehead.NewReader(c.limited)
+	c.br = bufio.NewReaderSize(c.head, readBuffer)
 }
 
 type readerFunc func(b []byte) (int, error)
@@ -449,7 +452,7 @@
 	defer func() { c.carriedUnnamed = c.carriedUnnamed || req.attemptID == "" }()
 	c.limited.N = maxHeadBytes
 	for skipped := 0; ; {
-		httpResp, err := http.ReadResponse(c.br, &http.Request{Method: req.method})
+		httpResp, err := c.head.ReadResponse(c.br, &http.Request{Method: req.method})
 		if err != nil {
 			return nil, err
 		}
