An answer with a malformed field in its head is a failed attempt

Callers saw: a server in trouble answered with a head in which the name of a field held a blank or a control byte. The caller got the line as it was ("Na me: v"), a part of the head as the body ("Name: v" for a name that begins with LF), or the chunks' framing as the body ("Transfer-Encoding : chunked").

Cause: the parser of net/http accepts a blank in the name of a field and does not recognise the field then; joins a line that begins with a blank or a tab to the one before; and takes LF alone for the end of a line, so that a name that begins with LF ends the head. Where the body begins and ends was derived from what was left.

Change: responsehead checks every line of a head: a name is a token, a value holds no control byte but tabs, a line ends with CRLF and is not continued. The clients of the store (platform) and of the platform of httpplatform check the heads of answers too: an era in a malformed field was read as none, and an object was read from a part of the head.

--- a/internal/endpoint/httpendpoint/answer_test.go
+++ b/internal/endpoint/httpendpoint/answer_test.go
@@ -96,3 +96,33 @@
 		})
 	}
 }
+
+// So is one with a head in which the name of a field holds a blank or a control byte.
+func TestAnswerWithAnInvalidFieldNameIsAFailedCall(t *testing.T) {
+	for _, line := range []string{"X Y: z", "X : z", " X: z", "\tX: z", "\nX: z", "X\n: z", "X\x00: z", "\x7f: z", ": z", "X\r: z"} {
+		t.Run(line, func(t *testing.T) {
+			checkBroken(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"+line+"\r\n\r\n{}")
+		})
+	}
+	for _, field := range []string{"Content-Length : 2\r\n\r\n{}", "Transfer-Encoding : chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n"} {
+		checkBroken(t, "HTTP/1.1 200 OK\r\n"+field)
+	}
+}
+
+// The head of every answer on a connection is checked.
+func TestLaterAnswerOnAConnectionIsChecked(t *testing.T) {
+	const whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+	addr := answering(t, func(c *net.TCPConn, req *http.Request) {
+		_, _ = io.Copy(io.Discard, req.Body)
+		_, _ = io.WriteString(c, whole)
+		if req, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			_, _ = io.Copy(io.Discard, req.Body)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX Y: z\r\nContent-Length: 2\r\n\r\n{}")
+		}
+	})
+	e := NewDialer(Options{}).Engine(addr)
+	_, err := e.Order(context.Background(), endpoint.Order{})
+	assert.NilError(t, err)
+	_, err = e.Order(context.Background(), endpoint.Order{})
+	assert.ErrorIs(t, err, endpoint.ErrCallFailed)
+}
--- a/internal/platform/httpplatform/client.go
+++ b/internal/platform/httpplatform/client.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 
 	"carawayrouter.example/router/internal/platform"
+	"carawayrouter.example/router/internal/responsehead"
 )
 
 const (
@@ -42,7 +43,7 @@
 		base:       "http://" + addr,
 		dataCentre: dataCentre,
 		http: &http.Client{Transport: &http.Transport{
-			DialContext:         dial,
+			DialContext:         responsehead.CheckedDial(responsehead.Dial(dial)),
 			MaxIdleConnsPerHost: maxIdleConnsPerHost,
 			IdleConnTimeout:     idleTimeout,
 		}},
@@ -111,7 +112,7 @@
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
 	})
-	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(responsehead.Context(ctx), method, c.base+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, errors.Wrap(err, "make request")
 	}
--- a/internal/platform/httpplatform/httpplatform_test.go
+++ b/internal/platform/httpplatform/httpplatform_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -132,3 +133,23 @@
 	_, err := NewClient(addr, "a").Table.Commit(ctx, platform.Txn{})
 	assert.ErrorIs(t, err, platform.ErrUnknownOutcome)
 }
+
+// An answer with a malformed head says nothing: here the parser of net/http would take a part of the head for the object.
+func TestAnswerWithAMalformedHeadIsAnError(t *testing.T) {
+	for _, head := range []string{"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\nX: y\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\n", "HTTP/1.1 000 OK\r\n\r\n"} {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		go func() {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			defer nc.Close()
+			_, _ = nc.Read(make([]byte, 4<<10))
+			_, _ = io.WriteString(nc, head+"data")
+		}()
+		got, err := NewClient(ln.Addr().String(), "a").Objects.Get(context.Background(), "x")
+		assert.ErrorIs(t, err, platform.ErrUnavailable, "%q: %q", head, got)
+		_ = ln.Close()
+	}
+}
--- a/internal/responsehead/conn.go
+++ b/internal/responsehead/conn.go
@@ -1,6 +1,10 @@
 package responsehead
 
-import "net"
+import (
+	"context"
+	"net"
+	"net/http/httptrace"
+)
 
 // Conn is a connection of an http.Transport that checks the heads of responses.
 type Conn struct {
@@ -16,3 +20,26 @@
 
 // ExpectResponse makes the connection check the head of the response to the request that is sent next.
 func (c *Conn) ExpectResponse() { _ = c.head.Expect(nil) }
+
+// Dial establishes a connection, like net.Dialer.DialContext.
+type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// CheckedDial returns a dial function for an http.Transport. Its connections check the responses to requests with a Context.
+func CheckedDial(dial Dial) Dial {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return NewConn(c), nil
+	}
+}
+
+// Context returns a context for a request whose response is checked, if it is sent on a Conn.
+func Context(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+		if c, ok := i.Conn.(*Conn); ok {
+			c.ExpectResponse()
+		}
+	}})
+}
--- a/internal/responsehead/responsehead_test.go
+++ b/internal/responsehead/responsehead_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"bytes"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -53,13 +55,26 @@
 }
 
 func TestMalformedHeadsAreErrors(t *testing.T) {
+	const status = "HTTP/1.1 200 OK\r\n"
 	heads := []string{
-		"HTTP/2.0 200 OK\r\n\r\n", "HTTP/1.x 200 OK\r\n\r\n", "http/1.1 200 OK\r\n\r\n", "HTTP/1.1  200 OK\r\n\r\n", "HTTP/1.1 2000 OK\r\n\r\n",
-		"HTTP/1.1 20 OK\r\n\r\n", "HTTP/1.1 100 Continue\r\n\r\n" + "HTTP/1.1 000 OK\r\n\r\n", "\r\nHTTP/1.1 200 OK\r\n\r\n",
+		status + "X\r\n\r\n", status + ": y\r\n\r\n", status + "X: y\r\n folded\r\n\r\n", status + "\tX: y\r\n\r\n",
+		status + "X: y\n\r\n", status + "X: y\r\n\n", status + "X: y\r\r\n\r\n", status + "X: a\rb\r\n\r\n",
+		"HTTP/1.1 200 OK\n\r\n", "HTTP/2.0 200 OK\r\n\r\n", "HTTP/1.x 200 OK\r\n\r\n", "http/1.1 200 OK\r\n\r\n",
+		"HTTP/1.1  200 OK\r\n\r\n", "HTTP/1.1 2000 OK\r\n\r\n", "HTTP/1.1 20 OK\r\n\r\n", "HTTP/1.1 200 O\x00K\r\n\r\n",
+		"HTTP/1.1 100 Continue\r\n\r\n" + "HTTP/1.1 000 OK\r\n\r\n", "\r\n" + status + "\r\n",
 	}
 	for _, code := range []string{"000", "001", "099", "101", "600", "999", "+20", "-00", "0x2"} {
 		heads = append(heads, "HTTP/1.1 "+code+" OK\r\n\r\n")
 	}
+	for c := range 256 {
+		switch b := string([]byte{byte(c)}); {
+		case c <= ' ' || c >= 0x7f || strings.Contains(`"(),/;<=>?@[\]{}`, b):
+			heads = append(heads, status+b+"X: y\r\n\r\n", status+"X"+b+"Y: z\r\n\r\n", status+"X"+b+": y\r\n\r\n", status+b+": y\r\n\r\n")
+		}
+		if c < ' ' && c != '\t' || c == 0x7f {
+			heads = append(heads, status+"X: a"+string([]byte{byte(c)})+"b\r\n\r\n")
+		}
+	}
 	for _, head := range heads {
 		assert.ErrorIs(t, NewReader(nil).Expect([]byte(head)), ErrMalformed, "%q", head)
 		for name, split := range splits {
@@ -68,3 +83,62 @@
 		}
 	}
 }
+
+// What follows a head is not checked, and the head of the next response is again.
+func TestOnlyHeadsAreChecked(t *testing.T) {
+	head := NewReader(strings.NewReader("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n\n\x00\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\n\n"))
+	br := bufio.NewReader(head)
+	for _, want := range []string{"\n\x00\n", ""} {
+		resp, err := head.ReadResponse(br, nil)
+		assert.NilError(t, err)
+		body, err := io.ReadAll(resp.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, string(body), want)
+	}
+	_, err := head.ReadResponse(br, nil)
+	assert.ErrorIs(t, err, ErrMalformed)
+	_, err = br.ReadByte()
+	assert.NilError(t, err, "the bytes were read before")
+	_, err = head.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, ErrMalformed)
+}
+
+// FuzzHead reads arbitrary bytes. Where they are accepted as the heads of a final response and the interim ones before it, the
+// parser of net/http ends them at the same place, unless it refuses them.
+func FuzzHead(f *testing.F) {
+	for _, s := range []string{
+		"HTTP/1.1 200 OK\r\nX: y\r\n\r\nbody", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\n\n", "HTTP/1.1 000 OK\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX: y\r\n z\r\n\r\n", "HTTP/1.1 200\r\nX : y\r\n\r\n", "HTTP/1.0 304 \r\n:\r\n\r\n", "HTTP/1.1 200 OK\r\nX: y\r\n\nZ: \r\n\r\n",
+	} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var s scanner
+		end := 0
+		for end < len(b) && s.state < ended {
+			s.scan(b[end : end+1])
+			end++
+		}
+		whole := scanner{}
+		assert.Equal(t, whole.scan(b), s.state)
+		if s.state != ended {
+			return
+		}
+		source := bytes.NewReader(b)
+		br := bufio.NewReader(source)
+		for {
+			resp, err := http.ReadResponse(br, nil)
+			if err != nil {
+				return
+			}
+			if resp.StatusCode < http.StatusOK {
+				continue
+			}
+			assert.Equal(t, len(b)-source.Len()-br.Buffered(), end)
+			for name := range resp.Header {
+				assert.Assert(t, !strings.ContainsFunc(name, func(r rune) bool { return r <= ' ' || r == 0x7f }), fmt.Sprintf("%q", name))
+			}
+			return
+		}
+	})
+}
--- a/internal/responsehead/scanner.go
+++ b/internal/responsehead/scanner.go
@@ -5,10 +5,13 @@
 
 const (
 	statusLine state = iota // before the reason phrase
-	line                    // in the reason phrase or a field
-	lineStart               // before a field, or the end of the head
-	headEnd                 // before the LF of the head's last line
-	ended                   // after the head of a final response
+	reason
+	lineStart // before a field, or the end of the head
+	fieldName
+	fieldValue
+	lineEnd // before the LF of a line
+	headEnd // before the LF of the head's last line
+	ended   // after the head of a final response
 	malformed
 )
 
@@ -44,19 +47,39 @@
 	switch s.state {
 	case statusLine:
 		return s.statusByte(c)
-	case line, lineStart, headEnd:
+	case lineStart:
 		switch {
-		case c == '\n' && s.state == line:
+		case c == '\r':
+			return headEnd
+		case isTokenByte(c):
+			return fieldName
+		}
+	case fieldName:
+		switch {
+		case c == ':':
+			return fieldValue
+		case isTokenByte(c):
+			return fieldName
+		}
+	case reason, fieldValue:
+		switch {
+		case c == '\r':
+			return lineEnd
+		case isTextByte(c):
+			return s.state
+		}
+	case lineEnd:
+		if c == '\n' {
 			return lineStart
+		}
+	case headEnd:
+		switch {
 		case c == '\n' && s.status < 200:
 			*s = scanner{} // an interim response
 			return statusLine
 		case c == '\n':
 			return ended
-		case c == '\r' && s.state == lineStart:
-			return headEnd
 		}
-		return line
 	}
 	return malformed
 }
@@ -67,10 +90,10 @@
 		switch {
 		case s.status < 100 || s.status > maxStatus || s.status == switchingProtocols:
 			return malformed
-		case c == ' ' || c == '\r':
-			return line
-		case c == '\n':
-			return lineStart
+		case c == ' ':
+			return reason
+		case c == '\r': // without a reason phrase
+			return lineEnd
 		}
 		return malformed
 	}
@@ -84,3 +107,15 @@
 	}
 	return statusLine
 }
+
+// isTokenByte reports whether the name of a field may hold c.
+func isTokenByte(c byte) bool {
+	switch c {
+	case '!', '#', '$', '%', '&', '\'', '*', '+', '-', '.', '^', '_', '`', '|', '~':
+		return true
+	}
+	return '0' <= c && c <= '9' || 'A' <= c && c <= 'Z' || 'a' <= c && c <= 'z'
+}
+
+// isTextByte reports whether the value of a field or a reason phrase may hold c.
+func isTextByte(c byte) bool { return c == '\t' || c >= ' ' && c != 0x7f }
