httpendpoint: an answer that was reset during the upload is a failed call

Callers saw: a server answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer.

Cause: http.Transport writes the request and reads the response at the same time. The kernel keeps the error of a reset once; if the write takes it, the next read gives io.EOF as after an orderly end, which is the end of a body without a length. The same was found in the tunnels before (TestTunnelPassesOnAResetWhileItWrites); the gateway's own calls write the whole request before they read, and give up when the write fails.

Change: tunnels' resetReader becomes tcp.ResetReader, which takes an end for a reset unless the socket says that the other side has closed it, and the connections of responsehead for an http.Transport (httpendpoint, and the clients of the store and of httpplatform) read through it. tcp.Socket, from front, finds the socket below a gate's connection.

--- a/internal/endpoint/httpendpoint/answer_test.go
+++ b/internal/endpoint/httpendpoint/answer_test.go
@@ -9,9 +9,11 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 
 	"carawayrouter.example/router/internal/endpoint"
+	"carawayrouter.example/router/internal/netgate"
 	"carawayrouter.example/router/internal/reqid"
 )
 
@@ -48,10 +50,10 @@
 }
 
 // callService calls the service at addr and reads its whole response.
-func callService(addr string, body []byte) (status int, got string, err error) {
+func callService(o Options, addr string, body []byte) (status int, got string, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
-	resp, err := NewDialer(Options{}).Service(addr).Do(ctx, endpoint.ServiceRequest{ID: reqid.ID{Instance: "a", Seq: 1}, Method: http.MethodPost, Path: "/", Body: body})
+	resp, err := NewDialer(o).Service(addr).Do(ctx, endpoint.ServiceRequest{ID: reqid.ID{Instance: "a", Seq: 1}, Method: http.MethodPost, Path: "/", Body: body})
 	if err != nil {
 		return 0, "", err
 	}
@@ -64,7 +66,7 @@
 func checkBroken(t *testing.T, answer string) {
 	t.Helper()
 	addr := answeringRaw(t, answer)
-	status, body, err := callService(addr, []byte("request"))
+	status, body, err := callService(Options{}, addr, []byte("request"))
 	assert.ErrorIs(t, err, endpoint.ErrCallFailed, "%d %q", status, body)
 	_, err = NewDialer(Options{}).Engine(addr).Order(context.Background(), endpoint.Order{})
 	assert.ErrorIs(t, err, endpoint.ErrCallFailed)
@@ -79,7 +81,7 @@
 		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
 	} {
 		addr := answeringRaw(t, answer)
-		status, body, err := callService(addr, []byte("request"))
+		status, body, err := callService(Options{}, addr, []byte("request"))
 		assert.NilError(t, err, "%q", answer)
 		assert.Equal(t, status, http.StatusOK)
 		assert.Equal(t, body, "{}")
@@ -126,3 +128,25 @@
 	_, err = e.Order(context.Background(), endpoint.Order{})
 	assert.ErrorIs(t, err, endpoint.ErrCallFailed)
 }
+
+// A service begins an answer without a length while the request is still being written, and resets the connection. The
+// writer may take the connection's error, and the reader then sees an ordinary end.
+func TestAnswerResetDuringTheUploadIsAFailedCall(t *testing.T) {
+	const resets = 300
+	addr := answering(t, func(c *net.TCPConn, req *http.Request) {
+		_, _ = io.CopyN(io.Discard, req.Body, 32<<10)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nhalf an answer")
+		_, _ = io.CopyN(io.Discard, req.Body, 32<<10)
+		_ = c.SetLinger(0)
+	})
+	body := make([]byte, 8<<20)
+	for name, o := range map[string]Options{"own connections": {}, "connections through a gate": {DialContext: netgate.New(nil).DialContext}} {
+		t.Run(name, func(t *testing.T) {
+			for i := range resets {
+				status, got, err := callService(o, addr, body)
+				assert.Assert(t, err != nil, "reset %d: %d %q looks whole", i, status, got)
+				assert.Assert(t, errors.Is(err, endpoint.ErrCallFailed), "%v", err)
+			}
+		})
+	}
+}
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"carawayrouter.example/router/internal/tcp"
@@ -25,7 +24,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if sc, ok := rawConn(c); ok {
+	if sc, ok := tcp.Socket(c); ok {
 		_ = tcp.SetUserTimeout(sc, l.writeTimeout)
 	}
 	return &conn{Conn: c, writeTimeout: l.writeTimeout}, nil
@@ -79,20 +78,6 @@
 // closedByPeer reports whether the caller has closed its side of the connection. Unread
 // data does not count as closed.
 func (c *conn) closedByPeer() bool {
-	sc, ok := rawConn(c.Conn)
+	sc, ok := tcp.Socket(c.Conn)
 	return ok && tcp.Peek(sc) == tcp.Closed
 }
-
-// rawConn unwraps c to the connection that gives access to its socket.
-func rawConn(c net.Conn) (syscall.Conn, bool) {
-	for {
-		if sc, ok := c.(syscall.Conn); ok {
-			return sc, true
-		}
-		w, ok := c.(interface{ NetConn() net.Conn })
-		if !ok {
-			return nil, false
-		}
-		c = w.NetConn()
-	}
-}
--- a/internal/gateway/tunnel.go
+++ b/internal/gateway/tunnel.go
@@ -411,18 +411,6 @@
 		toInstance = newFrameWriter(raw)
 	}
 	wg.Go(func() { pass(endpoint, read) })
-	wg.Go(func() { pass(toInstance, io.TeeReader(resetReader{endpoint}, observer)) })
+	wg.Go(func() { pass(toInstance, io.TeeReader(tcp.ResetReader{Conn: endpoint}, observer)) })
 	wg.Wait()
 }
-
-// resetReader reads a connection that is written to at the same time. A write may take the error that a reset leaves, and the
-// connection then reads as if it had been closed.
-type resetReader struct{ net.Conn }
-
-func (r resetReader) Read(b []byte) (int, error) {
-	n, err := r.Conn.Read(b)
-	if sc, ok := r.Conn.(syscall.Conn); ok && errors.Is(err, io.EOF) && !tcp.ClosedByPeer(sc) {
-		err = syscall.ECONNRESET
-	}
-	return n, err
-}
--- a/internal/responsehead/conn.go
+++ b/internal/responsehead/conn.go
@@ -4,16 +4,19 @@
 	"context"
 	"net"
 	"net/http/httptrace"
+
+	"carawayrouter.example/router/internal/tcp"
 )
 
-// Conn is a connection of an http.Transport that checks the heads of responses.
+// Conn is a connection of an http.Transport. It checks the heads of responses, and tells a reset from an end: the transport
+// writes and reads at the same time.
 type Conn struct {
 	net.Conn
 	head *Reader
 }
 
 // NewConn returns a Conn on c.
-func NewConn(c net.Conn) *Conn { return &Conn{Conn: c, head: NewReader(c)} }
+func NewConn(c net.Conn) *Conn { return &Conn{Conn: c, head: NewReader(tcp.ResetReader{Conn: c})} }
 
 // Read implements net.Conn.
 func (c *Conn) Read(b []byte) (int, error) { return c.head.Read(b) }
--- a/internal/tcp/tcp.go
+++ b/internal/tcp/tcp.go
@@ -2,6 +2,8 @@
 package tcp
 
 import (
+	"io"
+	"net"
 	"syscall"
 	"time"
 
@@ -74,3 +76,32 @@
 	})
 	return err == nil && closed
 }
+
+// Socket unwraps c to the connection that gives access to its socket.
+func Socket(c net.Conn) (syscall.Conn, bool) {
+	for {
+		if sc, ok := c.(syscall.Conn); ok {
+			return sc, true
+		}
+		w, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			return nil, false
+		}
+		c = w.NetConn()
+	}
+}
+
+// ResetReader reads a connection that is written to at the same time. A write may take the error that a reset leaves, and the
+// connection then reads as if it had been closed.
+type ResetReader struct{ net.Conn }
+
+// Read implements net.Conn.
+func (r ResetReader) Read(b []byte) (int, error) {
+	n, err := r.Conn.Read(b)
+	if err == io.EOF {
+		if sc, ok := Socket(r.Conn); ok && !ClosedByPeer(sc) {
+			err = syscall.ECONNRESET
+		}
+	}
+	return n, err
+}
