gateway: tests of answers that are reset during the upload

The gateway handles the case that httpendpoint did not: it reads a response only once the request is written, so that no write can take the error of a reset from the read.

--- a/internal/gateway/brokenanswer_test.go
+++ b/internal/gateway/brokenanswer_test.go
@@ -1,13 +1,66 @@
 package gateway
 
 import (
+	"bufio"
+	"context"
+	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 
+	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
+
+	"carawayrouter.example/router/internal/endpoint"
 )
 
+// An endpoint begins an answer without a length while the request is still being written, and resets the connection.
+func TestResponseResetDuringTheUploadIsAnError(t *testing.T) {
+	const resets = 300
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer ln.Close()
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer nc.Close()
+				req, err := http.ReadRequest(bufio.NewReader(nc))
+				if err != nil {
+					return
+				}
+				if req.Method == http.MethodGet { // a question about the endpoint
+					_, _ = io.WriteString(nc, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+					return
+				}
+				_, _ = io.CopyN(io.Discard, req.Body, 32<<10)
+				_, _ = io.WriteString(nc, "HTTP/1.1 200 OK\r\nId: mine\r\n\r\nhalf an answer")
+				_, _ = io.CopyN(io.Discard, req.Body, 32<<10)
+				_ = nc.(*net.TCPConn).SetLinger(0)
+			}()
+		}
+	}()
+	body := make([]byte, 8<<20)
+	for name, length := range map[string]int{"written in part": len(body), "written whole": 100 << 10} {
+		t.Run(name, func(t *testing.T) {
+			for range resets {
+				u := newUpstream(refusingWire{}, func(net.Conn) {})
+				call := u.startCall(context.Background(), endpointRequest{addr: ln.Addr().String(), method: http.MethodPost, uri: "/", host: "h", attemptID: "mine", body: body[:length], forCaller: true, healthPath: "/health"})
+				<-call.answered
+				assert.Assert(t, call.err != nil, "%q looks whole", call.body)
+				assert.Assert(t, errors.Is(call.err, endpoint.ErrCallFailed) && !call.refused(), "%v", call.err)
+				if call.resp != nil {
+					call.resp.close()
+				}
+			}
+		})
+	}
+}
+
 // What an endpoint seems to announce in a malformed head that passes through a tunnel is not believed.
 func TestAnnouncementInAMalformedHeadIsNotBelieved(t *testing.T) {
 	const sound = "HTTP/1.1 200 OK\r\nId: sound\r\nContent-Length: 0\r\n\r\n"
