An answer of HTTP/1.0 with a transfer encoding is a failed attempt

Callers would see: the framing of chunks as the body of a signed 200 ("20 id: 1 ..."), when a server answers with a status line of HTTP/1.0 and a Transfer-Encoding field.

Cause: that of malformed fields, found by a trial that looked for it elsewhere: the parser of net/http drops a Transfer-Encoding of HTTP/1.0, and takes the body for one that has its length, or ends with the connection. RFC 9112 (6.1) says that the framing of such a message is faulty.

Change: responsehead refuses such a head.

--- a/internal/endpoint/httpendpoint/answer_test.go
+++ b/internal/endpoint/httpendpoint/answer_test.go
@@ -111,6 +111,11 @@
 	}
 }
 
+// HTTP/1.0 has no chunks.
+func TestOldAnswerInChunksIsAFailedCall(t *testing.T) {
+	checkBroken(t, "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n")
+}
+
 // The head of every answer on a connection is checked.
 func TestLaterAnswerOnAConnectionIsChecked(t *testing.T) {
 	const whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
--- a/internal/responsehead/responsehead_test.go
+++ b/internal/responsehead/responsehead_test.go
@@ -42,6 +42,8 @@
 		"HTTP/1.1 200 OK\r\n\r\n",
 		"HTTP/1.0 599 \r\nX: y\r\n\r\n",
 		"HTTP/1.1 404\r\n\r\n",
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.0 200 OK\r\nX-Transfer-Encoding: x\r\nTransfer-Encodings: y\r\nTransfer: z\r\n\r\n",
+		"HTTP/1.0 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
 		"HTTP/1.1 200 In \xc3\xa4 word\t\r\n!#$%&'*+-.^_`|~09azAZ: \xc3\xa4\t!~\r\nEmpty:\r\n\r\n",
 		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 199 X\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
 		"HTTP/1.1 200 OK\r\n" + long + long + "\r\n",
@@ -63,6 +65,9 @@
 		"HTTP/1.1  200 OK\r\n\r\n", "HTTP/1.1 2000 OK\r\n\r\n", "HTTP/1.1 20 OK\r\n\r\n", "HTTP/1.1 200 O\x00K\r\n\r\n",
 		"HTTP/1.1 100 Continue\r\n\r\n" + "HTTP/1.1 000 OK\r\n\r\n", "\r\n" + status + "\r\n",
 	}
+	for _, name := range []string{"Transfer-Encoding", "transfer-encoding", "TRANSFER-ENCODING"} {
+		heads = append(heads, "HTTP/1.0 200 OK\r\nX: y\r\n"+name+": chunked\r\n\r\n")
+	}
 	for _, code := range []string{"000", "001", "099", "101", "600", "999", "+20", "-00", "0x2"} {
 		heads = append(heads, "HTTP/1.1 "+code+" OK\r\n\r\n")
 	}
--- a/internal/responsehead/scanner.go
+++ b/internal/responsehead/scanner.go
@@ -18,6 +18,12 @@
 // statusLineForm is the part of a status line before the reason phrase; # is a digit.
 const statusLineForm = "HTTP/1.# ###"
 
+// versionColumn is where a status line has the minor version.
+const versionColumn = len("HTTP/1.")
+
+// transferEncoding is the name of a field that HTTP/1.0 does not have: it does not say where the body of such a response ends.
+const transferEncoding = "transfer-encoding"
+
 // maxStatus is the largest status that HTTP defines a class for.
 const maxStatus = 599
 
@@ -29,6 +35,9 @@
 	state  state
 	column int // in the status line
 	status int
+	old    bool // the version is 1.0
+	// matched is how much of transferEncoding the name of the field begins with, or -1 if it is another name.
+	matched int
 }
 
 // scan reads the next bytes up to the end of the head, and returns its state.
@@ -52,14 +61,17 @@
 		case c == '\r':
 			return headEnd
 		case isTokenByte(c):
-			return fieldName
+			s.matched = 0
+			return s.nameByte(c)
 		}
 	case fieldName:
 		switch {
+		case c == ':' && s.old && s.matched == len(transferEncoding):
+			return malformed
 		case c == ':':
 			return fieldValue
 		case isTokenByte(c):
-			return fieldName
+			return s.nameByte(c)
 		}
 	case reason, fieldValue:
 		switch {
@@ -102,12 +114,28 @@
 	if want != c && !(want == '#' && isDigit) {
 		return malformed
 	}
+	if s.column == versionColumn {
+		s.old = c == '0'
+	}
 	if s.column++; s.column > len(statusLineForm)-3 {
 		s.status = 10*s.status + int(c-'0')
 	}
 	return statusLine
 }
 
+// nameByte returns the state after the byte c of the name of a field.
+func (s *scanner) nameByte(c byte) state {
+	if 'A' <= c && c <= 'Z' {
+		c += 'a' - 'A'
+	}
+	if s.matched >= 0 && s.matched < len(transferEncoding) && transferEncoding[s.matched] == c {
+		s.matched++
+	} else {
+		s.matched = -1
+	}
+	return fieldName
+}
+
 // isTokenByte reports whether the name of a field may hold c.
 func isTokenByte(c byte) bool {
 	switch c {
