--- a/internal/endpoint/httpendpoint/answer_test.go
+++ b/internal/endpoint/httpendpoint/answer_test.go
@@ -112,7 +112,7 @@
 }
 
 // HTTP/1.0 has no chunks.
-func TestOldAnswerInChunksIsAFailedCall(t *testing.T) {
+func TestHTTP10AnswerInChunksIsAFailedCall(t *testing.T) {
 	checkBroken(t, "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n")
 }
 
--- a/internal/platform/httpplatform/client.go
+++ b/internal/platform/httpplatform/client.go
@@ -43,7 +43,7 @@
 		base:       "http://" + addr,
 		dataCentre: dataCentre,
 		http: &http.Client{Transport: &http.Transport{
-			DialContext:         responsehead.CheckedDial(responsehead.Dial(dial)),
+			DialContext:         responsehead.CheckedDial(dial),
 			MaxIdleConnsPerHost: maxIdleConnsPerHost,
 			IdleConnTimeout:     idleTimeout,
 		}},
--- a/internal/responsehead/conn.go
+++ b/internal/responsehead/conn.go
@@ -24,11 +24,11 @@
 // ExpectResponse makes the connection check the head of the response to the request that is sent next.
 func (c *Conn) ExpectResponse() { _ = c.head.Expect(nil) }
 
-// Dial establishes a connection, like net.Dialer.DialContext.
-type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+// dialFunc establishes a connection, like net.Dialer.DialContext.
+type dialFunc = func(ctx context.Context, network, addr string) (net.Conn, error)
 
 // CheckedDial returns a dial function for an http.Transport. Its connections check the responses to requests with a Context.
-func CheckedDial(dial Dial) Dial {
+func CheckedDial(dial dialFunc) dialFunc {
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		c, err := dial(ctx, network, addr)
 		if err != nil {
--- a/internal/responsehead/scanner.go
+++ b/internal/responsehead/scanner.go
@@ -1,6 +1,6 @@
 package responsehead
 
-// state is where in a head a scanner is.
+// state is what a scanner has reached in a head.
 type state int
 
 const (
@@ -21,7 +21,7 @@
 // versionColumn is where a status line has the minor version.
 const versionColumn = len("HTTP/1.")
 
-// transferEncoding is the name of a field that HTTP/1.0 does not have: it does not say where the body of such a response ends.
+// transferEncoding is the name of a field that HTTP/1.0 does not have. Where the body of such a response ends is not known.
 const transferEncoding = "transfer-encoding"
 
 // maxStatus is the largest status that HTTP defines a class for.
@@ -35,7 +35,7 @@
 	state  state
 	column int // in the status line
 	status int
-	old    bool // the version is 1.0
+	http10 bool
 	// matched is how much of transferEncoding the name of the field begins with, or -1 if it is another name.
 	matched int
 }
@@ -66,7 +66,7 @@
 		}
 	case fieldName:
 		switch {
-		case c == ':' && s.old && s.matched == len(transferEncoding):
+		case c == ':' && s.http10 && s.matched == len(transferEncoding):
 			return malformed
 		case c == ':':
 			return fieldValue
@@ -115,7 +115,7 @@
 		return malformed
 	}
 	if s.column == versionColumn {
-		s.old = c == '0'
+		s.http10 = c == '0'
 	}
 	if s.column++; s.column > len(statusLineForm)-3 {
 		s.status = 10*s.status + int(c-'0')
