--- a/internal/gateway/brokenanswer_test.go
+++ b/internal/gateway/brokenanswer_test.go
@@ -72,3 +72,53 @@
 		assert.DeepEqual(t, announced, []string{"sound"})
 	}
 }
+
+// No question to an endpoint is answered by a response with a malformed head.
+func TestMalformedHeadAnswersNoQuestion(t *testing.T) {
+	ctx := context.Background()
+	for name, ask := range map[string]func(u *upstream, addr string) error{
+		"prefill": func(u *upstream, addr string) error {
+			call := u.startCall(ctx, endpointRequest{addr: addr, method: http.MethodPost, uri: "/", host: "h", attemptID: "mine"})
+			<-call.answered
+			return call.err
+		},
+		"incarnation": func(u *upstream, addr string) error {
+			c, err := u.dial(ctx, addr)
+			assert.NilError(t, err)
+			defer c.Close()
+			_, err = u.askIncarnation(ctx, c, endpointRequest{addr: addr})
+			return err
+		},
+		"health": func(u *upstream, addr string) error {
+			c, err := u.dial(ctx, addr)
+			assert.NilError(t, err)
+			return u.checkHealth(ctx, c, endpointRequest{addr: addr, healthPath: "/health"})
+		},
+		"tunnel": func(_ *upstream, addr string) error {
+			nc, err := dialTCP(ctx, addr)
+			assert.NilError(t, err)
+			defer nc.Close()
+			_, err = requestTunnel(nc, []byte("secret"), addr, "127.0.0.1:1")
+			return err
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			id := ""
+			if name == "prefill" {
+				id = "Id: mine\r\n"
+			}
+			end := id + "Content-Length: 0\r\n\r\n"
+			for head, sound := range map[string]bool{"HTTP/1.1 200 OK\r\n": true, "HTTP/1.1 000 OK\r\n": false, "HTTP/1.1 600 OK\r\n": false, "HTTP/1.1 200 OK\r\nX Y: z\r\n": false, "HTTP/1.1 200 OK\r\nX: y\r\n\tz\r\n": false} {
+				u := newUpstream(bornWire{}, func(net.Conn) {})
+				err := ask(u, answering(t, head+end))
+				assert.Equal(t, err == nil, sound, "%q: %v", head, err)
+			}
+		})
+	}
+}
+
+// bornWire decodes the id of the attempt, and any report as one of an engine of the incarnation 1.
+type bornWire struct{ refusingWire }
+
+func (bornWire) ReportPath() string                        { return "/report" }
+func (bornWire) ReportedIncarnation([]byte) (int64, error) { return 1, nil }
