A stream does not go on at an event id that cannot follow the one before

Cause: the id of each relayed event was taken for the caller's position as it came, and the rest of the stream was asked for after it.

Change: each id of a stream that may be resumed is compared with the one before as it is read. An event that cannot follow is not relayed; its run has failed, and the stream goes on at another engine after the last relayed event. The position of a caller is thereby always that of an event that it has. Increasing ids that do not count the events, which the platform allows, are relayed, and such a stream is not resumed by the instance.

Evidence, on the commit before: TestBrokenStreamIsNotResumedAtAWrongID fails in all of its seven kinds of ids, TestBrokenStreamInATunnelIsNotResumedAtAWrongID and TestStreamTakenUpByItsCallerIsNotResumedAtAWrongID fail.

--- a/internal/gateway/enginerun.go
+++ b/internal/gateway/enginerun.go
@@ -25,6 +25,7 @@
 	prefill *prefillResult // nil if the engine prefills the prompt itself
 	cancel  context.CancelCauseFunc
 	results chan runResult
+	ids     *idSequence // of the events; nil if the stream cannot be resumed
 
 	refusedBy []string // engines that refused the request with the same prefill result
 
@@ -82,9 +83,9 @@
 	return !resp.NotRun && resp.Status == http.StatusOK
 }
 
-// startRun sends a request to the lease's decode engine. Ctx ends the run.
-func (u *upstream) startRun(ctx context.Context, req endpointRequest, l *placement.Lease, p *prefillResult) *engineRun {
-	r := &engineRun{lease: l, prefill: p}
+// startRun sends a request to the lease's decode engine. Ctx ends the run. Ids, if not nil, checks the ids of its events.
+func (u *upstream) startRun(ctx context.Context, req endpointRequest, l *placement.Lease, p *prefillResult, ids *idSequence) *engineRun {
+	r := &engineRun{lease: l, prefill: p, ids: ids}
 	waiting := 1
 	if u.ahead != nil {
 		r.ahead, r.relayed, waiting = u.ahead.Open(), make(chan struct{}, 1), relaybuffer.MaxEvents
@@ -119,17 +120,18 @@
 	if r.ahead != nil {
 		context.AfterFunc(ctx, r.ahead.Close)
 	}
-	br := bufio.NewReaderSize(memory, eventBufferBytes)
+	events := newEventReader(bufio.NewReaderSize(memory, eventBufferBytes), r.ids)
 	for {
 		if !r.awaitRoom(ctx) {
 			resp.close()
 			return
 		}
-		e, err := readEvent(br)
+		e, err := events.next()
 		if err != nil {
 			resp.bodyRead = errors.Is(err, io.EOF)
 			resp.close()
-			if !resp.bodyRead {
+			// An event with a wrong id is no sign that the engine has crashed.
+			if !resp.bodyRead && !errors.Is(err, errEventID) {
 				err = errors.Mark(err, endpoint.ErrCallFailed)
 			}
 			r.deliver(ctx, runResult{err: err})
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -10,10 +10,16 @@
 
 // streamEvent is one event of a stream with its raw bytes.
 type streamEvent struct {
-	raw []byte // including the blank line that ends it
-	id  string
+	raw     []byte // including the blank line that ends it
+	id      string
+	hasData bool
+	// uncounted says that the ids of the stream do not count its events, so that a wrong one cannot be told.
+	uncounted bool
 }
 
+// isPiece reports whether the event is a part of the stream's output, and not a comment.
+func (e *streamEvent) isPiece() bool { return e.hasData || e.id != "" }
+
 var (
 	errTruncatedEvent = errors.New("stream ended in the middle of an event")
 	errLargeEvent     = errors.New("event is too large")
@@ -48,5 +54,6 @@
 		if v, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			e.id = string(bytes.TrimSpace(v))
 		}
+		e.hasData = e.hasData || bytes.HasPrefix(line, []byte("data:")) || string(line) == "data"
 	}
 }
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -479,7 +479,11 @@
 	req := g.request(l.Target, RequestOptions{KVSource: p.source(), LastEventID: g.lastEventID})
 	// The software version in an entry holds for its incarnation only.
 	req.incarnation, req.mustConfirm = l.Target.Incarnation, p != nil || g.softwareVersion != ""
-	return g.s.upstream.startRun(g.ctx, req, l, p)
+	var ids *idSequence
+	if g.call.Route.Resumable {
+		ids = newIDSequence(g.lastEventID, g.relayedTokens > 0)
+	}
+	return g.s.upstream.startRun(g.ctx, req, l, p, ids)
 }
 
 // handleReuseTime is how long after a prefill its result may still be offered to another
@@ -539,9 +543,10 @@
 }
 
 // resumable reports whether another engine may go on with the stream. An instance of a release
-// that does not know software versions may have passed on the entry of the engine that began it.
+// that does not know software versions may have passed on the entry of the engine that began it. Where the ids do not
+// count the events, the caller's position may be wrong.
 func (x *exchange) resumable() bool {
-	return x.call.Route.Resumable && (x.relayedTokens == 0 || x.softwareVersion != "")
+	return x.call.Route.Resumable && (x.relayedTokens == 0 || x.softwareVersion != "" && !x.uncounted)
 }
 
 // releaseHandle frees a prefill result that will not be fetched.
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -64,6 +64,7 @@
 	softwareVersion string             // of the engine that began the stream; empty before
 	takenUp         bool               // the caller takes up a broken stream
 	lastEventID     string             // ID of the last event relayed, or the one sent by the caller
+	uncounted       bool               // the ids of the stream do not count its events
 	logNow          bool               // log lines are written immediately
 	deferredLines   []logLine          // log lines to write when the request ends
 	fallback        *bufferedResponse  // an endpoint's error response, sent if no attempt succeeds
--- a/internal/gateway/runresult.go
+++ b/internal/gateway/runresult.go
@@ -83,6 +83,9 @@
 		}
 		return runProgressed, sched.Succeeded, nil
 	case !errors.Is(r.err, io.EOF):
+		if errors.Is(r.err, errEventID) {
+			g.s.stats.wrongEventIDs.Inc()
+		}
 		if run.events < beginEvents {
 			g.recordBreak(g.ctx, run.lease.Target, r.err)
 		}
@@ -122,7 +125,7 @@
 	}
 	run.taken(len(e.raw))
 	if e.id != "" {
-		g.lastEventID = e.id
+		g.lastEventID, g.uncounted = e.id, e.uncounted
 	}
 	g.recordEventTime(time.Now())
 	if run.events++; run.events == beginEvents {
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -29,6 +29,7 @@
 	retriesDenied     *metrics.Counter
 	ejections         *metrics.Counter
 	resumes           *metrics.Counter
+	wrongEventIDs     *metrics.Counter
 	prefills          *metrics.Counter
 	prefillsUnfetched *metrics.Counter
 	storeFailures     *metrics.Counter
@@ -95,6 +96,7 @@
 		retriesDenied:     set.NewCounter("caraway_repeats_refused_total"),
 		ejections:         set.NewCounter("caraway_endpoint_ejections_total"),
 		resumes:           set.NewCounter("caraway_stream_resumes_total"),
+		wrongEventIDs:     set.NewCounter("caraway_event_ids_wrong_total"),
 		prefills:          set.NewCounter("caraway_prefills_total"),
 		prefillsUnfetched: set.NewCounter("caraway_prefills_unfetched_total"),
 		storeFailures:     set.NewCounter("caraway_store_failures_total"),
