Endpoints that are gone do not come back through another instance

Cause, two halves of it. An instance that holds back the removal of entries, as many go at once, passed them on to other instances like those in force. And the one that took them had read the table without them: it compared only the newest row that each of the two had seen, not each entry with what it had read itself. Its feed went on behind the removals, so that nothing took the entries away again.

Change: a directory knows up to which position it has read the whole table, and takes no entry from another instance that was written until then and that it does not have. Entries whose removal is held back are sent apart, with the position of the removal and the time that is left; who takes one suspends and drops it at the same time. Former builds do not see them, and what they send is subject to the first rule.

The tests of the package that draw histories have a fixed seed now.

--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -23,8 +23,10 @@
 // seen. Positions in the store decide which was first, so that stale reads, late changes and older
 // views of other instances bring no endpoint back that has left without a word. After a restore of the store, entries
 // of its copy are no proof either: they were written before its first answer.
+// What was written until wholeAt and is not known was removed.
 type directory struct {
 	entries       map[string]*directoryEntry
+	wholeAt       uint64                  // position up to which the whole table was read; 0 if it never was
 	retired       map[string]int64        // newest incarnation seen leaving, by name
 	removed       map[string]removedEntry // entries that were removed and not written again, by name
 	removals      int                     // entries removed since removalsSince
@@ -68,6 +70,9 @@
 // storeRestored records that the store was restored, and its first position since.
 func (d *directory) storeRestored(now time.Time, first uint64) {
 	d.storeRecovered(now)
+	if d.wholeAt > 0 {
+		d.wholeAt = max(d.wholeAt, first)
+	}
 	for name, r := range d.removed {
 		r.At = max(r.At, first)
 		d.removed[name] = r
@@ -211,12 +216,60 @@
 		if ep.Incarnation < old.ep.Incarnation || ep.Incarnation == old.ep.Incarnation && ep.Revision <= old.ep.Revision {
 			return false
 		}
-	} else if incarnation, ok := d.retired[ep.Name]; ok && ep.Incarnation <= incarnation {
+	} else if incarnation, ok := d.retired[ep.Name]; ok && ep.Incarnation <= incarnation || d.isGone(ep) {
 		return false
 	}
 	return d.put(ep)
 }
 
+// isGone reports whether an entry that this instance does not have was removed before it read the table. Instances of
+// former builds do not say when an entry was written.
+func (d *directory) isGone(ep *config.Endpoint) bool {
+	return d.entries[ep.Name] == nil && ep.Written != 0 && ep.Written <= d.wholeAt
+}
+
+// heldEntry is an entry whose removal an instance holds back, as it tells another one. Without the removal the other one
+// would take the entry for one in force, and may have read past the removal in the store.
+type heldEntry struct {
+	Endpoint  *config.Endpoint `json:"endpoint"`
+	RemovedAt uint64           `json:"removed_at"`           // position in the store
+	DropIn    time.Duration    `json:"drop_in"`              // until the entry is dropped
+	Suspends  bool             `json:"suspends,omitempty"`   // the endpoint gets no more requests some time before that
+	SuspendIn time.Duration    `json:"suspend_in,omitempty"` // until then; negative if it is past
+}
+
+// held returns the entries whose removal is pending.
+func (d *directory) held(now time.Time) (out []heldEntry) {
+	for _, entry := range d.entries {
+		if !entry.removalPending {
+			continue
+		}
+		h := heldEntry{Endpoint: entry.ep, RemovedAt: entry.removedAt, DropIn: entry.removeAt.Sub(now)}
+		if !entry.suspendAt.IsZero() {
+			h.Suspends, h.SuspendIn = true, entry.suspendAt.Sub(now)
+		}
+		out = append(out, h)
+	}
+	return out
+}
+
+// mergeHeld applies an entry whose removal another instance holds back.
+func (d *directory) mergeHeld(now time.Time, h heldEntry) bool {
+	changed := d.merge(h.Endpoint)
+	entry := d.entries[h.Endpoint.Name]
+	if entry == nil || entry.ep.Written > h.RemovedAt {
+		return changed
+	}
+	entry.removedAt = max(entry.removedAt, h.RemovedAt)
+	if !entry.removalPending {
+		entry.removalPending, entry.removeAt = true, now.Add(h.DropIn)
+		if h.Suspends {
+			entry.suspendAt = now.Add(h.SuspendIn)
+		}
+	}
+	return changed
+}
+
 // retire records that an incarnation was seen leaving, by this instance or by another one.
 func (d *directory) retire(name string, incarnation int64) bool {
 	if old, ok := d.retired[name]; ok && old >= incarnation {
@@ -274,9 +327,17 @@
 			changed = d.remove(now, name, at) || changed
 		}
 	}
+	d.wholeAt = at
 	return changed
 }
 
+// followed records that all changes of the table up to a position were applied.
+func (d *directory) followed(at uint64) {
+	if d.wholeAt > 0 {
+		d.wholeAt = at
+	}
+}
+
 // expire drops the entries whose endpoints did not register again in time, and suspends those that
 // may have left.
 func (d *directory) expire(now time.Time) bool {
@@ -297,24 +358,27 @@
 
 // list returns the endpoints sorted by name. Suspended ones are leaving.
 func (d *directory) list() []*config.Endpoint {
-	out := d.known()
-	for i, ep := range out {
-		if d.entries[ep.Name].suspended {
+	out := make([]*config.Endpoint, 0, len(d.entries))
+	for _, entry := range d.entries {
+		ep := entry.ep
+		if entry.suspended {
 			e := *ep
 			e.Leaving = true
-			out[i] = &e
+			ep = &e
 		}
+		out = append(out, ep)
 	}
+	slices.SortFunc(out, func(a, b *config.Endpoint) int { return strings.Compare(a.Name, b.Name) })
 	return out
 }
 
-// known returns the endpoints as they have registered, sorted by name.
-func (d *directory) known() []*config.Endpoint {
-	out := make([]*config.Endpoint, 0, len(d.entries))
-	for entry := range maps.Values(d.entries) {
-		out = append(out, entry.ep)
+// registered returns the endpoints whose entries are in the store, as they have registered.
+func (d *directory) registered() (out []*config.Endpoint) {
+	for _, entry := range d.entries {
+		if !entry.removalPending {
+			out = append(out, entry.ep)
+		}
 	}
-	slices.SortFunc(out, func(a, b *config.Endpoint) int { return strings.Compare(a.Name, b.Name) })
 	return out
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"flag"
 	"testing"
 	"time"
 
@@ -9,6 +10,11 @@
 	"carawayrouter.example/router/internal/errkind"
 )
 
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "7") // a seed on the command line takes precedence
+	m.Run()
+}
+
 // A refused caller is never told to come back at once, however short the predicted wait is.
 func TestRefusalHasATimeToReturn(t *testing.T) {
 	for _, wait := range []time.Duration{-time.Second, 0, time.Millisecond, minRetryAfter, time.Minute} {
--- a/internal/gateway/peerstate.go
+++ b/internal/gateway/peerstate.go
@@ -21,6 +21,7 @@
 	EndpointsVersion     uint64                   `json:"directory"`           // a Position.order
 	EraStart             uint64                   `json:"era_start,omitempty"` // the first position that was read of its era; 0 if not known
 	Endpoints            []*config.Endpoint       `json:"endpoints"`
+	Held                 []heldEntry              `json:"held,omitempty"` // former builds put these entries among Endpoints
 	Retired              map[string]int64         `json:"retired"`
 	Removed              map[string]removedEntry  `json:"removed,omitempty"`
 	Secret               []byte                   `json:"secret"`
@@ -67,9 +68,10 @@
 		ctx.SetStatusCode(fasthttp.StatusForbidden)
 		return
 	}
-	st := p.s.state.export()
+	now := time.Now()
+	st := p.s.state.export(now)
 	st.Secret, st.Instances, st.Listed = secret, rows, listed
-	st.Streams, st.Software = p.s.origins.export(time.Now())
+	st.Streams, st.Software = p.s.origins.export(now)
 	st.Evacuations = p.s.exportEvacuations()
 	b, err := json.Marshal(st)
 	if err != nil {
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -130,6 +130,8 @@
 	if full {
 		changed = s.directory.replace(now, eps, at.order()) || changed
 		s.log.Info("endpoint.table", "endpoints", len(eps), "changed", changed)
+	} else {
+		s.directory.followed(at.order())
 	}
 	if changed {
 		s.publish()
@@ -250,7 +252,7 @@
 }
 
 // export returns the state for another instance.
-func (s *state) export() *peerState {
+func (s *state) export(now time.Time) *peerState {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return &peerState{
@@ -258,7 +260,8 @@
 		Configuration:        s.rawConfiguration,
 		EndpointsVersion:     s.tablePosition.order(),
 		EraStart:             s.eraStart,
-		Endpoints:            s.directory.known(),
+		Endpoints:            s.directory.registered(),
+		Held:                 s.directory.held(now),
 		Retired:              maps.Clone(s.directory.retired),
 		Removed:              maps.Clone(s.directory.removed),
 	}
@@ -281,18 +284,29 @@
 		s.enterEra(now, at.Era, cmp.Or(p.EraStart, p.EndpointsVersion))
 	}
 	s.tablePosition = at
-	changed := false
+	changed, gone := false, 0
 	for _, ep := range p.Endpoints {
+		if s.directory.isGone(ep) {
+			gone++
+		}
 		changed = s.directory.merge(ep) || changed
 	}
+	for _, h := range p.Held {
+		if h.Endpoint != nil {
+			changed = s.directory.mergeHeld(now, h) || changed
+		}
+	}
 	for name, r := range p.Removed {
 		changed = s.directory.mergeRemoved(now, name, r) || changed
 	}
+	changed = s.directory.expire(now) || changed
 	for name, incarnation := range p.Retired {
 		changed = s.directory.retire(name, incarnation) || changed
 	}
+	if changed || gone > 0 {
+		s.log.Info("endpoint.table", "endpoints", len(p.Endpoints), "source", source, "version", p.EndpointsVersion, "held", len(p.Held), "gone", gone)
+	}
 	if changed {
-		s.log.Info("endpoint.table", "endpoints", len(p.Endpoints), "source", source, "version", p.EndpointsVersion)
 		s.publish()
 	}
 }
