State in an answer with status 000 is not taken

What callers would see: requests sent to endpoints, and a configuration in force, that came in an answer which is none. The answer of another instance to the request for its state was taken for one with status 200 if its status was 000.

Cause: fasthttp's client keeps the status as a number, and reads 0 as a status that was not set, which is 200. This was the only client that did not check the heads of answers.

Change: state is fetched by an http.Client whose connections check heads and tell a reset from an end, as those to endpoints and to the store do.

Evidence: TestStateInABrokenAnswerIsNotTaken fails on the commit before, with the answers of status 000; a length that is not reached and a reset were errors already. The tests of faulty instances, restarts and memory of platform pass.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"net"
+	"net/http"
 	"net/netip"
 	"slices"
 	"sync"
@@ -15,11 +16,11 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
-	"github.com/valyala/fasthttp"
 
 	"carawayrouter.example/router/internal/gossip"
 	"carawayrouter.example/router/internal/limit/pacing"
 	"carawayrouter.example/router/internal/placement"
+	"carawayrouter.example/router/internal/responsehead"
 )
 
 const (
@@ -82,7 +83,7 @@
 	self         instanceRow
 	started      time.Time
 	conn         *net.UDPConn
-	client       *fasthttp.Client
+	client       *http.Client // of the state of other instances
 	dialPeer     func(ctx context.Context, addr string) (net.Conn, error)
 	tunnels      atomic.Int64 // that this instance serves
 	updateNeeded chan struct{}
@@ -130,16 +131,23 @@
 }
 
 func newPeers(s *Server) *peers {
-	return &peers{
+	p := &peers{
 		s:            s,
 		log:          s.log,
-		client:       &fasthttp.Client{MaxResponseBodySize: maxStateBytes, ReadTimeout: fetchTimeout, WriteTimeout: fetchTimeout, MaxIdleConnDuration: time.Second, NoDefaultUserAgentHeader: true},
+		dialPeer:     dialTCP,
 		updateNeeded: make(chan struct{}, 1),
 		relayNeeded:  make(chan struct{}, 1),
 		rowNeeded:    make(chan struct{}, 1),
 		outbox:       map[string]relayedUpdate{},
 		known:        map[string]*peer{},
 	}
+	p.client = &http.Client{Transport: &http.Transport{
+		DialContext:            responsehead.CheckedDial(func(ctx context.Context, _, addr string) (net.Conn, error) { return p.dialPeer(ctx, addr) }),
+		DisableCompression:     true,
+		IdleConnTimeout:        time.Second,
+		MaxResponseHeaderBytes: maxHeadBytes,
+	}}
+	return p
 }
 
 // requestUpdate asks for an update to be sent soon.
@@ -164,7 +172,6 @@
 	// choose.
 	dialer := net.Dialer{Timeout: fetchTimeout, LocalAddr: &net.TCPAddr{IP: udp.IP}}
 	p.dialPeer = func(ctx context.Context, addr string) (net.Conn, error) { return dialer.DialContext(ctx, "tcp4", addr) }
-	p.client.Dial = func(addr string) (net.Conn, error) { return p.dialPeer(context.Background(), addr) }
 	p.started = time.Now()
 	p.self = instanceRow{Incarnation: time.Now().UnixNano(), State: p.s.settings.PeerAddr, Updates: addr, DataCentre: p.s.settings.DataCentre, Rank: p.s.settings.RelayRank, Form: gossip.CurrentForm}
 	return nil
--- a/internal/gateway/peerstate.go
+++ b/internal/gateway/peerstate.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net"
+	"net/http"
 	"net/netip"
 	"time"
 
@@ -12,6 +14,7 @@
 
 	"carawayrouter.example/router/internal/config"
 	"carawayrouter.example/router/internal/gossip"
+	"carawayrouter.example/router/internal/responsehead"
 )
 
 // peerState is the response to an instance that requests state.
@@ -130,22 +133,39 @@
 	return addr, since
 }
 
+// requestState requests the state of the instance at addr.
+func (p *peers) requestState(addr string) (*peerState, error) {
+	ctx, cancel := context.WithTimeout(responsehead.Context(context.Background()), fetchTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+statePath, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := p.client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Newf("response status %d", resp.StatusCode)
+	}
+	b, err := io.ReadAll(io.LimitReader(resp.Body, maxStateBytes+1))
+	switch {
+	case err != nil:
+		return nil, err
+	case len(b) > maxStateBytes:
+		return nil, errBodyTooLarge
+	}
+	st := new(peerState)
+	return st, errors.Wrap(json.Unmarshal(b, st), "decode")
+}
+
 // fetchState requests the state of the instance at addr and applies what is newer.
 func (p *peers) fetchState(addr string) error {
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	req.SetRequestURI("http://" + addr + statePath)
-	if err := p.client.DoTimeout(req, resp, fetchTimeout); err != nil {
+	st, err := p.requestState(addr)
+	if err != nil {
 		return errors.Wrap(err, "fetch state")
 	}
-	if resp.StatusCode() != fasthttp.StatusOK {
-		return errors.Newf("fetch state: response status %d", resp.StatusCode())
-	}
-	var st peerState
-	if err := json.Unmarshal(resp.Body(), &st); err != nil {
-		return errors.Wrap(err, "decode fetched state")
-	}
 	now := time.Now()
 	p.mu.Lock()
 	if p.secret == nil {
@@ -160,7 +180,7 @@
 	p.mu.Unlock()
 	p.s.updateFleet(now)
 	p.s.mergeEvacuations(now, st.Evacuations, addr) // first: an instance with a configuration serves
-	p.s.state.merge(now, &st, addr)
+	p.s.state.merge(now, st, addr)
 	p.s.origins.merge(now, st.Streams, st.Software)
 	p.requestUpdate()
 	return nil
--- a/internal/gateway/state_test.go
+++ b/internal/gateway/state_test.go
@@ -1,8 +1,14 @@
 package gateway
 
 import (
+	"bufio"
 	"encoding/json"
+	"io"
+	"net"
+	"net/http"
 	"slices"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -88,3 +94,45 @@
 		assert.DeepEqual(t, endpointNames(s), []string{"drained", "kept"})
 	}
 }
+
+// An answer of another instance that is not one of HTTP, or that breaks off, brings no state.
+func TestStateInABrokenAnswerIsNotTaken(t *testing.T) {
+	const state = `{"secret":"c2VjcmV0","directory":9,"endpoints":[{"name":"e","pool":"desk","addr":"127.0.0.1:1"}]}`
+	for head, sound := range map[string]bool{
+		"HTTP/1.1 200 OK\r\nContent-Length: " + strconv.Itoa(len(state)) + "\r\n\r\n":                     true,
+		"HTTP/1.1 000 Trouble\r\nContent-Length: " + strconv.Itoa(len(state)) + "\r\n\r\n":                false,
+		"HTTP/1.1 000 Trouble\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}": false,
+		"HTTP/1.1 200 OK\r\nContent-Length: 4000\r\n\r\n":                                                 false,
+		"HTTP/1.1 200 OK\r\n\r\n": false, // and the connection is reset
+	} {
+		s := fleetServer()
+		err := s.peers.fetchState(answeringWith(t, head+state, !strings.Contains(head, "Length")))
+		assert.Equal(t, err == nil, sound, "%q: %v", head, err)
+		assert.Equal(t, len(s.state.Current().Endpoints) > 0, sound, "%q", head)
+	}
+}
+
+// answeringWith returns the address of a listener that answers the first request on each connection with raw bytes and
+// closes the connection, with a reset if that is set.
+func answeringWith(t *testing.T, answer string, reset bool) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			if _, err := http.ReadRequest(bufio.NewReader(nc)); err == nil {
+				_, _ = io.WriteString(nc, answer)
+			}
+			if reset {
+				_ = nc.(*net.TCPConn).SetLinger(0)
+			}
+			_ = nc.Close()
+		}
+	}()
+	return ln.Addr().String()
+}
