--- a/internal/platform/httpplatform/httpplatform_test.go
+++ b/internal/platform/httpplatform/httpplatform_test.go
@@ -153,3 +153,32 @@
 		_ = ln.Close()
 	}
 }
+
+// The platform begins its answer to a write while the object is still being sent, and resets the connection. The write is not
+// taken for one that was made.
+func TestAnswerResetDuringAWriteIsAnError(t *testing.T) {
+	const resets = 300
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer ln.Close()
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer nc.Close()
+				_, _ = io.CopyN(io.Discard, nc, 32<<10)
+				_, _ = io.WriteString(nc, "HTTP/1.1 200 OK\r\n\r\n{}")
+				_, _ = io.CopyN(io.Discard, nc, 32<<10)
+				_ = nc.(*net.TCPConn).SetLinger(0)
+			}()
+		}
+	}()
+	c, object := NewClient(ln.Addr().String(), "a"), make([]byte, 1<<20)
+	for i := range resets {
+		err := c.Objects.Put(context.Background(), "x", object)
+		assert.Assert(t, err != nil, "reset %d: the write looks made", i)
+	}
+}
