Event ids that jump at two engines are relayed

Callers of engines whose ids count the events at first and jump later, which the platform allows, would have seen their streams end at the first jump: each engine's event was refused as one with a wrong id.

Change: the id with which a run ended is kept, and the next run may begin with the same one. Two engines do not make the same error at the same event. The order of the ids is kept as one value in place of two flags. Requests for the state of other instances follow no redirects, as before they were sent by http.Client.

Evidence: TestStreamWhoseIDsJumpIsServed and TestEventIDThatTwoEnginesGiveIsRelayed; without the rule the stream of the former is incomplete.

--- a/internal/gateway/eventids.go
+++ b/internal/gateway/eventids.go
@@ -18,14 +18,16 @@
 //
 // The platform promises only that ids increase. If the first id of a run does not follow the position in its request, the
 // second one decides: if it is the next number, the ids count the events from there; if it is larger, they do not count
-// them; otherwise the first one was wrong.
+// them; otherwise the first one was wrong. A larger id than the next number is allowed later if two engines give it at the same
+// position.
 type idSequence struct {
-	next  uint64 // the id that follows if the ids count the events
-	least uint64 // the smallest id that may follow
-	order idOrder
+	next    uint64 // the id that follows if the ids count the events
+	least   uint64 // the smallest id that may follow
+	order   idOrder
+	refused uint64 // the id that could not follow, here or, before the first event, in the run before; 0 if there was none
 }
 
-// idOrder is how the ids of a run's events increase.
+// idOrder is how the ids of a stream's events increase.
 type idOrder int
 
 const (
@@ -36,15 +38,13 @@
 )
 
 // newIDSequence returns the check of a run that begins after the event with an id, or with the first event if there is
-// no such id. With counted, the ids of the stream were seen to count its events.
-func newIDSequence(after string, counted bool) *idSequence {
-	s := &idSequence{next: 1}
+// no such id. Order is that of the events that the stream has had before, and refused the id with which the
+// run before ended, or 0.
+func newIDSequence(after string, order idOrder, refused uint64) *idSequence {
+	s := &idSequence{next: 1, order: order, refused: refused}
 	if id, ok := parseEventID(after); ok {
 		s.next, s.least = id+1, id+1
 	}
-	if counted {
-		s.order = orderCounted
-	}
 	return s
 }
 
@@ -59,7 +59,8 @@
 	switch {
 	case !ok:
 		return errors.Wrapf(errEventID, "not a number, want %d", s.next)
-	case id < s.least, id != s.next && s.order == orderCounted:
+	case id < s.least, id != s.next && s.order == orderCounted && id != s.refused:
+		s.refused = id
 		return errors.Wrapf(errEventID, "%d, want %d", id, s.next)
 	}
 	switch {
@@ -71,7 +72,7 @@
 	default:
 		s.order = orderSparse
 	}
-	s.next, s.least = id+1, id+1
+	s.next, s.least, s.refused = id+1, id+1, 0
 	return nil
 }
 
@@ -123,6 +124,6 @@
 		return
 	}
 	for i := range r.ready {
-		r.ready[i].uncounted = r.ids.order == orderSparse
+		r.ready[i].order = r.ids.order
 	}
 }
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -13,8 +13,7 @@
 	raw     []byte // including the blank line that ends it
 	id      string
 	hasData bool
-	// uncounted says that the ids of the stream do not count its events, so that a wrong one cannot be told.
-	uncounted bool
+	order   idOrder // of the ids up to this one
 }
 
 // isPiece reports whether the event is a part of the stream's output, and not a comment.
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -481,7 +481,7 @@
 	req.incarnation, req.mustConfirm = l.Target.Incarnation, p != nil || g.softwareVersion != ""
 	var ids *idSequence
 	if g.call.Route.Resumable {
-		ids = newIDSequence(g.lastEventID, g.relayedTokens > 0)
+		ids = newIDSequence(g.lastEventID, g.idOrder, g.refusedEventID)
 	}
 	return g.s.upstream.startRun(g.ctx, req, l, p, ids)
 }
@@ -543,10 +543,10 @@
 }
 
 // resumable reports whether another engine may go on with the stream. An instance of a release
-// that does not know software versions may have passed on the entry of the engine that began it. Where the ids do not
-// count the events, the caller's position may be wrong.
+// that does not know software versions may have passed on the entry of the engine that began it. Sparse ids do not show
+// whether the last one is right.
 func (x *exchange) resumable() bool {
-	return x.call.Route.Resumable && (x.relayedTokens == 0 || x.softwareVersion != "" && !x.uncounted)
+	return x.call.Route.Resumable && (x.relayedTokens == 0 || x.softwareVersion != "" && x.idOrder != orderSparse)
 }
 
 // releaseHandle frees a prefill result that will not be fetched.
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -64,7 +64,8 @@
 	softwareVersion string             // of the engine that began the stream; empty before
 	takenUp         bool               // the caller takes up a broken stream
 	lastEventID     string             // ID of the last event relayed, or the one sent by the caller
-	uncounted       bool               // the ids of the stream do not count its events
+	idOrder         idOrder            // of the events relayed
+	refusedEventID  uint64             // id with which the last run of the stream ended; 0 if it was not one
 	logNow          bool               // log lines are written immediately
 	deferredLines   []logLine          // log lines to write when the request ends
 	fallback        *bufferedResponse  // an endpoint's error response, sent if no attempt succeeds
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -141,12 +141,15 @@
 		outbox:       map[string]relayedUpdate{},
 		known:        map[string]*peer{},
 	}
-	p.client = &http.Client{Transport: &http.Transport{
-		DialContext:            responsehead.CheckedDial(func(ctx context.Context, _, addr string) (net.Conn, error) { return p.dialPeer(ctx, addr) }),
-		DisableCompression:     true,
-		IdleConnTimeout:        time.Second,
-		MaxResponseHeaderBytes: maxHeadBytes,
-	}}
+	p.client = &http.Client{
+		Transport: &http.Transport{
+			DialContext:            responsehead.CheckedDial(func(ctx context.Context, _, addr string) (net.Conn, error) { return p.dialPeer(ctx, addr) }),
+			DisableCompression:     true,
+			IdleConnTimeout:        time.Second,
+			MaxResponseHeaderBytes: maxHeadBytes,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
 	return p
 }
 
--- a/internal/gateway/runresult.go
+++ b/internal/gateway/runresult.go
@@ -85,6 +85,7 @@
 	case !errors.Is(r.err, io.EOF):
 		if errors.Is(r.err, errEventID) {
 			g.s.stats.wrongEventIDs.Inc()
+			g.refusedEventID = run.ids.refused
 		}
 		if run.events < beginEvents {
 			g.recordBreak(g.ctx, run.lease.Target, r.err)
@@ -125,7 +126,7 @@
 	}
 	run.taken(len(e.raw))
 	if e.id != "" {
-		g.lastEventID, g.uncounted = e.id, e.uncounted
+		g.lastEventID, g.idOrder = e.id, e.order
 	}
 	g.recordEventTime(time.Now())
 	if run.events++; run.events == beginEvents {
