--- a/internal/gateway/enginerun.go
+++ b/internal/gateway/enginerun.go
@@ -131,7 +131,7 @@
 			resp.bodyRead = errors.Is(err, io.EOF)
 			resp.close()
 			// An event with a wrong id is no sign that the engine has crashed.
-			if !resp.bodyRead && !errors.Is(err, errEventID) {
+			if !resp.bodyRead && !errors.Is(err, errWrongEventID) {
 				err = errors.Mark(err, endpoint.ErrCallFailed)
 			}
 			r.deliver(ctx, runResult{err: err})
--- a/internal/gateway/eventids.go
+++ b/internal/gateway/eventids.go
@@ -8,8 +8,8 @@
 	"github.com/cockroachdb/errors"
 )
 
-// errEventID ends a run whose engine has sent an event with an id that cannot follow the one before.
-var errEventID = errors.New("the id of an event cannot follow the one before")
+// errWrongEventID ends a run whose engine has sent an event with an id that cannot follow the one before.
+var errWrongEventID = errors.New("the id of an event cannot follow the one before")
 
 // idSequence checks the ids of the events of one run.
 //
@@ -58,10 +58,10 @@
 	id, ok := parseEventID(text)
 	switch {
 	case !ok:
-		return errors.Wrapf(errEventID, "not a number, want %d", s.next)
+		return errors.Wrapf(errWrongEventID, "not a number, want %d", s.next)
 	case id < s.least, id != s.next && s.order == orderCounted && id != s.refused:
 		s.refused = id
-		return errors.Wrapf(errEventID, "%d, want %d", id, s.next)
+		return errors.Wrapf(errWrongEventID, "%d, want %d", id, s.next)
 	}
 	switch {
 	case s.order == orderSparse:
@@ -96,7 +96,7 @@
 			return streamEvent{}, r.err
 		}
 		e, err := readEvent(r.br)
-		if err == nil && r.ids != nil && e.isPiece() {
+		if err == nil && r.ids != nil && !e.isComment() {
 			err = r.ids.add(e.id)
 		}
 		switch {
--- a/internal/gateway/eventids_test.go
+++ b/internal/gateway/eventids_test.go
@@ -18,7 +18,7 @@
 		if id != "" {
 			id = "id: " + id + "\n"
 		}
-		fmt.Fprintf(&stream, "%sdata: piece %d\n\n", id, i)
+		fmt.Fprintf(&stream, "%sdata: event %d\n\n", id, i)
 	}
 	r := newEventReader(bufio.NewReader(strings.NewReader(stream.String())), newIDSequence(after, order, 0))
 	for {
@@ -30,7 +30,7 @@
 	}
 }
 
-// An event with an id that cannot follow was relayed, and the stream went on after that id elsewhere: pieces were missing
+// An event with an id that cannot follow was relayed, and the stream went on after that id elsewhere: events were missing
 // or came twice in a stream that ended as complete.
 func TestEventsWithWrongIDsAreNotRelayed(t *testing.T) {
 	const events = 12
@@ -68,7 +68,7 @@
 					assert.Equal(t, seen, orderSparse, "%s: a stream may begin with 0", name)
 					continue
 				}
-				assert.ErrorIs(t, err, errEventID, "%s, event %d after %d", name, n, after)
+				assert.ErrorIs(t, err, errWrongEventID, "%s, event %d after %d", name, n, after)
 				assert.DeepEqual(t, relayed, want)
 			}
 		}
@@ -104,7 +104,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			relayed, order, err := readIDs(c.after, c.before, c.ids...)
-			assert.Equal(t, errors.Is(err, errEventID), c.wrong, "%v", err)
+			assert.Equal(t, errors.Is(err, errWrongEventID), c.wrong, "%v", err)
 			assert.Equal(t, errors.Is(err, io.EOF), !c.wrong, "%v", err)
 			assert.Equal(t, len(relayed), c.relayed)
 			assert.Equal(t, order == orderSparse, c.order == orderSparse)
@@ -119,7 +119,7 @@
 	for _, id := range []string{"1", "2", "3"} {
 		assert.NilError(t, first.add(id))
 	}
-	assert.ErrorIs(t, first.add("6"), errEventID)
+	assert.ErrorIs(t, first.add("6"), errWrongEventID)
 	for id, sound := range map[string]bool{"6": true, "4": true, "5": false, "7": false, "3": false} {
 		second := newIDSequence("3", first.order, first.refused)
 		err := second.add(id)
@@ -128,11 +128,11 @@
 			assert.Equal(t, second.order, orderSparse)
 		}
 		if id == "4" {
-			assert.ErrorIs(t, second.add("6"), errEventID, "at another position")
+			assert.ErrorIs(t, second.add("6"), errWrongEventID, "at another position")
 		}
 	}
-	assert.ErrorIs(t, first.add("2"), errEventID)
-	assert.ErrorIs(t, newIDSequence("3", first.order, first.refused).add("2"), errEventID)
+	assert.ErrorIs(t, first.add("2"), errWrongEventID)
+	assert.ErrorIs(t, newIDSequence("3", first.order, first.refused).add("2"), errWrongEventID)
 }
 
 // Comments between events have no id and keep their place, also while an event is kept back.
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -16,8 +16,8 @@
 	order   idOrder // of the ids up to this one
 }
 
-// isPiece reports whether the event is a part of the stream's output, and not a comment.
-func (e *streamEvent) isPiece() bool { return e.hasData || e.id != "" }
+// isComment reports whether there is no output in the event, so that it needs no id.
+func (e *streamEvent) isComment() bool { return !e.hasData && e.id == "" }
 
 var (
 	errTruncatedEvent = errors.New("stream ended in the middle of an event")
--- a/internal/gateway/runresult.go
+++ b/internal/gateway/runresult.go
@@ -83,7 +83,7 @@
 		}
 		return runProgressed, sched.Succeeded, nil
 	case !errors.Is(r.err, io.EOF):
-		if errors.Is(r.err, errEventID) {
+		if errors.Is(r.err, errWrongEventID) {
 			g.s.stats.wrongEventIDs.Inc()
 			g.refusedEventID = run.ids.refused
 		}
