An id that two engines give out of turn is believed once a larger one follows

Callers would have got an event with a wrong id if two engines made the same error at the same event: seen in TestStreamThatBreaksTwiceAtWrongIDsIsNotMixed, where the fifth event reached the caller as the seventh before its stream ended visibly.

Cause: the same id at two engines was taken for proof by itself.

Change: such an event is kept back until the next one, like a first event out of turn. If the next one is not larger, or the stream breaks off, it is not relayed.

--- a/internal/gateway/eventids.go
+++ b/internal/gateway/eventids.go
@@ -19,7 +19,7 @@
 // The platform promises only that ids increase. If the first id of a run does not follow the position in its request, the
 // second one decides: if it is the next number, the ids count the events from there; if it is larger, they do not count
 // them; otherwise the first one was wrong. A larger id than the next number is allowed later if two engines give it at the same
-// position.
+// position and a larger one follows.
 type idSequence struct {
 	next    uint64 // the id that follows if the ids count the events
 	least   uint64 // the smallest id that may follow
@@ -33,6 +33,7 @@
 const (
 	orderUnknown   idOrder = iota // there was no event yet
 	orderUndecided                // the first id does not follow the position in the request
+	orderJumped                   // the last id is not the next number, but two engines gave it
 	orderCounted                  // the ids count the events
 	orderSparse                   // the ids increase by more than one
 )
@@ -65,17 +66,24 @@
 	}
 	switch {
 	case s.order == orderSparse:
+	case s.order == orderJumped:
+		s.order = orderSparse
 	case id == s.next:
 		s.order = orderCounted
 	case s.order == orderUnknown:
 		s.order = orderUndecided
-	default:
+	case s.order == orderUndecided:
 		s.order = orderSparse
+	case s.order == orderCounted:
+		s.order = orderJumped
 	}
 	s.next, s.least, s.refused = id+1, id+1, 0
 	return nil
 }
 
+// isDecided reports whether the last id can be right whatever follows.
+func (s *idSequence) isDecided() bool { return s.order != orderUndecided && s.order != orderJumped }
+
 // eventReader reads the events of a run. It keeps back those that the next one may show to be wrong.
 type eventReader struct {
 	br    *bufio.Reader
@@ -102,7 +110,7 @@
 		switch {
 		case err == nil:
 			r.held = append(r.held, e)
-			if r.ids == nil || r.ids.order != orderUndecided {
+			if r.ids == nil || r.ids.isDecided() {
 				r.release()
 			}
 		case errors.Is(err, io.EOF):
--- a/internal/gateway/eventids_test.go
+++ b/internal/gateway/eventids_test.go
@@ -125,6 +125,9 @@
 		err := second.add(id)
 		assert.Equal(t, err == nil, sound, "%s: %v", id, err)
 		if id == "6" {
+			assert.Assert(t, !second.isDecided(), "both may be wrong")
+			assert.ErrorIs(t, second.add("5"), errWrongEventID)
+			assert.NilError(t, second.add("7"))
 			assert.Equal(t, second.order, orderSparse)
 		}
 		if id == "4" {
